--- /dev/null
+++ b/Makefile
@@ -0,0 +1,7 @@
+.PHONY: build demo test
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -race ./...
