--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,131 @@
+// Package settings reads the daemon's settings from TOML, fills in defaults and
+// checks every field. Its errors name the key, the value and what is allowed.
+package settings
+
+import "time"
+
+// Settings are all settings of a daemon. docs/SETTINGS.md lists them.
+type Settings struct {
+	Instance Instance `toml:"instance"`
+	Platform Platform `toml:"platform"`
+	Log      Log      `toml:"log"`
+	API      API      `toml:"api"`
+	Peers    Peers    `toml:"peers"`
+	Home     Home     `toml:"home"`
+	Dispatch Dispatch `toml:"dispatch"`
+	Stop     Stop     `toml:"stop"`
+}
+
+// Instance says who this daemon is and where it listens.
+type Instance struct {
+	Name       string `toml:"name" validate:"required,hostname_rfc1123" allowed:"letters, digits, dashes"`
+	Region     string `toml:"region" validate:"required,hostname_rfc1123" allowed:"letters, digits, dashes"`
+	DataCentre string `toml:"data_centre" validate:"required,hostname_rfc1123" allowed:"letters, digits, dashes"`
+	// HTTPAddr serves callers and operators, PeerAddr the other daemons.
+	HTTPAddr string `toml:"http_addr" validate:"required,tcp_addr" allowed:"IP:port"`
+	PeerAddr string `toml:"peer_addr" validate:"required,tcp_addr" allowed:"IP:port"`
+	// PeerAdvertise is the address at which the other daemons reach PeerAddr;
+	// empty means PeerAddr itself.
+	PeerAdvertise string `toml:"peer_advertise" validate:"omitempty,tcp_addr" allowed:"IP:port"`
+}
+
+// Platform says how the object API is reached.
+type Platform struct {
+	URL     string   `toml:"url" validate:"required,http_url" allowed:"an http URL"`
+	Timeout Duration `toml:"timeout" validate:"min=10ms,max=1m" allowed:"10ms to 1m"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level  string `toml:"level" validate:"oneof=debug info warn error" allowed:"debug, info, warn or error"`
+	Format string `toml:"format" validate:"oneof=json text" allowed:"json or text"`
+}
+
+// API bounds the callers' interface.
+type API struct {
+	MaxBodyBytes int64 `toml:"max_body_bytes" validate:"min=1024,max=1073741824" allowed:"1024 to 1073741824"`
+	// RetryFor bounds the search for a program's home during a takeover.
+	RetryFor Duration `toml:"retry_for" validate:"min=100ms,max=5m" allowed:"100ms to 5m"`
+}
+
+// Peers sets the heartbeats between daemons.
+type Peers struct {
+	HeartbeatInterval Duration `toml:"heartbeat_interval" validate:"min=20ms,max=10s" allowed:"20ms to 10s"`
+	SuspectAfter      Duration `toml:"suspect_after" validate:"min=100ms,max=1m" allowed:"100ms to 1m"`
+	// CatalogueStaleAfter ends admission when neither the platform nor a daemon
+	// that reaches it was heard for so long.
+	CatalogueStaleAfter Duration `toml:"catalogue_stale_after" validate:"min=500ms,max=1m" allowed:"500ms to 1m"`
+}
+
+// Home sets the programs' side.
+type Home struct {
+	// Shards is the number of shards of programs in each region. All daemons
+	// of a fleet must use the same number.
+	Shards int `toml:"shards" validate:"min=1,max=4096" allowed:"1 to 4096"`
+	// CommitInterval is the shortest time between two commits of a shard.
+	CommitInterval Duration `toml:"commit_interval" validate:"min=0s,max=5s" allowed:"0s to 5s"`
+	// QueueFor is the default time that a request may wait for a slot.
+	QueueFor Duration `toml:"queue_for" validate:"min=100ms,max=30m" allowed:"100ms to 30m"`
+}
+
+// Dispatch selects the policies and their targets.
+type Dispatch struct {
+	Queue      string `toml:"queue" validate:"oneof=fair fifo" allowed:"fair or fifo"`
+	Placement  string `toml:"placement" validate:"oneof=estimate round_robin" allowed:"estimate or round_robin"`
+	Window     string `toml:"window" validate:"oneof=adaptive fixed" allowed:"adaptive or fixed"`
+	Stragglers bool   `toml:"stragglers"`
+	// FixedWindow is the number of requests under way at an engine when Window
+	// is fixed.
+	FixedWindow int `toml:"fixed_window" validate:"min=1,max=4096" allowed:"1 to 4096"`
+	// QueueLimit bounds the requests waiting before one backend server.
+	QueueLimit int      `toml:"queue_limit" validate:"min=1,max=1000000" allowed:"1 to 1000000"`
+	FirstToken Duration `toml:"first_token_target" validate:"min=10ms,max=1m" allowed:"10ms to 1m"`
+	TokenGap   Duration `toml:"token_gap_target" validate:"min=1ms,max=5s" allowed:"1ms to 5s"`
+	// SweepInterval is the time between two comparisons of an engine's KV
+	// memory with the live programs.
+	SweepInterval Duration `toml:"sweep_interval" validate:"min=100ms,max=1h" allowed:"100ms to 1h"`
+}
+
+// Stop sets the planned stop.
+type Stop struct {
+	// DrainLimit bounds the whole planned stop.
+	DrainLimit Duration `toml:"drain_limit" validate:"min=1s,max=2h" allowed:"1s to 2h"`
+	// BalancerDelay is how long new connections are still served after the
+	// health endpoint said that the daemon is leaving.
+	BalancerDelay Duration `toml:"balancer_delay" validate:"min=0s,max=5m" allowed:"0s to 5m"`
+}
+
+// Default returns the settings that apply where a file is silent. Instance and
+// Platform.URL have no default.
+func Default() Settings {
+	return Settings{
+		Platform: Platform{Timeout: Duration(2 * time.Second)},
+		Log:      Log{Level: "info", Format: "json"},
+		API:      API{MaxBodyBytes: 8 << 20, RetryFor: Duration(10 * time.Second)},
+		Peers: Peers{
+			HeartbeatInterval:   Duration(250 * time.Millisecond),
+			SuspectAfter:        Duration(time.Second),
+			CatalogueStaleAfter: Duration(5 * time.Second),
+		},
+		Home: Home{
+			Shards:         8,
+			CommitInterval: Duration(5 * time.Millisecond),
+			QueueFor:       Duration(time.Minute),
+		},
+		Dispatch: Dispatch{
+			Queue:         "fair",
+			Placement:     "estimate",
+			Window:        "adaptive",
+			Stragglers:    true,
+			FixedWindow:   16,
+			QueueLimit:    1000,
+			FirstToken:    Duration(1100 * time.Millisecond),
+			TokenGap:      Duration(47 * time.Millisecond),
+			SweepInterval: Duration(10 * time.Second),
+		},
+		Stop: Stop{
+			DrainLimit:    Duration(10 * time.Minute),
+			BalancerDelay: Duration(5 * time.Second),
+		},
+	}
+}
