--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,56 @@
+// Package operator serves the operators' HTTP calls of a daemon: metrics, state
+// dump, status, and the shares that owners received.
+package operator
+
+import (
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"ibisline/internal/structs"
+)
+
+// Status says which daemon answers and which catalogue revision it applies.
+type Status struct {
+	Instance          structs.Instance `json:"instance"`
+	CatalogueRevision int64            `json:"catalogue_revision"`
+	// Leaving is set once a planned stop began.
+	Leaving bool `json:"leaving"`
+}
+
+// Sources are the parts of the daemon that the calls read.
+type Sources struct {
+	Metrics *metrics.Set
+	Status  func() Status
+	Dump    func() map[string]any
+	// Shares returns what each entry was granted and received here.
+	Shares func() any
+}
+
+// Register adds the operators' routes to server.
+func Register(server *rest.Server, s Sources) {
+	server.AddRoutes([]rest.Route{
+		{Method: http.MethodGet, Path: "/metrics", Handler: metricsHandler(s.Metrics)},
+		{Method: http.MethodGet, Path: "/v1/status", Handler: jsonHandler(func() any { return s.Status() })},
+		{Method: http.MethodGet, Path: "/v1/dump", Handler: jsonHandler(func() any { return s.Dump() })},
+		{Method: http.MethodGet, Path: "/v1/shares", Handler: jsonHandler(s.Shares)},
+	})
+}
+
+// metricsHandler writes the daemon's metrics and those of the process.
+func metricsHandler(set *metrics.Set) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	}
+}
+
+// jsonHandler writes the value that read returns.
+func jsonHandler(read func() any) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		httpx.OkJsonCtx(r.Context(), w, read())
+	}
+}
