--- /dev/null
+++ b/internal/home/claim.go
@@ -0,0 +1,157 @@
+package home
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/journal"
+	"ibisline/internal/member"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// claim is a claim under way, shared by the requests that wait for it.
+type claim struct {
+	done  chan struct{}
+	shard *shard
+	err   error
+}
+
+// acquire returns the held shard, and claims it first when the membership names
+// this daemon as its home.
+func (h *Home) acquire(ctx context.Context, id structs.ShardID) (*shard, error) {
+	select {
+	case <-h.started:
+	default:
+		return nil, notHome("daemon is starting")
+	}
+	c, held, err := h.joinClaim(id)
+	if held != nil || err != nil {
+		return held, err
+	}
+	select {
+	case <-c.done:
+		return c.shard, c.err
+	case <-ctx.Done():
+		return nil, notHome("shard %s is being claimed", id)
+	}
+}
+
+// joinClaim returns the held shard or the claim under way, and starts one when
+// there is neither.
+func (h *Home) joinClaim(id structs.ShardID) (*claim, *shard, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if sh, ok := h.shards[id]; ok && !sh.journal.Lost() {
+		return nil, sh, nil
+	}
+	if c, ok := h.claims[id]; ok {
+		return c, nil, nil
+	}
+	if h.draining || h.ctx.Err() != nil {
+		return nil, nil, notHome("daemon is stopping")
+	}
+	owner, ok := member.Home(h.deps.View, id)
+	if !ok || owner.Name != h.deps.Self {
+		return nil, nil, notHome("home of shard %s is %q", id, owner.Name)
+	}
+	c := &claim{done: make(chan struct{})}
+	h.claims[id] = c
+	h.work.Go(func() { h.finishClaim(id, c) })
+	return c, nil, nil
+}
+
+// finishClaim claims the shard and publishes the outcome.
+func (h *Home) finishClaim(id structs.ShardID, c *claim) {
+	held, err := h.take(h.ctx, id)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err == nil {
+		c.shard = h.hold(id, held)
+		h.shards[id] = c.shard
+	}
+	c.err = err
+	delete(h.claims, id)
+	close(c.done)
+}
+
+// take reads the shard object, asks a living holder to hand it over, and claims
+// it. The claim is conditional on the object as read, so that whatever a former
+// holder does meanwhile either is in the claimed state or fails.
+func (h *Home) take(ctx context.Context, id structs.ShardID) (*journal.Shard, error) {
+	head, err := journal.Read(ctx, h.deps.Store, id)
+	if err != nil {
+		return nil, refuseClaim(err)
+	}
+	switch h.askHolder(ctx, id, head.State.Home) {
+	case holderBusy:
+		return nil, notHome("shard %s is being handed over", id)
+	case holderReleased:
+		head, err = journal.Read(ctx, h.deps.Store, id)
+		if err != nil {
+			return nil, refuseClaim(err)
+		}
+	case holderGone:
+	}
+	held, err := journal.Claim(ctx, h.deps.Store, head, h.deps.Self, h.cfg.Journal)
+	if err != nil {
+		return nil, refuseClaim(err)
+	}
+	h.log.WithField("shard", string(id)).WithField("epoch", head.State.Epoch).Info("shard claimed")
+	return held, nil
+}
+
+// refuseClaim is the refusal after a failed claim; nothing was sent anywhere.
+func refuseClaim(err error) error {
+	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
+		return verdict.Wrap(err, verdict.NotRun, verdict.PlatformDown, "shard cannot be claimed").After(retrySoon)
+	}
+	if errors.Is(err, journal.ErrLost) {
+		return notHome("another daemon claimed the shard")
+	}
+	return verdict.Wrap(err, verdict.NotRun, verdict.Internal, "shard cannot be claimed").After(retryLater)
+}
+
+// hold starts the commit loop of a claimed shard.
+func (h *Home) hold(id structs.ShardID, held *journal.Shard) *shard {
+	ctx, cancel := context.WithCancel(h.ctx)
+	sh := &shard{
+		id:       id,
+		journal:  held,
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		meters:   map[string]*meters{},
+		programs: map[string]*program{},
+	}
+	h.work.Go(func() {
+		defer close(sh.done)
+		defer h.forget(sh)
+		defer cancel()
+		_ = held.Run(ctx)
+	})
+	return sh
+}
+
+// forget drops a shard that is no longer held.
+func (h *Home) forget(sh *shard) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.shards[sh.id] == sh {
+		delete(h.shards, sh.id)
+	}
+	h.log.WithField("shard", string(sh.id)).Info("shard dropped")
+}
+
+// held returns the shards held now.
+func (h *Home) held() []*shard {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []*shard
+	for _, sh := range h.shards {
+		list = append(list, sh)
+	}
+	return list
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -4,8 +4,18 @@
 
 import (
 	"context"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
 
+	"github.com/apex/log"
+
+	"ibisline/internal/budget"
+	"ibisline/internal/invariant"
+	"ibisline/internal/journal"
 	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
 )
 
 // Service is what a front asks of a home, here or on another daemon. All errors
@@ -33,3 +43,152 @@
 	MethodState  = "home.state"
 	MethodEnd    = "home.end"
 )
+
+// Home implements Service for the shards that this daemon holds.
+type Home struct {
+	cfg    Config
+	deps   Deps
+	checks *invariant.Checker
+	log    log.Interface
+
+	started chan struct{} // closed when Run set ctx
+	ctx     context.Context
+	work    sync.WaitGroup
+
+	mu       sync.Mutex
+	shards   map[structs.ShardID]*shard
+	claims   map[structs.ShardID]*claim
+	draining bool
+	// settled are the shards that the upkeep need not look at before the time
+	// given, or before the membership changes when that is zero.
+	settled map[structs.ShardID]time.Time
+	changed <-chan struct{}
+}
+
+var _ Service = (*Home)(nil)
+
+// New returns a home that holds no shard yet. It serves once Run was called.
+func New(cfg Config, deps Deps) *Home {
+	return &Home{
+		cfg:     cfg.withDefaults(),
+		deps:    deps,
+		checks:  invariant.New(deps.Metrics, deps.Log),
+		log:     deps.Log.WithField("service", "home"),
+		started: make(chan struct{}),
+		shards:  map[structs.ShardID]*shard{},
+		claims:  map[structs.ShardID]*claim{},
+		settled: map[structs.ShardID]time.Time{},
+		changed: deps.View.Changed(),
+	}
+}
+
+// Run holds shards and does the upkeep until ctx ends. Shards still held then
+// are dropped without a write; Drain hands them over before.
+func (h *Home) Run(ctx context.Context) error {
+	h.ctx = ctx
+	close(h.started)
+	ticker := time.NewTicker(h.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.work.Wait()
+			return ctx.Err()
+		case <-ticker.C:
+			h.upkeep()
+		}
+	}
+}
+
+// retrySoon and retryLater are the waits suggested with refusals.
+const (
+	retrySoon  = 100 * time.Millisecond
+	retryLater = 2 * time.Second
+)
+
+// notHome is the refusal of a daemon that does not hold the shard.
+func notHome(format string, args ...any) error {
+	return verdict.Refuse(verdict.NotHome, format, args...).After(retrySoon)
+}
+
+// enter returns the held shard and the program.
+func (h *Home) enter(ctx context.Context, id string) (*shard, *program, error) {
+	shardID, ok := structs.ShardOf(id)
+	if !ok {
+		return nil, nil, verdict.Refuse(verdict.BadRequest, "malformed program identifier %q", id)
+	}
+	sh, err := h.acquire(ctx, shardID)
+	if err != nil {
+		return nil, nil, err
+	}
+	p, err := sh.program(id)
+	if err != nil {
+		return nil, nil, err
+	}
+	sh.touch(id)
+	return sh, p, nil
+}
+
+// entry returns the catalogue entry if it may start new work.
+func (h *Home) entry(name string) (structs.Entry, error) {
+	if err := h.deps.Catalogue.Admit(); err != nil {
+		return structs.Entry{}, err
+	}
+	entry, ok := h.deps.Catalogue.Entry(name)
+	if !ok {
+		return structs.Entry{}, verdict.Refuse(verdict.UnknownEntry, "no catalogue entry %q", name)
+	}
+	if entry.Retired {
+		return structs.Entry{}, verdict.Refuse(verdict.EntryRetired, "catalogue entry %q is retired", name)
+	}
+	return entry, nil
+}
+
+// limit waits until the fleet-wide limits of the entry admit one more request.
+func (h *Home) limit(ctx context.Context, entry string, deadline time.Time) (func(), error) {
+	if h.deps.Limits == nil {
+		return func() {}, nil
+	}
+	return h.deps.Limits.Acquire(ctx, entry, deadline)
+}
+
+// deadline is the latest time for a slot.
+func (h *Home) deadline(milliseconds int) time.Time {
+	if milliseconds <= 0 {
+		return time.Now().Add(h.cfg.QueueFor)
+	}
+	return time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
+}
+
+// State implements Service.
+func (h *Home) State(ctx context.Context, id string) (structs.ProgramState, error) {
+	sh, _, err := h.enter(ctx, id)
+	if err != nil {
+		return structs.ProgramState{}, err
+	}
+	var state structs.ProgramState
+	sh.journal.View(func(s *journal.State) { state = h.describe(s, id) })
+	return state, nil
+}
+
+// describe returns what a caller sees of a program.
+func (h *Home) describe(s *journal.State, id string) structs.ProgramState {
+	p, root := s.Programs[id], s.Programs[s.Programs[id].Root]
+	state := structs.ProgramState{
+		Program:     id,
+		Entry:       p.Entry,
+		Owner:       p.Owner,
+		Parent:      p.Parent,
+		Home:        h.deps.Self,
+		Epoch:       s.Epoch,
+		NextTurn:    p.Turns + 1,
+		Ended:       p.Ended,
+		SpentTokens: root.Tokens.Spent,
+		Engines:     slices.Clone(p.Engines),
+		Digest:      hex.EncodeToString(p.Digest),
+	}
+	if entry, ok := h.deps.Catalogue.Entry(root.Entry); ok && entry.BudgetTokens != budget.Unlimited {
+		state.BudgetLeft = root.Tokens.Left(entry.BudgetTokens, 0)
+	}
+	return state
+}
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,207 @@
+package home
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// inWorld runs a test under virtual time.
+func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.stopAll()
+		test(t, w)
+	})
+}
+
+func TestTurnsReachTheEngineWithTheWholeHistory(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		first := runTurn(t, d, turnRequest(id, 1))
+		runTurn(t, d, turnRequest(id, 2))
+		require.Equal(t, []string{
+			"user:question 1 of " + id + "|assistant:" + first.text() + "|user:question 2 of " + id + "|",
+		}, w.backends.prompts[turnID(id, 2)])
+	})
+}
+
+func TestRepeatedTurnReplaysTheStoredAnswer(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		first := runTurn(t, d, turnRequest(id, 1))
+		require.Equal(t, first.events, runTurn(t, d, turnRequest(id, 1)).events)
+		w.crash("a")
+		again := runTurn(t, w.start("b"), turnRequest(id, 1))
+		require.Equal(t, first.text(), again.text())
+		require.Len(t, again.events, len(first.events))
+		require.Equal(t, first.events[0].Run, again.events[0].Run)
+		require.Len(t, w.backends.prompts[turnID(id, 1)], 1)
+	})
+}
+
+func TestOtherContentUnderTheSameTurnIsAConflict(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		other := turnRequest(id, 1)
+		other.Messages[0].Content = "another question"
+		err := d.Turn(context.Background(), other, (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.TurnConflict), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+	})
+}
+
+func TestEarlyTurnWaitsForItsPredecessor(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		early := make(chan error, 1)
+		go func() { early <- d.Turn(context.Background(), turnRequest(id, 2), (&collect{}).sink) }()
+		synctest.Wait()
+		runTurn(t, d, turnRequest(id, 1))
+		require.NoError(t, <-early)
+		err := d.Turn(context.Background(), turnRequest(id, 9), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.TurnOutOfOrder), "%v", err)
+		require.Equal(t, 3, verdict.From(err).Turn)
+	})
+}
+
+func TestCallRunsOnceAndItsOutcomeSurvivesTheHome(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		for range 2 {
+			reply, err := d.Call(context.Background(), callRequest(id, "k"))
+			require.NoError(t, err)
+			require.Equal(t, "done k", string(reply.Body))
+		}
+		w.crash("a")
+		reply, err := w.start("b").Call(context.Background(), callRequest(id, "k"))
+		require.NoError(t, err)
+		require.True(t, reply.Replayed)
+		require.Equal(t, 1, w.backends.sends(id+"/k"))
+	})
+}
+
+func TestIntentOfADeadHomeMayHaveRunForEver(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		reached := w.backends.hold("send", nil)
+		go func() { _, _ = d.Call(context.Background(), callRequest(id, "k")) }()
+		<-reached
+		d.stop()
+		w.live.remove("a")
+		b := w.start("b")
+		for range 2 {
+			_, err := b.Call(context.Background(), callRequest(id, "k"))
+			require.True(t, verdict.Is(err, verdict.MayHaveRun), "%v", err)
+		}
+		require.LessOrEqual(t, w.backends.sends(id+"/k"), 1)
+	})
+}
+
+func TestCallsAreRefusedAtOnceWhileThePlatformIsDown(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Outage: true})
+		begun := time.Now()
+		_, err := d.Call(context.Background(), callRequest(id, "k"))
+		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+		require.True(t, verdict.HasReason(err, verdict.PlatformDown), "%v", err)
+		require.Less(t, time.Since(begun), time.Second)
+		w.objects.SetFaults(objects.Faults{})
+		time.Sleep(2 * time.Second)
+		_, err = d.Call(context.Background(), callRequest(id, "k"))
+		require.NoError(t, err)
+		require.Equal(t, 1, w.backends.sends(id+"/k"))
+	})
+}
+
+func TestTurnsGoOnWhileThePlatformIsDown(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Outage: true})
+		for turn := 1; turn <= 3; turn++ {
+			runTurn(t, d, turnRequest(id, turn))
+		}
+		w.objects.SetFaults(objects.Faults{})
+		time.Sleep(2 * time.Second)
+		w.crash("a")
+		state, err := w.start("b").State(context.Background(), id)
+		require.NoError(t, err)
+		require.Equal(t, 4, state.NextTurn)
+	})
+}
+
+func TestDrainHandsOverWithoutInterruption(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		a := w.start("a")
+		id := w.open(t, a, "p")
+		hold := make(chan struct{})
+		w.backends.hold("generate", hold)
+		running := make(chan error, 1)
+		go func() { running <- a.Turn(context.Background(), turnRequest(id, 1), (&collect{}).sink) }()
+		synctest.Wait()
+		w.live.leave("a")
+		b := w.start("b")
+		drained := make(chan error, 1)
+		go func() { drained <- a.Drain(context.Background()) }()
+		synctest.Wait()
+		_, err := b.State(context.Background(), id)
+		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
+		close(hold)
+		require.NoError(t, <-running)
+		require.NoError(t, <-drained)
+		state, err := b.State(context.Background(), id)
+		require.NoError(t, err)
+		require.Equal(t, 2, state.NextTurn)
+		require.EqualValues(t, 2, state.Epoch)
+	})
+}
+
+func TestBudgetCutsMaxTokensAndThenRefuses(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 600, Share: 1})
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		var err error
+		for turn := 1; err == nil; turn++ {
+			err = d.Turn(context.Background(), turnRequest(id, turn), (&collect{}).sink)
+		}
+		require.True(t, verdict.HasReason(err, verdict.BudgetSpent), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+		require.LessOrEqual(t, w.backends.used[id], 600)
+		require.Positive(t, w.backends.used[id])
+	})
+}
+
+func TestEndReleasesEngineMemoryAfterTheHomeDied(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		w.crash("a")
+		b := w.start("b")
+		require.NoError(t, b.End(context.Background(), id))
+		w.crash("b")
+		w.start("c")
+		time.Sleep(5 * time.Second)
+		require.Empty(t, w.backends.heldPrograms())
+	})
+}
--- /dev/null
+++ b/internal/home/run.go
@@ -0,0 +1,381 @@
+package home
+
+import (
+	"context"
+	"encoding/hex"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"ibisline/internal/budget"
+	"ibisline/internal/journal"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// run is one execution of a turn. It goes on when its callers leave.
+type run struct {
+	turn     int
+	content  []byte
+	answer   *answer
+	cancel   context.CancelFunc
+	recorded bool // its turn is part of the history
+	settled  bool // its turn is durable, and the next one may start
+}
+
+// start begins the turn if it is the next one and none is under way. Otherwise
+// it returns a channel that is closed at the next change.
+func (h *Home) start(sh *shard, p *program, r structs.TurnRequest, content []byte) (*answer, <-chan struct{}, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.run != nil && !p.run.settled {
+		return nil, p.changed, nil
+	}
+	if sh.nextTurn(p.id) != r.Turn {
+		return nil, p.changed, nil
+	}
+	job, err := h.prepare(sh, p, r)
+	if err != nil {
+		return nil, nil, err
+	}
+	end, err := sh.begin()
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(sh.ctx)
+	started := &run{turn: r.Turn, content: content, answer: newAnswer(uuid.NewString()), cancel: cancel}
+	p.run = started
+	h.work.Go(func() {
+		defer end()
+		defer cancel()
+		h.perform(ctx, sh, p, started, job)
+	})
+	return started.answer, nil, nil
+}
+
+// job is what a run needs to know of its program.
+type job struct {
+	request  structs.TurnRequest
+	entry    structs.Entry // of the program
+	limits   structs.Entry // of the root, for the budget
+	root     string
+	deadline time.Time
+}
+
+// prepare checks that the program may start a turn.
+func (h *Home) prepare(sh *shard, p *program, r structs.TurnRequest) (job, error) {
+	var record, root journal.Program
+	sh.journal.View(func(s *journal.State) {
+		record = *s.Programs[p.id]
+		root = *s.Programs[record.Root]
+	})
+	if record.Ended {
+		return job{}, verdict.Refuse(verdict.ProgramEnded, "program %s has ended", p.id)
+	}
+	entry, err := h.entry(record.Entry)
+	if err != nil {
+		return job{}, err
+	}
+	limits, err := h.entry(root.Entry)
+	if err != nil {
+		return job{}, err
+	}
+	return job{request: r, entry: entry, limits: limits, root: record.Root, deadline: h.deadline(r.DeadlineMS)}, nil
+}
+
+// perform runs the turn to its last event.
+func (h *Home) perform(ctx context.Context, sh *shard, p *program, current *run, j job) {
+	last, err := h.execute(ctx, sh, p, current, j)
+	if err == nil {
+		p.mu.Lock()
+		current.settled = true
+		p.wake()
+		p.mu.Unlock()
+		current.answer.finish(last)
+		return
+	}
+	h.turnLog(p, j).WithError(err).Warn("turn failed")
+	p.mu.Lock()
+	if !current.recorded {
+		p.run = nil
+	}
+	p.wake()
+	p.mu.Unlock()
+	current.answer.fail(err)
+}
+
+// execute reserves the budget, generates the answer, and stores the turn.
+func (h *Home) execute(ctx context.Context, sh *shard, p *program, current *run, j job) (structs.Event, error) {
+	turns, held, err := h.ready(ctx, sh, p, j)
+	if err != nil {
+		return structs.Event{}, err
+	}
+	generated, err := h.generate(ctx, sh, p, current, j, turns, held)
+	if err != nil {
+		sh.settleFailed(p.id, held, err)
+		return structs.Event{}, err
+	}
+	turn := h.finishedTurn(p.id, current, j, turns, generated)
+	seq, err := h.record(sh, p, current, j, held, turn)
+	if err != nil {
+		return structs.Event{}, errLostRun(err)
+	}
+	if err := h.durable(ctx, sh, seq); err != nil {
+		return structs.Event{}, errLostRun(err)
+	}
+	return h.lastEvent(turn), nil
+}
+
+// ready reads the history and reserves the budget, before the deadline.
+func (h *Home) ready(ctx context.Context, sh *shard, p *program, j job) ([]journal.Turn, turnReservation, error) {
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	turns, err := h.history(ctx, sh, p)
+	if err != nil {
+		return nil, turnReservation{}, err
+	}
+	prompt := h.promptBound(sh, p.id, turns, j.request)
+	held, err := h.reserveTurn(ctx, sh, j, prompt)
+	return turns, held, err
+}
+
+// errLostRun is the failure of a turn that ran and could not be stored, because
+// another home took the shard. The turn is repeatable there.
+func errLostRun(cause error) error {
+	return verdict.Wrap(cause, verdict.MayHaveRun, verdict.NotHome, "shard was lost before the turn was stored").After(retrySoon)
+}
+
+// generate sends the turn to an engine and collects its text.
+func (h *Home) generate(ctx context.Context, sh *shard, p *program, current *run, j job, turns []journal.Turn, held turnReservation) (structs.Generated, error) {
+	release, err := h.limit(ctx, j.entry.Name, j.deadline)
+	if err != nil {
+		return structs.Generated{}, err
+	}
+	defer release()
+	request := h.generateRequest(sh, p.id, j, turns, held)
+	generated, err := h.deps.Router.Generate(ctx, request, func(text string) error {
+		current.answer.text(text)
+		return nil
+	})
+	if err != nil && sh.ctx.Err() != nil && !verdict.Is(err, verdict.NotRun) {
+		return generated, errLostRun(err)
+	}
+	return generated, err
+}
+
+// generateRequest builds the whole prompt of a turn.
+func (h *Home) generateRequest(sh *shard, id string, j job, turns []journal.Turn, held turnReservation) structs.GenerateRequest {
+	request := structs.GenerateRequest{
+		Program:      id,
+		Root:         j.root,
+		Turn:         j.request.Turn,
+		Entry:        j.entry.Name,
+		Owner:        j.entry.Owner,
+		Class:        j.entry.Class,
+		Model:        j.request.Model,
+		MaxTokens:    held.maxTokens,
+		PromptTokens: held.prompt,
+		Deadline:     j.deadline,
+		RequestID:    j.request.RequestID,
+	}
+	for _, turn := range turns {
+		request.Messages = append(request.Messages, turn.Messages...)
+		request.Messages = append(request.Messages, structs.Message{Role: "assistant", Content: turn.Answer})
+		request.LastEngine = turn.Engine
+	}
+	request.Messages = append(request.Messages, j.request.Messages...)
+	sh.journal.View(func(s *journal.State) { request.Attained = s.TreeUsed(j.root) })
+	return request
+}
+
+// promptBound is the upper estimate of the prompt's length.
+func (h *Home) promptBound(sh *shard, id string, turns []journal.Turn, r structs.TurnRequest) int {
+	known, model := 0, ""
+	sh.journal.View(func(s *journal.State) { known, model = s.Programs[id].Context, s.Programs[id].Model })
+	if known > 0 && model == r.Model {
+		return budget.PromptBound(known, r.Messages)
+	}
+	bound := budget.PromptBound(0, r.Messages)
+	for _, turn := range turns {
+		bound += budget.PromptBound(len(turn.Answer), turn.Messages)
+	}
+	return bound
+}
+
+// turnReservation is what a turn holds of its tree's budget.
+type turnReservation struct {
+	tokens    need
+	prompt    int
+	maxTokens int
+}
+
+// reserveTurn reserves the prompt and as many output tokens as were asked for
+// and are left.
+func (h *Home) reserveTurn(ctx context.Context, sh *shard, j job, prompt int) (turnReservation, error) {
+	wanted := j.request.MaxTokens
+	if wanted == 0 {
+		wanted = h.cfg.MaxTokens
+	}
+	if err := sh.reserveTurnCount(j); err != nil {
+		return turnReservation{}, err
+	}
+	limit := j.limits.BudgetTokens
+	for {
+		if limit != budget.Unlimited {
+			wanted = min(wanted, sh.tokensLeft(j.root, limit)-prompt)
+		}
+		if wanted < 1 {
+			sh.releaseTurnCount(j.root)
+			return turnReservation{}, verdict.Refuse(verdict.BudgetSpent, "the budget of %d tokens does not cover the prompt", limit)
+		}
+		tokens := need{
+			root:     j.root,
+			amount:   prompt + wanted,
+			limit:    limit,
+			headroom: h.headroom(j.limits, prompt+wanted),
+			escrow:   tokenEscrow,
+			meter:    tokenMeter,
+		}
+		err := sh.reserve(ctx, tokens)
+		if err == nil {
+			return turnReservation{tokens: tokens, prompt: prompt, maxTokens: wanted}, nil
+		}
+		// Another turn of the tree may have reserved in between; what is left
+		// shrinks each time, so this ends.
+		if !errors.Is(err, errSpent) {
+			sh.releaseTurnCount(j.root)
+			return turnReservation{}, err
+		}
+	}
+}
+
+// reserveTurnCount counts the turn against the tree's budget of turns.
+func (sh *shard) reserveTurnCount(j job) error {
+	limit := j.limits.BudgetTurns
+	ok := false
+	sh.journal.View(func(s *journal.State) {
+		m := sh.tree(s, j.root)
+		ok = limit == budget.Unlimited || s.TreeTurns(j.root)+m.turns < limit
+		if ok {
+			m.turns++
+		}
+	})
+	if !ok {
+		return verdict.Refuse(verdict.BudgetSpent, "the budget of %d turns is spent", limit)
+	}
+	return nil
+}
+
+func (sh *shard) releaseTurnCount(root string) {
+	sh.journal.View(func(s *journal.State) { sh.tree(s, root).turns-- })
+}
+
+// tokensLeft is what the limit leaves beside spent and reserved tokens.
+func (sh *shard) tokensLeft(root string, limit int) int {
+	left := 0
+	sh.journal.View(func(s *journal.State) {
+		left = s.Programs[root].Tokens.Left(limit, sh.tree(s, root).tokens.reserved)
+	})
+	return left
+}
+
+// settleFailed gives the reservation of a failed turn back when the turn did
+// not run. When it may have run, the reservation counts as spent, and any
+// engine may hold its KV memory.
+func (sh *shard) settleFailed(id string, held turnReservation, err error) {
+	root := held.tokens.root
+	if verdict.Is(err, verdict.NotRun) {
+		sh.unreserve(held.tokens)
+		sh.releaseTurnCount(root)
+		return
+	}
+	_, _ = sh.grantUpdate(root, func(s *journal.State) error {
+		m := sh.tree(s, root)
+		m.tokens.reserved -= held.tokens.amount
+		m.turns--
+		s.Programs[root].Tokens.Charge(held.tokens.amount)
+		s.Programs[id].AnyEngine = true
+		return nil
+	})
+}
+
+// finishedTurn builds the record of a turn.
+func (h *Home) finishedTurn(id string, current *run, j job, turns []journal.Turn, g structs.Generated) journal.Turn {
+	var former []byte
+	if len(turns) > 0 {
+		former = turns[len(turns)-1].Digest
+	}
+	text, pieces := current.answer.pieces()
+	return journal.Turn{
+		Number:   j.request.Turn,
+		Content:  current.content,
+		Messages: j.request.Messages,
+		Answer:   text,
+		Pieces:   pieces,
+		Usage:    g.Usage,
+		Engine:   g.Engine,
+		Run:      current.answer.run,
+		Digest:   journal.NextDigest(former, id, j.request.Turn, j.request.Messages, text),
+	}
+}
+
+// record appends the turn to the working state, charges the budget and renews
+// the grant in the same change.
+func (h *Home) record(sh *shard, p *program, current *run, j job, held turnReservation, turn journal.Turn) (int64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	used := turn.Usage.Total()
+	h.checks.Check(used <= held.tokens.amount, "reservation",
+		"program %s turn %d used %d tokens of %d reserved", p.id, turn.Number, used, held.tokens.amount)
+	seq, err := sh.grantUpdate(j.root, func(s *journal.State) error {
+		record, root, m := s.Programs[p.id], s.Programs[j.root], sh.tree(s, j.root)
+		h.checks.Check(turn.Number == record.Turns+1, "order", "program %s: turn %d after %d", p.id, turn.Number, record.Turns)
+		record.AddTurn(turn)
+		record.AddEngine(turn.Engine)
+		record.Context = used
+		record.Model = j.request.Model
+		m.tokens.reserved -= held.tokens.amount
+		m.turns--
+		root.Tokens.Charge(used)
+		root.Tokens.Extend(j.limits.BudgetTokens, m.tokens.reserved, 0, h.headroom(j.limits, held.tokens.amount))
+		return nil
+	})
+	if err != nil {
+		return 0, err
+	}
+	p.history = append(p.history, turn)
+	current.recorded = true
+	return seq, nil
+}
+
+// durable waits until the change is stored. While the platform takes no writes,
+// the wait ends after a while: the caller then holds the second copy of the
+// answer, and the chain of digests verifies it when this home's copy is lost.
+func (h *Home) durable(ctx context.Context, sh *shard, seq int64) error {
+	for {
+		wait, cancel := context.WithTimeout(ctx, h.cfg.OutageGrace)
+		err := sh.journal.Wait(wait, seq)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, journal.ErrLost), ctx.Err() != nil:
+			return err
+		case sh.journal.Down():
+			return nil
+		}
+	}
+}
+
+// lastEvent is the final event of a finished turn.
+func (h *Home) lastEvent(turn journal.Turn) structs.Event {
+	usage := turn.Usage
+	return structs.Event{
+		Done:   true,
+		Usage:  &usage,
+		Engine: turn.Engine,
+		Home:   h.deps.Self,
+		Digest: hex.EncodeToString(turn.Digest),
+	}
+}
--- /dev/null
+++ b/internal/home/turn.go
@@ -0,0 +1,165 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/journal"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// Turn implements Service.
+func (h *Home) Turn(ctx context.Context, r structs.TurnRequest, sink structs.Sink) error {
+	if r.Turn < 1 || r.MaxTokens < 0 || len(r.Messages) == 0 {
+		return verdict.Refuse(verdict.BadRequest, "a turn needs a number from 1, messages, and no negative max_tokens")
+	}
+	sh, p, err := h.enter(ctx, r.Program)
+	if err != nil {
+		return err
+	}
+	a, err := h.admit(ctx, sh, p, r)
+	if err != nil {
+		return err
+	}
+	return a.follow(ctx, 0, sink)
+}
+
+// Resume implements Service.
+func (h *Home) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
+	sh, p, err := h.enter(ctx, r.Program)
+	if err != nil {
+		return err
+	}
+	a, err := h.known(ctx, sh, p, r.Turn, nil)
+	if err != nil {
+		return err
+	}
+	if a == nil {
+		next := sh.nextTurn(p.id)
+		refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d is not known, the next one is %d", r.Turn, next)
+		refusal.Turn = next
+		return refusal
+	}
+	after := r.After
+	if r.Run != "" && r.Run != a.run {
+		after = 0
+	}
+	return a.follow(ctx, after, sink)
+}
+
+// nextTurn is the number of the first turn that has not finished.
+func (sh *shard) nextTurn(id string) int {
+	next := 0
+	sh.journal.View(func(s *journal.State) { next = s.Programs[id].Turns + 1 })
+	return next
+}
+
+// admit returns the answer of a turn: a stored one, the one under way, or a new
+// one. A turn that comes early waits a while for the turns before it.
+func (h *Home) admit(ctx context.Context, sh *shard, p *program, r structs.TurnRequest) (*answer, error) {
+	content := journal.TurnContent(r)
+	early := time.NewTimer(h.cfg.EarlyWait)
+	defer early.Stop()
+	for {
+		a, err := h.known(ctx, sh, p, r.Turn, content)
+		if a != nil || err != nil {
+			return a, err
+		}
+		a, changed, err := h.start(sh, p, r, content)
+		if a != nil || err != nil {
+			return a, err
+		}
+		select {
+		case <-changed:
+		case <-sh.ctx.Done():
+			return nil, notHome("shard %s was lost", sh.id)
+		case <-ctx.Done():
+			return nil, verdict.Refuse(verdict.Canceled, "caller left before turn %d started", r.Turn)
+		case <-early.C:
+			return nil, outOfOrder(r.Turn, sh.nextTurn(p.id))
+		}
+	}
+}
+
+// outOfOrder is the refusal of a turn whose predecessors are missing.
+func outOfOrder(turn, next int) error {
+	refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d came before turn %d", turn, next)
+	refusal.Turn = next
+	return refusal
+}
+
+// known returns the answer of a turn that is under way or finished, or nil.
+// Content, unless nil, must match the request that started it.
+func (h *Home) known(ctx context.Context, sh *shard, p *program, turn int, content []byte) (*answer, error) {
+	p.mu.Lock()
+	current := p.run
+	p.mu.Unlock()
+	if current != nil && current.turn == turn {
+		return current.answer, sameContent(turn, current.content, content)
+	}
+	if turn < 1 || turn >= sh.nextTurn(p.id) {
+		return nil, nil
+	}
+	turns, err := h.history(ctx, sh, p)
+	if err != nil {
+		return nil, err
+	}
+	if turn > len(turns) {
+		return nil, nil
+	}
+	stored := turns[turn-1]
+	if err := sameContent(turn, stored.Content, content); err != nil {
+		return nil, err
+	}
+	return h.replay(stored), nil
+}
+
+// sameContent refuses a request that differs from the one known for its turn.
+func sameContent(turn int, known, sent []byte) error {
+	if sent == nil || bytes.Equal(known, sent) {
+		return nil
+	}
+	return verdict.Refuse(verdict.TurnConflict, "turn %d was sent with other content", turn)
+}
+
+// replay rebuilds the events of a stored turn.
+func (h *Home) replay(turn journal.Turn) *answer {
+	a := newAnswer(turn.Run)
+	rest := turn.Answer
+	for _, length := range turn.Pieces {
+		a.text(rest[:length])
+		rest = rest[length:]
+	}
+	a.finish(h.lastEvent(turn))
+	return a
+}
+
+// history returns the program's turns, read from the journal when needed.
+func (h *Home) history(ctx context.Context, sh *shard, p *program) ([]journal.Turn, error) {
+	p.mu.Lock()
+	turns, loaded := p.history, p.loaded
+	p.mu.Unlock()
+	if loaded {
+		return turns, nil
+	}
+	turns, err := sh.journal.History(ctx, p.id)
+	if errors.Is(err, journal.ErrGap) {
+		h.checks.Check(false, "history", "program %s: %v", p.id, err)
+		gap := verdict.Wrap(err, verdict.NotRun, verdict.HistoryGap, "stored history is incomplete")
+		gap.Turn = 1
+		return nil, gap
+	}
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, verdict.PlatformDown, "history cannot be read").After(retrySoon)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.loaded {
+		p.history, p.loaded = turns, true
+	}
+	return p.history, nil
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,43 @@
+// Package invariant checks facts that must always hold. A violation is counted
+// as a metric and logged; in tests it panics.
+package invariant
+
+import (
+	"fmt"
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+)
+
+var fatal atomic.Bool
+
+// Fatal makes violations panic. Tests switch it on.
+func Fatal(on bool) { fatal.Store(on) }
+
+// Checker counts and logs violations. A nil Checker only panics when Fatal.
+type Checker struct {
+	set *metrics.Set
+	log log.Interface
+}
+
+// New returns a Checker that counts in set and writes to logger.
+func New(set *metrics.Set, logger log.Interface) *Checker {
+	return &Checker{set: set, log: logger}
+}
+
+// Check reports a violation of the named invariant unless ok.
+func (c *Checker) Check(ok bool, name, format string, args ...any) {
+	if ok {
+		return
+	}
+	text := fmt.Sprintf(format, args...)
+	if fatal.Load() {
+		panic("invariant " + name + " violated: " + text)
+	}
+	if c == nil {
+		return
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf("ibisline_invariant_violations_total{invariant=%q}", name)).Inc()
+	c.log.WithField("invariant", name).Error("invariant violated: " + text)
+}
--- /dev/null
+++ b/internal/journal/claim.go
@@ -0,0 +1,77 @@
+package journal
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+)
+
+// Head is a shard object as read, before it is claimed.
+type Head struct {
+	State   *State
+	Version int64
+}
+
+// Read returns the shard object, or a fresh state when there is none.
+func Read(ctx context.Context, store platform.Store, id structs.ShardID) (Head, error) {
+	object, err := store.Get(ctx, Key(id))
+	if errors.Is(err, platform.ErrNotFound) {
+		return Head{State: NewState(id)}, nil
+	}
+	if err != nil {
+		return Head{}, errors.Wrap(err, "read shard")
+	}
+	state, err := Decode(object.Value)
+	return Head{State: state, Version: object.Version}, err
+}
+
+// Key returns the key of a shard object.
+func Key(id structs.ShardID) string { return structs.ShardPrefix + string(id) }
+
+// Claim takes the shard over for self: a conditional update of the object as
+// read that raises its epoch. It returns ErrLost when another home was first.
+// Nothing that the caller does afterwards can be undone by a late write of a
+// former holder, because such a write expects an older version.
+func Claim(ctx context.Context, store platform.Store, head Head, self string, cfg Config) (*Shard, error) {
+	cfg = cfg.withDefaults()
+	head.State.Claim(self)
+	w := &writer{store: store, key: Key(head.State.Shard), version: head.Version, limit: cfg.WriteTimeout}
+	for {
+		nonce := uuid.NewString()
+		head.State.Nonce = nonce
+		value, err := head.State.Encode()
+		if err != nil {
+			return nil, err
+		}
+		_, err = w.write(ctx, value, attempt{nonce: nonce})
+		var lost *lostError
+		switch {
+		case err == nil:
+			return newShard(store, head.State, w, cfg), nil
+		case errors.As(err, &lost):
+			return nil, ErrLost
+		case !errors.Is(err, errDoubt):
+			return nil, err
+		}
+		if err := sleep(ctx, cfg.RetryMin); err != nil {
+			return nil, errors.Wrap(platform.ErrUnknown, "claim shard")
+		}
+	}
+}
+
+// sleep waits for d or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/journal/shard.go
@@ -0,0 +1,365 @@
+package journal
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/google/uuid"
+
+	"ibisline/internal/platform"
+)
+
+// Errors of a held shard.
+var (
+	// ErrLost means that another home holds the shard now, or that it was
+	// given up.
+	ErrLost = errors.New("shard is no longer held")
+	// ErrDown means that the platform takes no writes and that the change was
+	// in none that may have taken effect.
+	ErrDown = errors.New("platform takes no writes")
+	// ErrFull means that the shard object has no room for the change.
+	ErrFull = errors.New("shard object is full")
+)
+
+// Config sets the pace of a journal. Zero fields take defaults.
+type Config struct {
+	// Interval is the least time between two writes of one shard.
+	Interval time.Duration
+	// WriteTimeout bounds one write; its outcome is then unknown.
+	WriteTimeout time.Duration
+	// SlowAfter is the age of an unfinished write from which the platform
+	// counts as down.
+	SlowAfter time.Duration
+	// RetryMin and RetryMax bound the wait between failed writes.
+	RetryMin time.Duration
+	RetryMax time.Duration
+	// TailBytes is the size of recent history from which it is moved from the
+	// shard object into a segment.
+	TailBytes int
+	// MaxBlocks is the number of segments of one program from which they are
+	// joined into larger ones.
+	MaxBlocks int
+}
+
+// Defaults of Config.
+const (
+	defaultWriteTimeout = 2 * time.Second
+	defaultSlowAfter    = 500 * time.Millisecond
+	defaultRetryMin     = 20 * time.Millisecond
+	defaultRetryMax     = time.Second
+	defaultTailBytes    = 64 << 10
+	defaultMaxBlocks    = 16
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.WriteTimeout, defaultWriteTimeout)
+	setDefault(&c.SlowAfter, defaultSlowAfter)
+	setDefault(&c.RetryMin, defaultRetryMin)
+	setDefault(&c.RetryMax, defaultRetryMax)
+	setDefault(&c.TailBytes, defaultTailBytes)
+	setDefault(&c.MaxBlocks, defaultMaxBlocks)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Shard is a held shard: its working state and the loop that commits it.
+//
+// Changes are made to the working state at once and numbered. A write stores
+// the working state as a whole, so a change is durable when a write with its
+// number or a later one took effect. The working state is never rolled back
+// while the shard is held; when it is lost, all of it is dropped.
+type Shard struct {
+	cfg    Config
+	store  platform.Store
+	writer *writer
+	dirty  chan struct{}
+
+	mu        sync.Mutex
+	state     *State
+	seq       int64 // newest change
+	committed int64 // newest durable change
+	writing   int64 // newest change in the write under way, or 0
+	doubtful  int64 // newest change in a write in doubt, or 0
+	started   time.Time
+	failing   bool
+	lost      error
+	successor *State
+	progress  chan struct{} // closed at each change of the fields above
+}
+
+func newShard(store platform.Store, state *State, w *writer, cfg Config) *Shard {
+	return &Shard{
+		cfg:      cfg,
+		store:    store,
+		writer:   w,
+		dirty:    make(chan struct{}, 1),
+		state:    state,
+		progress: make(chan struct{}),
+	}
+}
+
+// View calls read with the working state, which must not be kept or modified.
+func (s *Shard) View(read func(*State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read(s.state)
+}
+
+// Update applies change to the working state and returns its number. An error
+// of change is returned as it is; change must then have modified nothing.
+func (s *Shard) Update(change func(*State) error) (int64, error) {
+	return s.UpdateSeq(func(state *State, _ int64) error { return change(state) })
+}
+
+// UpdateSeq is Update for a change that needs its own number.
+func (s *Shard) UpdateSeq(change func(*State, int64) error) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost != nil {
+		return 0, s.lost
+	}
+	if err := change(s.state, s.seq+1); err != nil {
+		return 0, err
+	}
+	s.seq++
+	s.signal()
+	return s.seq, nil
+}
+
+// UpdateIf applies change, which reports whether it modified the state. It
+// returns the number of the change, or 0 when nothing was modified.
+func (s *Shard) UpdateIf(change func(*State) bool) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost != nil {
+		return 0, s.lost
+	}
+	if !change(s.state) {
+		return 0, nil
+	}
+	s.seq++
+	s.signal()
+	return s.seq, nil
+}
+
+// Committed is the number of the newest durable change.
+func (s *Shard) Committed() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.committed
+}
+
+// signal wakes the commit loop.
+func (s *Shard) signal() {
+	select {
+	case s.dirty <- struct{}{}:
+	default:
+	}
+}
+
+// Withdraw takes back the change with the given number by applying undo. It
+// returns the number of the withdrawal, and clean when no write with the change
+// may have taken effect, so that nothing needs to be waited for.
+func (s *Shard) Withdraw(seq int64, undo func(*State)) (withdrawal int64, clean bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost != nil {
+		return 0, false, s.lost
+	}
+	undo(s.state)
+	s.seq++
+	s.signal()
+	return s.seq, seq > s.exposed(), nil
+}
+
+// exposed is the newest change that the platform may hold. The caller holds mu.
+func (s *Shard) exposed() int64 {
+	return max(s.committed, s.writing, s.doubtful)
+}
+
+// Wait returns nil when the change is durable, ErrLost, or the error of ctx.
+func (s *Shard) Wait(ctx context.Context, seq int64) error {
+	return s.wait(ctx, seq, func() error { return nil })
+}
+
+// Try is like Wait but returns ErrDown as soon as the platform takes no writes
+// and has none that may contain the change.
+func (s *Shard) Try(ctx context.Context, seq int64) error {
+	return s.wait(ctx, seq, func() error {
+		if s.failing && seq > s.exposed() {
+			return ErrDown
+		}
+		return nil
+	})
+}
+
+func (s *Shard) wait(ctx context.Context, seq int64, giveUp func() error) error {
+	for {
+		s.mu.Lock()
+		committed, lost, progress := s.committed >= seq, s.lost, s.progress
+		err := giveUp()
+		s.mu.Unlock()
+		switch {
+		case committed:
+			return nil
+		case lost != nil:
+			return lost
+		case err != nil:
+			return err
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Down reports whether the last write failed or the present one is slow.
+func (s *Shard) Down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing {
+		return true
+	}
+	return s.writing > 0 && time.Since(s.started) > s.cfg.SlowAfter
+}
+
+// Lost reports whether the shard is no longer held.
+func (s *Shard) Lost() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lost != nil
+}
+
+// Successor returns the state that another home left in the shard object, as
+// seen when the shard was lost, or nil.
+func (s *Shard) Successor() *State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.successor
+}
+
+// Abandon drops the shard without a write. Waiting callers get ErrLost.
+func (s *Shard) Abandon() { s.drop(nil) }
+
+func (s *Shard) drop(successor *State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost != nil {
+		return
+	}
+	s.lost = ErrLost
+	s.successor = successor
+	s.wake()
+}
+
+// wake tells waiting callers to look again. The caller holds mu.
+func (s *Shard) wake() {
+	close(s.progress)
+	s.progress = make(chan struct{})
+}
+
+// Run commits changes until ctx ends or the shard is lost.
+func (s *Shard) Run(ctx context.Context) error {
+	defer s.Abandon()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-s.dirty:
+		}
+		if s.Lost() {
+			return ErrLost
+		}
+		if err := s.commit(ctx); err != nil {
+			return err
+		}
+		if err := sleep(ctx, s.cfg.Interval); err != nil {
+			return err
+		}
+	}
+}
+
+// commit writes until an attempt took effect.
+func (s *Shard) commit(ctx context.Context) error {
+	wait := s.cfg.RetryMin
+	for {
+		if err := s.spill(ctx); err != nil {
+			s.fail()
+		} else if err := s.attempt(ctx); err == nil {
+			return nil
+		} else if errors.Is(err, ErrLost) {
+			return err
+		}
+		if err := sleep(ctx, wait); err != nil {
+			return err
+		}
+		wait = min(2*wait, s.cfg.RetryMax)
+	}
+}
+
+// attempt writes the working state once.
+func (s *Shard) attempt(ctx context.Context) error {
+	value, try, err := s.begin()
+	if err != nil {
+		return err
+	}
+	landed, err := s.writer.write(ctx, value, try)
+	var lost *lostError
+	if errors.As(err, &lost) {
+		s.drop(lost.successor)
+		return ErrLost
+	}
+	s.finish(landed, err)
+	return err
+}
+
+// begin encodes the working state for a write.
+func (s *Shard) begin() ([]byte, attempt, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lost != nil {
+		return nil, attempt{}, ErrLost
+	}
+	s.state.Nonce = uuid.NewString()
+	value, err := s.state.Encode()
+	if err != nil {
+		return nil, attempt{}, err
+	}
+	s.writing = s.seq
+	s.started = time.Now()
+	return value, attempt{nonce: s.state.Nonce, seq: s.seq}, nil
+}
+
+// finish notes the outcome of a write.
+func (s *Shard) finish(landed attempt, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writing = 0
+	s.doubtful = s.writer.exposed()
+	s.failing = err != nil
+	if err == nil {
+		s.committed = landed.seq
+	}
+	if s.committed < s.seq {
+		s.signal()
+	}
+	s.wake()
+}
+
+// fail notes that no write is possible.
+func (s *Shard) fail() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = true
+	s.wake()
+}
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -44,8 +44,11 @@
 	DeadlineMS int `json:"deadline_ms,omitempty" msgpack:"d,omitempty"`
 	// ResendFrom is set when Messages repeats the program's history from that
 	// turn on, in answer to a history gap.
-	ResendFrom int    `json:"resend_from,omitempty" msgpack:"f,omitempty"`
-	RequestID  string `json:"-" msgpack:"q"`
+	ResendFrom int `json:"resend_from,omitempty" msgpack:"f,omitempty"`
+	// Digest is the one of the last answer that the caller has, in hexadecimal.
+	// It verifies resent history and is required with ResendFrom.
+	Digest    string `json:"digest,omitempty" msgpack:"h,omitempty"`
+	RequestID string `json:"-" msgpack:"q"`
 }
 
 // ResumeRequest asks for the events of an answer after event After.
@@ -53,12 +56,18 @@
 	Program string `msgpack:"p"`
 	Turn    int    `msgpack:"t"`
 	After   int    `msgpack:"a"`
+	// Run is the Run of the events that the caller has. When it names another
+	// execution than the one at hand, delivery starts over at event 1.
+	Run string `msgpack:"u,omitempty"`
 }
 
 // Event is one server-sent event of an answer. Seq counts from 1 without gaps.
 // The last event has Done set, and then Usage and Engine, or Err.
 type Event struct {
-	Seq    int            `json:"seq" msgpack:"s"`
+	Seq int `json:"seq" msgpack:"s"`
+	// Run identifies the execution that gave the answer. Events of different
+	// runs of one turn must not be put together.
+	Run    string         `json:"run,omitempty" msgpack:"n,omitempty"`
 	Text   string         `json:"text,omitempty" msgpack:"t,omitempty"`
 	Done   bool           `json:"done,omitempty" msgpack:"d,omitempty"`
 	Usage  *Usage         `json:"usage,omitempty" msgpack:"u,omitempty"`
