Serve the in-memory object API over HTTP

Cause: daemons and ibisctl reach the platform over HTTP, so the stand-in needs the interface of docs/BACKENDS.md with its faults. Change: objects.Handler with /faults and /counts; a lost reply closes the connection after the write took effect. The store keeps a bounded number of events, and a waiting watch remembers how far it looked, so that a long run neither grows nor reads the same events again. Ruled out: go-zero's router for the paths, which has no wildcard over slashes. Measured: go test -race ./internal/fake/... passes; cost not measured.

--- /dev/null
+++ b/internal/fake/objects/handler.go
@@ -0,0 +1,153 @@
+package objects
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/platform"
+)
+
+// maxRequestBytes leaves room for a value that is over the platform's limit, so
+// that it is answered with 413 and not cut off.
+const maxRequestBytes = 2 * platform.MaxValueBytes
+
+// handler serves a Store over HTTP.
+type handler struct {
+	store *Store
+}
+
+// Handler serves store with the object API of docs/BACKENDS.md, and with
+// /faults (GET, PUT) and /counts (GET). A write whose reply is lost ends with a
+// closed connection after it took effect.
+func Handler(store *Store) http.Handler {
+	h := handler{store: store}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{key...}", h.get)
+	mux.HandleFunc("PUT /v1/objects/{key...}", h.put)
+	mux.HandleFunc("DELETE /v1/objects/{key...}", h.remove)
+	mux.HandleFunc("GET /v1/objects", h.list)
+	mux.HandleFunc("GET /v1/watch", h.watch)
+	mux.HandleFunc("GET /faults", h.faults)
+	mux.HandleFunc("PUT /faults", h.setFaults)
+	mux.HandleFunc("GET /counts", h.counts)
+	return mux
+}
+
+func (h handler) get(w http.ResponseWriter, r *http.Request) {
+	object, err := h.store.Get(r.Context(), r.PathValue("key"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, object)
+}
+
+func (h handler) put(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
+	if err != nil {
+		http.Error(w, "expected: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	version, err := h.store.Put(r.Context(), r.PathValue("key"), value, expected)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, platform.PutReply{Version: version})
+}
+
+func (h handler) remove(w http.ResponseWriter, r *http.Request) {
+	expected, err := strconv.ParseInt(r.URL.Query().Get("expected"), 10, 64)
+	if err != nil {
+		http.Error(w, "expected: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := h.store.Delete(r.Context(), r.PathValue("key"), expected); err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, struct{}{})
+}
+
+func (h handler) list(w http.ResponseWriter, r *http.Request) {
+	objects, revision, err := h.store.List(r.Context(), r.URL.Query().Get("prefix"))
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, platform.ListReply{Objects: objects, Revision: revision})
+}
+
+func (h handler) watch(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	events, revision, err := h.store.Watch(r.Context(), r.URL.Query().Get("prefix"), after)
+	if err != nil {
+		fail(w, err)
+		return
+	}
+	reply(w, platform.WatchReply{Events: events, Revision: revision})
+}
+
+func (h handler) faults(w http.ResponseWriter, _ *http.Request) {
+	reply(w, h.store.Faults())
+}
+
+func (h handler) setFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.store.SetFaults(faults)
+	reply(w, faults)
+}
+
+func (h handler) counts(w http.ResponseWriter, _ *http.Request) {
+	reply(w, h.store.Counts())
+}
+
+// reply writes message as JSON with status 200.
+func reply(w http.ResponseWriter, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(message)
+}
+
+// fail writes the status of a store error. An unknown outcome closes the
+// connection without a reply.
+func fail(w http.ResponseWriter, err error) {
+	if errors.Is(err, platform.ErrUnknown) {
+		panic(http.ErrAbortHandler)
+	}
+	http.Error(w, err.Error(), statusOf(err))
+}
+
+// statusOf maps the errors of platform.Store to HTTP.
+func statusOf(err error) int {
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return http.StatusConflict
+	case errors.Is(err, platform.ErrTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, platform.ErrCompacted):
+		return http.StatusGone
+	case errors.Is(err, platform.ErrUnavailable):
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- a/internal/fake/objects/objects.go
+++ b/internal/fake/objects/objects.go
@@ -43,6 +43,13 @@
 // watchWait bounds one watch, as a server's long poll does.
 const watchWait = 20 * time.Second
 
+// keptEvents is the number of events kept for watches, and keptSlack the number
+// of further ones after which the oldest are dropped.
+const (
+	keptEvents = 8192
+	keptSlack  = 1024
+)
+
 // Store implements platform.Store in memory.
 type Store struct {
 	mu       sync.Mutex
@@ -196,8 +203,7 @@
 	s.revision++
 	object := platform.Object{Key: key, Value: append([]byte(nil), value...), Version: s.revision}
 	s.objects[key] = object
-	s.log = append(s.log, platform.Event{Object: object})
-	s.wake()
+	s.record(platform.Event{Object: object})
 	return s.revision, nil
 }
 
@@ -213,11 +219,22 @@
 	s.revision++
 	delete(s.objects, key)
 	gone := platform.Object{Key: key, Version: s.revision}
-	s.log = append(s.log, platform.Event{Object: gone, Deleted: true})
-	s.wake()
+	s.record(platform.Event{Object: gone, Deleted: true})
 	return nil
 }
 
+// record appends an event, drops the oldest ones beyond the limit and wakes the
+// watches. The caller holds mu.
+func (s *Store) record(event platform.Event) {
+	s.log = append(s.log, event)
+	if len(s.log) > keptEvents+keptSlack {
+		dropped := s.log[:len(s.log)-keptEvents]
+		s.kept = dropped[len(dropped)-1].Version
+		s.log = append([]platform.Event(nil), s.log[len(dropped):]...)
+	}
+	s.wake()
+}
+
 // List implements platform.Store.
 func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, int64, error) {
 	if err := s.enter(ctx, &s.counts.Lists); err != nil {
@@ -254,8 +271,9 @@
 		if events := s.eventsAfter(prefix, after); len(events) > 0 {
 			return events, s.revision, nil
 		}
+		after = s.revisionSeen(after)
 		if !s.wait(ctx, timeout.C) {
-			return nil, s.revisionSeen(after), nil
+			return nil, after, nil
 		}
 	}
 }
