Add an in-memory network for tests of daemons

Cause: catalogue and limits act together across daemons; their tests need peer connections and membership with faults, under virtual time. Change: internal/fake/peers: streams that carry msgpack frames with a latency, one-way cuts in which frames vanish, daemons that are down, and the view of live daemons that each one holds. It counts frames and bytes. Ruled out: real TCP on loopback, which synctest cannot follow.

--- /dev/null
+++ b/internal/fake/peers/peers.go
@@ -0,0 +1,316 @@
+// Package peers is a stand-in for the connections between daemons and for their
+// membership, in memory, with faults that tests switch on.
+package peers
+
+import (
+	"context"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ibisline/internal/member"
+	"ibisline/internal/peer"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// frameBuffer is the number of frames that a stream holds unread.
+const frameBuffer = 64
+
+// link is one direction between two daemons.
+type link struct{ from, to string }
+
+// Network joins the nodes of a test. It is safe for concurrent use.
+type Network struct {
+	mu      sync.Mutex
+	nodes   map[string]*Node
+	cut     map[link]bool
+	latency func(from, to structs.Instance) time.Duration
+	bytes   int
+	frames  int
+}
+
+// New returns a network without nodes. latency, when not nil, delays each frame.
+func New(latency func(from, to structs.Instance) time.Duration) *Network {
+	return &Network{
+		nodes:   map[string]*Node{},
+		cut:     map[link]bool{},
+		latency: latency,
+	}
+}
+
+// Join adds a daemon, or replaces one of the same name that was restarted.
+func (n *Network) Join(instance structs.Instance) *Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node := &Node{network: n, self: instance, handlers: map[string]peer.Handler{}}
+	n.nodes[instance.Name] = node
+	node.live = n.instances()
+	for _, other := range n.nodes {
+		other.setLive(n.instances())
+	}
+	return node
+}
+
+// Cut cuts or heals the direction between two daemons: frames sent on it vanish.
+func (n *Network) Cut(from, to string, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link{from, to}] = on
+}
+
+// Traffic returns the number of frames sent so far and their size in bytes.
+func (n *Network) Traffic() (frames, bytes int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.frames, n.bytes
+}
+
+// instances returns all daemons by name. The caller holds mu.
+func (n *Network) instances() []structs.Instance {
+	var all []structs.Instance
+	for _, node := range n.nodes {
+		all = append(all, node.self)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// node returns a daemon by name, nil when unknown.
+func (n *Network) node(name string) *Node {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.nodes[name]
+}
+
+// send accounts for a frame and returns its delay, and false when it vanishes.
+func (n *Network) send(from, to structs.Instance, size int) (time.Duration, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.frames++
+	n.bytes += size
+	if n.cut[link{from.Name, to.Name}] {
+		return 0, false
+	}
+	if n.latency == nil {
+		return 0, true
+	}
+	return n.latency(from, to), true
+}
+
+// Node is one daemon's side of the network. It implements peer.Mux, peer.Dialer
+// and member.View.
+type Node struct {
+	network  *Network
+	self     structs.Instance
+	mu       sync.Mutex
+	handlers map[string]peer.Handler
+	live     []structs.Instance
+	changed  chan struct{}
+	down     bool
+}
+
+var (
+	_ peer.Mux    = (*Node)(nil)
+	_ peer.Dialer = (*Node)(nil)
+	_ member.View = (*Node)(nil)
+)
+
+// SetDown stops or restores the daemon: others can open no stream to it.
+func (n *Node) SetDown(down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down = down
+}
+
+// SetLive replaces the daemons that this one takes to be live.
+func (n *Node) SetLive(names ...string) {
+	var live []structs.Instance
+	for _, name := range names {
+		if node := n.network.node(name); node != nil {
+			live = append(live, node.self)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	n.setLive(live)
+}
+
+func (n *Node) setLive(live []structs.Instance) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.live = live
+	if n.changed != nil {
+		close(n.changed)
+		n.changed = nil
+	}
+}
+
+// Handle implements peer.Mux.
+func (n *Node) Handle(method string, h peer.Handler) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[method] = h
+}
+
+// Self implements member.View.
+func (n *Node) Self() structs.Instance { return n.self }
+
+// Live implements member.View.
+func (n *Node) Live() []structs.Instance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.live
+}
+
+// Lookup implements member.View.
+func (n *Node) Lookup(name string) (structs.Instance, bool) {
+	node := n.network.node(name)
+	if node == nil {
+		return structs.Instance{}, false
+	}
+	return node.self, true
+}
+
+// Servers implements member.View; the network has none.
+func (n *Node) Servers() []structs.Server { return nil }
+
+// Changed implements member.View.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.changed == nil {
+		n.changed = make(chan struct{})
+	}
+	return n.changed
+}
+
+// handler returns a method's handler unless the daemon is down.
+func (n *Node) handler(method string) (peer.Handler, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.handlers[method]
+	return h, ok && !n.down
+}
+
+// Open implements peer.Dialer.
+func (n *Node) Open(ctx context.Context, daemon, method string) (peer.Stream, error) {
+	other := n.network.node(daemon)
+	if other == nil {
+		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is unknown", daemon)
+	}
+	handle, ok := other.handler(method)
+	if !ok {
+		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is not reachable", daemon)
+	}
+	serveCtx, cancel := context.WithCancel(ctx)
+	there := make(chan frame, frameBuffer)
+	back := make(chan frame, frameBuffer)
+	local := &stream{ctx: serveCtx, cancel: cancel, network: n.network, from: n.self, to: other.self, out: there, in: back}
+	remote := &stream{ctx: serveCtx, cancel: func() {}, network: n.network, from: other.self, to: n.self, out: back, in: there}
+	go func() {
+		remote.finish(handle(serveCtx, remote))
+	}()
+	return local, nil
+}
+
+// frame is one message on its way.
+type frame struct {
+	body  []byte
+	err   *verdict.Error
+	ready time.Time
+}
+
+// stream is one end of an exchange.
+type stream struct {
+	ctx      context.Context
+	cancel   context.CancelFunc
+	network  *Network
+	from, to structs.Instance
+	out      chan<- frame
+	in       <-chan frame
+	closing  sync.Once
+}
+
+// lost is the error of a stream that broke.
+func (s *stream) lost() error {
+	return verdict.New(verdict.MayHaveRun, verdict.PeerLost, "stream between %s and %s broke", s.from.Name, s.to.Name)
+}
+
+// Send implements peer.Stream.
+func (s *stream) Send(message any) error {
+	body, err := msgpack.Marshal(message)
+	if err != nil {
+		return err
+	}
+	return s.put(frame{body: body})
+}
+
+// put hands over a frame, or loses it on a cut link.
+func (s *stream) put(f frame) error {
+	delay, ok := s.network.send(s.from, s.to, len(f.body))
+	if !ok {
+		return nil
+	}
+	f.ready = time.Now().Add(delay)
+	select {
+	case s.out <- f:
+		return nil
+	case <-s.ctx.Done():
+		return s.lost()
+	}
+}
+
+// Recv implements peer.Stream.
+func (s *stream) Recv(message any) error {
+	select {
+	case <-s.ctx.Done():
+		return s.lost()
+	case f, ok := <-s.in:
+		if !ok {
+			return io.EOF
+		}
+		return s.open(f, message)
+	}
+}
+
+// open waits until a frame has arrived and decodes it.
+func (s *stream) open(f frame, message any) error {
+	timer := time.NewTimer(time.Until(f.ready))
+	defer timer.Stop()
+	select {
+	case <-s.ctx.Done():
+		return s.lost()
+	case <-timer.C:
+	}
+	if f.err != nil {
+		return f.err
+	}
+	return msgpack.Unmarshal(f.body, message)
+}
+
+// finish ends the handler's side with its error, if any.
+func (s *stream) finish(err error) {
+	if err != nil {
+		_ = s.put(frame{err: verdict.From(err)})
+	}
+	_ = s.CloseSend()
+}
+
+// CloseSend implements peer.Stream. On a cut link the end vanishes too.
+func (s *stream) CloseSend() error {
+	s.closing.Do(func() {
+		if _, ok := s.network.send(s.from, s.to, 0); ok {
+			close(s.out)
+		}
+	})
+	return nil
+}
+
+// Close implements peer.Stream.
+func (s *stream) Close() error {
+	s.cancel()
+	return nil
+}
