Add the catalogue: watch, spread between daemons, admission

Cause: an accepted edit must be in force at all daemons within seconds and must never revert, also with stuck watches, outages, restarts and cut regions. Change: a table in which only newer versions replace older ones and whose revision means that all edits up to it are applied; one watch a daemon, listing again when its position is lost; news pushed to a few neighbours, and exchanges with a few neighbours twice a second; proofs of contact with the platform, own or passed on by peers, without which no work is admitted. Ruled out: tombstones kept for long: a change up to the revision that is not held was superseded, so a deletion needs remembering only beyond the revision. Ruled out: taking the return of a watch as proof of contact at that moment; the answer may have waited in a socket while the process was paused.

--- /dev/null
+++ b/internal/catalogue/service.go
@@ -0,0 +1,206 @@
+package catalogue
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"ibisline/internal/member"
+	"ibisline/internal/peer"
+	"ibisline/internal/platform"
+	"ibisline/internal/ring"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// Defaults of Config.
+const (
+	DefaultStaleAfter    = 3 * time.Second
+	DefaultProbeAfter    = time.Second
+	DefaultExchangeEvery = 500 * time.Millisecond
+	DefaultForgetAfter   = time.Minute
+	DefaultFanout        = 3
+	DefaultNeighbours    = 8
+	DefaultPeerTimeout   = time.Second
+	DefaultProbeTimeout  = time.Second
+	DefaultLoadTimeout   = 20 * time.Second
+	retryWait            = 100 * time.Millisecond
+	retryMaxWait         = time.Second
+	pushRingSize         = 256
+)
+
+// Config sets the pace of the catalogue. Zero fields take their default.
+type Config struct {
+	// StaleAfter is the time without proof of contact after which no work is
+	// admitted.
+	StaleAfter time.Duration
+	// ProbeAfter is the age of the newest proof at which the platform is asked.
+	ProbeAfter time.Duration
+	// ExchangeEvery is the interval between exchanges with neighbours.
+	ExchangeEvery time.Duration
+	// ForgetAfter is the time after which a silent data centre without live
+	// daemons is forgotten, provided that the platform is in reach.
+	ForgetAfter time.Duration
+	// PeerTimeout bounds one message to a peer.
+	PeerTimeout time.Duration
+	// ProbeTimeout bounds one probe of the platform.
+	ProbeTimeout time.Duration
+	// LoadTimeout bounds taking all entries from a peer.
+	LoadTimeout time.Duration
+	// Fanout is the number of neighbours told of each change, and asked in
+	// each exchange.
+	Fanout int
+	// Neighbours is the number of daemons to which this one talks.
+	Neighbours int
+}
+
+// withDefaults returns c with its zero fields filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.StaleAfter, DefaultStaleAfter)
+	setDefault(&c.ProbeAfter, DefaultProbeAfter)
+	setDefault(&c.ExchangeEvery, DefaultExchangeEvery)
+	setDefault(&c.ForgetAfter, DefaultForgetAfter)
+	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
+	setDefault(&c.LoadTimeout, DefaultLoadTimeout)
+	setDefault(&c.Fanout, DefaultFanout)
+	setDefault(&c.Neighbours, DefaultNeighbours)
+	return c
+}
+
+// setDefault replaces a value that is not positive.
+func setDefault[T int | time.Duration](value *T, otherwise T) {
+	if *value <= 0 {
+		*value = otherwise
+	}
+}
+
+// Catalogue is the daemon's copy of the catalogue. It implements Reader.
+type Catalogue struct {
+	config  Config
+	store   platform.Store
+	view    member.View
+	dialer  peer.Dialer
+	table   *table
+	contact *contact
+	pushes  *ring.Ring[batch]
+	metrics counters
+	logger  log.Interface
+	waiting waiting
+	// loading is held while entries are taken from a peer.
+	loading atomic.Bool
+	started time.Time
+}
+
+var _ Reader = (*Catalogue)(nil)
+
+// New returns an empty catalogue and registers its handlers in mux.
+func New(config Config, store platform.Store, view member.View, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Catalogue {
+	config = config.withDefaults()
+	c := &Catalogue{
+		config:  config,
+		store:   store,
+		view:    view,
+		dialer:  dialer,
+		table:   newTable(),
+		contact: newContact(config.StaleAfter, config.ForgetAfter),
+		pushes:  ring.New[batch](set, "catalogue_push", pushRingSize),
+		logger:  logger,
+		started: time.Now(),
+	}
+	c.metrics = newCounters(set, c)
+	mux.Handle(MethodStatus, c.serveStatus)
+	mux.Handle(methodExchange, c.serveExchange)
+	mux.Handle(methodPush, c.servePush)
+	mux.Handle(methodSnapshot, c.serveSnapshot)
+	return c
+}
+
+// Run keeps the catalogue up to date until ctx ends.
+func (c *Catalogue) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return c.watch(ctx) })
+	group.Go(func() error { return c.probe(ctx) })
+	group.Go(func() error { return c.exchange(ctx) })
+	group.Go(func() error { return c.push(ctx) })
+	return group.Wait()
+}
+
+// Entry implements Reader.
+func (c *Catalogue) Entry(name string) (structs.Entry, bool) { return c.table.entry(name) }
+
+// Entries implements Reader.
+func (c *Catalogue) Entries() []structs.Entry {
+	held, _, _ := c.table.snapshot()
+	entries := make([]structs.Entry, len(held))
+	for i, entry := range held {
+		entries[i] = *entry
+	}
+	return entries
+}
+
+// Revision implements Reader.
+func (c *Catalogue) Revision() int64 {
+	revision, _ := c.table.position()
+	return revision
+}
+
+// Admit implements Reader.
+func (c *Catalogue) Admit() error {
+	revision, loaded := c.table.position()
+	if !loaded {
+		return verdict.Refuse(verdict.CatalogueStale, "the catalogue is not loaded yet").After(c.config.StaleAfter)
+	}
+	if c.contact.current(time.Now(), revision) {
+		return nil
+	}
+	c.metrics.refused.Inc()
+	return verdict.Refuse(verdict.CatalogueStale, "no contact to the platform for over %s", c.config.StaleAfter).After(c.config.StaleAfter)
+}
+
+// Snapshot is the state shown by Dump.
+type Snapshot struct {
+	Revision int64 `json:"revision"`
+	Loaded   bool  `json:"loaded"`
+	Admits   bool  `json:"admits"`
+	// ContactAgeMS is the age of the newest platform contact, -1 when none.
+	ContactAgeMS int64            `json:"contact_age_ms"`
+	Silent       []string         `json:"silent_data_centres,omitempty"`
+	Neighbours   []string         `json:"neighbours,omitempty"`
+	Entries      []SnapshotEntry  `json:"entries"`
+	Unconfirmed  map[string]int64 `json:"deleted_beyond_revision,omitempty"`
+}
+
+// SnapshotEntry is an entry together with its version.
+type SnapshotEntry struct {
+	structs.Entry
+	Version int64 `json:"version"`
+}
+
+// Dump returns a Snapshot.
+func (c *Catalogue) Dump() any {
+	held, revision, loaded := c.table.snapshot()
+	now := time.Now()
+	age, _ := c.contact.ages(now)
+	s := Snapshot{
+		Revision:     revision,
+		Loaded:       loaded,
+		Admits:       loaded && c.contact.current(now, revision),
+		ContactAgeMS: age.Milliseconds(),
+		Silent:       c.contact.silentNow(now),
+		Neighbours:   c.neighbours(),
+		Entries:      make([]SnapshotEntry, 0, len(held)),
+		Unconfirmed:  c.table.unconfirmed(),
+	}
+	if age < 0 {
+		s.ContactAgeMS = -1
+	}
+	for _, entry := range held {
+		s.Entries = append(s.Entries, SnapshotEntry{Entry: *entry, Version: entry.Version})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/catalogue/spread.go
@@ -0,0 +1,332 @@
+package catalogue
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
+
+	"ibisline/internal/peer"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// MethodStatus is the peer method that returns a Status.
+const MethodStatus = "catalogue.status"
+
+// Methods between catalogues.
+const (
+	methodExchange = "catalogue.exchange"
+	methodPush     = "catalogue.push"
+	methodSnapshot = "catalogue.snapshot"
+)
+
+// maxPeerCalls bounds the messages to peers under way at once, so that silent
+// peers hold up neither the next change nor the next exchange.
+const maxPeerCalls = 16
+
+// snapshotPart is the number of entries in one frame of a snapshot.
+const snapshotPart = 256
+
+// StatusRequest asks for a Status.
+type StatusRequest struct{}
+
+// Status is the position of a daemon's catalogue.
+type Status struct {
+	Revision int64 `msgpack:"r" json:"revision"`
+	Loaded   bool  `msgpack:"l" json:"loaded"`
+	Admits   bool  `msgpack:"a" json:"admits"`
+}
+
+// exchangeRequest asks a neighbour for the changes after a revision.
+type exchangeRequest struct {
+	After int64 `msgpack:"a"`
+}
+
+// exchangeReply carries the changes and the neighbour's proofs of contact. Ages
+// are as of the moment of the reply; ContactAge is negative when there is none.
+type exchangeReply struct {
+	Batch      batch         `msgpack:"b"`
+	ContactAge time.Duration `msgpack:"c"`
+	Heard      []heard       `msgpack:"h,omitempty"`
+}
+
+// pushReply confirms a push.
+type pushReply struct{}
+
+// snapshotRequest asks for all entries.
+type snapshotRequest struct{}
+
+// snapshotFrame is a part of a snapshot; all parts carry the same revision.
+type snapshotFrame struct {
+	Revision int64            `msgpack:"r"`
+	Entries  []*structs.Entry `msgpack:"e"`
+	Last     bool             `msgpack:"l"`
+}
+
+// dataCentreOf names a data centre across regions.
+func dataCentreOf(instance structs.Instance) string {
+	return instance.Region + "/" + instance.DataCentre
+}
+
+// neighbours returns the daemons to which this one talks: a fixed choice by hash
+// among the live ones, different for each daemon, with at least one of each data
+// centre.
+func (c *Catalogue) neighbours() []string {
+	self := c.view.Self().Name
+	others := slices.DeleteFunc(slices.Clone(c.view.Live()), func(i structs.Instance) bool { return i.Name == self })
+	slices.SortFunc(others, func(a, b structs.Instance) int {
+		return cmp.Compare(xxhash.Sum64String(self+" "+a.Name), xxhash.Sum64String(self+" "+b.Name))
+	})
+	var names []string
+	seen := map[string]bool{}
+	for i, other := range others {
+		dataCentre := dataCentreOf(other)
+		if i < c.config.Neighbours || !seen[dataCentre] {
+			names = append(names, other.Name)
+		}
+		seen[dataCentre] = true
+	}
+	return names
+}
+
+// pick returns up to n neighbours at random.
+func (c *Catalogue) pick(n int) []string {
+	names := c.neighbours()
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	return names[:min(n, len(names))]
+}
+
+// spread hands a batch to the push duty when it brought news here. A full ring
+// loses it; the neighbours then find it by their exchanges.
+func (c *Catalogue) spread(b batch, accepted []change) {
+	for _, change := range accepted {
+		c.logger.WithField("entry", change.Name).WithField("version", change.Version).
+			WithField("deleted", change.Entry == nil).Info("catalogue edit in force")
+	}
+	if len(accepted) > 0 {
+		c.pushes.Offer(b)
+	}
+}
+
+// push tells neighbours of each batch that brought news, until ctx ends.
+func (c *Catalogue) push(ctx context.Context) error {
+	var calls errgroup.Group
+	calls.SetLimit(maxPeerCalls)
+	for {
+		select {
+		case <-ctx.Done():
+			return calls.Wait()
+		case b := <-c.pushes.Items():
+			for _, name := range c.pick(c.config.Fanout) {
+				calls.TryGo(func() error {
+					c.pushTo(ctx, name, b)
+					return nil
+				})
+			}
+		}
+	}
+}
+
+// pushTo sends one batch to one neighbour.
+func (c *Catalogue) pushTo(ctx context.Context, name string, b batch) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.PeerTimeout)
+	defer cancel()
+	if err := peer.Call(ctx, c.dialer, name, methodPush, b, &pushReply{}); err != nil {
+		c.metrics.pushFailed.Inc()
+	}
+}
+
+// exchange asks neighbours for what was missed, until ctx ends.
+func (c *Catalogue) exchange(ctx context.Context) error {
+	var calls errgroup.Group
+	calls.SetLimit(maxPeerCalls)
+	ticker := time.NewTicker(c.config.ExchangeEvery)
+	defer ticker.Stop()
+	for {
+		c.reviewDataCentres()
+		for _, name := range c.pick(c.config.Fanout) {
+			calls.TryGo(func() error {
+				c.exchangeWith(ctx, name)
+				return nil
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return calls.Wait()
+		case <-ticker.C:
+		}
+	}
+}
+
+// reviewDataCentres expects a sign of life from each data centre with another
+// live daemon, and forgets those that are gone.
+func (c *Catalogue) reviewDataCentres() {
+	live := map[string]bool{}
+	self := c.view.Self().Name
+	for _, instance := range c.view.Live() {
+		if instance.Name != self {
+			live[dataCentreOf(instance)] = true
+			c.contact.expect(dataCentreOf(instance))
+		}
+	}
+	c.contact.forget(live, time.Now())
+}
+
+// exchangeWith takes the changes and proofs of one neighbour. Ages count from
+// the moment of asking, so that a pause here or there makes no proof younger.
+func (c *Catalogue) exchangeWith(ctx context.Context, name string) {
+	asked := time.Now()
+	reply, err := c.ask(ctx, name)
+	if err != nil {
+		c.metrics.exchangeFailed.Inc()
+		return
+	}
+	c.take(reply.Batch)
+	c.contact.report(reply.Batch.Revision)
+	c.hear(name, reply.Heard, asked)
+	if c.behind(reply.Batch.Revision) && c.outOfReach() {
+		c.load(ctx, name)
+	}
+	if reply.ContactAge >= 0 && !c.behind(reply.Batch.Revision) {
+		c.contact.reached(asked.Add(-reply.ContactAge))
+	}
+}
+
+// ask requests the changes after the own revision.
+func (c *Catalogue) ask(ctx context.Context, name string) (exchangeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.config.PeerTimeout)
+	defer cancel()
+	var reply exchangeReply
+	err := peer.Call(ctx, c.dialer, name, methodExchange, exchangeRequest{After: c.Revision()}, &reply)
+	return reply, err
+}
+
+// take applies a batch of a peer and passes on what was new.
+func (c *Catalogue) take(b batch) {
+	accepted := c.table.apply(b)
+	c.metrics.fromPeers.Add(len(accepted))
+	c.spread(b, accepted)
+}
+
+// behind reports whether edits up to a revision may be missing here.
+func (c *Catalogue) behind(revision int64) bool {
+	own, loaded := c.table.position()
+	return !loaded || own < revision
+}
+
+// hear records the signs of life that a neighbour gave and passed on.
+func (c *Catalogue) hear(name string, passedOn []heard, asked time.Time) {
+	now := time.Now()
+	if instance, ok := c.view.Lookup(name); ok {
+		c.contact.hear(dataCentreOf(instance), asked, now)
+	}
+	for _, h := range passedOn {
+		c.contact.hear(h.DataCentre, asked.Add(-h.Age), now)
+	}
+}
+
+// outOfReach reports whether the platform has not been reached for a while.
+func (c *Catalogue) outOfReach() bool {
+	now := time.Now()
+	return now.Sub(c.started) > c.config.ProbeAfter && !c.contact.isFresh(now)
+}
+
+// load takes all entries from a neighbour, one neighbour at a time.
+func (c *Catalogue) load(ctx context.Context, name string) {
+	if !c.loading.CompareAndSwap(false, true) {
+		return
+	}
+	defer c.loading.Store(false)
+	ctx, cancel := context.WithTimeout(ctx, c.config.LoadTimeout)
+	defer cancel()
+	entries, revision, err := c.readSnapshot(ctx, name)
+	if err != nil {
+		c.logger.WithError(err).WithField("peer", name).Debug("catalogue snapshot failed")
+		return
+	}
+	accepted := c.table.replace(revision, entries, nil)
+	c.metrics.fromPeers.Add(len(accepted))
+	c.logger.WithField("peer", name).WithField("revision", revision).Info("catalogue taken from a peer")
+}
+
+// readSnapshot receives the parts of a snapshot.
+func (c *Catalogue) readSnapshot(ctx context.Context, name string) ([]*structs.Entry, int64, error) {
+	stream, err := c.dialer.Open(ctx, name, methodSnapshot)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer stream.Close()
+	if err := stream.Send(snapshotRequest{}); err != nil {
+		return nil, 0, err
+	}
+	var entries []*structs.Entry
+	for {
+		var frame snapshotFrame
+		if err := stream.Recv(&frame); err != nil {
+			return nil, 0, errors.Wrap(err, "snapshot was cut short")
+		}
+		entries = append(entries, frame.Entries...)
+		if frame.Last {
+			return entries, frame.Revision, nil
+		}
+	}
+}
+
+// serveStatus answers MethodStatus.
+func (c *Catalogue) serveStatus(_ context.Context, s peer.Stream) error {
+	if err := s.Recv(&StatusRequest{}); err != nil {
+		return err
+	}
+	revision, loaded := c.table.position()
+	return s.Send(Status{
+		Revision: revision,
+		Loaded:   loaded,
+		Admits:   loaded && c.contact.current(time.Now(), revision),
+	})
+}
+
+// serveExchange answers an exchange.
+func (c *Catalogue) serveExchange(_ context.Context, s peer.Stream) error {
+	var request exchangeRequest
+	if err := s.Recv(&request); err != nil {
+		return err
+	}
+	reply := exchangeReply{Batch: c.table.since(request.After)}
+	reply.ContactAge, reply.Heard = c.contact.ages(time.Now())
+	reply.Heard = append(reply.Heard, heard{DataCentre: dataCentreOf(c.view.Self())})
+	return s.Send(reply)
+}
+
+// servePush takes a batch from a neighbour.
+func (c *Catalogue) servePush(_ context.Context, s peer.Stream) error {
+	var b batch
+	if err := s.Recv(&b); err != nil {
+		return err
+	}
+	c.take(b)
+	return s.Send(pushReply{})
+}
+
+// serveSnapshot sends all entries in parts.
+func (c *Catalogue) serveSnapshot(_ context.Context, s peer.Stream) error {
+	if err := s.Recv(&snapshotRequest{}); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	entries, revision, ok := c.table.snapshot()
+	if !ok {
+		return verdict.Refuse(verdict.CatalogueStale, "the catalogue is not loaded yet")
+	}
+	for part := range slices.Chunk(entries, snapshotPart) {
+		if err := s.Send(snapshotFrame{Revision: revision, Entries: part}); err != nil {
+			return err
+		}
+	}
+	return s.Send(snapshotFrame{Revision: revision, Last: true})
+}
