Test a paused daemon's catalogue

Change: a test that pauses a daemon for two minutes, cut from its peers, edits meanwhile, and requires that it admits work only on the new entry. The first version of the stand-in answered calls that had been given up during the pause, which let the daemon take an old probe for contact; a paused process makes no calls, so the stand-in now refuses them.

--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -173,3 +173,28 @@
 	_, err = catalogue.Decode(platform.Object{Key: catalogue.Key("a"), Value: []byte(`{"name":"a","owner":"o","class":"c","share":1}`), Version: 4})
 	require.NoError(t, err)
 }
+
+func TestPausedDaemonAdmitsNothingOnAnOldEntry(t *testing.T) {
+	runFleet(t, 9, func(t *testing.T, f *fleet) {
+		f.put(entry("a", 1))
+		time.Sleep(inForceBound)
+		paused := f.daemons[7]
+		paused.gate.pause()
+		for i := range f.daemons {
+			f.cutPair(7, i, true)
+		}
+		time.Sleep(time.Minute)
+		f.put(entry("a", 2))
+		time.Sleep(time.Minute)
+		paused.gate.resume()
+		for range 100 {
+			if paused.Admit() == nil {
+				f.requireShare(paused, "a", 2)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(inForceBound)
+		require.NoError(t, paused.Admit(), "the daemon reaches the platform, though no peer")
+		f.requireShare(paused, "a", 2)
+	})
+}
--- a/internal/catalogue/fleet_test.go
+++ b/internal/catalogue/fleet_test.go
@@ -51,18 +51,19 @@
 	})
 }
 
-// wait blocks while the daemon is paused.
-func (g *gate) wait(ctx context.Context) {
+// closed blocks while the daemon is paused, and reports whether the platform is
+// out of its reach or its call was given up meanwhile.
+func (g *gate) closed(ctx context.Context) bool {
 	g.mu.Lock()
 	held := g.held
 	g.mu.Unlock()
-	if held == nil {
-		return
-	}
-	select {
-	case <-held:
-	case <-ctx.Done():
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+		}
 	}
+	return g.isCut() || held != nil && ctx.Err() != nil
 }
 
 func (g *gate) isCut() bool {
@@ -78,36 +79,36 @@
 }
 
 func (g *gate) Get(ctx context.Context, key string) (platform.Object, error) {
-	g.wait(ctx)
-	if g.isCut() {
+	if g.closed(ctx) {
 		return platform.Object{}, platform.ErrUnavailable
 	}
 	object, err := g.Store.Get(ctx, key)
-	g.wait(ctx)
+	if g.closed(ctx) {
+		return platform.Object{}, platform.ErrUnavailable
+	}
 	return object, err
 }
 
 func (g *gate) List(ctx context.Context, prefix string) ([]platform.Object, int64, error) {
-	g.wait(ctx)
-	if g.isCut() {
+	if g.closed(ctx) {
 		return nil, 0, platform.ErrUnavailable
 	}
 	found, revision, err := g.Store.List(ctx, prefix)
-	g.wait(ctx)
+	if g.closed(ctx) {
+		return nil, 0, platform.ErrUnavailable
+	}
 	return found, revision, err
 }
 
 func (g *gate) Watch(ctx context.Context, prefix string, after int64) ([]platform.Event, int64, error) {
-	g.wait(ctx)
-	if g.isCut() {
+	if g.closed(ctx) {
 		return nil, 0, platform.ErrUnavailable
 	}
 	if g.isStuck() {
 		return g.hang(ctx, after)
 	}
 	events, revision, err := g.Store.Watch(ctx, prefix, after)
-	g.wait(ctx)
-	if g.isCut() {
+	if g.closed(ctx) {
 		return nil, 0, platform.ErrUnavailable
 	}
 	if g.isStuck() {
