Add ibisctl: edit entries, wait until in force, report raised limits

Cause: operators drive the scheduler only by editing catalogue entries, and a limit raised in a rush must not stay unseen. Change: cmd/ibisctl over internal/ctl with conditional updates, documented exit codes, tables and JSON. structs gains DaemonStatus and ShareReport (answers of /v1/status and /v1/shares) and Entry.Baseline becomes a Baseline: the limits before the first raise that still holds, with its time, author and reason, so that a later edit does not hide the age of the raise. An edit whose reply was lost is settled by reading back; a raise through entry put counts as one too. Ruled out: keeping only the limits before the last raise, which a second small raise would make look new. Measured: go test -race ./internal/ctl passes: racing operators, lost and late writes, outage, daemons that do not answer. Against real daemons not measured.

--- /dev/null
+++ b/internal/ctl/ctl_test.go
@@ -0,0 +1,248 @@
+package ctl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/catalogue"
+	"ibisline/internal/ctl"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+)
+
+// site is a platform with daemons, and ibisctl beside it.
+type site struct {
+	t     *testing.T
+	store *objects.Store
+	addr  string
+	// beforePut runs once, ahead of the next write.
+	mu        sync.Mutex
+	beforePut func()
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: objects.New()}
+	handler := objects.Handler(s.store)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			s.runBeforePut()
+		}
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(server.Close)
+	s.addr = strings.TrimPrefix(server.URL, "http://")
+	return s
+}
+
+func (s *site) runBeforePut() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.beforePut != nil {
+		s.beforePut()
+	}
+	s.beforePut = nil
+}
+
+// addDaemon lists a daemon that answers with the given replies by path.
+func (s *site) addDaemon(name string, replies map[string]func() any) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reply, ok := replies[r.URL.Path]
+		if !ok {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		_ = json.NewEncoder(w).Encode(reply())
+	}))
+	s.t.Cleanup(server.Close)
+	instance := structs.Instance{Name: name, HTTPAddr: strings.TrimPrefix(server.URL, "http://"), State: structs.StateLive}
+	value, err := json.Marshal(instance)
+	require.NoError(s.t, err)
+	_, err = s.store.Put(context.Background(), structs.InstancePrefix+name, value, platform.NoVersion)
+	require.NoError(s.t, err)
+}
+
+// run executes ibisctl as an operator and returns its exit code and output.
+func (s *site) run(author string, argv ...string) (code int, out, errOut string) {
+	var stdout, stderr bytes.Buffer
+	argv = append([]string{"--platform", s.addr, "--author", author}, argv...)
+	streams := ctl.Streams{In: strings.NewReader(""), Out: &stdout, Err: &stderr}
+	code = ctl.Run(context.Background(), argv, streams)
+	return code, stdout.String(), stderr.String()
+}
+
+// must executes ibisctl and requires success.
+func (s *site) must(author string, argv ...string) string {
+	code, out, errOut := s.run(author, argv...)
+	require.Equal(s.t, ctl.ExitOK, code, errOut)
+	return out
+}
+
+// entry reads an entry from the store.
+func (s *site) entry(name string) structs.Entry {
+	object, err := s.store.Get(context.Background(), catalogue.Key(name))
+	require.NoError(s.t, err)
+	entry, err := catalogue.Decode(object)
+	require.NoError(s.t, err)
+	return entry
+}
+
+func TestRaiseRecordsItsBaselineUntilLowered(t *testing.T) {
+	s := newSite(t)
+	s.must("ana", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "1", "--max-concurrent", "4")
+	require.Nil(t, s.entry("a").Baseline)
+
+	s.must("ana", "entry", "raise", "a", "--share", "3", "--reason", "rush")
+	s.must("ben", "entry", "raise", "a", "--max-concurrent", "0", "--reason", "again")
+	e := s.entry("a")
+	require.Equal(t, 1.0, e.Baseline.Share)
+	require.Equal(t, 4, e.Baseline.MaxConcurrent)
+	require.Equal(t, "ana", e.Baseline.RaisedBy)
+	require.Equal(t, "rush", e.Baseline.Reason)
+	require.Equal(t, "ben", e.Author)
+
+	s.must("ben", "entry", "lower", "a", "--share", "1")
+	require.NotNil(t, s.entry("a").Baseline, "the other limit is still raised")
+	s.must("ben", "entry", "lower", "a", "--max-concurrent", "4")
+	require.Nil(t, s.entry("a").Baseline)
+	s.must("ben", "entry", "retire", "a")
+	require.True(t, s.entry("a").Retired)
+	require.Contains(t, s.must("ben", "entry", "list"), "retired")
+}
+
+func TestWrongArgumentsChangeNothing(t *testing.T) {
+	s := newSite(t)
+	s.must("ana", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "2")
+	before := s.store.Counts().Puts
+	wrong := [][]string{
+		{},
+		{"entry"},
+		{"entry", "raise", "a", "--shares", "3"},
+		{"entry", "raise", "a", "--share", "1"},
+		{"entry", "lower", "a", "--share", "3"},
+		{"entry", "lower", "a"},
+		{"entry", "lower", "a", "--share", "0"},
+		{"entry", "put", "b", "--owner", "weaver", "--class", "orders"},
+		{"entry", "put", "b", "--file", "/nonexistent"},
+	}
+	for _, argv := range wrong {
+		code, _, errOut := s.run("ana", argv...)
+		require.Equal(t, ctl.ExitUsage, code, "%v: %s", argv, errOut)
+		require.NotEmpty(t, errOut)
+	}
+	code, _, _ := s.run("", "entry", "raise", "a", "--share", "3")
+	require.Equal(t, ctl.ExitUsage, code, "an edit needs an author")
+	code, _, _ = s.run("ana", "entry", "get", "missing")
+	require.Equal(t, ctl.ExitNotFound, code)
+	require.Equal(t, before, s.store.Counts().Puts)
+}
+
+func TestSecondOfTwoRacingOperatorsIsToldWhoWasFirst(t *testing.T) {
+	s := newSite(t)
+	s.must("ana", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "1")
+	seen := s.entry("a").Version
+	s.beforePut = func() {
+		e := s.entry("a")
+		replaced := e.Version
+		e.Author, e.Reason, e.Share = "ben", "till queue", 5
+		value, err := catalogue.Encode(e)
+		require.NoError(t, err)
+		_, err = s.store.Put(context.Background(), catalogue.Key("a"), value, replaced)
+		require.NoError(t, err)
+	}
+	code, _, errOut := s.run("ana", "entry", "raise", "a", "--share", "2")
+	require.Equal(t, ctl.ExitConflict, code)
+	require.Contains(t, errOut, `"ben"`)
+	require.Contains(t, errOut, "till queue")
+	require.Equal(t, 5.0, s.entry("a").Share)
+
+	code, _, errOut = s.run("ana", "entry", "lower", "a", "--share", "2", "--version", jsonOf(t, seen))
+	require.Equal(t, ctl.ExitConflict, code)
+	require.Contains(t, errOut, `"ben"`)
+}
+
+func TestLostReplyIsSettledByReadingBack(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFaults(objects.Faults{LoseReplies: 1})
+	s.must("ana", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "1")
+
+	s.store.SetFaults(objects.Faults{LateWrites: 1, LateBy: time.Hour})
+	code, _, errOut := s.run("ana", "entry", "raise", "a", "--share", "2")
+	require.Equal(t, ctl.ExitUnknown, code)
+	require.Contains(t, errOut, "may have been made")
+}
+
+func TestOutageIsToldApartFromAConflict(t *testing.T) {
+	s := newSite(t)
+	s.store.SetFaults(objects.Faults{Outage: true})
+	code, _, _ := s.run("ana", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "1")
+	require.Equal(t, ctl.ExitUnavailable, code)
+}
+
+func TestWaitNamesTheDaemonsWithoutTheEdit(t *testing.T) {
+	s := newSite(t)
+	var revision int64
+	report := func(of *int64) map[string]func() any {
+		return map[string]func() any{"/v1/status": func() any { return structs.DaemonStatus{CatalogueRevision: *of} }}
+	}
+	ahead := int64(1 << 40)
+	s.addDaemon("d1", report(&ahead))
+	s.must("ana", "--wait", "entry", "put", "a", "--owner", "weaver", "--class", "orders", "--share", "1")
+	s.addDaemon("d2", report(&revision))
+	s.addDaemon("d3", nil)
+	code, _, errOut := s.run("ana", "--wait", "--timeout", "1s", "entry", "raise", "a", "--share", "2")
+	require.Equal(t, ctl.ExitNotInForce, code)
+	require.NotContains(t, errOut, "d1")
+	require.Contains(t, errOut, "d2 (revision 0)")
+	require.Contains(t, errOut, "d3 (no answer)")
+	require.Equal(t, 2.0, s.entry("a").Share)
+}
+
+func TestReportShowsWhomARaisedEntryStarves(t *testing.T) {
+	s := newSite(t)
+	s.must("ana", "entry", "put", "rush", "--owner", "weaver", "--class", "orders", "--share", "1")
+	s.must("ana", "entry", "put", "small", "--owner", "school", "--class", "till", "--share", "1")
+	s.must("ana", "entry", "raise", "rush", "--share", "9", "--reason", "fair")
+	s.addDaemon("d1", map[string]func() any{"/v1/shares": func() any {
+		return []structs.ShareReport{
+			{Entry: "rush", Owner: "weaver", Granted: 0.9, ReceivedTokens: 950},
+			{Entry: "small", Owner: "school", Granted: 0.1, ReceivedTokens: 50, Waiting: 7},
+		}
+	}})
+	s.addDaemon("d2", nil)
+	var report struct {
+		Entries []struct {
+			Entry         string
+			Starved       bool
+			GrantedTokens float64 `json:"granted_tokens"`
+			Raised        *struct {
+				RaisedBy string `json:"raised_by"`
+				Starves  []string
+			}
+		}
+		Silent []string `json:"silent_daemons"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(s.must("ben", "--json", "entry", "report")), &report))
+	require.Equal(t, []string{"d2"}, report.Silent)
+	require.Equal(t, "ana", report.Entries[0].Raised.RaisedBy)
+	require.Equal(t, []string{"small"}, report.Entries[0].Raised.Starves)
+	require.True(t, report.Entries[1].Starved)
+	require.InDelta(t, 100, report.Entries[1].GrantedTokens, 1e-9)
+	require.Contains(t, s.must("ben", "entry", "report"), "fair")
+}
+
+// jsonOf returns the JSON form of a value.
+func jsonOf(t *testing.T, value any) string {
+	text, err := json.Marshal(value)
+	require.NoError(t, err)
+	return string(text)
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,72 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/platform"
+)
+
+// Exit codes of ibisctl.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1
+	ExitUsage       = 2
+	ExitNotFound    = 3
+	ExitConflict    = 4
+	ExitUnavailable = 5
+	ExitUnknown     = 6
+	ExitNotInForce  = 7
+)
+
+// exitHelp describes the exit codes.
+const exitHelp = `Exit codes:
+  0  done (and in force everywhere, with --wait)
+  1  failed for another reason
+  2  wrong arguments or a value that is not allowed; nothing was changed
+  3  no such entry or daemon; nothing was changed
+  4  another operator was first; nothing was changed
+  5  platform unavailable; nothing was changed
+  6  the platform's reply was lost: the edit may have been made, look before repeating it
+  7  the edit was accepted but is not in force at all live daemons`
+
+// failure is an error with an exit code.
+type failure struct {
+	code    int
+	message string
+}
+
+// Error implements error.
+func (f *failure) Error() string { return f.message }
+
+// usageError reports wrong arguments.
+func usageError(format string, args ...any) error {
+	return &failure{code: ExitUsage, message: fmt.Sprintf(format, args...)}
+}
+
+// failed reports any other failure with its exit code.
+func failed(code int, format string, args ...any) error {
+	return &failure{code: code, message: fmt.Sprintf(format, args...)}
+}
+
+// exitCode maps an error to the exit code of the command.
+func exitCode(err error) int {
+	var f *failure
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &f):
+		return f.code
+	case errors.Is(err, platform.ErrNotFound):
+		return ExitNotFound
+	case errors.Is(err, platform.ErrConflict):
+		return ExitConflict
+	case errors.Is(err, platform.ErrUnavailable):
+		return ExitUnavailable
+	case errors.Is(err, platform.ErrUnknown):
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -38,8 +38,8 @@
 	Author    string    `json:"author,omitempty" msgpack:"a,omitempty"`
 	Reason    string    `json:"reason,omitempty" msgpack:"w,omitempty"`
 	ChangedAt time.Time `json:"changed_at,omitzero" msgpack:"t,omitempty"`
-	// Baseline holds the limits before the last raise, for reports.
-	Baseline *EntryLimits `json:"baseline,omitempty" msgpack:"l,omitempty"`
+	// Baseline is set while a limit is above what it was before a raise.
+	Baseline *Baseline `json:"baseline,omitempty" msgpack:"l,omitempty"`
 	// Version is the platform's version of the object; it is not stored in it.
 	Version int64 `json:"-" msgpack:"v"`
 }
@@ -52,6 +52,25 @@
 	RatePerSecond float64 `json:"rate_per_second" msgpack:"r"`
 }
 
+// Baseline holds the limits before the first raise that was not lowered again,
+// and says when and why that raise was made.
+type Baseline struct {
+	EntryLimits
+	RaisedAt time.Time `json:"raised_at,omitzero" msgpack:"t,omitempty"`
+	RaisedBy string    `json:"raised_by,omitempty" msgpack:"a,omitempty"`
+	Reason   string    `json:"reason,omitempty" msgpack:"w,omitempty"`
+}
+
+// Limits returns the limits of the entry.
+func (e Entry) Limits() EntryLimits {
+	return EntryLimits{
+		Share:         e.Share,
+		MaxConcurrent: e.MaxConcurrent,
+		MaxQueued:     e.MaxQueued,
+		RatePerSecond: e.RatePerSecond,
+	}
+}
+
 // State of an instance or backend server in the platform's list.
 const (
 	StateLive    = "live"
