Carry messages between daemons over multiplexed connections

Cause: services need typed messages to reach another daemon, with errors that keep their verdict. The transport uses yamux over one TCP connection for a pair and direction, made on demand; a hello in both directions checks the protocol version and that the address still belongs to the daemon that is meant. Frames are length-prefixed msgpack with a size limit.

Ruled out: yamux's own keepalive, which pings idle connections too; connections are checked only while they carry streams, and idle ones are closed. Open fails as not_run; any later failure is may_have_run. Serving reads one frame ahead, so that a handler's context ends as soon as its caller goes.

Not measured yet: overhead and the time to notice a cut.

--- /dev/null
+++ b/internal/peer/config.go
@@ -0,0 +1,47 @@
+package peer
+
+import "time"
+
+// Config holds the limits of a Transport. Zero fields take their defaults.
+type Config struct {
+	// Listen is the IP:port on which other daemons connect.
+	Listen string
+	// MaxFrameBytes bounds one encoded message.
+	MaxFrameBytes int
+	// DialTimeout bounds connecting and the handshake.
+	DialTimeout time.Duration
+	// PingInterval is the time between checks of a connection with open streams.
+	PingInterval time.Duration
+	// PingTimeout is the time after which an unanswered check breaks the connection.
+	PingTimeout time.Duration
+	// IdleTimeout closes a connection that had no stream for so long.
+	IdleTimeout time.Duration
+}
+
+const (
+	defaultMaxFrameBytes = 16 << 20
+	defaultDialTimeout   = time.Second
+	defaultPingInterval  = 500 * time.Millisecond
+	defaultPingTimeout   = 1500 * time.Millisecond
+	defaultIdleTimeout   = 30 * time.Second
+)
+
+// withDefaults returns c with its zero fields filled.
+func (c Config) withDefaults() Config {
+	if c.MaxFrameBytes <= 0 {
+		c.MaxFrameBytes = defaultMaxFrameBytes
+	}
+	if c.DialTimeout <= 0 {
+		c.DialTimeout = defaultDialTimeout
+	}
+	if c.PingInterval <= 0 {
+		c.PingInterval = defaultPingInterval
+	}
+	if c.PingTimeout <= 0 {
+		c.PingTimeout = defaultPingTimeout
+	}
+	if c.IdleTimeout <= 0 {
+		c.IdleTimeout = defaultIdleTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/internal/peer/transport_test.go
@@ -0,0 +1,202 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"ibisline/internal/peer"
+	"ibisline/internal/verdict"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// waitLimit bounds the wait for a condition; no test depends on its length.
+const waitLimit = 20 * time.Second
+
+// note is the message of these tests.
+type note struct {
+	ID   int    `msgpack:"i"`
+	Text string `msgpack:"t"`
+}
+
+// pair is two connected transports; b serves, a calls.
+type pair struct {
+	a, b *peer.Transport
+	addr string // of b, as a sees it
+}
+
+func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
+
+// start runs a transport until the test ends.
+func start(t *testing.T, config peer.Config, name string, register func(peer.Mux)) *peer.Transport {
+	t.Helper()
+	config.Listen = "127.0.0.1:0"
+	tr := peer.NewTransport(config, name, nil, metrics.NewSet(), quiet())
+	if register != nil {
+		register(tr)
+	}
+	require.NoError(t, tr.Listen())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tr.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return tr
+}
+
+// connect starts a pair in which b serves the given methods.
+func connect(t *testing.T, config peer.Config, register func(peer.Mux)) *pair {
+	t.Helper()
+	p := &pair{b: start(t, config, "b", register)}
+	p.addr = p.b.Addr()
+	p.a = start(t, config, "a", nil)
+	p.a.SetResolver(func(string) (string, bool) { return p.addr, true })
+	return p
+}
+
+// serveEcho answers each note with itself until the caller ends.
+func serveEcho(mux peer.Mux) {
+	mux.Handle("echo", func(_ context.Context, s peer.Stream) error {
+		for {
+			var n note
+			if err := s.Recv(&n); err == io.EOF {
+				return nil
+			} else if err != nil {
+				return err
+			}
+			if err := s.Send(n); err != nil {
+				return err
+			}
+		}
+	})
+}
+
+func TestAnswersReachTheirOwnRequest(t *testing.T) {
+	p := connect(t, peer.Config{}, serveEcho)
+	var group sync.WaitGroup
+	for i := range 50 {
+		group.Go(func() {
+			want := note{ID: i, Text: fmt.Sprint("text ", i)}
+			var got note
+			if err := peer.Call(t.Context(), p.a, "b", "echo", want, &got); err != nil {
+				t.Errorf("call %d: %v", i, err)
+				return
+			}
+			if got != want {
+				t.Errorf("call %d got the answer %v", i, got)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestHandlerErrorKeepsItsVerdict(t *testing.T) {
+	p := connect(t, peer.Config{}, func(mux peer.Mux) {
+		mux.Handle("refuse", func(context.Context, peer.Stream) error {
+			return verdict.Refuse(verdict.QueueFull, "queue is full").After(3 * time.Second)
+		})
+		mux.Handle("panic", func(context.Context, peer.Stream) error { panic("boom") })
+	})
+	err := verdict.From(peer.Call(t.Context(), p.a, "b", "refuse", note{}, &note{}))
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.Equal(t, verdict.QueueFull, err.Reason)
+	require.Equal(t, 3*time.Second, err.RetryAfter)
+
+	err = verdict.From(peer.Call(t.Context(), p.a, "b", "panic", note{}, &note{}))
+	require.Equal(t, verdict.MayHaveRun, err.Verdict)
+
+	err = verdict.From(peer.Call(t.Context(), p.a, "b", "unknown", note{}, &note{}))
+	require.Equal(t, verdict.NotRun, err.Verdict)
+	require.Equal(t, verdict.BadRequest, err.Reason)
+}
+
+func TestOpenFailureIsNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	free := listener.Addr().String()
+	listener.Close()
+
+	p := connect(t, peer.Config{}, serveEcho)
+	p.addr = free
+	_, err = p.a.Open(t.Context(), "b", "echo")
+	require.True(t, verdict.Is(err, verdict.NotRun))
+	require.True(t, verdict.HasReason(err, verdict.PeerLost))
+}
+
+func TestConnectionToAnotherDaemonIsRefused(t *testing.T) {
+	p := connect(t, peer.Config{}, serveEcho)
+	_, err := p.a.Open(t.Context(), "c", "echo")
+	require.True(t, verdict.Is(err, verdict.NotRun))
+	require.True(t, verdict.HasReason(err, verdict.PeerLost))
+}
+
+func TestCallerLeavingCancelsTheHandler(t *testing.T) {
+	canceled := make(chan error, 1)
+	p := connect(t, peer.Config{}, func(mux peer.Mux) {
+		mux.Handle("wait", func(ctx context.Context, s peer.Stream) error {
+			var n note
+			if err := s.Recv(&n); err != nil {
+				return err
+			}
+			if err := s.Send(n); err != nil {
+				return err
+			}
+			<-ctx.Done()
+			canceled <- ctx.Err()
+			return ctx.Err()
+		})
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	s, err := p.a.Open(ctx, "b", "wait")
+	require.NoError(t, err)
+	require.NoError(t, s.Send(note{ID: 1}))
+	var n note
+	require.NoError(t, s.Recv(&n))
+	cancel()
+	select {
+	case err := <-canceled:
+		require.ErrorIs(t, err, context.Canceled)
+	case <-time.After(waitLimit):
+		t.Fatal("handler was not canceled")
+	}
+	err = s.Recv(&n)
+	require.True(t, verdict.HasReason(err, verdict.Canceled))
+	require.True(t, verdict.Is(err, verdict.MayHaveRun))
+}
+
+func TestServerLeavingBreaksTheStream(t *testing.T) {
+	entered := make(chan struct{})
+	p := connect(t, peer.Config{}, func(mux peer.Mux) {
+		mux.Handle("wait", func(ctx context.Context, s peer.Stream) error {
+			close(entered)
+			<-ctx.Done()
+			return ctx.Err()
+		})
+	})
+	s, err := p.a.Open(t.Context(), "b", "wait")
+	require.NoError(t, err)
+	defer s.Close()
+	<-entered
+	require.Equal(t, 1, p.b.Served())
+	p.b.Close()
+	err = s.Recv(&note{})
+	require.True(t, verdict.Is(err, verdict.MayHaveRun))
+}
