Report a canceled stream as canceled on the side that canceled it

Cause: the test of a leaving caller failed once in three runs. The handler, told of the cancellation, sent its own error back, and the caller sometimes read that unclassified error before its own deadline took effect. Ruled out: a lost cancellation, the handler's context had ended each time. Change: an error frame that arrives after this side canceled is reported with reason canceled. Conclusion: the order of the two no longer shows to the caller.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -81,6 +81,10 @@
 
 // remoteError returns the error that the handler sent.
 func (s *stream) remoteError(f frame) error {
+	if s.ctx.Err() != nil {
+		// The handler reports the cancellation that started here.
+		return s.lost(s.ctx.Err())
+	}
 	remote := new(verdict.Error)
 	if err := s.decode(f, remote); err != nil {
 		return err
