Find the home of a program and serve callers over HTTP

Cause: a request may arrive at any daemon and has to reach the program's home while homes change. The front retries NotHome, PeerLost and Stopping for a bounded time with jitter, always with the same turn or key, and says not_run only if every attempt was refused. A replayed answer is compared with the text the caller has, by bytes and checksum, since a second run may cut the same text into other events; other text ends the stream with answer_restarted instead of being spliced. The identifier of an event therefore names its place in the text.

Ruled out: go-zero's own start of the HTTP server, which panics on a taken address and stops by signals; its routes are served from a listener of ours. Breaker, shedding, timeout and body limit of the library are off, since they refuse without a verdict. Added reasons: answer_restarted, body_too_large, unknown_route, method_not_allowed.

--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,339 @@
+package api_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+	"github.com/tmaxmax/go-sse"
+
+	"ibisline/internal/api"
+	"ibisline/internal/home"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// waitLimit bounds the wait for a condition; no test depends on its length.
+const waitLimit = 20 * time.Second
+
+// stubService is a home.Service of which a test sets the methods that it needs.
+type stubService struct {
+	turn   func(context.Context, structs.TurnRequest, structs.Sink) error
+	resume func(context.Context, structs.ResumeRequest, structs.Sink) error
+	call   func(context.Context, structs.CallRequest) (structs.CallReply, error)
+}
+
+var _ home.Service = (*stubService)(nil)
+
+func (s *stubService) Open(_ context.Context, r structs.OpenRequest) (structs.OpenReply, error) {
+	return structs.OpenReply{Program: "r.1." + r.Entry}, nil
+}
+
+func (s *stubService) Turn(ctx context.Context, r structs.TurnRequest, sink structs.Sink) error {
+	return s.turn(ctx, r, sink)
+}
+
+func (s *stubService) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
+	return s.resume(ctx, r, sink)
+}
+
+func (s *stubService) Call(ctx context.Context, r structs.CallRequest) (structs.CallReply, error) {
+	return s.call(ctx, r)
+}
+
+func (s *stubService) State(_ context.Context, program string) (structs.ProgramState, error) {
+	return structs.ProgramState{Program: program}, nil
+}
+
+func (s *stubService) End(context.Context, string) error { return nil }
+
+// rig is a served API.
+type rig struct {
+	t   *testing.T
+	api *api.API
+	url string
+}
+
+// serve starts the API until the test ends.
+func serve(t *testing.T, service home.Service, config api.Config) *rig {
+	t.Helper()
+	server, err := api.NewServer(api.Conf("test"))
+	require.NoError(t, err)
+	logger := &log.Logger{Handler: discard.New()}
+	a := api.Register(server.Rest(), service, config, metrics.NewSet(), logger)
+	require.NoError(t, server.Listen("127.0.0.1:0"))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return &rig{t: t, api: a, url: "http://" + server.Addr()}
+}
+
+// answer is a response read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// failure is the body of a failed request.
+type failure struct {
+	Verdict   string `json:"verdict"`
+	Reason    string `json:"reason"`
+	Message   string `json:"message"`
+	RequestID string `json:"request_id"`
+}
+
+func (a answer) failure(t *testing.T) failure {
+	t.Helper()
+	var f failure
+	require.NoError(t, json.Unmarshal([]byte(a.body), &f), a.body)
+	return f
+}
+
+func (g *rig) do(method, path, body string) answer {
+	g.t.Helper()
+	request, err := http.NewRequestWithContext(g.t.Context(), method, g.url+path, strings.NewReader(body))
+	require.NoError(g.t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(g.t, err)
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	require.NoError(g.t, err)
+	return answer{response.StatusCode, response.Header, string(text)}
+}
+
+// event is a server-sent event as the caller reads it.
+type event struct {
+	id string
+	structs.Event
+}
+
+// readEvents reads a stream to its end.
+func readEvents(t *testing.T, body io.Reader) []event {
+	t.Helper()
+	var events []event
+	for e, err := range sse.Read(body, nil) {
+		require.NoError(t, err)
+		got := event{id: e.LastEventID}
+		require.NoError(t, json.Unmarshal([]byte(e.Data), &got.Event), e.Data)
+		events = append(events, got)
+	}
+	return events
+}
+
+const turnBody = `{"turn":1,"model":"m","max_tokens":9,"messages":[{"role":"user","content":"hi"}]}`
+
+// speak sends a whole answer in three events.
+func speak(sink structs.Sink) error {
+	for i, text := range []string{"one ", "two\n"} {
+		if err := sink(structs.Event{Seq: i + 1, Text: text}); err != nil {
+			return err
+		}
+	}
+	return sink(structs.Event{Seq: 3, Done: true, Engine: "e1"})
+}
+
+func TestTurnIsStreamedAsEvents(t *testing.T) {
+	g := serve(t, &stubService{turn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
+		require.Equal(t, "r.1.p", r.Program)
+		return speak(sink)
+	}}, api.Config{})
+	got := g.do(http.MethodPost, "/v1/programs/r.1.p/turns", turnBody)
+	require.Equal(t, http.StatusOK, got.status)
+	require.Equal(t, "text/event-stream", got.header.Get("Content-Type"))
+	require.Equal(t, "ran", got.header.Get(api.HeaderVerdict))
+	require.NotEmpty(t, got.header.Get(api.HeaderRequestID))
+	events := readEvents(t, strings.NewReader(got.body))
+	require.Len(t, events, 3)
+	require.Equal(t, "two\n", events[1].Text)
+	require.True(t, strings.HasPrefix(events[1].id, "2-8-"), events[1].id)
+	require.True(t, events[2].Done)
+	require.Equal(t, "e1", events[2].Engine)
+}
+
+func TestResumeNamesThePosition(t *testing.T) {
+	var asked structs.ResumeRequest
+	g := serve(t, &stubService{
+		turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error { return speak(sink) },
+		resume: func(_ context.Context, r structs.ResumeRequest, sink structs.Sink) error {
+			asked = r
+			return sink(structs.Event{Seq: 3, Done: true})
+		},
+	}, api.Config{})
+	whole := readEvents(t, strings.NewReader(g.do(http.MethodPost, "/v1/programs/r.1.p/turns", turnBody).body))
+	rest := readEvents(t, strings.NewReader(g.do(http.MethodGet, "/v1/programs/r.1.p/turns/1?after="+whole[1].id, "").body))
+	require.Equal(t, 2, asked.After)
+	require.Equal(t, len("one two\n"), asked.From.Bytes)
+	require.True(t, asked.From.Whole())
+	require.Equal(t, whole[2].id, rest[0].id)
+
+	g.do(http.MethodGet, "/v1/programs/r.1.p/turns/1?after=2", "")
+	require.Equal(t, 2, asked.After)
+	require.False(t, asked.From.Whole())
+
+	got := g.do(http.MethodGet, "/v1/programs/r.1.p/turns/1?after=x-y", "")
+	require.Equal(t, http.StatusBadRequest, got.status)
+}
+
+func TestFailureBeforeAndAfterTheFirstEvent(t *testing.T) {
+	g := serve(t, &stubService{turn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
+		if r.Model == "full" {
+			return verdict.Refuse(verdict.QueueFull, "full").After(2500 * time.Millisecond)
+		}
+		_ = sink(structs.Event{Seq: 1, Text: "half"})
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerRestarted, "again")
+	}}, api.Config{})
+	got := g.do(http.MethodPost, "/v1/programs/p/turns", strings.Replace(turnBody, `"m"`, `"full"`, 1))
+	require.Equal(t, http.StatusTooManyRequests, got.status)
+	require.Equal(t, "not_run", got.header.Get(api.HeaderVerdict))
+	require.Equal(t, "3", got.header.Get("Retry-After"))
+	require.Equal(t, "queue_full", got.failure(t).Reason)
+	require.Equal(t, got.header.Get(api.HeaderRequestID), got.failure(t).RequestID)
+
+	got = g.do(http.MethodPost, "/v1/programs/p/turns", turnBody)
+	events := readEvents(t, strings.NewReader(got.body))
+	require.Len(t, events, 2)
+	require.Equal(t, 2, events[1].Seq)
+	require.True(t, events[1].Done)
+	require.Equal(t, verdict.AnswerRestarted, events[1].Err.Reason)
+}
+
+// TestBadRequestsAreNamed: each is refused with the field or cause in its message.
+func TestBadRequestsAreNamed(t *testing.T) {
+	g := serve(t, &stubService{}, api.Config{MaxBodyBytes: 300})
+	open, turns, calls := "/v1/programs", "/v1/programs/p/turns", "/v1/programs/p/calls"
+	cases := []struct {
+		method, path, body string
+		status             int
+		message            string
+	}{
+		{"POST", open, ``, 400, "body: empty"},
+		{"POST", open, `{`, 400, "body: unexpected EOF"},
+		{"POST", open, `{"entry":"e"} {}`, 400, "more than one"},
+		{"POST", open, `{"entri":"e"}`, 400, `unknown field "entri"`},
+		{"POST", open, `{"entry":3}`, 400, "entry: number where string"},
+		{"POST", open, `{}`, 400, "entry: missing"},
+		{"POST", open, `{"entry":"` + strings.Repeat("e", 400) + `"}`, 413, "larger than 300 bytes"},
+		{"POST", turns, `{"turn":0,"model":"m","max_tokens":1,"messages":[]}`, 400, "turn: 0"},
+		{"POST", turns, `{"turn":1,"max_tokens":1,"messages":[]}`, 400, "model: missing"},
+		{"POST", turns, `{"turn":1,"model":"m","max_tokens":1,"messages":[]}`, 400, "messages: missing"},
+		{"POST", turns, `{"turn":1,"model":"m","messages":[{"role":"user"}]}`, 400, "max_tokens: 0"},
+		{"POST", turns, `{"turn":1,"model":"m","max_tokens":1,"messages":[{"role":"boss"}]}`, 400, "messages[0].role"},
+		{"POST", turns, `{"turn":1,"model":"m","max_tokens":1,"deadline_ms":-1,"messages":[{"role":"user"}]}`, 400, "deadline_ms: -1"},
+		{"POST", calls, `{"turn":1,"path":"/x"}`, 400, "service: missing"},
+		{"POST", calls, `{"turn":1,"service":"s","path":"x"}`, 400, "path:"},
+		{"POST", calls, `{"turn":1,"service":"s","path":"/x","timeout_ms":-1}`, 400, "timeout_ms: -1"},
+		{"GET", "/v1/programs/p/turns/zero", ``, 400, "turn:"},
+		{"GET", "/v1/nothing", ``, 404, "no route"},
+		{"PUT", open, ``, 405, "PUT"},
+	}
+	for _, c := range cases {
+		got := g.do(c.method, c.path, c.body)
+		require.Equal(t, c.status, got.status, "%s %s", c.path, c.body)
+		require.Contains(t, got.failure(t).Message, c.message)
+		require.Equal(t, "not_run", got.failure(t).Verdict)
+		require.Equal(t, "not_run", got.header.Get(api.HeaderVerdict))
+		require.NotEmpty(t, got.header.Get(api.HeaderRequestID))
+	}
+}
+
+func TestDisconnectEndsTheDelivery(t *testing.T) {
+	gone := make(chan error, 1)
+	g := serve(t, &stubService{turn: func(ctx context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+		if err := sink(structs.Event{Seq: 1, Text: "x"}); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		gone <- ctx.Err()
+		return ctx.Err()
+	}}, api.Config{})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+"/v1/programs/p/turns", strings.NewReader(turnBody))
+	require.NoError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	_, err = bufio.NewReader(response.Body).ReadString('\n')
+	require.NoError(t, err)
+	cancel()
+	select {
+	case <-gone:
+	case <-time.After(waitLimit):
+		t.Fatal("the service was not told that its caller is gone")
+	}
+}
+
+// TestSlowCallerIsDropped: a caller that reads nothing ends its own delivery only.
+func TestSlowCallerIsDropped(t *testing.T) {
+	dropped := make(chan error, 1)
+	g := serve(t, &stubService{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+		text := strings.Repeat("x", 1<<20)
+		for seq := 1; ; seq++ {
+			if err := sink(structs.Event{Seq: seq, Text: text}); err != nil {
+				dropped <- err
+				return err
+			}
+		}
+	}}, api.Config{WriteTimeout: 50 * time.Millisecond})
+	response, err := http.Post(g.url+"/v1/programs/p/turns", "application/json", strings.NewReader(turnBody))
+	require.NoError(t, err)
+	defer response.Body.Close()
+	select {
+	case err := <-dropped:
+		require.Error(t, err)
+	case <-time.After(waitLimit):
+		t.Fatal("the delivery went on without its reader")
+	}
+	require.Equal(t, http.StatusOK, g.do(http.MethodGet, "/healthz", "").status)
+}
+
+func TestDrainLetsStreamsEndWhole(t *testing.T) {
+	release := make(chan struct{})
+	started := make(chan struct{})
+	g := serve(t, &stubService{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+		if err := sink(structs.Event{Seq: 1, Text: "a"}); err != nil {
+			return err
+		}
+		close(started)
+		<-release
+		return sink(structs.Event{Seq: 2, Done: true})
+	}}, api.Config{})
+	got := make(chan answer, 1)
+	go func() { got <- g.do(http.MethodPost, "/v1/programs/p/turns", turnBody) }()
+	<-started
+
+	// While the balancer notices, requests are still served.
+	g.api.Leave()
+	health := g.do(http.MethodGet, "/healthz", "")
+	require.Equal(t, http.StatusServiceUnavailable, health.status)
+	require.Contains(t, health.body, "leaving")
+	require.Equal(t, http.StatusOK, g.do(http.MethodGet, "/v1/programs/p", "").status)
+
+	drained := make(chan error, 1)
+	go func() { drained <- g.api.Drain(context.Background()) }()
+	require.Eventually(t, func() bool {
+		return g.do(http.MethodGet, "/v1/programs/p", "").status == http.StatusServiceUnavailable
+	}, waitLimit, time.Millisecond)
+	refused := g.do(http.MethodGet, "/v1/programs/p", "")
+	require.Equal(t, "stopping", refused.failure(t).Reason)
+	require.Equal(t, "not_run", refused.failure(t).Verdict)
+	require.Equal(t, 1, g.api.Active())
+
+	close(release)
+	require.NoError(t, <-drained)
+	events := readEvents(t, strings.NewReader((<-got).body))
+	require.True(t, events[len(events)-1].Done)
+}
--- a/internal/structs/program_id.go
+++ b/internal/structs/program_id.go
@@ -45,3 +45,20 @@
 	}
 	return string(s)[:cut]
 }
+
+// NewChildID returns the identifier of a sub-agent. It lies in the parent's
+// shard, so that both draw on one budget at one home. Key works as in
+// NewProgramID. It returns false for a malformed parent.
+func NewChildID(parent, entry, key string) (string, bool) {
+	shard, ok := ShardOf(parent)
+	if !ok {
+		return "", false
+	}
+	unique := uuid.New()
+	if key != "" {
+		space := uuid.NewSHA1(uuid.NameSpaceOID, []byte(parent))
+		space = uuid.NewSHA1(space, []byte(entry))
+		unique = uuid.NewSHA1(space, []byte(key))
+	}
+	return string(shard) + "." + strings.ReplaceAll(unique.String(), "-", ""), true
+}
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -53,6 +53,10 @@
 	Program string `msgpack:"p"`
 	Turn    int    `msgpack:"t"`
 	After   int    `msgpack:"a"`
+	// From, when whole, replaces After: a front then checks that the text before
+	// it is unchanged. A home does not look at it.
+	From      Position `msgpack:"-"`
+	RequestID string   `msgpack:"q"`
 }
 
 // Event is one server-sent event of an answer. Seq counts from 1 without gaps.
