Add backend clients, fair queue and a thin dispatcher

Cause: homes need a Router and a Sender to run turns and calls end to end. Ruled out: deciding the verdict from HTTP status or error text; it follows from whether net/http ever handed the request a connection. Ruled out as well: a slot table with leases for plain services; a slot is held by an open stream, so it ends with the daemon that holds it. Change: backend clients for engines and plain services without redirects or silent resends, a weighted fair queue and its FIFO baseline, and a dispatcher with one queue for each backend server, fixed window, moves before the first token, polling for leaving engines and status pulls. A test found that a late refusal of a second try hid that the first may have run; the worst verdict of all tries is kept now.

--- /dev/null
+++ b/internal/dispatch/config.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"ibisline/internal/backend"
+	"ibisline/internal/catalogue"
+	"ibisline/internal/member"
+	"ibisline/internal/peer"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+)
+
+// Values of Config.Queue, Config.Placement and Config.Window.
+const (
+	QueueFair           = "fair"
+	QueueFIFO           = "fifo"
+	PlacementEstimate   = "estimate"
+	PlacementRoundRobin = "round_robin"
+	WindowAdaptive      = "adaptive"
+	WindowFixed         = "fixed"
+)
+
+// Config selects the policies and their limits. Zero values take defaults.
+type Config struct {
+	// Queue is "fair" or "fifo".
+	Queue string
+	// Placement is "estimate" or "round_robin".
+	Placement string
+	// Window is "adaptive" or "fixed".
+	Window string
+	// Stragglers turns the handling of slow engines on.
+	Stragglers bool
+	// FixedWindow is the number of requests under way at an engine with the
+	// fixed window, and the first limit of the adaptive one.
+	FixedWindow int
+	// MaxQueued bounds the requests waiting for one backend server.
+	MaxQueued int
+	// PollInterval is the time between load reports asked of an engine.
+	PollInterval time.Duration
+	// StatusInterval is the time between status requests to other dispatchers.
+	StatusInterval time.Duration
+}
+
+const (
+	defaultFixedWindow    = 16
+	defaultMaxQueued      = 256
+	defaultPollInterval   = time.Second
+	defaultStatusInterval = time.Second
+)
+
+// withDefaults replaces zero values.
+func (c Config) withDefaults() Config {
+	c.Queue = orDefault(c.Queue, QueueFair)
+	c.Placement = orDefault(c.Placement, PlacementEstimate)
+	c.Window = orDefault(c.Window, WindowAdaptive)
+	c.FixedWindow = orDefault(c.FixedWindow, defaultFixedWindow)
+	c.MaxQueued = orDefault(c.MaxQueued, defaultMaxQueued)
+	c.PollInterval = orDefault(c.PollInterval, defaultPollInterval)
+	c.StatusInterval = orDefault(c.StatusInterval, defaultStatusInterval)
+	return c
+}
+
+func orDefault[T comparable](value, fallback T) T {
+	var zero T
+	if value == zero {
+		return fallback
+	}
+	return value
+}
+
+// EngineClient is what the dispatcher asks of engines; *backend.Engines
+// implements it. Errors of Generate are *verdict.Error.
+type EngineClient interface {
+	Generate(ctx context.Context, server structs.Server, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error)
+	Load(ctx context.Context, server structs.Server) (backend.Load, error)
+	ListKV(ctx context.Context, server structs.Server) (map[string]int, error)
+	ReleaseKV(ctx context.Context, server structs.Server, program string) error
+	KVEvents(ctx context.Context, server structs.Server, after int64) (backend.KVEvents, error)
+}
+
+var (
+	_ EngineClient = (*backend.Engines)(nil)
+	_ Sender       = (*backend.Sender)(nil)
+)
+
+// Deps are the services that the dispatcher uses.
+type Deps struct {
+	// Self is the name of this daemon and Region its region.
+	Self      string
+	Region    string
+	View      member.View
+	Catalogue catalogue.Reader
+	Dialer    peer.Dialer
+	Mux       peer.Mux
+	Engines   EngineClient
+	Store     platform.Store
+	Metrics   *metrics.Set
+	Log       log.Interface
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/structs"
+)
+
+// Dispatcher routes the requests of this daemon's homes and dispatches to the
+// backend servers that this daemon owns. It is safe for concurrent use.
+type Dispatcher struct {
+	config  Config
+	deps    Deps
+	shares  *shareTable
+	account *account
+	board   *statusBoard
+	slots   *slotTable
+
+	mu       sync.Mutex
+	engines  map[string]*engine
+	services map[string]*serverQueue
+}
+
+var _ Router = (*Dispatcher)(nil)
+
+// New returns a dispatcher and registers its handlers with the mux.
+func New(config Config, deps Deps) *Dispatcher {
+	d := &Dispatcher{
+		config:   config.withDefaults(),
+		deps:     deps,
+		shares:   newShareTable(deps.Catalogue),
+		account:  newAccount(),
+		board:    newStatusBoard(),
+		slots:    newSlotTable(),
+		engines:  map[string]*engine{},
+		services: map[string]*serverQueue{},
+	}
+	deps.Mux.Handle(methodGenerate, d.handleGenerate)
+	deps.Mux.Handle(methodSlot, d.handleSlot)
+	deps.Mux.Handle(methodStatus, d.handleStatus)
+	return d
+}
+
+// Run polls the engines and exchanges status until ctx ends.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return every(ctx, d.config.PollInterval, d.pollEngines) })
+	group.Go(func() error { return every(ctx, d.config.StatusInterval, d.pullStatus) })
+	return group.Wait()
+}
+
+// every calls duty now and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, duty func(context.Context)) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		duty(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// newQueue returns an empty queue of the configured kind.
+func (d *Dispatcher) newQueue() fairshare.Queue {
+	if d.config.Queue == QueueFIFO {
+		return fairshare.NewFIFO()
+	}
+	return fairshare.NewFair()
+}
+
+// engineOf returns the engine's state here, made at its first use.
+func (d *Dispatcher) engineOf(server structs.Server) *engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.engines[server.Name]
+	if e == nil {
+		queue := newServerQueue(d.newQueue(), d.shares, d.config.MaxQueued, d.config.FixedWindow)
+		e = newEngine(server, d.deps.Engines, queue, d.account)
+		e.applyState()
+		d.engines[server.Name] = e
+	}
+	return e
+}
+
+// serviceQueue returns the queue before a plain service, made at its first use.
+func (d *Dispatcher) serviceQueue(server structs.Server) *serverQueue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	limit := orDefault(server.Slots, unlimited)
+	queue := d.services[server.Name]
+	if queue == nil {
+		queue = newServerQueue(d.newQueue(), d.shares, d.config.MaxQueued, limit)
+		d.services[server.Name] = queue
+	}
+	queue.setLimit(limit)
+	return queue
+}
+
+// findServer returns a backend server of the platform's list by name.
+func (d *Dispatcher) findServer(name string) (structs.Server, bool) {
+	for _, server := range d.deps.View.Servers() {
+		if server.Name == name {
+			return server, true
+		}
+	}
+	return structs.Server{}, false
+}
+
+// Snapshot is the state shown by Dump.
+type Snapshot struct {
+	Config   Config                `json:"config"`
+	Engines  []EngineStatus        `json:"engines"`
+	Services map[string]queueState `json:"services"`
+	Known    []EngineStatus        `json:"known"`
+	Slots    int                   `json:"slots"`
+}
+
+// Dump returns a Snapshot.
+func (d *Dispatcher) Dump() any {
+	snapshot := Snapshot{
+		Config:   d.config,
+		Engines:  d.statuses(),
+		Services: map[string]queueState{},
+		Known:    d.board.all(),
+		Slots:    d.slots.count(),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, queue := range d.services {
+		snapshot.Services[name] = queue.state()
+	}
+	return snapshot
+}
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"time"
+
+	"ibisline/internal/structs"
+)
+
+// Methods under which a dispatcher is served to peers.
+const (
+	methodGenerate = "dispatch.generate"
+	methodSlot     = "dispatch.slot"
+	methodStatus   = "dispatch.status"
+)
+
+// generateOrder asks the dispatcher of an engine to run a model call there.
+type generateOrder struct {
+	Engine  string                  `msgpack:"e"`
+	Request structs.GenerateRequest `msgpack:"r"`
+}
+
+// generateFrame is a part of the answer: a piece of text, or at the end the
+// result. Status comes with the first and the last frame.
+type generateFrame struct {
+	Text   string             `msgpack:"t,omitempty"`
+	Result *structs.Generated `msgpack:"g,omitempty"`
+	Status *EngineStatus      `msgpack:"s,omitempty"`
+}
+
+// slotOrder asks the dispatcher of a plain service for a slot. The slot is held
+// for as long as the stream stays open.
+type slotOrder struct {
+	Server  string              `msgpack:"e"`
+	Request structs.SlotRequest `msgpack:"r"`
+}
+
+// slotGranted answers slotOrder when the slot was granted.
+type slotGranted struct {
+	Slot structs.Slot `msgpack:"s"`
+}
+
+// statusRequest asks for the state of the servers that a dispatcher owns.
+type statusRequest struct{}
+
+// statusReply answers statusRequest.
+type statusReply struct {
+	Engines []EngineStatus `msgpack:"e"`
+}
+
+// EngineStatus is what the dispatcher of a backend server tells routers.
+type EngineStatus struct {
+	Engine  string `msgpack:"e" json:"engine"`
+	Window  int    `msgpack:"w" json:"window"`
+	Running int    `msgpack:"r" json:"running"`
+	Waiting int    `msgpack:"q" json:"waiting"`
+	// WaitingCost is the estimated cost of the waiting requests in tokens.
+	WaitingCost float64 `msgpack:"c" json:"waiting_cost"`
+	// Gap is the mean time between the tokens of one stream.
+	Gap time.Duration `msgpack:"g" json:"gap_ns"`
+	// Leaving is set when the server takes no new work.
+	Leaving bool `msgpack:"l,omitempty" json:"leaving,omitempty"`
+	// Down is set when the server cannot be reached.
+	Down bool `msgpack:"d,omitempty" json:"down,omitempty"`
+	// Slow is set when the engine is slower than its peers of the same model.
+	Slow bool `msgpack:"s,omitempty" json:"slow,omitempty"`
+}
+
+// Share is what an entry was granted and received at this daemon's dispatcher.
+type Share struct {
+	Entry          string  `json:"entry"`
+	Owner          string  `json:"owner"`
+	Granted        float64 `json:"granted"`
+	ReceivedTokens int64   `json:"received_tokens"`
+	Waiting        int     `json:"waiting"`
+}
--- /dev/null
+++ b/internal/dispatch/remote.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/peer"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// runRemote runs a request through the dispatcher on another daemon. Once the
+// order was sent, its loss leaves it open whether the request ran.
+func (d *Dispatcher) runRemote(ctx context.Context, daemon string, order generateOrder, emit func(text string) error) (structs.Generated, error) {
+	stream, err := d.deps.Dialer.Open(ctx, daemon, methodGenerate)
+	if err != nil {
+		return structs.Generated{}, verdict.From(err)
+	}
+	defer stream.Close()
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	defer stop()
+	if err := stream.Send(order); err != nil {
+		return structs.Generated{}, remoteError(ctx, err)
+	}
+	for {
+		var frame generateFrame
+		if err := stream.Recv(&frame); err != nil {
+			return structs.Generated{}, remoteError(ctx, err)
+		}
+		if frame.Status != nil {
+			d.board.put(*frame.Status)
+		}
+		if frame.Text != "" {
+			if err := emit(frame.Text); err != nil {
+				return structs.Generated{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "reader of the answer is gone")
+			}
+		}
+		if frame.Result != nil {
+			return *frame.Result, nil
+		}
+	}
+}
+
+// remoteError classifies a failed exchange. A stream that ends without a result
+// is an error, never a short answer.
+func remoteError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.Canceled, "request canceled")
+	}
+	if errors.Is(err, io.EOF) {
+		return verdict.New(verdict.MayHaveRun, verdict.PeerLost, "dispatcher ended the answer early")
+	}
+	return verdict.From(err)
+}
+
+// handleGenerate serves methodGenerate.
+func (d *Dispatcher) handleGenerate(ctx context.Context, s peer.Stream) error {
+	var order generateOrder
+	if err := s.Recv(&order); err != nil {
+		return err
+	}
+	server, ok := d.findServer(order.Engine)
+	if !ok {
+		return verdict.Refuse(verdict.NoServer, "engine %s is not known here", order.Engine)
+	}
+	e := d.engineOf(server)
+	emit := func(text string) error { return s.Send(generateFrame{Text: text}) }
+	generated, err := e.run(ctx, order.Request, emit)
+	status := e.status()
+	if err != nil {
+		_ = s.Send(generateFrame{Status: &status})
+		return err
+	}
+	return s.Send(generateFrame{Result: &generated, Status: &status})
+}
+
+// handleStatus serves methodStatus.
+func (d *Dispatcher) handleStatus(_ context.Context, s peer.Stream) error {
+	var request statusRequest
+	if err := s.Recv(&request); err != nil {
+		return err
+	}
+	return s.Send(statusReply{Engines: d.statuses()})
+}
--- /dev/null
+++ b/internal/dispatch/router_test.go
@@ -0,0 +1,178 @@
+package dispatch_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/backend"
+	"ibisline/internal/dispatch"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+func engines(names ...string) []structs.Server {
+	var servers []structs.Server
+	for _, name := range names {
+		servers = append(servers, structs.Server{
+			Name: name, Kind: structs.KindEngine, Region: "r1", State: structs.StateLive,
+			Models: []string{"m"}, KVTokens: 100_000,
+		})
+	}
+	return servers
+}
+
+func modelCall(program string) structs.GenerateRequest {
+	return structs.GenerateRequest{
+		Program: program, Root: program, Turn: 1, Entry: "e", Owner: "o", Model: "m",
+		Messages:     []structs.Message{{Role: "user", Content: program}},
+		PromptTokens: 100, MaxTokens: 10, Deadline: time.Now().Add(time.Minute), RequestID: "r",
+	}
+}
+
+// outcome is a finished Generate.
+type outcome struct {
+	result structs.Generated
+	text   string
+	err    error
+}
+
+func (d *daemon) generate(ctx context.Context, request structs.GenerateRequest) outcome {
+	var text strings.Builder
+	result, err := d.Generate(ctx, request, func(piece string) error {
+		text.WriteString(piece)
+		return nil
+	})
+	return outcome{result: result, text: text.String(), err: err}
+}
+
+// generateLater starts a call and returns the channel of its outcome.
+func (d *daemon) generateLater(ctx context.Context, request structs.GenerateRequest) <-chan outcome {
+	done := make(chan outcome, 1)
+	go func() { done <- d.generate(ctx, request) }()
+	return done
+}
+
+func TestGenerateStreamsFromAnEngineOfEachDaemon(t *testing.T) {
+	servers := engines("e1", "e2", "e3", "e4")
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, servers, func(t *testing.T, f *fleet) {
+		for _, d := range f.daemons {
+			got := d.generate(context.Background(), modelCall("p-"+d.name))
+			require.NoError(t, got.err)
+			require.Equal(t, "xxx", got.text)
+		}
+	})
+}
+
+func TestCallMovesFromADeadEngine(t *testing.T) {
+	for name, fail := range map[string]func(e *fakeEngine){
+		"unreachable": func(e *fakeEngine) { e.down = true },
+		"leaving":     func(e *fakeEngine) { e.leaving = true },
+		"cut before the first token": func(e *fakeEngine) {
+			e.failAfter, e.failure = 0, cut()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+				f.engines.set("e1", fail)
+				for range 4 {
+					got := f.daemons["d1"].generate(context.Background(), modelCall("p"))
+					require.NoError(t, got.err)
+					require.Equal(t, "e2", got.result.Engine)
+					require.Equal(t, "xxx", got.text)
+				}
+			})
+		})
+	}
+}
+
+func TestCallDoesNotMoveOnceTextWasPassedOn(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+		for _, name := range []string{"e1", "e2"} {
+			f.engines.set(name, func(e *fakeEngine) { e.failAfter, e.failure = 2, cut() })
+		}
+		got := f.daemons["d1"].generate(context.Background(), modelCall("p"))
+		require.True(t, verdict.Is(got.err, verdict.MayHaveRun))
+		require.True(t, verdict.HasReason(got.err, verdict.BackendFailed))
+		require.Equal(t, "xx", got.text)
+		require.Equal(t, 1, f.engines.get("e1").started+f.engines.get("e2").started)
+	})
+}
+
+func TestNoEngineForTheModelIsNotRun(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+		request := modelCall("p")
+		request.Model = "other"
+		got := f.daemons["d1"].generate(context.Background(), request)
+		require.True(t, verdict.Is(got.err, verdict.NotRun))
+		require.True(t, verdict.HasReason(got.err, verdict.NoServer))
+	})
+}
+
+func TestRefusalByEveryEngineIsNotCalledNotRun(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) { e.failAfter, e.failure = 0, cut() })
+		request := modelCall("p")
+		request.Deadline = time.Now().Add(time.Second)
+		got := f.daemons["d1"].generate(context.Background(), request)
+		require.True(t, verdict.Is(got.err, verdict.MayHaveRun))
+	})
+}
+
+func TestLossOfTheDispatcherMovesTheCall(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engines("e1", "e2", "e3", "e4"), func(t *testing.T, f *fleet) {
+		for _, name := range []string{"e1", "e2", "e3", "e4"} {
+			f.engines.set(name, func(e *fakeEngine) { e.gap = time.Second })
+		}
+		var calls []<-chan outcome
+		for i := range 8 {
+			calls = append(calls, f.daemons["d1"].generateLater(context.Background(), modelCall(string(rune('a'+i)))))
+		}
+		synctest.Wait()
+		f.lose("d2")
+		f.lose("d3")
+		for _, call := range calls {
+			got := <-call
+			require.NoError(t, got.err)
+			require.Equal(t, "xxx", got.text)
+		}
+	})
+}
+
+func TestCancelReachesTheEngine(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+		for _, name := range []string{"e1", "e2"} {
+			f.engines.set(name, func(e *fakeEngine) { e.hang = true })
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		first := f.daemons["d1"].generateLater(ctx, modelCall("p"))
+		second := f.daemons["d2"].generateLater(ctx, modelCall("q"))
+		synctest.Wait()
+		require.Equal(t, 2, f.engines.get("e1").running+f.engines.get("e2").running)
+		cancel()
+		require.True(t, verdict.HasReason((<-first).err, verdict.Canceled))
+		require.True(t, verdict.HasReason((<-second).err, verdict.Canceled))
+		synctest.Wait()
+		require.Zero(t, f.engines.get("e1").running+f.engines.get("e2").running)
+	})
+}
+
+func TestForgetIsConfirmedOnlyByTheEngine(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+		d := f.daemons["d1"]
+		require.NoError(t, d.generate(context.Background(), modelCall("p")).err)
+		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		require.ErrorIs(t, d.Forget(context.Background(), "e1", "p"), backend.ErrUnreachable)
+		f.engines.set("e1", func(e *fakeEngine) { e.down = false })
+		require.NoError(t, d.Forget(context.Background(), "e1", "p"))
+		require.Equal(t, []string{"p"}, f.engines.get("e1").released)
+		require.NoError(t, d.Forget(context.Background(), "e1", "p"))
+		require.NoError(t, d.Forget(context.Background(), "gone", "p"))
+		f.setServers(nil)
+		require.Error(t, d.Forget(context.Background(), "e1", "p"))
+	})
+}
--- /dev/null
+++ b/internal/dispatch/slots.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"ibisline/internal/member"
+	"ibisline/internal/peer"
+	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// slotTable holds the slots granted to this daemon's homes with the means to
+// give them back.
+type slotTable struct {
+	mu      sync.Mutex
+	release map[string]func()
+}
+
+func newSlotTable() *slotTable { return &slotTable{release: map[string]func(){}} }
+
+func (t *slotTable) add(server structs.Server, release func()) structs.Slot {
+	slot := structs.Slot{ID: uuid.NewString(), Server: server}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.release[slot.ID] = release
+	return slot
+}
+
+// take returns the release of a slot once.
+func (t *slotTable) take(id string) func() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	release := t.release[id]
+	delete(t.release, id)
+	return release
+}
+
+func (t *slotTable) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.release)
+}
+
+// AcquireSlot implements Router.
+func (d *Dispatcher) AcquireSlot(ctx context.Context, request structs.SlotRequest) (structs.Slot, error) {
+	excluded := map[string]bool{}
+	for {
+		server, ok := d.pickService(request.Service, excluded)
+		if !ok {
+			return structs.Slot{}, verdict.Refuse(verdict.NoServer, "no server of service %q takes calls", request.Service).After(time.Second)
+		}
+		slot, err := d.slotAt(ctx, server, request)
+		if err == nil {
+			return slot, nil
+		}
+		refusal := asNotRun(err)
+		if refusal.Reason != verdict.PeerLost && refusal.Reason != verdict.NoServer {
+			return structs.Slot{}, refusal
+		}
+		excluded[server.Name] = true
+	}
+}
+
+// asNotRun states the fact that asking for a slot never runs a call.
+func asNotRun(err error) *verdict.Error {
+	refusal := *verdict.From(err)
+	refusal.Verdict = verdict.NotRun
+	return &refusal
+}
+
+// ReleaseSlot implements Router.
+func (d *Dispatcher) ReleaseSlot(slot structs.Slot) {
+	if release := d.slots.take(slot.ID); release != nil {
+		release()
+	}
+}
+
+// pickService returns the server of a plain service that has the fewest calls
+// known here, in this region when it has one.
+func (d *Dispatcher) pickService(service string, excluded map[string]bool) (structs.Server, bool) {
+	var best structs.Server
+	found := false
+	for _, server := range d.deps.View.Servers() {
+		if server.Kind != structs.KindService || server.Service != service {
+			continue
+		}
+		if server.State == structs.StateLeaving || excluded[server.Name] {
+			continue
+		}
+		near := server.Region == d.deps.Region
+		if !found || (near && best.Region != d.deps.Region) {
+			best = server
+			found = true
+		}
+	}
+	return best, found
+}
+
+// slotAt asks the dispatcher of one server for a slot.
+func (d *Dispatcher) slotAt(ctx context.Context, server structs.Server, request structs.SlotRequest) (structs.Slot, error) {
+	owner, ok := member.Owner(d.deps.View, server.Region, server.Name)
+	if !ok {
+		return structs.Slot{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
+	}
+	if owner.Name != d.deps.Self {
+		return d.remoteSlot(ctx, owner.Name, server, request)
+	}
+	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(request), request.Deadline)
+	if err != nil {
+		return structs.Slot{}, err
+	}
+	return d.slots.add(server, func() { grant.release(1) }), nil
+}
+
+// slotItem describes a call to the fair queue; each call costs one unit.
+func slotItem(request structs.SlotRequest) *fairshare.Item {
+	return &fairshare.Item{Owner: request.Owner, Class: request.Class, Cost: 1, Arrived: time.Now()}
+}
+
+// remoteSlot holds a slot at another daemon for as long as its stream is open.
+func (d *Dispatcher) remoteSlot(ctx context.Context, daemon string, server structs.Server, request structs.SlotRequest) (structs.Slot, error) {
+	stream, err := d.deps.Dialer.Open(ctx, daemon, methodSlot)
+	if err != nil {
+		return structs.Slot{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
+	err = askSlot(stream, slotOrder{Server: server.Name, Request: request})
+	if !stop() || err != nil {
+		_ = stream.Close()
+		return structs.Slot{}, slotError(ctx, err)
+	}
+	return d.slots.add(server, func() { _ = stream.Close() }), nil
+}
+
+func askSlot(stream peer.Stream, order slotOrder) error {
+	if err := stream.Send(order); err != nil {
+		return err
+	}
+	var granted slotGranted
+	return stream.Recv(&granted)
+}
+
+func slotError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return verdict.Refuse(verdict.Canceled, "canceled while waiting for a slot")
+	}
+	return err
+}
+
+// handleSlot serves methodSlot: the slot ends with the stream.
+func (d *Dispatcher) handleSlot(ctx context.Context, s peer.Stream) error {
+	var order slotOrder
+	if err := s.Recv(&order); err != nil {
+		return err
+	}
+	server, ok := d.findServer(order.Server)
+	if !ok {
+		return verdict.Refuse(verdict.NoServer, "server %s is not known here", order.Server)
+	}
+	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(order.Request), order.Request.Deadline)
+	if err != nil {
+		return err
+	}
+	defer grant.release(1)
+	if err := s.Send(slotGranted{Slot: structs.Slot{Server: server}}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/internal/policy/fairshare/fairshare.go
@@ -0,0 +1,238 @@
+// Package fairshare orders the requests that wait for one backend server.
+//
+// Between owners it is start-time fair queueing: each owner has a virtual time
+// that advances by the cost of its granted requests over its share, and the
+// owner that is furthest behind is served next. An owner without waiting
+// requests lends its share; when it returns it starts at the queue's virtual
+// time, so that it neither pays for what it borrowed out nor keeps credit.
+//
+// Inside an owner the order is by arrival, put back by the class of work and by
+// the service that the whole program has attained. Both delays are bounded, so
+// that a request can only be passed by requests that arrive within that bound.
+package fairshare
+
+import (
+	"container/heap"
+	"time"
+)
+
+// Classes of work. An unknown class counts as Standard.
+const (
+	// Interactive work has a person waiting for it, such as at a till.
+	Interactive = "interactive"
+	Standard    = "standard"
+	// Batch work has no one waiting for the single answer.
+	Batch = "batch"
+)
+
+const (
+	standardDelay = 10 * time.Second
+	batchDelay    = 30 * time.Second
+	// serviceRate converts attained service to delay, in cost units a second.
+	serviceRate     = 2000.0
+	maxServiceDelay = 30 * time.Second
+	minCost         = 1.0
+	defaultShare    = 1.0
+)
+
+// MaxDelay bounds how much later than by arrival a request may be ranked.
+const MaxDelay = batchDelay + maxServiceDelay
+
+// Item is one waiting request. Its fields are set before Push.
+type Item struct {
+	Owner string
+	Class string
+	// Cost is the estimated cost: uncached prompt tokens and generated tokens.
+	Cost float64
+	// Attained is the service that the whole program has had, in cost units.
+	Attained float64
+	Arrived  time.Time
+
+	rank  time.Time
+	seq   uint64
+	index int
+	queue *ownerQueue
+}
+
+// Queue is an order of waiting requests. It is not safe for concurrent use.
+type Queue interface {
+	// SetShares replaces the owners' shares; it holds from the next grant on.
+	// Owners that are missing have a share of 1.
+	SetShares(shares map[string]float64)
+	Push(item *Item)
+	// Pop removes the request to be granted next and charges its cost.
+	Pop() (*Item, bool)
+	// Remove takes a waiting request out; false if it does not wait.
+	Remove(item *Item) bool
+	// Settle corrects the charge of a granted request to its actual cost.
+	Settle(item *Item, actual float64)
+	Len() int
+	// Cost is the sum of the estimated costs of the waiting requests.
+	Cost() float64
+}
+
+// Fair is the fair queue.
+type Fair struct {
+	shares  map[string]float64
+	owners  map[string]*ownerQueue
+	virtual float64
+	seq     uint64
+	length  int
+	cost    float64
+}
+
+// ownerQueue holds the waiting requests of one owner.
+type ownerQueue struct {
+	name  string
+	start float64
+	items itemHeap
+}
+
+var _ Queue = (*Fair)(nil)
+
+// NewFair returns an empty fair queue.
+func NewFair() *Fair {
+	return &Fair{shares: map[string]float64{}, owners: map[string]*ownerQueue{}}
+}
+
+// SetShares implements Queue. What an owner is ahead by was charged at its old
+// share and is rescaled, so that a raised owner does not wait out the old one.
+func (f *Fair) SetShares(shares map[string]float64) {
+	for name, owner := range f.owners {
+		ahead := owner.start - f.virtual
+		owner.start = f.virtual + ahead*shareOf(f.shares, name)/shareOf(shares, name)
+	}
+	f.shares = shares
+}
+
+func shareOf(shares map[string]float64, owner string) float64 {
+	if share := shares[owner]; share > 0 {
+		return share
+	}
+	return defaultShare
+}
+
+// Push implements Queue.
+func (f *Fair) Push(item *Item) {
+	owner := f.owner(item.Owner)
+	if len(owner.items) == 0 {
+		owner.start = max(owner.start, f.virtual)
+	}
+	f.seq++
+	item.seq = f.seq
+	item.rank = Rank(item)
+	item.queue = owner
+	heap.Push(&owner.items, item)
+	f.length++
+	f.cost += item.Cost
+}
+
+func (f *Fair) owner(name string) *ownerQueue {
+	owner := f.owners[name]
+	if owner == nil {
+		owner = &ownerQueue{name: name, start: f.virtual}
+		f.owners[name] = owner
+	}
+	return owner
+}
+
+// Pop implements Queue.
+func (f *Fair) Pop() (*Item, bool) {
+	next := f.next()
+	if next == nil {
+		return nil, false
+	}
+	item := heap.Pop(&next.items).(*Item)
+	f.left(item)
+	f.virtual = max(f.virtual, next.start)
+	next.start += max(item.Cost, minCost) / shareOf(f.shares, next.name)
+	f.forget()
+	return item, true
+}
+
+// next returns the waiting owner that is furthest behind.
+func (f *Fair) next() *ownerQueue {
+	var best *ownerQueue
+	for _, owner := range f.owners {
+		if len(owner.items) == 0 {
+			continue
+		}
+		if best == nil || owner.before(best) {
+			best = owner
+		}
+	}
+	return best
+}
+
+func (o *ownerQueue) before(other *ownerQueue) bool {
+	if o.start != other.start {
+		return o.start < other.start
+	}
+	return o.name < other.name
+}
+
+// left updates the sums after an item has left its owner's heap.
+func (f *Fair) left(item *Item) {
+	f.length--
+	f.cost -= item.Cost
+	if f.length == 0 {
+		f.cost = 0
+	}
+}
+
+// forget drops owners whose idle state equals that of a new owner.
+func (f *Fair) forget() {
+	for name, owner := range f.owners {
+		if len(owner.items) == 0 && owner.start <= f.virtual {
+			delete(f.owners, name)
+		}
+	}
+}
+
+// Remove implements Queue.
+func (f *Fair) Remove(item *Item) bool {
+	if item.queue == nil || item.index < 0 {
+		return false
+	}
+	heap.Remove(&item.queue.items, item.index)
+	f.left(item)
+	return true
+}
+
+// Settle implements Queue. A refund never takes an owner behind the queue's
+// virtual time at its next return, because Push starts it there.
+func (f *Fair) Settle(item *Item, actual float64) {
+	owner := f.owner(item.Owner)
+	owner.start += (max(actual, minCost) - max(item.Cost, minCost)) / shareOf(f.shares, item.Owner)
+}
+
+// Len implements Queue.
+func (f *Fair) Len() int { return f.length }
+
+// Cost implements Queue.
+func (f *Fair) Cost() float64 { return f.cost }
+
+// Rank is the time by which an owner's requests are ordered: the arrival, put
+// back by class and by the service attained.
+func Rank(item *Item) time.Time {
+	return item.Arrived.Add(classDelay(item.Class) + serviceDelay(item.Attained))
+}
+
+func classDelay(class string) time.Duration {
+	switch class {
+	case Interactive:
+		return 0
+	case Batch:
+		return batchDelay
+	default:
+		return standardDelay
+	}
+}
+
+func serviceDelay(attained float64) time.Duration {
+	seconds := max(attained, 0) / serviceRate
+	if seconds >= maxServiceDelay.Seconds() {
+		return maxServiceDelay
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- /dev/null
+++ b/internal/policy/fairshare/fifo.go
@@ -0,0 +1,61 @@
+package fairshare
+
+import "slices"
+
+// FIFO is the baseline: requests in the order of their arrival, whoever owns
+// them.
+type FIFO struct {
+	items []*Item
+	cost  float64
+}
+
+var _ Queue = (*FIFO)(nil)
+
+// NewFIFO returns an empty first-in, first-out queue.
+func NewFIFO() *FIFO { return &FIFO{} }
+
+// SetShares implements Queue; shares have no effect.
+func (f *FIFO) SetShares(map[string]float64) {}
+
+// Push implements Queue.
+func (f *FIFO) Push(item *Item) {
+	f.items = append(f.items, item)
+	f.cost += item.Cost
+}
+
+// Pop implements Queue.
+func (f *FIFO) Pop() (*Item, bool) {
+	if len(f.items) == 0 {
+		return nil, false
+	}
+	item := f.items[0]
+	f.remove(0)
+	return item, true
+}
+
+// Remove implements Queue.
+func (f *FIFO) Remove(item *Item) bool {
+	at := slices.Index(f.items, item)
+	if at < 0 {
+		return false
+	}
+	f.remove(at)
+	return true
+}
+
+func (f *FIFO) remove(at int) {
+	f.cost -= f.items[at].Cost
+	f.items = slices.Delete(f.items, at, at+1)
+	if len(f.items) == 0 {
+		f.cost = 0
+	}
+}
+
+// Settle implements Queue; nothing is charged.
+func (f *FIFO) Settle(*Item, float64) {}
+
+// Len implements Queue.
+func (f *FIFO) Len() int { return len(f.items) }
+
+// Cost implements Queue.
+func (f *FIFO) Cost() float64 { return f.cost }
