Read the daemons' status in the form that they serve

Cause: internal/operator landed with its own Status message while ibisctl had defined another one for the same call; two types for one answer drift apart. Ruled out: converting between both, which would keep two definitions. Measured: go test ./internal/ctl passes; against a real daemon not measured yet.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,6 +16,7 @@
 	"ibisline/internal/catalogue"
 	"ibisline/internal/ctl"
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/operator"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
@@ -192,7 +193,7 @@
 	s := newSite(t)
 	var revision int64
 	report := func(of *int64) map[string]func() any {
-		return map[string]func() any{"/v1/status": func() any { return structs.DaemonStatus{CatalogueRevision: *of} }}
+		return map[string]func() any{"/v1/status": func() any { return operator.Status{CatalogueRevision: *of} }}
 	}
 	ahead := int64(1 << 40)
 	s.addDaemon("d1", report(&ahead))
--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -14,6 +14,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"golang.org/x/sync/errgroup"
 
+	"ibisline/internal/operator"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
@@ -113,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	answers := askAll[structs.DaemonStatus](ctx, c.daemons, instances, pathStatus)
+	answers := askAll[operator.Status](ctx, c.daemons, instances, pathStatus)
 	return c.out.status(answers)
 }
 
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -10,6 +10,7 @@
 	"github.com/jedib0t/go-pretty/v6/table"
 
 	"ibisline/internal/catalogue"
+	"ibisline/internal/operator"
 	"ibisline/internal/structs"
 )
 
@@ -22,7 +23,7 @@
 // statusLine is one daemon in the JSON form of status.
 type statusLine struct {
 	Daemon string                `json:"daemon"`
-	Status *structs.DaemonStatus `json:"status,omitempty"`
+	Status *operator.Status `json:"status,omitempty"`
 	Error  string                `json:"error,omitempty"`
 }
 
@@ -112,7 +113,7 @@
 }
 
 // status shows the daemons.
-func (p printer) status(answers []answer[structs.DaemonStatus]) error {
+func (p printer) status(answers []answer[operator.Status]) error {
 	if p.json {
 		lines := make([]statusLine, len(answers))
 		for i, a := range answers {
@@ -125,18 +126,26 @@
 		}
 		return p.encode(lines)
 	}
-	t := p.table("daemon", "region", "data centre", "state", "catalogue revision", "admits")
+	t := p.table("daemon", "region", "data centre", "state", "catalogue revision")
 	for _, a := range answers {
 		if a.err != nil {
-			t.AppendRow(table.Row{a.daemon.Name, a.daemon.Region, a.daemon.DataCentre, "no answer", "", ""})
+			t.AppendRow(table.Row{a.daemon.Name, a.daemon.Region, a.daemon.DataCentre, "no answer", ""})
 			continue
 		}
-		t.AppendRow(table.Row{a.daemon.Name, a.reply.Region, a.reply.DataCentre, a.reply.State, a.reply.CatalogueRevision, a.reply.Admits})
+		t.AppendRow(table.Row{a.daemon.Name, a.daemon.Region, a.daemon.DataCentre, daemonState(a.reply), a.reply.CatalogueRevision})
 	}
 	t.Render()
 	return nil
 }
 
+// daemonState names the state of a daemon that answered.
+func daemonState(status operator.Status) string {
+	if status.Leaving {
+		return structs.StateLeaving
+	}
+	return structs.StateLive
+}
+
 // dumps shows the state of daemons, always as JSON.
 func (p printer) dumps(answers []answer[json.RawMessage]) error {
 	lines := make([]dumpLine, len(answers))
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"ibisline/internal/structs"
+	"ibisline/internal/operator"
 )
 
 // pollEvery is the interval between two rounds of questions while waiting.
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	var names []string
-	for _, a := range askAll[structs.DaemonStatus](ctx, c.daemons, instances, pathStatus) {
+	for _, a := range askAll[operator.Status](ctx, c.daemons, instances, pathStatus) {
 		switch {
 		case a.err != nil:
 			names = append(names, a.daemon.Name+" (no answer)")
