--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -22,9 +22,9 @@
 
 // statusLine is one daemon in the JSON form of status.
 type statusLine struct {
-	Daemon string                `json:"daemon"`
+	Daemon string           `json:"daemon"`
 	Status *operator.Status `json:"status,omitempty"`
-	Error  string                `json:"error,omitempty"`
+	Error  string           `json:"error,omitempty"`
 }
 
 // dumpLine is one daemon in the output of dump.
