Give leaving and stopping servers no new work

Cause: an engine that leaves must get no new work after a few seconds, and the platform's list lags. Ruled out: trusting the list alone, or waiting for the 503 of the engine, which would cost each request a try. Change: each dispatcher polls the engines it owns every second and follows the list; a leaving, unlisted or unreachable engine refuses its waiting requests as not run, so that they move, and its streams end in peace. Drain does the same for a whole daemon. Deadlines cross the wire as the time left, because clocks differ. A held slot's stream no longer ends with the request that asked for it. Tries that may have run are bounded by three. Conclusion: the promise holds at the dispatcher within one poll.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,9 @@
 	board   *statusBoard
 	slots   *slotTable
 
+	// draining is set once a planned stop began.
+	draining atomic.Bool
+
 	mu       sync.Mutex
 	engines  map[string]*engine
 	services map[string]*serverQueue
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -15,6 +15,7 @@
 
 // engine is one model engine that this daemon dispatches to.
 type engine struct {
+	name    string
 	queue   *serverQueue
 	client  EngineClient
 	account *account
@@ -27,7 +28,7 @@
 }
 
 func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account) *engine {
-	return &engine{server: server, client: client, queue: queue, account: account}
+	return &engine{name: server.Name, server: server, client: client, queue: queue, account: account}
 }
 
 // run waits for a slot, then streams the answer of the engine.
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -95,6 +95,11 @@
 // lose kills a daemon and takes it off the list.
 func (f *fleet) lose(name string) {
 	f.daemons[name].kill()
+	f.leave(name)
+}
+
+// leave takes a daemon off the list.
+func (f *fleet) leave(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, instance := range f.live {
@@ -166,12 +171,13 @@
 
 func (d *daemon) Handle(method string, h peer.Handler) { d.handlers[method] = h }
 
-func (d *daemon) Open(_ context.Context, name, method string) (peer.Stream, error) {
+func (d *daemon) Open(opened context.Context, name, method string) (peer.Stream, error) {
 	target := d.fleet.daemons[name]
 	if target == nil || target.ctx.Err() != nil {
 		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is down", name)
 	}
 	ctx, cancel := context.WithCancel(target.ctx)
+	context.AfterFunc(opened, cancel)
 	up, down := make(chan []byte, 4096), make(chan []byte, 4096)
 	end := &streamEnd{}
 	caller := &memoryStream{ctx: ctx, cancel: cancel, out: up, in: down, end: end}
@@ -243,6 +249,7 @@
 	down     bool
 	usage    structs.Usage
 	kv       map[string]int
+	offered  int
 	started  int
 	running  int
 	peak     int
@@ -322,6 +329,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engine(name)
+	e.offered++
 	if e.down {
 		return fakeEngine{}, unreachable()
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
-	"sort"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -15,17 +17,15 @@
 // pollConcurrency bounds the load reports and status requests asked at once.
 const pollConcurrency = 16
 
-// pollEngines follows the platform's list and asks each owned engine for its
-// load report.
+// pollEngines follows the platform's list and asks for the load report of each
+// engine that is owned here or still has work here.
 func (d *Dispatcher) pollEngines(ctx context.Context) {
+	if d.draining.Load() {
+		return
+	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(pollConcurrency)
-	for _, server := range d.deps.View.Servers() {
-		if server.Kind != structs.KindEngine || !d.owns(server) {
-			continue
-		}
-		e := d.engineOf(server)
-		e.describe(server)
+	for _, e := range d.followList() {
 		group.Go(func() error {
 			e.poll(ctx)
 			d.board.put(e.status())
@@ -35,6 +35,53 @@
 	_ = group.Wait()
 }
 
+// followList brings the engines here in line with the platform's list and
+// returns those to poll. An engine that left the list takes no new work; it is
+// dropped once its streams have ended, as is one that another daemon owns now.
+func (d *Dispatcher) followList() []*engine {
+	listed := map[string]structs.Server{}
+	for _, server := range d.deps.View.Servers() {
+		if server.Kind != structs.KindEngine {
+			continue
+		}
+		listed[server.Name] = server
+		if d.owns(server) {
+			d.engineOf(server)
+		}
+	}
+	var polled []*engine
+	for _, e := range d.allEngines() {
+		server, ok := listed[e.name]
+		if !ok {
+			server = e.description()
+			server.State = structs.StateLeaving
+		}
+		e.describe(server)
+		if e.queue.idle() && (!ok || !d.owns(server)) {
+			d.drop(e)
+			continue
+		}
+		polled = append(polled, e)
+	}
+	return polled
+}
+
+// drop forgets an engine without work.
+func (d *Dispatcher) drop(e *engine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.engines, e.name)
+}
+
+// allEngines returns the engines here, sorted by name.
+func (d *Dispatcher) allEngines() []*engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	engines := slices.Collect(maps.Values(d.engines))
+	slices.SortFunc(engines, func(a, b *engine) int { return strings.Compare(a.name, b.name) })
+	return engines
+}
+
 // owns reports whether this daemon is the dispatcher of a server.
 func (d *Dispatcher) owns(server structs.Server) bool {
 	owner, ok := member.Owner(d.deps.View, server.Region, server.Name)
@@ -43,17 +90,11 @@
 
 // statuses returns the state of the engines here, sorted by name.
 func (d *Dispatcher) statuses() []EngineStatus {
-	d.mu.Lock()
-	engines := make([]*engine, 0, len(d.engines))
-	for _, e := range d.engines {
-		engines = append(engines, e)
-	}
-	d.mu.Unlock()
+	engines := d.allEngines()
 	statuses := make([]EngineStatus, 0, len(engines))
 	for _, e := range engines {
 		statuses = append(statuses, e.status())
 	}
-	sort.Slice(statuses, func(i, j int) bool { return statuses[i].Engine < statuses[j].Engine })
 	return statuses
 }
 
@@ -110,10 +151,7 @@
 func (b *statusBoard) all() []EngineStatus {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	all := make([]EngineStatus, 0, len(b.status))
-	for _, status := range b.status {
-		all = append(all, status)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Engine < all[j].Engine })
+	all := slices.Collect(maps.Values(b.status))
+	slices.SortFunc(all, func(a, b EngineStatus) int { return strings.Compare(a.Engine, b.Engine) })
 	return all
 }
--- /dev/null
+++ b/internal/dispatch/leaving_test.go
@@ -0,0 +1,96 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/structs"
+)
+
+// leavingGrace is the time after which a leaving engine must get no new work.
+const leavingGrace = 3 * time.Second
+
+// leavingLooks are the ways in which a daemon can learn that e1 is leaving.
+var leavingLooks = map[string]func(f *fleet){
+	"load report": func(f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) { e.leaving = true })
+	},
+	"platform's list": func(f *fleet) {
+		servers := engines("e1", "e2")
+		servers[0].State = structs.StateLeaving
+		f.setServers(servers)
+	},
+	"off the list": func(f *fleet) { f.setServers(engines("e2")) },
+}
+
+func TestLeavingEngineGetsNoNewWorkAndEndsItsStreams(t *testing.T) {
+	for name, leave := range leavingLooks {
+		t.Run(name, func(t *testing.T) {
+			config := dispatch.Config{FixedWindow: 2, Window: dispatch.WindowFixed}
+			runFleet(t, config, []string{"d1", "d2", "d3"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+				for _, engine := range []string{"e1", "e2"} {
+					f.engines.set(engine, func(e *fakeEngine) { e.gap = 2 * time.Second })
+				}
+				var calls []<-chan outcome
+				for _, d := range f.daemons {
+					for range 4 {
+						calls = append(calls, d.generateLater(context.Background(), modelCall("p")))
+					}
+				}
+				synctest.Wait()
+				require.Equal(t, 2, f.engines.get("e1").running)
+				leave(f)
+				time.Sleep(leavingGrace)
+				offered := f.engines.get("e1").offered
+				for _, d := range f.daemons {
+					calls = append(calls, d.generateLater(context.Background(), modelCall("q")))
+				}
+				for _, call := range calls {
+					got := <-call
+					require.NoError(t, got.err)
+					require.Equal(t, "xxx", got.text)
+				}
+				require.Equal(t, offered, f.engines.get("e1").offered)
+				require.Equal(t, 2, f.engines.get("e1").started)
+			})
+		})
+	}
+}
+
+func TestEngineThatStaysIsUsedAgain(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) { e.leaving, e.down = true, true })
+		time.Sleep(leavingGrace)
+		f.engines.set("e1", func(e *fakeEngine) { e.leaving, e.down = false, false })
+		require.NoError(t, f.daemons["d1"].generate(context.Background(), modelCall("p")).err)
+	})
+}
+
+func TestDrainEndsStreamsAndMovesWaitingWork(t *testing.T) {
+	config := dispatch.Config{FixedWindow: 1, Window: dispatch.WindowFixed}
+	runFleet(t, config, []string{"d1", "d2"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+		for _, engine := range []string{"e1", "e2", "e3"} {
+			f.engines.set(engine, func(e *fakeEngine) { e.gap = time.Second })
+		}
+		var calls []<-chan outcome
+		for range 9 {
+			calls = append(calls, f.daemons["d1"].generateLater(context.Background(), modelCall("p")))
+		}
+		synctest.Wait()
+		f.leave("d2")
+		require.NoError(t, f.daemons["d2"].Drain(context.Background()))
+		for _, call := range calls {
+			require.NoError(t, (<-call).err)
+		}
+		started := 0
+		for _, engine := range []string{"e1", "e2", "e3"} {
+			started += f.engines.get(engine).started
+		}
+		require.Equal(t, 9, started)
+	})
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -17,6 +17,26 @@
 type generateOrder struct {
 	Engine  string                  `msgpack:"e"`
 	Request structs.GenerateRequest `msgpack:"r"`
+	Wait    wait                    `msgpack:"w"`
+}
+
+// wait is the time left until a deadline. It crosses the wire in place of the
+// deadline, because the clocks of daemons may differ.
+type wait struct {
+	Bounded bool          `msgpack:"b"`
+	Left    time.Duration `msgpack:"l"`
+}
+
+func waitUntil(deadline time.Time) wait {
+	return wait{Bounded: !deadline.IsZero(), Left: time.Until(deadline)}
+}
+
+// deadline is the time by the local clock.
+func (w wait) deadline() time.Time {
+	if !w.Bounded {
+		return time.Time{}
+	}
+	return time.Now().Add(w.Left)
 }
 
 // generateFrame is a part of the answer: a piece of text, or at the end the
@@ -32,6 +52,7 @@
 type slotOrder struct {
 	Server  string              `msgpack:"e"`
 	Request structs.SlotRequest `msgpack:"r"`
+	Wait    wait                `msgpack:"w"`
 }
 
 // slotGranted answers slotOrder when the slot was granted.
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -19,8 +19,6 @@
 		return structs.Generated{}, verdict.From(err)
 	}
 	defer stream.Close()
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	defer stop()
 	if err := stream.Send(order); err != nil {
 		return structs.Generated{}, remoteError(ctx, err)
 	}
@@ -61,10 +59,14 @@
 	if err := s.Recv(&order); err != nil {
 		return err
 	}
+	if d.draining.Load() {
+		return verdict.Refuse(verdict.Stopping, "dispatcher is stopping")
+	}
 	server, ok := d.findServer(order.Engine)
 	if !ok {
 		return verdict.Refuse(verdict.NoServer, "engine %s is not known here", order.Engine)
 	}
+	order.Request.Deadline = order.Wait.deadline()
 	e := d.engineOf(server)
 	emit := func(text string) error { return s.Send(generateFrame{Text: text}) }
 	generated, err := e.run(ctx, order.Request, emit)
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -10,9 +10,15 @@
 	"ibisline/internal/verdict"
 )
 
-// repickDelay is the wait before a server is sought again when none took the
-// request; the view of the members may be behind.
-const repickDelay = 100 * time.Millisecond
+const (
+	// repickDelay is the wait before a server is sought again when none took
+	// the request; the view of the members may be behind.
+	repickDelay = 100 * time.Millisecond
+	// maxTries bounds the tries of one call that may have run.
+	maxTries = 3
+	// repickLimit bounds the search while no listed engine takes work.
+	repickLimit = 5 * time.Second
+)
 
 // generation is one model call on its way through the router.
 type generation struct {
@@ -20,15 +26,15 @@
 	emit     func(text string) error
 	emitted  bool
 	excluded map[string]bool
-	// mayHaveRun is set once a try ended without proof that it did not run.
-	mayHaveRun bool
+	// tries counts the tries that ended without proof that they did not run.
+	tries int
 }
 
 // failure is the error of the whole call. A refusal of the last try does not
 // hide that an earlier one may have run.
 func (g *generation) failure(err error) error {
 	result := *verdict.From(err)
-	if g.mayHaveRun && result.Verdict == verdict.NotRun {
+	if g.tries > 0 && result.Verdict == verdict.NotRun {
 		result.Verdict = verdict.MayHaveRun
 	}
 	return &result
@@ -37,11 +43,12 @@
 // Generate implements Router.
 func (d *Dispatcher) Generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	g := &generation{request: request, emit: emit, excluded: map[string]bool{}}
+	giveUp := repickUntil(request.Deadline)
 	var last error
 	for {
 		server, ok := d.pickEngine(g)
 		if !ok {
-			if len(g.excluded) == 0 || !d.waitToRepick(ctx, request.Deadline) {
+			if !d.listed(request.Model) || !waitToRepick(ctx, giveUp) {
 				return structs.Generated{}, g.failure(noServer(request.Model, last))
 			}
 			clear(g.excluded)
@@ -52,7 +59,7 @@
 			return generated, nil
 		}
 		if !verdict.Is(err, verdict.NotRun) {
-			g.mayHaveRun = true
+			g.tries++
 		}
 		if !movable(ctx, g, err) {
 			return structs.Generated{}, g.failure(err)
@@ -70,9 +77,18 @@
 	return verdict.Refuse(verdict.NoServer, "no engine serves model %q", model).After(time.Second)
 }
 
-// waitToRepick waits a moment, and returns false when the request is too late.
-func (d *Dispatcher) waitToRepick(ctx context.Context, deadline time.Time) bool {
-	if !deadline.IsZero() && time.Until(deadline) < repickDelay {
+// repickUntil is the time until which engines are sought.
+func repickUntil(deadline time.Time) time.Time {
+	limit := time.Now().Add(repickLimit)
+	if !deadline.IsZero() && deadline.Before(limit) {
+		return deadline
+	}
+	return limit
+}
+
+// waitToRepick waits a moment, and returns false when it is too late.
+func waitToRepick(ctx context.Context, giveUp time.Time) bool {
+	if time.Until(giveUp) < repickDelay {
 		return false
 	}
 	select {
@@ -83,10 +99,24 @@
 	}
 }
 
+// listed reports whether the platform's list has a live engine with the model.
+func (d *Dispatcher) listed(model string) bool {
+	return slices.ContainsFunc(d.deps.View.Servers(), func(server structs.Server) bool {
+		return serves(server, model)
+	})
+}
+
+func serves(server structs.Server, model string) bool {
+	if server.Kind != structs.KindEngine || server.State == structs.StateLeaving {
+		return false
+	}
+	return slices.Contains(server.Models, model)
+}
+
 // movable reports whether a failed call may be tried at another engine. A model
 // call is repeatable, but once text was passed on the new answer could differ.
 func movable(ctx context.Context, g *generation, err error) bool {
-	if g.emitted || ctx.Err() != nil {
+	if g.emitted || g.tries >= maxTries || ctx.Err() != nil {
 		return false
 	}
 	switch verdict.From(err).Reason {
@@ -127,10 +157,7 @@
 }
 
 func (d *Dispatcher) usable(server structs.Server, g *generation) bool {
-	if server.Kind != structs.KindEngine || server.State == structs.StateLeaving || g.excluded[server.Name] {
-		return false
-	}
-	if !slices.Contains(server.Models, g.request.Model) {
+	if !serves(server, g.request.Model) || g.excluded[server.Name] {
 		return false
 	}
 	status := d.board.get(server.Name)
@@ -161,7 +188,8 @@
 		d.board.put(e.status())
 		return generated, err
 	}
-	return d.runRemote(ctx, owner.Name, generateOrder{Engine: server.Name, Request: g.request}, emit)
+	order := generateOrder{Engine: server.Name, Request: g.request, Wait: waitUntil(g.request.Deadline)}
+	return d.runRemote(ctx, owner.Name, order, emit)
 }
 
 // Forget implements Router. The engine is asked directly: releasing needs no
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -23,6 +23,8 @@
 	running   int
 	waiting   map[*fairshare.Item]chan error
 	closed    *verdict.Error
+	// stopped keeps the queue closed for good.
+	stopped bool
 }
 
 // grant is the right to run one request at the server.
@@ -144,6 +146,22 @@
 func (q *serverQueue) close(refusal *verdict.Error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.refuse(refusal)
+}
+
+// stop closes the queue for good.
+func (q *serverQueue) stop(refusal *verdict.Error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.refuse(refusal)
+	q.stopped = true
+}
+
+// refuse does the work of close. The caller holds mu.
+func (q *serverQueue) refuse(refusal *verdict.Error) {
+	if q.stopped {
+		return
+	}
 	q.closed = refusal
 	for item, ready := range q.waiting {
 		q.queue.Remove(item)
@@ -153,10 +171,13 @@
 	}
 }
 
-// open admits requests again.
+// open admits requests again, unless the queue was stopped.
 func (q *serverQueue) open() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.stopped {
+		return
+	}
 	q.closed = nil
 	q.fill()
 }
@@ -184,3 +205,10 @@
 	}
 	return state
 }
+
+// idle reports that nothing waits and nothing is under way.
+func (q *serverQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.running == 0 && q.queue.Len() == 0
+}
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -59,13 +59,23 @@
 			return slot, nil
 		}
 		refusal := asNotRun(err)
-		if refusal.Reason != verdict.PeerLost && refusal.Reason != verdict.NoServer {
+		if !slotElsewhere(refusal.Reason) {
 			return structs.Slot{}, refusal
 		}
 		excluded[server.Name] = true
 	}
 }
 
+// slotElsewhere reports whether a slot may be sought at another server.
+func slotElsewhere(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.PeerLost, verdict.NoServer, verdict.Stopping:
+		return true
+	default:
+		return false
+	}
+}
+
 // asNotRun states the fact that asking for a slot never runs a call.
 func asNotRun(err error) *verdict.Error {
 	refusal := *verdict.From(err)
@@ -123,26 +133,35 @@
 }
 
 // remoteSlot holds a slot at another daemon for as long as its stream is open.
+// The stream outlives ctx once the slot is granted.
 func (d *Dispatcher) remoteSlot(ctx context.Context, daemon string, server structs.Server, request structs.SlotRequest) (structs.Slot, error) {
-	stream, err := d.deps.Dialer.Open(ctx, daemon, methodSlot)
-	if err != nil {
-		return structs.Slot{}, err
-	}
-	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	err = askSlot(stream, slotOrder{Server: server.Name, Request: request})
+	held, end := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, end)
+	order := slotOrder{Server: server.Name, Request: request, Wait: waitUntil(request.Deadline)}
+	err := d.askSlot(held, daemon, order)
 	if !stop() || err != nil {
-		_ = stream.Close()
+		end()
 		return structs.Slot{}, slotError(ctx, err)
 	}
-	return d.slots.add(server, func() { _ = stream.Close() }), nil
+	return d.slots.add(server, end), nil
 }
 
-func askSlot(stream peer.Stream, order slotOrder) error {
+// askSlot opens the stream that holds the slot until ctx ends.
+func (d *Dispatcher) askSlot(ctx context.Context, daemon string, order slotOrder) error {
+	stream, err := d.deps.Dialer.Open(ctx, daemon, methodSlot)
+	if err != nil {
+		return err
+	}
 	if err := stream.Send(order); err != nil {
+		_ = stream.Close()
 		return err
 	}
 	var granted slotGranted
-	return stream.Recv(&granted)
+	if err := stream.Recv(&granted); err != nil {
+		_ = stream.Close()
+		return err
+	}
+	return nil
 }
 
 func slotError(ctx context.Context, err error) error {
@@ -158,11 +177,14 @@
 	if err := s.Recv(&order); err != nil {
 		return err
 	}
+	if d.draining.Load() {
+		return verdict.Refuse(verdict.Stopping, "dispatcher is stopping")
+	}
 	server, ok := d.findServer(order.Server)
 	if !ok {
 		return verdict.Refuse(verdict.NoServer, "server %s is not known here", order.Server)
 	}
-	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(order.Request), order.Request.Deadline)
+	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(order.Request), order.Wait.deadline())
 	if err != nil {
 		return err
 	}
