--- /dev/null
+++ b/internal/policy/placement/placement_test.go
@@ -0,0 +1,64 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/policy/placement"
+)
+
+const ms = time.Millisecond
+
+func engine(change func(e *placement.Engine)) placement.Engine {
+	e := placement.Engine{
+		Window: 16, Gap: 25 * ms, PrefillRate: 8000, Service: 2 * time.Second, KVFree: 100_000,
+	}
+	if change != nil {
+		change(&e)
+	}
+	return e
+}
+
+func choose(request placement.Request, engines ...placement.Engine) int {
+	return placement.Choose(request, engines, func(i int) uint64 { return uint64(i) })
+}
+
+var long = placement.Request{PromptTokens: 16_000, OutputTokens: 100}
+
+func TestCachedEngineIsPreferredWhileItPays(t *testing.T) {
+	other := engine(nil)
+	cached := engine(func(e *placement.Engine) { e.Cached, e.Running = 15_000, 14 })
+	require.Equal(t, 1, choose(long, other, cached))
+	cached.Running, cached.Waiting = 16, 40
+	require.Equal(t, 0, choose(long, other, cached))
+	cached = engine(func(e *placement.Engine) { e.Cached, e.Gap = 15_000, 100*ms })
+	require.Equal(t, 0, choose(long, other, cached))
+}
+
+func TestShortPromptIsNotSticky(t *testing.T) {
+	short := placement.Request{PromptTokens: 200, OutputTokens: 50}
+	full := engine(func(e *placement.Engine) { e.Cached, e.Running = 200, 16 })
+	require.Equal(t, 1, choose(short, full, engine(nil)))
+}
+
+func TestSlowAndFarEnginesComeLast(t *testing.T) {
+	slow := engine(func(e *placement.Engine) { e.Gap = 100 * ms })
+	far := engine(func(e *placement.Engine) { e.Far = true })
+	require.Equal(t, 2, choose(long, slow, far, engine(nil)))
+	require.Equal(t, 1, choose(long, slow, far))
+}
+
+func TestPromptsAheadAndEvictionsAreCharged(t *testing.T) {
+	busy := engine(func(e *placement.Engine) { e.Prefilling = 8000 })
+	require.Equal(t, 1, choose(long, busy, engine(nil)))
+	full := engine(func(e *placement.Engine) { e.KVFree = 0 })
+	require.Equal(t, 1, choose(long, full, engine(nil)))
+}
+
+func TestNearlyEqualEnginesAreToldApartByLoad(t *testing.T) {
+	loaded := engine(func(e *placement.Engine) { e.Running = 9 })
+	slower := engine(func(e *placement.Engine) { e.PrefillRate = 7999 })
+	require.Equal(t, 1, choose(long, loaded, slower))
+}
--- /dev/null
+++ b/internal/policy/window/window.go
@@ -0,0 +1,193 @@
+// Package window decides how many requests an engine may have under way. The
+// limit follows the time between tokens that is observed on the streams, because
+// the engine's own load report is late; it shrinks at once and grows slowly.
+// Within the limit, KV memory and the prompt tokens still to be computed bound
+// what is admitted, so that an engine has no queue of its own, in which it would
+// know no priorities.
+package window
+
+import "time"
+
+// Config bounds a window. Zero values switch a bound off, except for Limit.
+type Config struct {
+	// Limit is the first limit, or the only one when Fixed is set.
+	Limit int
+	Fixed bool
+	// MaxLimit bounds growth.
+	MaxLimit int
+	// GapTarget is the time between the tokens of a stream to be kept.
+	GapTarget time.Duration
+	// FirstTokenTarget is the time to the first token to be kept.
+	FirstTokenTarget time.Duration
+	// KVTokens is the engine's KV memory in tokens.
+	KVTokens int
+}
+
+const (
+	minLimit = 1
+	// streamSamples is the number of tokens of each stream after which a mean
+	// gap is acted on.
+	streamSamples = 4
+	// shrinkAt and growAt are fractions of GapTarget.
+	shrinkAt = 1.05
+	growAt   = 0.9
+	// shrinkMost bounds one step down.
+	shrinkMost   = 0.5
+	growFraction = 0.05
+	growInterval = time.Second
+	// holdAfterShrink is the time without growth after a step down.
+	holdAfterShrink = 3 * time.Second
+	// prefillFraction is the part of FirstTokenTarget that admitted prompts may
+	// take to compute.
+	prefillFraction = 0.5
+	// DefaultPrefillRate is the rate assumed before one was observed, in tokens
+	// a second.
+	DefaultPrefillRate = 8000.0
+	rateWeight         = 0.125
+	// minRateTokens is the least prompt from which a rate is estimated.
+	minRateTokens = 256
+)
+
+// Need is what one request takes up.
+type Need struct {
+	// KVTokens is the most KV memory that the request can use.
+	KVTokens int
+	// PrefillTokens is the estimated uncached part of its prompt.
+	PrefillTokens int
+}
+
+// Window is the state of one engine's admission. It is not safe for concurrent
+// use.
+type Window struct {
+	config      Config
+	limit       float64
+	running     int
+	kv          int
+	prefilling  int
+	gap         float64
+	samples     int
+	prefillRate float64
+	shrunk      time.Time
+	grown       time.Time
+}
+
+// New returns an open window.
+func New(config Config) *Window {
+	return &Window{config: config, limit: float64(max(config.Limit, minLimit)), prefillRate: DefaultPrefillRate}
+}
+
+// Limit is the number of requests allowed under way.
+func (w *Window) Limit() int { return max(int(w.limit), minLimit) }
+
+// SetLimit replaces the limit of a fixed window.
+func (w *Window) SetLimit(limit int) { w.limit = float64(limit) }
+
+// Running is the number of requests under way.
+func (w *Window) Running() int { return w.running }
+
+// Prefilling is the number of admitted prompt tokens still to be computed.
+func (w *Window) Prefilling() int { return w.prefilling }
+
+// Gap is the mean time between tokens, 0 before any was observed.
+func (w *Window) Gap() time.Duration { return time.Duration(w.gap) }
+
+// PrefillRate is the estimated rate at which prompts are computed, in tokens a
+// second.
+func (w *Window) PrefillRate() float64 { return w.prefillRate }
+
+// Admits reports whether a request may begin now. An empty engine admits any
+// request, or one that is too large for the bounds would wait for ever.
+func (w *Window) Admits(need Need) bool {
+	if w.running >= w.Limit() {
+		return false
+	}
+	if w.running == 0 || w.config.Fixed {
+		return true
+	}
+	return w.kvFits(need) && w.prefillFits(need)
+}
+
+func (w *Window) kvFits(need Need) bool {
+	return w.config.KVTokens == 0 || w.kv+need.KVTokens <= w.config.KVTokens
+}
+
+func (w *Window) prefillFits(need Need) bool {
+	if w.config.FirstTokenTarget == 0 || w.prefilling == 0 {
+		return true
+	}
+	budget := w.config.FirstTokenTarget.Seconds() * prefillFraction * w.prefillRate
+	return float64(w.prefilling+need.PrefillTokens) <= budget
+}
+
+// Begin counts an admitted request.
+func (w *Window) Begin(need Need) {
+	w.running++
+	w.kv += need.KVTokens
+	w.prefilling += need.PrefillTokens
+}
+
+// FirstToken records that a request's prompt was computed.
+func (w *Window) FirstToken(need Need) { w.prefilling -= need.PrefillTokens }
+
+// End counts a request out. started says whether FirstToken was called for it.
+func (w *Window) End(need Need, started bool) {
+	w.running--
+	w.kv -= need.KVTokens
+	if !started {
+		w.prefilling -= need.PrefillTokens
+	}
+}
+
+// Prefilled records that so many prompt tokens took so long to compute.
+func (w *Window) Prefilled(tokens int, took time.Duration) {
+	if tokens < minRateTokens || took <= 0 {
+		return
+	}
+	w.prefillRate += rateWeight * (float64(tokens)/took.Seconds() - w.prefillRate)
+}
+
+// Token records the time between two tokens of a stream and adapts the limit.
+func (w *Window) Token(gap time.Duration, now time.Time) {
+	need := streamSamples * max(w.running, 1)
+	weight := 1 / float64(min(w.samples+1, need))
+	w.gap += weight * (float64(gap) - w.gap)
+	w.samples++
+	if w.config.Fixed || w.config.GapTarget == 0 || w.samples < need {
+		return
+	}
+	if w.gap > shrinkAt*float64(w.config.GapTarget) {
+		w.shrinkTo(float64(w.config.GapTarget)/w.gap, now)
+	}
+}
+
+// shrinkTo lowers the limit to a fraction of what is under way. The samples
+// start anew, so that the next step follows from what this one brought.
+func (w *Window) shrinkTo(fraction float64, now time.Time) {
+	target := float64(w.running) * max(fraction, shrinkMost)
+	w.limit = max(min(w.limit, target), minLimit)
+	w.samples = 0
+	w.shrunk = now
+}
+
+// Shrink lowers the limit of an engine that was found to be slow.
+func (w *Window) Shrink(fraction float64, now time.Time) {
+	if !w.config.Fixed {
+		w.shrinkTo(fraction, now)
+	}
+}
+
+// Wanted tells that requests wait although the limit is used up; it grows by a
+// small step when the gap allows.
+func (w *Window) Wanted(now time.Time) {
+	if w.config.Fixed || w.running < w.Limit() || w.Limit() >= w.config.MaxLimit {
+		return
+	}
+	if w.gap > growAt*float64(w.config.GapTarget) {
+		return
+	}
+	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
+		return
+	}
+	w.limit = min(w.limit+max(1, w.limit*growFraction), float64(w.config.MaxLimit))
+	w.grown = now
+}
--- /dev/null
+++ b/internal/policy/window/window_test.go
@@ -0,0 +1,107 @@
+package window_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/policy/window"
+)
+
+const ms = time.Millisecond
+
+func adaptive() window.Config {
+	return window.Config{
+		Limit: 16, MaxLimit: 256, GapTarget: 47 * ms,
+		FirstTokenTarget: 1100 * ms, KVTokens: 64_000,
+	}
+}
+
+// engineModel plays an engine whose gap grows with its batch and whose window
+// is always wanted, and returns the window after so many seconds.
+func engineModel(w *window.Window, seconds int, gapAt func(running int) time.Duration, now *time.Time) {
+	for range seconds * 10 {
+		for w.Admits(window.Need{}) {
+			w.Begin(window.Need{})
+			w.FirstToken(window.Need{})
+		}
+		gap := gapAt(w.Running())
+		streams := w.Running()
+		for range streams * int(100*ms) / int(gap) {
+			w.Token(gap, *now)
+		}
+		w.Wanted(*now)
+		*now = now.Add(100 * ms)
+		for w.Running() > 0 && w.Running() > streams*9/10 {
+			w.End(window.Need{}, true)
+		}
+	}
+}
+
+func TestWindowFindsTheBatchThatKeepsTheGap(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(0, 0)
+	gapAt := func(running int) time.Duration { return 20*ms + time.Duration(running)*ms/2 }
+	engineModel(w, 120, gapAt, &now)
+	require.InDelta(t, 47, float64(gapAt(w.Limit())/ms), 8)
+}
+
+func TestWindowShrinksAtOnceAndGrowsBackSlowly(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(0, 0)
+	fast := func(running int) time.Duration { return 20*ms + time.Duration(running)*ms/2 }
+	slow := func(running int) time.Duration { return 4 * fast(running) }
+	engineModel(w, 60, fast, &now)
+	before := w.Limit()
+	engineModel(w, 2, slow, &now)
+	shrunk := w.Limit()
+	require.LessOrEqual(t, shrunk, before*2/3)
+	engineModel(w, 2, fast, &now)
+	require.Less(t, w.Limit(), before)
+	engineModel(w, 90, fast, &now)
+	require.InDelta(t, before, w.Limit(), float64(before)/4)
+}
+
+func TestKVMemoryBoundsAdmission(t *testing.T) {
+	w := window.New(adaptive())
+	need := window.Need{KVTokens: 30_000}
+	w.Begin(need)
+	w.Begin(need)
+	require.False(t, w.Admits(need))
+	require.True(t, w.Admits(window.Need{KVTokens: 4_000}))
+	w.End(need, false)
+	require.True(t, w.Admits(need))
+}
+
+func TestRequestLargerThanTheEngineRunsAlone(t *testing.T) {
+	w := window.New(adaptive())
+	huge := window.Need{KVTokens: 1_000_000, PrefillTokens: 1_000_000}
+	require.True(t, w.Admits(huge))
+	w.Begin(huge)
+	require.False(t, w.Admits(window.Need{KVTokens: 1}))
+}
+
+func TestPromptsAheadBoundAdmission(t *testing.T) {
+	w := window.New(adaptive())
+	long := window.Need{PrefillTokens: 20_000}
+	w.Begin(long)
+	require.False(t, w.Admits(window.Need{PrefillTokens: 100}))
+	w.FirstToken(long)
+	require.True(t, w.Admits(window.Need{PrefillTokens: 100}))
+	w.End(long, true)
+	require.Zero(t, w.Prefilling())
+}
+
+func TestFixedWindowCountsOnly(t *testing.T) {
+	w := window.New(window.Config{Limit: 2, Fixed: true, KVTokens: 10, GapTarget: ms})
+	need := window.Need{KVTokens: 100, PrefillTokens: 100_000}
+	w.Begin(need)
+	require.True(t, w.Admits(need))
+	w.Begin(need)
+	require.False(t, w.Admits(need))
+	for range 1000 {
+		w.Token(time.Second, time.Unix(0, 0))
+	}
+	require.Equal(t, 2, w.Limit())
+}
