Admit by an adaptive window and refuse early at the crest

Cause: a fixed window ignores KV memory and prefill, and a bounded queue that refuses by arrival lets one owner's flood lock the others out. Ruled out: max_tokens as the cost of a request, which is mostly far above what is generated; the mean of the entry's answers is used and settled later. Change: the queue admits through the window policy; requests that would be late are refused at once with an estimated Retry-After, a full queue makes room for the owner with the least waiting cost for its share, and per-engine cache maps from own streams and late events give the uncached cost. Conclusion: overload stays with the owner that causes it.

--- /dev/null
+++ b/internal/dispatch/cache_map.go
@@ -0,0 +1,110 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"ibisline/internal/backend"
+	"ibisline/internal/structs"
+)
+
+const (
+	// maxCachedPrograms bounds the programs that a cache map remembers.
+	maxCachedPrograms = 20_000
+	// cacheAgeWeight is the weight of one eviction in the mean age.
+	cacheAgeWeight = 0.2
+)
+
+// cacheMap is what is believed of one engine's prefix cache: from the streams
+// seen here at once, and from the engine's cache events late and with gaps.
+type cacheMap struct {
+	mu       sync.Mutex
+	programs map[string]cachedPrefix
+	// age is the mean time from the last use of a prefix to its eviction.
+	age  time.Duration
+	next int64
+}
+
+// cachedPrefix is the part of a program's history that an engine holds.
+type cachedPrefix struct {
+	tokens int
+	used   time.Time
+}
+
+func newCacheMap() *cacheMap { return &cacheMap{programs: map[string]cachedPrefix{}} }
+
+// uncached estimates the part of a prompt that the engine has to compute.
+func (c *cacheMap) uncached(request structs.GenerateRequest) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return max(request.PromptTokens-c.programs[request.Program].tokens, 0)
+}
+
+// stored records the prefix that a finished request left behind.
+func (c *cacheMap) stored(program string, tokens int, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.programs) >= maxCachedPrograms {
+		c.dropOldest()
+	}
+	c.programs[program] = cachedPrefix{tokens: tokens, used: now}
+}
+
+// dropOldest forgets the prefix that was used the longest time ago. The caller
+// holds mu.
+func (c *cacheMap) dropOldest() {
+	oldest, found := "", false
+	for program, prefix := range c.programs {
+		if !found || prefix.used.Before(c.programs[oldest].used) {
+			oldest, found = program, true
+		}
+	}
+	delete(c.programs, oldest)
+}
+
+// remove forgets a program whose memory was released.
+func (c *cacheMap) remove(program string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.programs, program)
+}
+
+// position is the number of the event to ask for next.
+func (c *cacheMap) position() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+// apply takes over cache events. An eviction that was reported late may be
+// older than a request that stored the prefix again; it costs a wrong guess.
+func (c *cacheMap) apply(events backend.KVEvents, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = events.Next
+	for _, event := range events.Events {
+		if event.Kind != backend.KVEvicted {
+			continue
+		}
+		if prefix, ok := c.programs[event.Program]; ok {
+			c.observeAge(now.Sub(prefix.used))
+			delete(c.programs, event.Program)
+		}
+	}
+}
+
+// observeAge records the age of an evicted prefix. The caller holds mu.
+func (c *cacheMap) observeAge(age time.Duration) {
+	if c.age == 0 {
+		c.age = age
+		return
+	}
+	c.age += time.Duration(cacheAgeWeight * float64(age-c.age))
+}
+
+// meanAge is the age at which prefixes are evicted, 0 when none was seen.
+func (c *cacheMap) meanAge() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.age
+}
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -38,8 +38,11 @@
 	// FixedWindow is the number of requests under way at an engine with the
 	// fixed window, and the first limit of the adaptive one.
 	FixedWindow int
-	// MaxQueued bounds the requests waiting for one backend server.
-	MaxQueued int
+	// QueueLimit bounds the requests waiting for one backend server.
+	QueueLimit int
+	// FirstTokenTarget and TokenGapTarget are what the adaptive window keeps.
+	FirstTokenTarget time.Duration
+	TokenGapTarget   time.Duration
 	// PollInterval is the time between load reports asked of an engine.
 	PollInterval time.Duration
 	// StatusInterval is the time between status requests to other dispatchers.
@@ -47,10 +50,14 @@
 }
 
 const (
-	defaultFixedWindow    = 16
-	defaultMaxQueued      = 256
-	defaultPollInterval   = time.Second
-	defaultStatusInterval = time.Second
+	defaultFixedWindow = 16
+	// maxWindow bounds the adaptive window.
+	maxWindow               = 512
+	defaultQueueLimit       = 1000
+	defaultFirstTokenTarget = 1100 * time.Millisecond
+	defaultTokenGapTarget   = 47 * time.Millisecond
+	defaultPollInterval     = time.Second
+	defaultStatusInterval   = time.Second
 )
 
 // withDefaults replaces zero values.
@@ -59,7 +66,9 @@
 	c.Placement = orDefault(c.Placement, PlacementEstimate)
 	c.Window = orDefault(c.Window, WindowAdaptive)
 	c.FixedWindow = orDefault(c.FixedWindow, defaultFixedWindow)
-	c.MaxQueued = orDefault(c.MaxQueued, defaultMaxQueued)
+	c.QueueLimit = orDefault(c.QueueLimit, defaultQueueLimit)
+	c.FirstTokenTarget = orDefault(c.FirstTokenTarget, defaultFirstTokenTarget)
+	c.TokenGapTarget = orDefault(c.TokenGapTarget, defaultTokenGapTarget)
 	c.PollInterval = orDefault(c.PollInterval, defaultPollInterval)
 	c.StatusInterval = orDefault(c.StatusInterval, defaultStatusInterval)
 	return c
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 )
 
@@ -19,6 +20,7 @@
 	deps    Deps
 	shares  *shareTable
 	account *account
+	outputs *outputs
 	board   *statusBoard
 	slots   *slotTable
 
@@ -39,6 +41,7 @@
 		deps:     deps,
 		shares:   newShareTable(deps.Catalogue),
 		account:  newAccount(),
+		outputs:  newOutputs(),
 		board:    newStatusBoard(),
 		slots:    newSlotTable(),
 		engines:  map[string]*engine{},
@@ -80,20 +83,39 @@
 	return fairshare.NewFair()
 }
 
+// newWindow returns the window of an engine.
+func (d *Dispatcher) newWindow(server structs.Server) *window.Window {
+	return window.New(window.Config{
+		Limit:            d.config.FixedWindow,
+		Fixed:            d.config.Window == WindowFixed,
+		MaxLimit:         maxWindow,
+		GapTarget:        d.config.TokenGapTarget,
+		FirstTokenTarget: d.config.FirstTokenTarget,
+		KVTokens:         server.KVTokens,
+	})
+}
+
 // engineOf returns the engine's state here, made at its first use.
 func (d *Dispatcher) engineOf(server structs.Server) *engine {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	e := d.engines[server.Name]
 	if e == nil {
-		queue := newServerQueue(d.newQueue(), d.shares, d.config.MaxQueued, d.config.FixedWindow)
-		e = newEngine(server, d.deps.Engines, queue, d.account)
+		queue := newServerQueue(d.newQueue(), d.newWindow(server), d.shares, d.config.QueueLimit)
+		e = newEngine(server, d.deps.Engines, queue, d.account, d.outputs)
 		e.applyState()
 		d.engines[server.Name] = e
 	}
 	return e
 }
 
+// knownEngine returns an engine dispatched to here, or nil.
+func (d *Dispatcher) knownEngine(name string) *engine {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.engines[name]
+}
+
 // serviceQueue returns the queue before a plain service, made at its first use.
 func (d *Dispatcher) serviceQueue(server structs.Server) *serverQueue {
 	d.mu.Lock()
@@ -101,7 +123,8 @@
 	limit := orDefault(server.Slots, unlimited)
 	queue := d.services[server.Name]
 	if queue == nil {
-		queue = newServerQueue(d.newQueue(), d.shares, d.config.MaxQueued, limit)
+		slots := window.New(window.Config{Limit: limit, Fixed: true})
+		queue = newServerQueue(d.newQueue(), slots, d.shares, d.config.QueueLimit)
 		d.services[server.Name] = queue
 	}
 	queue.setLimit(limit)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -19,44 +20,78 @@
 	queue   *serverQueue
 	client  EngineClient
 	account *account
+	cache   *cacheMap
+	outputs *outputs
 
 	mu      sync.Mutex
 	server  structs.Server
 	leaving bool
 	down    bool
-	gap     time.Duration
+	kvFree  int
 }
 
-func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account) *engine {
-	return &engine{name: server.Name, server: server, client: client, queue: queue, account: account}
+func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs) *engine {
+	return &engine{
+		name:    server.Name,
+		server:  server,
+		client:  client,
+		queue:   queue,
+		account: account,
+		cache:   newCacheMap(),
+		outputs: outputs,
+	}
 }
 
 // run waits for a slot, then streams the answer of the engine.
 func (e *engine) run(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
-	item := newItem(request, time.Now())
-	e.account.addWaiting(request.Entry, 1)
-	grant, err := e.queue.acquire(ctx, item, request.Deadline)
-	e.account.addWaiting(request.Entry, -1)
+	grant, err := e.admit(ctx, request)
 	if err != nil {
 		return structs.Generated{}, err
 	}
-	generated, err := e.client.Generate(ctx, e.description(), request, emit)
+	generated, err := e.stream(ctx, grant, request, emit)
 	e.observe(err)
-	cost := actualCost(item, generated, err)
+	cost := actualCost(grant.item, generated, err)
 	e.account.addReceived(request.Entry, cost)
 	grant.release(cost)
 	return generated, err
 }
 
-// newItem describes a request to the fair queue.
-func newItem(request structs.GenerateRequest, now time.Time) *fairshare.Item {
-	return &fairshare.Item{
+// admit waits for a slot.
+func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
+	uncached := e.cache.uncached(request)
+	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
-		Cost:     float64(request.PromptTokens + request.MaxTokens),
+		Cost:     float64(uncached + e.outputs.expect(request)),
 		Attained: float64(request.Attained),
-		Arrived:  now,
+		Arrived:  time.Now(),
+	}
+	need := window.Need{
+		KVTokens:      request.PromptTokens + request.MaxTokens,
+		PrefillTokens: uncached,
 	}
+	e.account.addWaiting(request.Entry, 1)
+	defer e.account.addWaiting(request.Entry, -1)
+	return e.queue.acquire(ctx, item, need, request.Deadline)
+}
+
+// stream runs a granted request and records its progress.
+func (e *engine) stream(ctx context.Context, grant *grant, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	generated, err := e.client.Generate(ctx, e.description(), request, func(text string) error {
+		grant.piece(time.Now())
+		err := emit(text)
+		grant.passed(time.Now())
+		return err
+	})
+	if err != nil {
+		return structs.Generated{}, err
+	}
+	usage := generated.Usage
+	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
+	grant.finished(actualCost(grant.item, generated, nil), time.Now())
+	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
+	e.outputs.observe(request, usage)
+	return generated, nil
 }
 
 // actualCost is what a request cost the engine. A failed one is charged its
@@ -136,26 +171,44 @@
 		Running:     state.Running,
 		Waiting:     state.Waiting,
 		WaitingCost: state.WaitingCost,
-		Gap:         e.gap,
+		Gap:         state.Gap,
+		Service:     state.Service,
+		Prefilling:  state.Prefilling,
+		PrefillRate: state.PrefillRate,
+		KVFree:      e.kvFree,
+		CacheAge:    e.cache.meanAge(),
 		Leaving:     e.leaving || e.server.State == structs.StateLeaving,
 		Down:        e.down,
 	}
 }
 
-// poll asks the engine for its load report.
+// poll asks the engine for its load report and its cache events.
 func (e *engine) poll(ctx context.Context) {
-	load, err := e.client.Load(ctx, e.description())
-	switch {
-	case err == nil:
-		e.mu.Lock()
-		changed := e.leaving != load.Leaving || e.down
-		e.leaving = load.Leaving
-		e.down = false
-		e.mu.Unlock()
-		if changed {
-			e.applyState()
+	server := e.description()
+	load, err := e.client.Load(ctx, server)
+	if err != nil {
+		if errors.Is(err, backend.ErrUnreachable) {
+			e.setDown(true)
 		}
-	case errors.Is(err, backend.ErrUnreachable):
-		e.setDown(true)
+		return
+	}
+	e.reported(load)
+	events, err := e.client.KVEvents(ctx, server, e.cache.position())
+	if err == nil {
+		e.cache.apply(events, time.Now())
+	}
+	e.queue.forget(time.Now())
+}
+
+// reported takes over a load report.
+func (e *engine) reported(load backend.Load) {
+	e.mu.Lock()
+	changed := e.leaving != load.Leaving || e.down
+	e.leaving = load.Leaving
+	e.down = false
+	e.kvFree = load.KVTotalTokens - load.KVUsedTokens
+	e.mu.Unlock()
+	if changed {
+		e.applyState()
 	}
 }
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -117,6 +117,13 @@
 	f.servers = servers
 }
 
+// setEntries replaces the catalogue.
+func (f *fleet) setEntries(entries []structs.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = entries
+}
+
 // view implements member.View.
 type view struct{ d *daemon }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -78,6 +78,17 @@
 	WaitingCost float64 `msgpack:"c" json:"waiting_cost"`
 	// Gap is the mean time between the tokens of one stream.
 	Gap time.Duration `msgpack:"g" json:"gap_ns"`
+	// Service is the mean time that a request is under way.
+	Service time.Duration `msgpack:"t" json:"service_ns"`
+	// Prefilling is the number of admitted prompt tokens still to be computed.
+	Prefilling int `msgpack:"p" json:"prefilling"`
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64 `msgpack:"f" json:"prefill_rate"`
+	// KVFree is the unused KV memory of the last load report, in tokens.
+	KVFree int `msgpack:"k" json:"kv_free"`
+	// CacheAge is the mean time from the last use of a cached prefix to its
+	// eviction, 0 when none was evicted.
+	CacheAge time.Duration `msgpack:"a" json:"cache_age_ns"`
 	// Leaving is set when the server takes no new work.
 	Leaving bool `msgpack:"l,omitempty" json:"leaving,omitempty"`
 	// Down is set when the server cannot be reached.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -199,5 +199,9 @@
 	if !ok {
 		return d.confirmGone(engine)
 	}
-	return forgotten(d.deps.Engines.ReleaseKV(ctx, server, program))
+	err := d.deps.Engines.ReleaseKV(ctx, server, program)
+	if e := d.knownEngine(engine); e != nil && err == nil {
+		e.cache.remove(program)
+	}
+	return forgotten(err)
 }
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -6,48 +6,55 @@
 	"time"
 
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/window"
 	"ibisline/internal/verdict"
 )
 
 // unlimited is the limit of a plain service without a bound on its slots.
 const unlimited = 1 << 30
 
-// serverQueue holds the requests that wait for one backend server and counts
-// those under way. It is safe for concurrent use.
+// serverQueue holds the requests that wait for one backend server and admits
+// them through its window. It is safe for concurrent use.
 type serverQueue struct {
 	mu        sync.Mutex
 	queue     fairshare.Queue
+	window    *window.Window
 	shares    *shareTable
+	revision  int64
 	maxQueued int
-	limit     int
-	running   int
-	waiting   map[*fairshare.Item]chan error
+	pace      pace
+	waiting   map[*fairshare.Item]*waiter
 	closed    *verdict.Error
 	// stopped keeps the queue closed for good.
 	stopped bool
 }
 
-// grant is the right to run one request at the server.
-type grant struct {
-	queue *serverQueue
+// waiter is one waiting request. ready receives nil with the grant, or the
+// refusal, and has room for it.
+type waiter struct {
 	item  *fairshare.Item
+	need  window.Need
+	ready chan error
+	// alone says that no other prompt was being computed at the grant.
+	alone bool
 }
 
-func newServerQueue(queue fairshare.Queue, shares *shareTable, maxQueued, limit int) *serverQueue {
+func newServerQueue(queue fairshare.Queue, w *window.Window, shares *shareTable, maxQueued int) *serverQueue {
 	return &serverQueue{
 		queue:     queue,
+		window:    w,
 		shares:    shares,
+		revision:  -1,
 		maxQueued: maxQueued,
-		limit:     limit,
-		waiting:   map[*fairshare.Item]chan error{},
+		waiting:   map[*fairshare.Item]*waiter{},
 	}
 }
 
 // acquire waits for a grant. Errors are *verdict.Error with NotRun. The caller
 // must release the grant.
-func (q *serverQueue) acquire(ctx context.Context, item *fairshare.Item, deadline time.Time) (*grant, error) {
-	ready, err := q.enqueue(item)
-	if err != nil {
+func (q *serverQueue) acquire(ctx context.Context, item *fairshare.Item, need window.Need, deadline time.Time) (*grant, error) {
+	w := &waiter{item: item, need: need, ready: make(chan error, 1)}
+	if err := q.enqueue(w, deadline); err != nil {
 		return nil, err
 	}
 	if !deadline.IsZero() {
@@ -56,88 +63,133 @@
 		ctx = timed
 	}
 	select {
-	case err := <-ready:
-		return q.granted(item, err)
+	case err := <-w.ready:
+		return q.granted(w, err)
 	case <-ctx.Done():
-		return nil, q.abandon(ctx, item, ready)
+		return nil, q.abandon(ctx, w)
 	}
 }
 
-func (q *serverQueue) granted(item *fairshare.Item, err error) (*grant, error) {
+func (q *serverQueue) granted(w *waiter, err error) (*grant, error) {
 	if err != nil {
 		return nil, err
 	}
-	return &grant{queue: q, item: item}, nil
+	return &grant{queue: q, item: w.item, need: w.need, alone: w.alone, begun: time.Now()}, nil
 }
 
-// enqueue adds the item or refuses it.
-func (q *serverQueue) enqueue(item *fairshare.Item) (chan error, error) {
+// enqueue adds a request or refuses it.
+func (q *serverQueue) enqueue(w *waiter, deadline time.Time) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.closed != nil {
 		refusal := *q.closed
-		return nil, &refusal
+		return &refusal
+	}
+	q.updateShares()
+	if err := q.refuseLate(w, deadline); err != nil {
+		return err
 	}
-	if q.queue.Len() >= q.maxQueued {
-		return nil, verdict.Refuse(verdict.QueueFull, "%d requests wait for the server", q.queue.Len())
+	if q.queue.Len() >= q.maxQueued && !q.makeRoom(w.item) {
+		return q.full()
 	}
-	ready := make(chan error, 1)
-	q.waiting[item] = ready
-	q.queue.Push(item)
+	q.waiting[w.item] = w
+	q.queue.Push(w.item)
 	q.fill()
-	return ready, nil
+	if q.queue.Len() > 0 {
+		q.window.Wanted(time.Now())
+	}
+	return nil
+}
+
+// refuseLate refuses a request at once that would most likely not get a slot
+// before its deadline. The caller holds mu.
+func (q *serverQueue) refuseLate(w *waiter, deadline time.Time) error {
+	if deadline.IsZero() || q.queue.Len() == 0 {
+		return nil
+	}
+	left := time.Until(deadline)
+	expected := q.pace.wait(q.queue.Ahead(w.item), q.window.Limit())
+	if float64(expected) <= lateSlack*float64(left) {
+		return nil
+	}
+	refusal := verdict.Refuse(verdict.QueueFull, "a slot is expected in %v, after the deadline", expected.Round(time.Millisecond))
+	return refusal.After(max(expected-left, minRetryAfter))
+}
+
+// makeRoom refuses a waiting request of the owner that takes up the most of a
+// full queue. The caller holds mu.
+func (q *serverQueue) makeRoom(item *fairshare.Item) bool {
+	victim, ok := q.queue.Displace(item)
+	if !ok {
+		return false
+	}
+	q.queue.Remove(victim)
+	q.waiting[victim].ready <- q.full()
+	delete(q.waiting, victim)
+	return true
+}
+
+// full is the refusal of a full queue. The caller holds mu.
+func (q *serverQueue) full() *verdict.Error {
+	expected := q.pace.wait(q.queue.Cost(), q.window.Limit())
+	refusal := verdict.Refuse(verdict.QueueFull, "%d requests wait for the server", q.queue.Len())
+	return refusal.After(max(expected, minRetryAfter))
 }
 
 // abandon takes a request out whose context ended. A grant that came first is
 // given back, so that no slot is lost.
-func (q *serverQueue) abandon(ctx context.Context, item *fairshare.Item, ready chan error) error {
+func (q *serverQueue) abandon(ctx context.Context, w *waiter) error {
 	q.mu.Lock()
-	_, waits := q.waiting[item]
+	_, waits := q.waiting[w.item]
 	if waits {
-		delete(q.waiting, item)
-		q.queue.Remove(item)
+		delete(q.waiting, w.item)
+		q.queue.Remove(w.item)
+		q.fill()
 	}
 	q.mu.Unlock()
-	if !waits && <-ready == nil {
-		q.release(item, 0)
+	if !waits && <-w.ready == nil {
+		(&grant{queue: q, item: w.item, need: w.need}).release(0)
 	}
-	if context.Cause(ctx) == context.DeadlineExceeded {
-		return verdict.Refuse(verdict.DeadlinePassed, "no slot before the deadline")
+	if ctx.Err() == context.DeadlineExceeded {
+		return verdict.Refuse(verdict.DeadlinePassed, "no slot before the deadline").After(minRetryAfter)
 	}
 	return verdict.Refuse(verdict.Canceled, "canceled while waiting for a slot")
 }
 
+// updateShares takes over an edit of the catalogue. The caller holds mu.
+func (q *serverQueue) updateShares() {
+	shares, revision := q.shares.current()
+	if revision != q.revision {
+		q.queue.SetShares(shares)
+		q.revision = revision
+	}
+}
+
 // fill grants slots while there are any. The caller holds mu.
 func (q *serverQueue) fill() {
-	for q.running < q.limit && q.closed == nil {
-		q.queue.SetShares(q.shares.current())
-		item, ok := q.queue.Pop()
-		if !ok {
+	if q.closed != nil {
+		return
+	}
+	q.updateShares()
+	for {
+		item, ok := q.queue.Peek()
+		if !ok || !q.window.Admits(q.waiting[item].need) {
 			return
 		}
-		q.running++
-		q.waiting[item] <- nil
+		w := q.waiting[item]
+		q.queue.Pop()
+		w.alone = q.window.Prefilling() == 0
+		q.window.Begin(w.need)
 		delete(q.waiting, item)
+		w.ready <- nil
 	}
 }
 
-// release ends a grant and charges what it cost.
-func (q *serverQueue) release(item *fairshare.Item, actual float64) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.running--
-	q.queue.Settle(item, actual)
-	q.fill()
-}
-
-// release ends the grant; actual is the cost in the units of the queue.
-func (g *grant) release(actual float64) { g.queue.release(g.item, actual) }
-
 // setLimit changes the number of requests allowed under way.
 func (q *serverQueue) setLimit(limit int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.limit = limit
+	q.window.SetLimit(limit)
 	q.fill()
 }
 
@@ -163,10 +215,10 @@
 		return
 	}
 	q.closed = refusal
-	for item, ready := range q.waiting {
+	for item, w := range q.waiting {
 		q.queue.Remove(item)
 		own := *refusal
-		ready <- &own
+		w.ready <- &own
 		delete(q.waiting, item)
 	}
 }
@@ -182,33 +234,52 @@
 	q.fill()
 }
 
-// queueState is a snapshot of the counts.
+// forget drops what the window observed too long ago.
+func (q *serverQueue) forget(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window.Forget(now)
+	if q.queue.Len() > 0 {
+		q.window.Wanted(now)
+		q.fill()
+	}
+}
+
+// idle reports that nothing waits and nothing is under way.
+func (q *serverQueue) idle() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.window.Running() == 0 && q.queue.Len() == 0
+}
+
+// queueState is a snapshot of a queue and its window.
 type queueState struct {
-	Limit       int     `json:"limit"`
-	Running     int     `json:"running"`
-	Waiting     int     `json:"waiting"`
-	WaitingCost float64 `json:"waiting_cost"`
-	Closed      string  `json:"closed,omitempty"`
+	Limit       int           `json:"limit"`
+	Running     int           `json:"running"`
+	Waiting     int           `json:"waiting"`
+	WaitingCost float64       `json:"waiting_cost"`
+	Prefilling  int           `json:"prefilling"`
+	PrefillRate float64       `json:"prefill_rate"`
+	Gap         time.Duration `json:"gap_ns"`
+	Service     time.Duration `json:"service_ns"`
+	Closed      string        `json:"closed,omitempty"`
 }
 
 func (q *serverQueue) state() queueState {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	state := queueState{
-		Limit:       q.limit,
-		Running:     q.running,
+		Limit:       q.window.Limit(),
+		Running:     q.window.Running(),
 		Waiting:     q.queue.Len(),
 		WaitingCost: q.queue.Cost(),
+		Prefilling:  q.window.Prefilling(),
+		PrefillRate: q.window.PrefillRate(),
+		Gap:         q.window.Gap(),
+		Service:     q.pace.meanService(),
 	}
 	if q.closed != nil {
 		state.Closed = q.closed.Message
 	}
 	return state
 }
-
-// idle reports that nothing waits and nothing is under way.
-func (q *serverQueue) idle() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.running == 0 && q.queue.Len() == 0
-}
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -19,13 +19,14 @@
 	return &shareTable{catalogue: reader, revision: -1}
 }
 
-// current returns the shares in force. The map is not modified afterwards.
-func (t *shareTable) current() map[string]float64 {
+// current returns the shares in force and their revision. The map is not
+// modified afterwards.
+func (t *shareTable) current() (map[string]float64, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	revision := t.catalogue.Revision()
 	if revision == t.revision {
-		return t.shares
+		return t.shares, t.revision
 	}
 	shares := map[string]float64{}
 	for _, entry := range t.catalogue.Entries() {
@@ -35,5 +36,5 @@
 	}
 	t.revision = revision
 	t.shares = shares
-	return shares
+	return shares, revision
 }
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -10,6 +10,7 @@
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -120,7 +121,7 @@
 	if owner.Name != d.deps.Self {
 		return d.remoteSlot(ctx, owner.Name, server, request)
 	}
-	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(request), request.Deadline)
+	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(request), window.Need{}, request.Deadline)
 	if err != nil {
 		return structs.Slot{}, err
 	}
@@ -184,7 +185,7 @@
 	if !ok {
 		return verdict.Refuse(verdict.NoServer, "server %s is not known here", order.Server)
 	}
-	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(order.Request), order.Wait.deadline())
+	grant, err := d.serviceQueue(server).acquire(ctx, slotItem(order.Request), window.Need{}, order.Wait.deadline())
 	if err != nil {
 		return err
 	}
--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -60,12 +60,20 @@
 	// Owners that are missing have a share of 1.
 	SetShares(shares map[string]float64)
 	Push(item *Item)
+	// Peek returns the request that Pop would remove.
+	Peek() (*Item, bool)
 	// Pop removes the request to be granted next and charges its cost.
 	Pop() (*Item, bool)
 	// Remove takes a waiting request out; false if it does not wait.
 	Remove(item *Item) bool
 	// Settle corrects the charge of a granted request to its actual cost.
 	Settle(item *Item, actual float64)
+	// Ahead estimates the cost that is granted before a request, if it were
+	// pushed now.
+	Ahead(item *Item) float64
+	// Displace returns a waiting request that has to make room for the given one
+	// when the queue is full; false if the given one has to yield.
+	Displace(item *Item) (*Item, bool)
 	Len() int
 	// Cost is the sum of the estimated costs of the waiting requests.
 	Cost() float64
@@ -136,6 +144,15 @@
 	return owner
 }
 
+// Peek implements Queue.
+func (f *Fair) Peek() (*Item, bool) {
+	next := f.next()
+	if next == nil {
+		return nil, false
+	}
+	return next.items[0], true
+}
+
 // Pop implements Queue.
 func (f *Fair) Pop() (*Item, bool) {
 	next := f.next()
@@ -206,6 +223,79 @@
 	owner.start += (max(actual, minCost) - max(item.Cost, minCost)) / shareOf(f.shares, item.Owner)
 }
 
+// Ahead implements Queue. While the owner's own requests ahead are granted, each
+// other owner receives at most in proportion to its share.
+func (f *Fair) Ahead(item *Item) float64 {
+	own := 0.0
+	if owner := f.owners[item.Owner]; owner != nil {
+		own = owner.costBefore(Rank(item))
+	}
+	rounds := (own + max(item.Cost, minCost)) / shareOf(f.shares, item.Owner)
+	ahead := own
+	for name, owner := range f.owners {
+		if name != item.Owner {
+			ahead += min(owner.cost(), rounds*shareOf(f.shares, name))
+		}
+	}
+	return ahead
+}
+
+// Displace implements Queue. The owner with the most waiting cost for its share
+// gives up its last-ranked request.
+func (f *Fair) Displace(item *Item) (*Item, bool) {
+	arriving := item.Cost
+	if owner := f.owners[item.Owner]; owner != nil {
+		arriving += owner.cost()
+	}
+	var heaviest *ownerQueue
+	most := arriving / shareOf(f.shares, item.Owner)
+	for name, owner := range f.owners {
+		if load := owner.cost() / shareOf(f.shares, name); name != item.Owner && load > most {
+			heaviest, most = owner, load
+		}
+	}
+	if heaviest != nil {
+		return heaviest.last(), true
+	}
+	own := f.owners[item.Owner]
+	if own == nil || len(own.items) == 0 {
+		return nil, false
+	}
+	last := own.last()
+	return last, last.rank.After(Rank(item))
+}
+
+// cost is the sum of the estimated costs of the owner's waiting requests.
+func (o *ownerQueue) cost() float64 {
+	total := 0.0
+	for _, item := range o.items {
+		total += item.Cost
+	}
+	return total
+}
+
+// costBefore is the part of cost that is ranked before a time.
+func (o *ownerQueue) costBefore(rank time.Time) float64 {
+	total := 0.0
+	for _, item := range o.items {
+		if !item.rank.After(rank) {
+			total += item.Cost
+		}
+	}
+	return total
+}
+
+// last returns the request that is ranked last.
+func (o *ownerQueue) last() *Item {
+	last := o.items[0]
+	for _, item := range o.items {
+		if item.rank.After(last.rank) {
+			last = item
+		}
+	}
+	return last
+}
+
 // Len implements Queue.
 func (f *Fair) Len() int { return f.length }
 
--- a/internal/policy/fairshare/fairshare_test.go
+++ b/internal/policy/fairshare/fairshare_test.go
@@ -184,3 +184,30 @@
 		})
 	}
 }
+
+func TestAheadCountsOthersByTheirShares(t *testing.T) {
+	q := fairshare.NewFair()
+	q.SetShares(map[string]float64{"flood": 1, "light": 1})
+	for range 100 {
+		q.Push(item("flood", 100))
+	}
+	require.InDelta(t, 100, q.Ahead(item("light", 100)), 1)
+	require.InDelta(t, 10_000, q.Ahead(item("flood", 100)), 1)
+}
+
+func TestFullQueueMakesRoomForTheLightOwner(t *testing.T) {
+	q := fairshare.NewFair()
+	for i := range 10 {
+		it := item("flood", 100)
+		it.Arrived = epoch.Add(time.Duration(i) * time.Second)
+		q.Push(it)
+	}
+	victim, ok := q.Displace(item("light", 100))
+	require.True(t, ok)
+	require.Equal(t, "flood", victim.Owner)
+	require.Equal(t, epoch.Add(9*time.Second), victim.Arrived)
+	late := item("flood", 100)
+	late.Arrived = epoch.Add(time.Hour)
+	_, ok = q.Displace(late)
+	require.False(t, ok)
+}
--- a/internal/policy/fairshare/fifo.go
+++ b/internal/policy/fairshare/fifo.go
@@ -23,6 +23,14 @@
 	f.cost += item.Cost
 }
 
+// Peek implements Queue.
+func (f *FIFO) Peek() (*Item, bool) {
+	if len(f.items) == 0 {
+		return nil, false
+	}
+	return f.items[0], true
+}
+
 // Pop implements Queue.
 func (f *FIFO) Pop() (*Item, bool) {
 	if len(f.items) == 0 {
@@ -54,6 +62,12 @@
 // Settle implements Queue; nothing is charged.
 func (f *FIFO) Settle(*Item, float64) {}
 
+// Ahead implements Queue.
+func (f *FIFO) Ahead(*Item) float64 { return f.cost }
+
+// Displace implements Queue; what came first stays.
+func (f *FIFO) Displace(*Item) (*Item, bool) { return nil, false }
+
 // Len implements Queue.
 func (f *FIFO) Len() int { return len(f.items) }
 
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -34,7 +34,11 @@
 	// shrinkMost bounds one step down.
 	shrinkMost   = 0.5
 	growFraction = 0.05
-	growInterval = time.Second
+	// recoverFraction applies below the first limit.
+	recoverFraction = 0.25
+	growInterval    = time.Second
+	// staleAfter is the time without tokens after which a gap says nothing.
+	staleAfter = 10 * time.Second
 	// holdAfterShrink is the time without growth after a step down.
 	holdAfterShrink = 3 * time.Second
 	// prefillFraction is the part of FirstTokenTarget that admitted prompts may
@@ -67,6 +71,7 @@
 	gap         float64
 	samples     int
 	prefillRate float64
+	lastToken   time.Time
 	shrunk      time.Time
 	grown       time.Time
 }
@@ -148,6 +153,7 @@
 
 // Token records the time between two tokens of a stream and adapts the limit.
 func (w *Window) Token(gap time.Duration, now time.Time) {
+	w.lastToken = now
 	need := streamSamples * max(w.running, 1)
 	weight := 1 / float64(min(w.samples+1, need))
 	w.gap += weight * (float64(gap) - w.gap)
@@ -176,18 +182,31 @@
 	}
 }
 
+// Forget drops what was observed too long ago, so that an engine that was slow
+// is tried again.
+func (w *Window) Forget(now time.Time) {
+	if now.Sub(w.lastToken) >= staleAfter {
+		w.gap = 0
+		w.samples = 0
+	}
+}
+
 // Wanted tells that requests wait although the limit is used up; it grows by a
 // small step when the gap allows.
 func (w *Window) Wanted(now time.Time) {
 	if w.config.Fixed || w.running < w.Limit() || w.Limit() >= w.config.MaxLimit {
 		return
 	}
-	if w.gap > growAt*float64(w.config.GapTarget) {
+	if w.samples > 0 && w.gap > growAt*float64(w.config.GapTarget) {
 		return
 	}
 	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
 		return
 	}
-	w.limit = min(w.limit+max(1, w.limit*growFraction), float64(w.config.MaxLimit))
+	step := max(1, w.limit*growFraction)
+	if w.limit < float64(w.config.Limit) {
+		step = max(1, w.limit*recoverFraction)
+	}
+	w.limit = min(w.limit+step, float64(w.config.MaxLimit))
 	w.grown = now
 }
