--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -17,6 +17,26 @@
 type generateOrder struct {
 	Engine  string                  `msgpack:"e"`
 	Request structs.GenerateRequest `msgpack:"r"`
+	Wait    wait                    `msgpack:"w"`
+}
+
+// wait is the time left until a deadline. It crosses the wire in place of the
+// deadline, because the clocks of daemons may differ.
+type wait struct {
+	Bounded bool          `msgpack:"b"`
+	Left    time.Duration `msgpack:"l"`
+}
+
+func waitUntil(deadline time.Time) wait {
+	return wait{Bounded: !deadline.IsZero(), Left: time.Until(deadline)}
+}
+
+// deadline is the time by the local clock.
+func (w wait) deadline() time.Time {
+	if !w.Bounded {
+		return time.Time{}
+	}
+	return time.Now().Add(w.Left)
 }
 
 // generateFrame is a part of the answer: a piece of text, or at the end the
@@ -32,6 +52,7 @@
 type slotOrder struct {
 	Server  string              `msgpack:"e"`
 	Request structs.SlotRequest `msgpack:"r"`
+	Wait    wait                `msgpack:"w"`
 }
 
 // slotGranted answers slotOrder when the slot was granted.
@@ -57,6 +78,17 @@
 	WaitingCost float64 `msgpack:"c" json:"waiting_cost"`
 	// Gap is the mean time between the tokens of one stream.
 	Gap time.Duration `msgpack:"g" json:"gap_ns"`
+	// Service is the mean time that a request is under way.
+	Service time.Duration `msgpack:"t" json:"service_ns"`
+	// Prefilling is the number of admitted prompt tokens still to be computed.
+	Prefilling int `msgpack:"p" json:"prefilling"`
+	// PrefillRate is in prompt tokens a second.
+	PrefillRate float64 `msgpack:"f" json:"prefill_rate"`
+	// KVFree is the unused KV memory of the last load report, in tokens.
+	KVFree int `msgpack:"k" json:"kv_free"`
+	// CacheAge is the mean time from the last use of a cached prefix to its
+	// eviction, 0 when none was evicted.
+	CacheAge time.Duration `msgpack:"a" json:"cache_age_ns"`
 	// Leaving is set when the server takes no new work.
 	Leaving bool `msgpack:"l,omitempty" json:"leaving,omitempty"`
 	// Down is set when the server cannot be reached.
