--- a/internal/api/gate.go
+++ b/internal/api/gate.go
@@ -69,6 +69,9 @@
 // Leave makes the health endpoint say that the daemon is leaving.
 func (a *API) Leave() { a.gate.set(gateLeaving) }
 
+// Leaving is true from the start of a planned stop.
+func (a *API) Leaving() bool { return a.gate.leaving() }
+
 // Active returns the number of requests under way.
 func (a *API) Active() int { return a.gate.count() }
 
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -90,7 +90,8 @@
 	if !ok {
 		return fault.Tag()
 	}
-	field, ok := section.Type.FieldByName(fault.StructField())
+	name, _, _ := strings.Cut(fault.StructField(), "[")
+	field, ok := section.Type.FieldByName(name)
 	if !ok {
 		return fault.Tag()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,8 @@
 
 // Platform says how the object API is reached.
 type Platform struct {
-	URL     string   `toml:"url" validate:"required,http_url" allowed:"an http URL"`
+	// Addrs are its addresses. After a failure the next one is asked.
+	Addrs   []string `toml:"addrs" validate:"required,min=1,dive,tcp_addr" allowed:"a list of IP:port"`
 	Timeout Duration `toml:"timeout" validate:"min=10ms,max=1m" allowed:"10ms to 1m"`
 }
 
@@ -96,7 +97,7 @@
 }
 
 // Default returns the settings that apply where a file is silent. Instance and
-// Platform.URL have no default.
+// Platform.Addrs have no default.
 func Default() Settings {
 	return Settings{
 		Platform: Platform{Timeout: Duration(2 * time.Second)},
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -19,7 +19,7 @@
 peer_addr = "127.0.0.1:8081"
 
 [platform]
-url = "http://127.0.0.1:9000"
+addrs = ["127.0.0.1:9000"]
 `
 
 func TestDefaultsApplyWhereTheFileIsSilent(t *testing.T) {
@@ -37,6 +37,7 @@
 		{"range", minimal + "[home]\nshards = 0\n", "home.shards is 0; allowed: 1 to 4096"},
 		{"duration", minimal + "[stop]\ndrain_limit = \"10ms\"\n", "stop.drain_limit is 10ms; allowed: 1s to 2h"},
 		{"address", strings.Replace(minimal, "127.0.0.1:8081", "nowhere", 1), "instance.peer_addr is nowhere; allowed: IP:port"},
+		{"list", strings.Replace(minimal, "127.0.0.1:9000", "nowhere", 1), "platform.addrs[0] is nowhere; allowed: a list of IP:port"},
 		{"unknown key", minimal + "[dispatch]\nquue = \"fair\"\n", "quue"},
 		{"wrong type", minimal + "[home]\nshards = \"many\"\n", "shards"},
 	} {
