Probe the platform from the newest catalogue event on

Cause: a read of one object proves that the platform answers, not that edits arrive: a daemon with a stuck watch and no reachable peer would have admitted work on old entries for up to a watch's time limit. Change: a probe watches from just before the newest event that it knows; the platform answers at once with that event and all later ones, which is complete proof and brings missed news. When the platform no longer keeps the event, a small catalogue is listed; only a large one falls back to the single read together with a waiting watch. A listing no longer makes the changes kept for peers incomplete. Ruled out: shorter watches: the API has no time limit for a watch that a client could set, and each would count as a call. Measured: go test -race ./internal/catalogue passes; rate of probes not measured.

--- a/internal/catalogue/probe.go
+++ b/internal/catalogue/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -39,16 +40,93 @@
 	return time.Duration(rand.Int64N(int64(c.config.ProbeAfter/4) + 1))
 }
 
-// probeOnce reads one object and reports whether that proves that no edit is
-// missing here. The read alone proves only that the platform answers; that edits
-// arrive follows from a watch that waits there.
+// tail is the newest event of the catalogue that this daemon has seen from the
+// platform. It is safe for concurrent use.
+type tail struct {
+	mu      sync.Mutex
+	version int64
+	lost    int64
+}
+
+// saw records the version of an event or object.
+func (t *tail) saw(version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version = max(t.version, version)
+}
+
+// lose records that the platform no longer keeps the events up to a version.
+func (t *tail) lose(version int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lost = max(t.lost, version)
+}
+
+// newest returns the version of the newest event, and false when there is none
+// that the platform may still keep.
+func (t *tail) newest() (int64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version, t.version > t.lost
+}
+
+// probeOnce asks the platform for news in the cheapest way that proves that no
+// edit is missing here, and reports whether it got the proof.
 func (c *Catalogue) probeOnce(ctx context.Context) bool {
-	asked := time.Now()
-	if !c.watchReliable(asked) {
+	if _, loaded := c.table.position(); !loaded {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.ProbeTimeout)
 	defer cancel()
+	err := c.probeTail(ctx)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, platform.ErrUnavailable):
+		return false
+	case c.table.size() <= c.config.ListLimit:
+		return c.list(ctx) == nil
+	default:
+		return c.probeWatch(ctx)
+	}
+}
+
+// errNoTail means that a watch from the newest event cannot prove anything.
+var errNoTail = errors.New("no answer from the newest event on")
+
+// probeTail watches from just before the newest event. The platform answers at
+// once with that event and all later ones.
+func (c *Catalogue) probeTail(ctx context.Context) error {
+	newest, ok := c.tail.newest()
+	if !ok {
+		return errNoTail
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.config.ProbeTimeout/2)
+	defer cancel()
+	asked := time.Now()
+	events, revision, err := c.store.Watch(ctx, structs.CataloguePrefix, newest-1)
+	if errors.Is(err, platform.ErrCompacted) {
+		c.tail.lose(newest)
+		return errNoTail
+	}
+	if err != nil {
+		return err
+	}
+	if len(events) == 0 {
+		return errNoTail
+	}
+	c.applyEvents(newest-1, revision, events)
+	c.contact.reached(asked)
+	return nil
+}
+
+// probeWatch reads one object. The read alone proves only that the platform
+// answers; that edits arrive follows from a watch that waits there.
+func (c *Catalogue) probeWatch(ctx context.Context) bool {
+	asked := time.Now()
+	if !c.watchReliable(asked) {
+		return false
+	}
 	_, err := c.store.Get(ctx, probeKey)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return false
--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -28,6 +28,7 @@
 	DefaultPeerTimeout   = time.Second
 	DefaultProbeTimeout  = time.Second
 	DefaultLoadTimeout   = 20 * time.Second
+	DefaultListLimit     = 1000
 	retryWait            = 100 * time.Millisecond
 	retryMaxWait         = time.Second
 	pushRingSize         = 256
@@ -51,6 +52,9 @@
 	ProbeTimeout time.Duration
 	// LoadTimeout bounds taking all entries from a peer.
 	LoadTimeout time.Duration
+	// ListLimit is the number of entries up to which the whole catalogue is
+	// listed when no cheaper probe proves anything.
+	ListLimit int
 	// Fanout is the number of neighbours told of each change, and asked in
 	// each exchange.
 	Fanout int
@@ -67,6 +71,7 @@
 	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
 	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
 	setDefault(&c.LoadTimeout, DefaultLoadTimeout)
+	setDefault(&c.ListLimit, DefaultListLimit)
 	setDefault(&c.Fanout, DefaultFanout)
 	setDefault(&c.Neighbours, DefaultNeighbours)
 	return c
@@ -91,6 +96,7 @@
 	metrics counters
 	logger  log.Interface
 	waiting waiting
+	tail    tail
 	// loading is held while entries are taken from a peer.
 	loading atomic.Bool
 	started time.Time
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -74,7 +74,8 @@
 
 // replace takes a listing of the whole catalogue as of a revision. Names in keep
 // were listed with a malformed value: what is held of them stays. A listing older
-// than the revision is ignored. It returns the changes that were taken.
+// than the revision is ignored. It returns the changes that were taken; the exact
+// version of a deletion is not known from a listing, so its revision stands for it.
 func (t *table) replace(revision int64, listed []*structs.Entry, keep map[string]bool) []change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,9 +99,13 @@
 		t.set(c)
 		accepted = append(accepted, c)
 	}
-	t.loaded = true
+	if t.loaded {
+		t.rememberAll(accepted)
+	} else {
+		t.loaded = true
+		t.forgetRecent(revision)
+	}
 	t.raise(revision)
-	t.forgetRecent(revision)
 	return accepted
 }
 
@@ -150,6 +155,13 @@
 	}
 }
 
+// rememberAll adds many changes to the recent ones.
+func (t *table) rememberAll(changes []change) {
+	for _, c := range changes {
+		t.remember(c)
+	}
+}
+
 // forgetRecent drops the recent changes up to floor.
 func (t *table) forgetRecent(floor int64) {
 	t.floor = max(t.floor, floor)
--- a/internal/catalogue/watch.go
+++ b/internal/catalogue/watch.go
@@ -109,6 +109,7 @@
 	entries := make([]*structs.Entry, 0, len(objects))
 	malformed := map[string]bool{}
 	for _, object := range objects {
+		c.tail.saw(object.Version)
 		entry, err := Decode(object)
 		if err != nil {
 			c.reject(object, err)
@@ -117,10 +118,15 @@
 		}
 		entries = append(entries, &entry)
 	}
+	_, loaded := c.table.position()
 	accepted := c.table.replace(revision, entries, malformed)
 	c.metrics.fromPlatform.Add(len(accepted))
 	c.contact.reached(asked)
-	c.logger.WithField("revision", revision).WithField("entries", len(entries)).Info("catalogue listed")
+	if !loaded {
+		c.logger.WithField("revision", revision).WithField("entries", len(entries)).Info("catalogue loaded")
+		return nil
+	}
+	c.spread(batch{Revision: revision, Changes: accepted}, accepted)
 	return nil
 }
 
@@ -137,8 +143,18 @@
 	if err != nil {
 		return err
 	}
+	c.applyEvents(after, revision, events)
+	if !restarted {
+		c.contact.reached(asked)
+	}
+	return nil
+}
+
+// applyEvents applies what a watch returned and tells the neighbours.
+func (c *Catalogue) applyEvents(after, revision int64, events []platform.Event) {
 	b := batch{After: after, Revision: revision, Complete: true}
 	for _, event := range events {
+		c.tail.saw(event.Version)
 		change, err := changeOf(event)
 		if err != nil {
 			c.reject(event.Object, err)
@@ -148,11 +164,7 @@
 	}
 	accepted := c.table.apply(b)
 	c.metrics.fromPlatform.Add(len(accepted))
-	if !restarted {
-		c.contact.reached(asked)
-	}
 	c.spread(b, accepted)
-	return nil
 }
 
 // changeOf reads a platform event.
