Place by estimated time to the end and move calls from stragglers

Cause: the engine with the fewest requests ignores caches, pace and prompts ahead, and a call on a hung or slow engine waits for ever. Ruled out: status from all dispatchers every second, whose cost grows with the fleet; each daemon asks at most 16 in turn, and only while it places requests. Change: estimate policy with the last engine's cache, own sends added between two statuses, stragglers judged by the owner from its streams against peers, moves before the first token paid with retries from one budget of a tenth.

--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"ibisline/internal/policy/placement"
+	"ibisline/internal/structs"
+)
+
+// patienceFactor is how many times the expected wait for the first token is
+// waited before a move is considered.
+const patienceFactor = 2
+
+// attempt is one try of a model call at an engine. Either its first text is
+// passed on or the call moves, never both.
+type attempt struct {
+	generation *generation
+	server     structs.Server
+	begun      time.Time
+	cancel     context.CancelCauseFunc
+	moved      bool
+}
+
+// emit passes text on, unless the call was moved.
+func (a *attempt) emit(text string) error {
+	a.generation.mu.Lock()
+	if a.moved {
+		a.generation.mu.Unlock()
+		return errMoved
+	}
+	a.generation.emitted = true
+	a.generation.mu.Unlock()
+	return a.generation.emit(text)
+}
+
+// move ends the attempt if no text was passed on.
+func (a *attempt) move() {
+	a.generation.mu.Lock()
+	defer a.generation.mu.Unlock()
+	if a.generation.emitted {
+		return
+	}
+	a.moved = true
+	a.cancel(errMoved)
+}
+
+func (a *attempt) isMoved() bool {
+	a.generation.mu.Lock()
+	defer a.generation.mu.Unlock()
+	return a.moved
+}
+
+func (a *attempt) hasEmitted() bool {
+	a.generation.mu.Lock()
+	defer a.generation.mu.Unlock()
+	return a.generation.emitted
+}
+
+// watchFirstToken moves the attempt when its first token does not come and
+// another engine is expected to be much faster. It returns the end of the watch.
+func (d *Dispatcher) watchFirstToken(a *attempt) (stop func()) {
+	if !d.config.Stragglers {
+		return func() {}
+	}
+	patience := d.patience(a.server, a.generation.request)
+	var timer *time.Timer
+	ready := make(chan struct{})
+	timer = time.AfterFunc(patience, func() {
+		<-ready
+		if a.hasEmitted() {
+			return
+		}
+		if d.fasterElsewhere(a) && d.spendRetry() {
+			a.move()
+			return
+		}
+		timer.Reset(d.config.FirstTokenTarget)
+	})
+	close(ready)
+	return func() { timer.Stop() }
+}
+
+// patience is the time after which a missing first token is looked into.
+func (d *Dispatcher) patience(server structs.Server, request structs.GenerateRequest) time.Duration {
+	expected := placement.FirstToken(d.placementRequest(request), d.placementEngine(server, request))
+	return max(patienceFactor*expected, d.config.FirstTokenTarget)
+}
+
+// fasterElsewhere reports whether the best other engine is expected to finish
+// sooner by more than the target for a first token. A first token that is late
+// by the estimate is taken to be as long away as it was waited for already.
+func (d *Dispatcher) fasterElsewhere(a *attempt) bool {
+	call := a.generation.request
+	others := d.candidates(a.generation, a.server.Name)
+	if len(others) == 0 {
+		return false
+	}
+	request := d.placementRequest(call)
+	here := d.placementEngine(a.server, call)
+	there := d.placementEngine(others[d.choose(call, others)], call)
+	expected := max(placement.FirstToken(request, here), time.Since(a.begun)) + placement.Generation(request, here)
+	return expected > placement.Estimate(request, there)+d.config.FirstTokenTarget
+}
--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -19,7 +19,7 @@
 // seen here at once, and from the engine's cache events late and with gaps.
 type cacheMap struct {
 	mu       sync.Mutex
-	programs map[string]cachedPrefix
+	programs *recentMap[cachedPrefix]
 	// age is the mean time from the last use of a prefix to its eviction.
 	age  time.Duration
 	next int64
@@ -31,42 +31,30 @@
 	used   time.Time
 }
 
-func newCacheMap() *cacheMap { return &cacheMap{programs: map[string]cachedPrefix{}} }
+func newCacheMap() *cacheMap {
+	return &cacheMap{programs: newRecentMap[cachedPrefix](maxCachedPrograms)}
+}
 
 // uncached estimates the part of a prompt that the engine has to compute.
 func (c *cacheMap) uncached(request structs.GenerateRequest) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(request.PromptTokens-c.programs[request.Program].tokens, 0)
+	prefix, _ := c.programs.get(request.Program)
+	return max(request.PromptTokens-prefix.tokens, 0)
 }
 
 // stored records the prefix that a finished request left behind.
 func (c *cacheMap) stored(program string, tokens int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.programs) >= maxCachedPrograms {
-		c.dropOldest()
-	}
-	c.programs[program] = cachedPrefix{tokens: tokens, used: now}
-}
-
-// dropOldest forgets the prefix that was used the longest time ago. The caller
-// holds mu.
-func (c *cacheMap) dropOldest() {
-	oldest, found := "", false
-	for program, prefix := range c.programs {
-		if !found || prefix.used.Before(c.programs[oldest].used) {
-			oldest, found = program, true
-		}
-	}
-	delete(c.programs, oldest)
+	c.programs.set(program, cachedPrefix{tokens: tokens, used: now})
 }
 
 // remove forgets a program whose memory was released.
 func (c *cacheMap) remove(program string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.programs, program)
+	c.programs.remove(program)
 }
 
 // position is the number of the event to ask for next.
@@ -86,9 +74,9 @@
 		if event.Kind != backend.KVEvicted {
 			continue
 		}
-		if prefix, ok := c.programs[event.Program]; ok {
+		if prefix, ok := c.programs.get(event.Program); ok {
 			c.observeAge(now.Sub(prefix.used))
-			delete(c.programs, event.Program)
+			c.programs.remove(event.Program)
 		}
 	}
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/retrybudget"
 	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 )
@@ -24,12 +25,19 @@
 	board   *statusBoard
 	slots   *slotTable
 
+	// turns counts placements in turn, pulls the rounds of status requests.
+	turns atomic.Uint64
+	pulls atomic.Uint64
+	// requested is the time of the last request, in Unix nanoseconds.
+	requested atomic.Int64
 	// draining is set once a planned stop began.
 	draining atomic.Bool
 
 	mu       sync.Mutex
 	engines  map[string]*engine
 	services map[string]*serverQueue
+	lastRuns *recentMap[lastRun]
+	retries  *retrybudget.Budget
 }
 
 var _ Router = (*Dispatcher)(nil)
@@ -46,6 +54,8 @@
 		slots:    newSlotTable(),
 		engines:  map[string]*engine{},
 		services: map[string]*serverQueue{},
+		lastRuns: newRecentMap[lastRun](maxLastRuns),
+		retries:  retrybudget.New(time.Now()),
 	}
 	deps.Mux.Handle(methodGenerate, d.handleGenerate)
 	deps.Mux.Handle(methodSlot, d.handleSlot)
@@ -61,6 +71,24 @@
 	return group.Wait()
 }
 
+// countRequest records that a model call came in.
+func (d *Dispatcher) countRequest() {
+	d.requested.Store(time.Now().UnixNano())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.retries.Request()
+}
+
+// spendRetry takes one retry out of the budget that moves and retries share.
+func (d *Dispatcher) spendRetry() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.retries.Spend(time.Now())
+}
+
+// lastRequest is the time at which the last model call came in.
+func (d *Dispatcher) lastRequest() time.Time { return time.Unix(0, d.requested.Load()) }
+
 // every calls duty now and then at each interval until ctx ends.
 func every(ctx context.Context, interval time.Duration, duty func(context.Context)) error {
 	ticker := time.NewTicker(interval)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/straggler"
 	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -28,6 +29,7 @@
 	leaving bool
 	down    bool
 	kvFree  int
+	slow    straggler.Detector
 }
 
 func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs) *engine {
@@ -39,6 +41,7 @@
 		account: account,
 		cache:   newCacheMap(),
 		outputs: outputs,
+		kvFree:  server.KVTokens,
 	}
 }
 
@@ -179,6 +182,7 @@
 		CacheAge:    e.cache.meanAge(),
 		Leaving:     e.leaving || e.server.State == structs.StateLeaving,
 		Down:        e.down,
+		Slow:        e.slow.Slow(),
 	}
 }
 
@@ -206,9 +210,22 @@
 	changed := e.leaving != load.Leaving || e.down
 	e.leaving = load.Leaving
 	e.down = false
-	e.kvFree = load.KVTotalTokens - load.KVUsedTokens
+	e.kvFree = orDefault(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
 	e.mu.Unlock()
 	if changed {
 		e.applyState()
 	}
 }
+
+// judge compares the engine with the gaps of its peers. The window of one that
+// turns out slow shrinks at once.
+func (e *engine) judge(peers []time.Duration, target time.Duration) {
+	gap := e.queue.state().Gap
+	e.mu.Lock()
+	before := e.slow.Slow()
+	slow := e.slow.Judge(gap, peers, target)
+	e.mu.Unlock()
+	if slow && !before {
+		e.queue.shrink(float64(target)/float64(gap), time.Now())
+	}
+}
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -31,7 +31,7 @@
 	}
 	g.started = true
 	g.first = now.Sub(g.begun)
-	g.queue.window.FirstToken(g.need)
+	g.queue.window.FirstToken(g.need, now)
 	g.queue.fill()
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -14,8 +14,14 @@
 	"ibisline/internal/structs"
 )
 
-// pollConcurrency bounds the load reports and status requests asked at once.
-const pollConcurrency = 16
+const (
+	// pollConcurrency bounds the load reports asked at once.
+	pollConcurrency = 16
+	// pullConcurrency is the number of dispatchers asked for status at a time.
+	pullConcurrency = 16
+	// activeFor is the time after a request in which status is kept current.
+	activeFor = 10 * time.Second
+)
 
 // pollEngines follows the platform's list and asks for the load report of each
 // engine that is owned here or still has work here.
@@ -28,13 +34,33 @@
 	for _, e := range d.followList() {
 		group.Go(func() error {
 			e.poll(ctx)
-			d.board.put(e.status())
+			d.judge(e)
+			d.board.put(e.status(), time.Now())
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
+// judge compares an engine with its peers of the same model.
+func (d *Dispatcher) judge(e *engine) {
+	if !d.config.Stragglers {
+		return
+	}
+	server := e.description()
+	var peers []time.Duration
+	for _, other := range d.deps.View.Servers() {
+		if other.Name != server.Name && sharesModel(other, server) {
+			peers = append(peers, d.board.get(other.Name).Gap)
+		}
+	}
+	e.judge(peers, d.config.TokenGapTarget)
+}
+
+func sharesModel(a, b structs.Server) bool {
+	return slices.ContainsFunc(a.Models, func(model string) bool { return slices.Contains(b.Models, model) })
+}
+
 // followList brings the engines here in line with the platform's list and
 // returns those to poll. An engine that left the list takes no new work; it is
 // dropped once its streams have ended, as is one that another daemon owns now.
@@ -49,6 +75,7 @@
 			d.engineOf(server)
 		}
 	}
+	d.board.keep(func(engine string) bool { _, ok := listed[engine]; return ok })
 	var polled []*engine
 	for _, e := range d.allEngines() {
 		server, ok := listed[e.name]
@@ -98,22 +125,42 @@
 	return statuses
 }
 
-// pullStatus asks the other dispatchers of the region for their engines.
+// pullStatus asks other dispatchers of the region for their engines while this
+// daemon has requests to place. Each time it asks a few of them in turn, so
+// that the cost does not grow with the fleet.
 func (d *Dispatcher) pullStatus(ctx context.Context) {
+	if time.Since(d.lastRequest()) > activeFor {
+		return
+	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.SetLimit(pollConcurrency)
-	for _, instance := range d.deps.View.Live() {
-		if instance.Name == d.deps.Self || instance.Region != d.deps.Region {
-			continue
-		}
+	for _, daemon := range d.nextToPull() {
 		group.Go(func() error {
-			d.pullFrom(ctx, instance.Name)
+			d.pullFrom(ctx, daemon)
 			return nil
 		})
 	}
 	_ = group.Wait()
 }
 
+// nextToPull returns the next few daemons of the region in turn.
+func (d *Dispatcher) nextToPull() []string {
+	var others []string
+	for _, instance := range d.deps.View.Live() {
+		if instance.Name != d.deps.Self && instance.Region == d.deps.Region {
+			others = append(others, instance.Name)
+		}
+	}
+	if len(others) <= pullConcurrency {
+		return others
+	}
+	turn := int(d.pulls.Add(1))
+	picked := make([]string, pullConcurrency)
+	for i := range picked {
+		picked[i] = others[(turn*pullConcurrency+i)%len(others)]
+	}
+	return picked
+}
+
 func (d *Dispatcher) pullFrom(ctx context.Context, daemon string) {
 	ctx, cancel := context.WithTimeout(ctx, d.config.StatusInterval)
 	defer cancel()
@@ -122,36 +169,6 @@
 		return
 	}
 	for _, status := range reply.Engines {
-		d.board.put(status)
+		d.board.put(status, time.Now())
 	}
 }
-
-// statusBoard holds the last known state of engines, from replies and pulls.
-type statusBoard struct {
-	mu     sync.Mutex
-	status map[string]EngineStatus
-}
-
-func newStatusBoard() *statusBoard {
-	return &statusBoard{status: map[string]EngineStatus{}}
-}
-
-func (b *statusBoard) put(status EngineStatus) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.status[status.Engine] = status
-}
-
-func (b *statusBoard) get(name string) EngineStatus {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.status[name]
-}
-
-func (b *statusBoard) all() []EngineStatus {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	all := slices.Collect(maps.Values(b.status))
-	slices.SortFunc(all, func(a, b EngineStatus) int { return strings.Compare(a.Engine, b.Engine) })
-	return all
-}
--- a/internal/dispatch/remote.go
+++ b/internal/dispatch/remote.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -28,7 +29,7 @@
 			return structs.Generated{}, remoteError(ctx, err)
 		}
 		if frame.Status != nil {
-			d.board.put(*frame.Status)
+			d.board.put(*frame.Status, time.Now())
 		}
 		if frame.Text != "" {
 			if err := emit(frame.Text); err != nil {
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
-	"slices"
+	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/member"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -14,20 +16,29 @@
 	// repickDelay is the wait before a server is sought again when none took
 	// the request; the view of the members may be behind.
 	repickDelay = 100 * time.Millisecond
-	// maxTries bounds the tries of one call that may have run.
-	maxTries = 3
 	// repickLimit bounds the search while no listed engine takes work.
 	repickLimit = 5 * time.Second
+	// maxTries bounds the tries of one call that may have run.
+	maxTries = 3
+	// maxFull bounds the full queues that one call is offered to.
+	maxFull = 2
 )
 
+// errMoved is the cause of an attempt that ended to move its call elsewhere.
+var errMoved = errors.New("call moved to another engine")
+
 // generation is one model call on its way through the router.
 type generation struct {
 	request  structs.GenerateRequest
 	emit     func(text string) error
-	emitted  bool
 	excluded map[string]bool
-	// tries counts the tries that ended without proof that they did not run.
+	// tries counts the tries that ended without proof that they did not run,
+	// full the refusals by a full queue.
 	tries int
+	full  int
+
+	mu      sync.Mutex
+	emitted bool
 }
 
 // failure is the error of the whole call. A refusal of the last try does not
@@ -42,13 +53,14 @@
 
 // Generate implements Router.
 func (d *Dispatcher) Generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	d.countRequest()
 	g := &generation{request: request, emit: emit, excluded: map[string]bool{}}
 	giveUp := repickUntil(request.Deadline)
 	var last error
 	for {
 		server, ok := d.pickEngine(g)
 		if !ok {
-			if !d.listed(request.Model) || !waitToRepick(ctx, giveUp) {
+			if g.full > 0 || !d.listed(request.Model) || !waitToRepick(ctx, giveUp) {
 				return structs.Generated{}, g.failure(noServer(request.Model, last))
 			}
 			clear(g.excluded)
@@ -56,12 +68,10 @@
 		}
 		generated, err := d.runAt(ctx, server, g)
 		if err == nil {
+			d.learn(request, generated)
 			return generated, nil
 		}
-		if !verdict.Is(err, verdict.NotRun) {
-			g.tries++
-		}
-		if !movable(ctx, g, err) {
+		if !d.mayMove(ctx, g, err) {
 			return structs.Generated{}, g.failure(err)
 		}
 		g.excluded[server.Name] = true
@@ -99,97 +109,70 @@
 	}
 }
 
-// listed reports whether the platform's list has a live engine with the model.
-func (d *Dispatcher) listed(model string) bool {
-	return slices.ContainsFunc(d.deps.View.Servers(), func(server structs.Server) bool {
-		return serves(server, model)
-	})
-}
-
-func serves(server structs.Server, model string) bool {
-	if server.Kind != structs.KindEngine || server.State == structs.StateLeaving {
-		return false
+// mayMove decides whether a failed call is tried at another engine. A model call
+// is repeatable, but once text was passed on the new answer could differ. A try
+// that may have run costs the engines work a second time and is paid from the
+// retry budget; a refusal costs them nothing.
+func (d *Dispatcher) mayMove(ctx context.Context, g *generation, err error) bool {
+	failed := verdict.From(err)
+	if failed.Verdict != verdict.NotRun {
+		g.tries++
 	}
-	return slices.Contains(server.Models, model)
-}
-
-// movable reports whether a failed call may be tried at another engine. A model
-// call is repeatable, but once text was passed on the new answer could differ.
-func movable(ctx context.Context, g *generation, err error) bool {
-	if g.emitted || g.tries >= maxTries || ctx.Err() != nil {
+	if ctx.Err() != nil || g.emitted || g.tries >= maxTries {
 		return false
 	}
-	switch verdict.From(err).Reason {
-	case verdict.NoServer, verdict.PeerLost, verdict.BackendFailed, verdict.BackendTimeout, verdict.NotHome, verdict.Stopping:
+	if errors.Is(err, errMoved) {
 		return true
-	default:
-		return false
 	}
-}
-
-// pickEngine chooses the engine for the next try.
-func (d *Dispatcher) pickEngine(g *generation) (structs.Server, bool) {
-	candidates := d.candidates(g)
-	if len(candidates) == 0 {
-		return structs.Server{}, false
-	}
-	return d.leastLoaded(candidates), true
-}
-
-// candidates returns the engines that may run the request: those of this region,
-// or of other regions when it has none.
-func (d *Dispatcher) candidates(g *generation) []structs.Server {
-	var near, far []structs.Server
-	for _, server := range d.deps.View.Servers() {
-		if !d.usable(server, g) {
-			continue
-		}
-		if server.Region == d.deps.Region {
-			near = append(near, server)
-		} else {
-			far = append(far, server)
-		}
+	if failed.Reason == verdict.QueueFull {
+		g.full++
+		return g.full < maxFull
 	}
-	if len(near) > 0 {
-		return near
+	if !movable(failed.Reason) {
+		return false
 	}
-	return far
+	return failed.Verdict == verdict.NotRun || d.spendRetry()
 }
 
-func (d *Dispatcher) usable(server structs.Server, g *generation) bool {
-	if !serves(server, g.request.Model) || g.excluded[server.Name] {
+// movable reports whether another engine may do better.
+func movable(reason verdict.Reason) bool {
+	switch reason {
+	case verdict.NoServer, verdict.PeerLost, verdict.BackendFailed, verdict.BackendTimeout, verdict.NotHome, verdict.Stopping:
+		return true
+	default:
 		return false
 	}
-	status := d.board.get(server.Name)
-	return !status.Leaving && !status.Down
-}
-
-// leastLoaded returns the candidate with the fewest requests.
-func (d *Dispatcher) leastLoaded(candidates []structs.Server) structs.Server {
-	return slices.MinFunc(candidates, func(a, b structs.Server) int {
-		x, y := d.board.get(a.Name), d.board.get(b.Name)
-		return x.Running + x.Waiting - y.Running - y.Waiting
-	})
 }
 
 // runAt runs the request at one engine, through its dispatcher.
 func (d *Dispatcher) runAt(ctx context.Context, server structs.Server, g *generation) (structs.Generated, error) {
-	emit := func(text string) error {
-		g.emitted = true
-		return g.emit(text)
-	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	a := &attempt{generation: g, server: server, begun: time.Now(), cancel: cancel}
+	stop := d.watchFirstToken(a)
+	defer stop()
+	generated, err := d.sendTo(ctx, server, g.request, a.emit)
+	if a.isMoved() {
+		return structs.Generated{}, verdict.Wrap(errMoved, verdict.MayHaveRun, verdict.BackendTimeout, "no first token in time")
+	}
+	return generated, err
+}
+
+// sendTo hands the request to the engine's dispatcher, here or elsewhere.
+func (d *Dispatcher) sendTo(ctx context.Context, server structs.Server, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	owner, ok := member.Owner(d.deps.View, server.Region, server.Name)
 	if !ok {
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
-	if owner.Name == d.deps.Self {
-		e := d.engineOf(server)
-		generated, err := e.run(ctx, g.request, emit)
-		d.board.put(e.status())
-		return generated, err
+	d.board.sent(server.Name, d.uncachedAt(server.Name, request))
+	if owner.Name != d.deps.Self {
+		order := generateOrder{Engine: server.Name, Request: request, Wait: waitUntil(request.Deadline)}
+		return d.runRemote(ctx, owner.Name, order, emit)
 	}
-	order := generateOrder{Engine: server.Name, Request: g.request, Wait: waitUntil(g.request.Deadline)}
-	return d.runRemote(ctx, owner.Name, order, emit)
+	e := d.engineOf(server)
+	generated, err := e.run(ctx, request, emit)
+	d.board.put(e.status(), time.Now())
+	return generated, err
 }
 
 // Forget implements Router. The engine is asked directly: releasing needs no
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -234,6 +234,13 @@
 	q.fill()
 }
 
+// shrink lowers the window of an engine that was found to be slow.
+func (q *serverQueue) shrink(fraction float64, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window.Shrink(fraction, now)
+}
+
 // forget drops what the window observed too long ago.
 func (q *serverQueue) forget(now time.Time) {
 	q.mu.Lock()
@@ -275,7 +282,7 @@
 		WaitingCost: q.queue.Cost(),
 		Prefilling:  q.window.Prefilling(),
 		PrefillRate: q.window.PrefillRate(),
-		Gap:         q.window.Gap(),
+		Gap:         q.window.Gap(time.Now()),
 		Service:     q.pace.meanService(),
 	}
 	if q.closed != nil {
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -57,8 +57,17 @@
 
 // Estimate is the expected time from now to the end of the call.
 func Estimate(request Request, engine Engine) time.Duration {
+	return FirstToken(request, engine) + Generation(request, engine)
+}
+
+// Generation is the expected time from the first token to the end.
+func Generation(request Request, engine Engine) time.Duration {
+	return time.Duration(request.OutputTokens) * cmp.Or(engine.Gap, defaultGap)
+}
+
+// FirstToken is the expected time from now to the first token.
+func FirstToken(request Request, engine Engine) time.Duration {
 	total := Wait(engine) + prefill(request, engine)
-	total += time.Duration(request.OutputTokens) * orGap(engine.Gap)
 	if engine.Far {
 		total += farDelay
 	}
@@ -86,8 +95,6 @@
 	return time.Duration(tokens / rate * float64(time.Second))
 }
 
-func orGap(gap time.Duration) time.Duration { return cmp.Or(gap, defaultGap) }
-
 // Choose returns the index of the engine with the least estimate. Equal ones
 // are told apart by what is under way, then by the given tie-break order, which
 // differs from daemon to daemon so that they do not all pick the same engine.
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -68,6 +68,7 @@
 	running     int
 	kv          int
 	prefilling  int
+	streaming   int
 	gap         float64
 	samples     int
 	prefillRate float64
@@ -93,8 +94,14 @@
 // Prefilling is the number of admitted prompt tokens still to be computed.
 func (w *Window) Prefilling() int { return w.prefilling }
 
-// Gap is the mean time between tokens, 0 before any was observed.
-func (w *Window) Gap() time.Duration { return time.Duration(w.gap) }
+// Gap is the mean time between tokens, 0 before any was observed. While streams
+// are open and nothing comes, it is at least the time since the last token.
+func (w *Window) Gap(now time.Time) time.Duration {
+	if w.streaming == 0 {
+		return time.Duration(w.gap)
+	}
+	return max(time.Duration(w.gap), now.Sub(w.lastToken))
+}
 
 // PrefillRate is the estimated rate at which prompts are computed, in tokens a
 // second.
@@ -132,15 +139,21 @@
 }
 
 // FirstToken records that a request's prompt was computed.
-func (w *Window) FirstToken(need Need) { w.prefilling -= need.PrefillTokens }
+func (w *Window) FirstToken(need Need, now time.Time) {
+	w.prefilling -= need.PrefillTokens
+	w.streaming++
+	w.lastToken = now
+}
 
 // End counts a request out. started says whether FirstToken was called for it.
 func (w *Window) End(need Need, started bool) {
 	w.running--
 	w.kv -= need.KVTokens
-	if !started {
-		w.prefilling -= need.PrefillTokens
+	if started {
+		w.streaming--
+		return
 	}
+	w.prefilling -= need.PrefillTokens
 }
 
 // Prefilled records that so many prompt tokens took so long to compute.
@@ -185,7 +198,7 @@
 // Forget drops what was observed too long ago, so that an engine that was slow
 // is tried again.
 func (w *Window) Forget(now time.Time) {
-	if now.Sub(w.lastToken) >= staleAfter {
+	if w.streaming == 0 && now.Sub(w.lastToken) >= staleAfter {
 		w.gap = 0
 		w.samples = 0
 	}
--- a/internal/policy/window/window_test.go
+++ b/internal/policy/window/window_test.go
@@ -24,7 +24,7 @@
 	for range seconds * 10 {
 		for w.Admits(window.Need{}) {
 			w.Begin(window.Need{})
-			w.FirstToken(window.Need{})
+			w.FirstToken(window.Need{}, *now)
 		}
 		gap := gapAt(w.Running())
 		streams := w.Running()
@@ -87,7 +87,7 @@
 	long := window.Need{PrefillTokens: 20_000}
 	w.Begin(long)
 	require.False(t, w.Admits(window.Need{PrefillTokens: 100}))
-	w.FirstToken(long)
+	w.FirstToken(long, time.Unix(0, 0))
 	require.True(t, w.Admits(window.Need{PrefillTokens: 100}))
 	w.End(long, true)
 	require.Zero(t, w.Prefilling())
@@ -105,3 +105,14 @@
 	}
 	require.Equal(t, 2, w.Limit())
 }
+
+func TestGapOfAHungEngineGrows(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(0, 0)
+	w.Begin(window.Need{})
+	require.Zero(t, w.Gap(now.Add(time.Minute)))
+	w.FirstToken(window.Need{}, now)
+	require.Equal(t, time.Minute, w.Gap(now.Add(time.Minute)))
+	w.End(window.Need{}, true)
+	require.Zero(t, w.Gap(now.Add(time.Minute)))
+}
