Quarantine requests that crash engines, fleet-wide after two

Cause: a request that crashes its engine is sent again, by the router or by its caller, and takes the next engine down. Ruled out: refusing all that ran at two crashes; with suspects not held apart the test sees a third crash, because no single one can be named. Ruled out: one platform object for each suspect, sixty writes at a crash; one for each crash. Change: a cut connection is followed by a look whether the engine is down or lost its memory; all requests of that moment become suspects, run one at a time at an engine, and the lone suspect of a second crash is refused for an hour. The failed requests are answered only after peers and platform were told, for at most a second. The burst of the retry budget is 30, enough for one engine's requests.

--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -57,6 +57,26 @@
 	c.programs.remove(program)
 }
 
+// clear forgets everything, after the engine lost its memory.
+func (c *cacheMap) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.programs.clear()
+	c.next = 0
+}
+
+// lost reports whether the engine holds none of the programs that it should.
+func (c *cacheMap) lost(held map[string]int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for program := range held {
+		if _, ok := c.programs.get(program); ok {
+			return false
+		}
+	}
+	return len(c.programs.items) > 0
+}
+
 // position is the number of the event to ask for next.
 func (c *cacheMap) position() int64 {
 	c.mu.Lock()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/quarantine"
 	"ibisline/internal/policy/retrybudget"
 	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
@@ -17,13 +18,14 @@
 // Dispatcher routes the requests of this daemon's homes and dispatches to the
 // backend servers that this daemon owns. It is safe for concurrent use.
 type Dispatcher struct {
-	config  Config
-	deps    Deps
-	shares  *shareTable
-	account *account
-	outputs *outputs
-	board   *statusBoard
-	slots   *slotTable
+	config      Config
+	deps        Deps
+	shares      *shareTable
+	account     *account
+	outputs     *outputs
+	quarantined *quarantined
+	board       *statusBoard
+	slots       *slotTable
 
 	// turns counts placements in turn, pulls the rounds of status requests.
 	turns atomic.Uint64
@@ -45,21 +47,23 @@
 // New returns a dispatcher and registers its handlers with the mux.
 func New(config Config, deps Deps) *Dispatcher {
 	d := &Dispatcher{
-		config:   config.withDefaults(),
-		deps:     deps,
-		shares:   newShareTable(deps.Catalogue),
-		account:  newAccount(),
-		outputs:  newOutputs(),
-		board:    newStatusBoard(),
-		slots:    newSlotTable(),
-		engines:  map[string]*engine{},
-		services: map[string]*serverQueue{},
-		lastRuns: newRecentMap[lastRun](maxLastRuns),
-		retries:  retrybudget.New(time.Now()),
+		config:      config.withDefaults(),
+		deps:        deps,
+		shares:      newShareTable(deps.Catalogue),
+		account:     newAccount(),
+		outputs:     newOutputs(),
+		quarantined: newQuarantined(deps),
+		board:       newStatusBoard(),
+		slots:       newSlotTable(),
+		engines:     map[string]*engine{},
+		services:    map[string]*serverQueue{},
+		lastRuns:    newRecentMap[lastRun](maxLastRuns),
+		retries:     retrybudget.New(time.Now()),
 	}
 	deps.Mux.Handle(methodGenerate, d.handleGenerate)
 	deps.Mux.Handle(methodSlot, d.handleSlot)
 	deps.Mux.Handle(methodStatus, d.handleStatus)
+	deps.Mux.Handle(methodQuarantine, d.quarantined.handle)
 	return d
 }
 
@@ -68,6 +72,8 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, d.config.PollInterval, d.pollEngines) })
 	group.Go(func() error { return every(ctx, d.config.StatusInterval, d.pullStatus) })
+	group.Go(func() error { return d.quarantined.watch(ctx) })
+	group.Go(func() error { return every(ctx, cleanInterval, d.quarantined.clean) })
 	return group.Wait()
 }
 
@@ -130,7 +136,7 @@
 	e := d.engines[server.Name]
 	if e == nil {
 		queue := newServerQueue(d.newQueue(), d.newWindow(server), d.shares, d.config.QueueLimit)
-		e = newEngine(server, d.deps.Engines, queue, d.account, d.outputs)
+		e = newEngine(server, d.deps.Engines, queue, d.account, d.outputs, d.quarantined)
 		e.applyState()
 		d.engines[server.Name] = e
 	}
@@ -176,16 +182,19 @@
 	Services map[string]queueState `json:"services"`
 	Known    []EngineStatus        `json:"known"`
 	Slots    int                   `json:"slots"`
+	// Quarantine lists requests that are suspected of crashing engines.
+	Quarantine []quarantine.Entry `json:"quarantine"`
 }
 
 // Dump returns a Snapshot.
 func (d *Dispatcher) Dump() any {
 	snapshot := Snapshot{
-		Config:   d.config,
-		Engines:  d.statuses(),
-		Services: map[string]queueState{},
-		Known:    d.board.all(),
-		Slots:    d.slots.count(),
+		Config:     d.config,
+		Engines:    d.statuses(),
+		Services:   map[string]queueState{},
+		Known:      d.board.all(),
+		Slots:      d.slots.count(),
+		Quarantine: d.quarantined.all(),
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/quarantine"
 	"ibisline/internal/policy/straggler"
 	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
@@ -24,6 +25,11 @@
 	cache   *cacheMap
 	outputs *outputs
 
+	quarantined *quarantined
+	underWay    *underWay
+	// suspects lets one suspect at a time run here.
+	suspects semaphore
+
 	mu      sync.Mutex
 	server  structs.Server
 	leaving bool
@@ -32,7 +38,7 @@
 	slow    straggler.Detector
 }
 
-func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs) *engine {
+func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs, quarantined *quarantined) *engine {
 	return &engine{
 		name:    server.Name,
 		server:  server,
@@ -42,16 +48,64 @@
 		cache:   newCacheMap(),
 		outputs: outputs,
 		kvFree:  server.KVTokens,
+
+		quarantined: quarantined,
+		underWay:    newUnderWay(),
+		suspects:    make(semaphore, 1),
 	}
 }
 
-// run waits for a slot, then streams the answer of the engine.
+// run waits for a slot, then streams the answer of the engine. A request that
+// is suspected of crashing engines runs with no other suspect beside it.
 func (e *engine) run(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	if e.quarantined.standing(request).Standing == quarantine.Suspect {
+		return e.runSuspect(ctx, request, emit)
+	}
 	grant, err := e.admit(ctx, request)
 	if err != nil {
 		return structs.Generated{}, err
 	}
+	switch e.quarantined.standing(request).Standing {
+	case quarantine.Clear:
+		return e.runGranted(ctx, grant, request, emit)
+	case quarantine.Suspect:
+		grant.release(0)
+		return e.runSuspect(ctx, request, emit)
+	default:
+		grant.release(0)
+		return structs.Generated{}, e.quarantined.check(request)
+	}
+}
+
+// runSuspect runs a suspect once no other one runs here.
+func (e *engine) runSuspect(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	if err := e.suspects.acquire(ctx, request.Deadline); err != nil {
+		return structs.Generated{}, err
+	}
+	defer e.suspects.release()
+	grant, err := e.admit(ctx, request)
+	if err != nil {
+		return structs.Generated{}, err
+	}
+	if err := e.quarantined.check(request); err != nil {
+		grant.release(0)
+		return structs.Generated{}, err
+	}
+	generated, err := e.runGranted(ctx, grant, request, emit)
+	if err == nil {
+		e.quarantined.finished(request)
+	}
+	return generated, err
+}
+
+// runGranted runs an admitted request.
+func (e *engine) runGranted(ctx context.Context, grant *grant, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	flight := e.underWay.begin(request)
 	generated, err := e.stream(ctx, grant, request, emit)
+	if errors.Is(err, backend.ErrCut) {
+		e.cut(ctx, flight)
+	}
+	e.underWay.end(flight)
 	e.observe(err)
 	cost := actualCost(grant.item, generated, err)
 	e.account.addReceived(request.Entry, cost)
--- /dev/null
+++ b/internal/dispatch/quarantine_test.go
@@ -0,0 +1,114 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/policy/quarantine"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// poison is the content of a message that crashes each engine that runs it.
+const poison = "poison"
+
+func poisonCall(program string) structs.GenerateRequest {
+	request := modelCall(program)
+	request.Messages = []structs.Message{{Role: "user", Content: poison}}
+	return request
+}
+
+// crashFleet has engines that crash on poison and restart after a second.
+func crashFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	names := []string{"e1", "e2", "e3", "e4", "e5"}
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engines(names...), func(t *testing.T, f *fleet) {
+		for _, name := range names {
+			f.engines.set(name, func(e *fakeEngine) { e.gap = time.Second })
+		}
+		test(t, f)
+	})
+}
+
+func (f *fleet) crashes() int {
+	total := 0
+	for _, server := range engines("e1", "e2", "e3", "e4", "e5") {
+		total += f.engines.get(server.Name).crashes
+	}
+	return total
+}
+
+func TestPoisonCrashesTwoEnginesAndIsRefusedEverywhere(t *testing.T) {
+	crashFleet(t, func(t *testing.T, f *fleet) {
+		var innocents []<-chan outcome
+		for _, d := range f.daemons {
+			for i := range 10 {
+				innocents = append(innocents, d.generateLater(context.Background(), modelCall(fmt.Sprint(d.name, i))))
+			}
+		}
+		synctest.Wait()
+		got := f.daemons["d1"].generate(context.Background(), poisonCall("p"))
+		require.Error(t, got.err)
+		for i := range 5 {
+			for _, d := range f.daemons {
+				got := d.generate(context.Background(), poisonCall(fmt.Sprint("again-", i)))
+				require.Error(t, got.err)
+				require.True(t, verdict.HasReason(got.err, verdict.Quarantined), got.err)
+				require.True(t, verdict.Is(got.err, verdict.NotRun))
+				require.Positive(t, verdict.From(got.err).RetryAfter)
+			}
+		}
+		require.Equal(t, 2, f.crashes())
+		for _, call := range innocents {
+			require.NoError(t, (<-call).err)
+		}
+		for _, d := range f.daemons {
+			refused := 0
+			for _, entry := range d.Dump().(dispatch.Snapshot).Quarantine {
+				if entry.Standing == quarantine.Refused {
+					refused++
+				}
+			}
+			require.Equal(t, 1, refused, d.name)
+		}
+	})
+}
+
+func TestQuarantineOutlivesTheDaemonsAndThenExpires(t *testing.T) {
+	crashFleet(t, func(t *testing.T, f *fleet) {
+		require.Error(t, f.daemons["d1"].generate(context.Background(), poisonCall("p")).err)
+		late := f.start(dispatch.Config{}, "d4")
+		synctest.Wait()
+		require.True(t, verdict.HasReason(late.generate(context.Background(), poisonCall("q")).err, verdict.Quarantined))
+		time.Sleep(quarantine.RefusedLifetime + 20*time.Minute)
+		kept, _, err := f.store.List(context.Background(), structs.QuarantinePrefix)
+		require.NoError(t, err)
+		require.Empty(t, kept)
+		require.Empty(t, late.Dump().(dispatch.Snapshot).Quarantine)
+	})
+}
+
+func TestQuarantineSpreadsWithoutThePlatform(t *testing.T) {
+	crashFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(objects.Faults{Outage: true})
+		require.Error(t, f.daemons["d1"].generate(context.Background(), poisonCall("p")).err)
+		require.True(t, verdict.HasReason(f.daemons["d3"].generate(context.Background(), poisonCall("q")).err, verdict.Quarantined))
+		require.Equal(t, 2, f.crashes())
+	})
+}
+
+func TestCutConnectionIsNoCrash(t *testing.T) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) { e.failAfter, e.failure = 0, cut() })
+		for i := range 4 {
+			require.NoError(t, f.daemons["d1"].generate(context.Background(), modelCall(fmt.Sprint(i))).err)
+		}
+		require.Empty(t, f.daemons["d1"].Dump().(dispatch.Snapshot).Quarantine)
+	})
+}
--- a/internal/dispatch/recent.go
+++ b/internal/dispatch/recent.go
@@ -42,3 +42,8 @@
 		delete(m.items, key)
 	}
 }
+
+func (m *recentMap[V]) clear() {
+	clear(m.items)
+	m.order.Init()
+}
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -58,6 +58,9 @@
 	giveUp := repickUntil(request.Deadline)
 	var last error
 	for {
+		if err := d.quarantined.check(request); err != nil {
+			return structs.Generated{}, g.failure(err)
+		}
 		server, ok := d.pickEngine(g)
 		if !ok {
 			if g.full > 0 || !d.listed(request.Model) || !waitToRepick(ctx, giveUp) {
--- /dev/null
+++ b/internal/dispatch/semaphore.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"ibisline/internal/verdict"
+)
+
+// semaphore admits as many holders at a time as its channel has room for.
+type semaphore chan struct{}
+
+// acquire waits for room. Errors are *verdict.Error with NotRun.
+func (s semaphore) acquire(ctx context.Context, deadline time.Time) error {
+	if !deadline.IsZero() {
+		timed, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		ctx = timed
+	}
+	select {
+	case s <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return waitEnded(ctx)
+	}
+}
+
+func (s semaphore) release() { <-s }
+
+// waitEnded is the refusal of a request whose context ended before it ran.
+func waitEnded(ctx context.Context) error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return verdict.Refuse(verdict.DeadlinePassed, "no slot before the deadline").After(minRetryAfter)
+	}
+	return verdict.Refuse(verdict.Canceled, "canceled while waiting for a slot")
+}
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -150,10 +150,7 @@
 	if !waits && <-w.ready == nil {
 		(&grant{queue: q, item: w.item, need: w.need}).release(0)
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return verdict.Refuse(verdict.DeadlinePassed, "no slot before the deadline").After(minRetryAfter)
-	}
-	return verdict.Refuse(verdict.Canceled, "canceled while waiting for a slot")
+	return waitEnded(ctx)
 }
 
 // updateShares takes over an edit of the catalogue. The caller holds mu.
--- a/internal/policy/retrybudget/retrybudget.go
+++ b/internal/policy/retrybudget/retrybudget.go
@@ -8,7 +8,7 @@
 	// Ratio is the fraction of requests that may be sent again.
 	Ratio = 0.1
 	// burst is the most that is saved up, in retries.
-	burst = 10.0
+	burst = 30.0
 	// trickle is the number of retries a second that are allowed without any
 	// new requests, so that a quiet site can retry at all.
 	trickle = 0.1
