--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -50,6 +50,14 @@
 	c.programs.set(program, cachedPrefix{tokens: tokens, used: now})
 }
 
+// usedWithin reports whether a request of the program finished lately.
+func (c *cacheMap) usedWithin(program string, within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	prefix, ok := c.programs.get(program)
+	return ok && time.Since(prefix.used) < within
+}
+
 // remove forgets a program whose memory was released.
 func (c *cacheMap) remove(program string) {
 	c.mu.Lock()
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -47,6 +47,9 @@
 	PollInterval time.Duration
 	// StatusInterval is the time between status requests to other dispatchers.
 	StatusInterval time.Duration
+	// SweepInterval is the time between two comparisons of an engine's KV memory
+	// with the programs that live.
+	SweepInterval time.Duration
 }
 
 const (
@@ -58,6 +61,7 @@
 	defaultTokenGapTarget   = 47 * time.Millisecond
 	defaultPollInterval     = time.Second
 	defaultStatusInterval   = time.Second
+	defaultSweepInterval    = 10 * time.Second
 )
 
 // withDefaults replaces zero values.
@@ -71,6 +75,7 @@
 	c.TokenGapTarget = orDefault(c.TokenGapTarget, defaultTokenGapTarget)
 	c.PollInterval = orDefault(c.PollInterval, defaultPollInterval)
 	c.StatusInterval = orDefault(c.StatusInterval, defaultStatusInterval)
+	c.SweepInterval = orDefault(c.SweepInterval, defaultSweepInterval)
 	return c
 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -50,6 +50,18 @@
 	delete(u.requests, f)
 }
 
+// has reports whether a program has a request at the engine.
+func (u *underWay) has(program string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for f := range u.requests {
+		if f.request.Program == program {
+			return true
+		}
+	}
+	return false
+}
+
 // inquire returns the inquiry of a flight, and whether the caller has to hold
 // it. A new one covers all flights that no other covers.
 func (u *underWay) inquire(f *flight) (*inquiry, bool) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	account     *account
 	outputs     *outputs
 	quarantined *quarantined
+	programs    ProgramStates
 	board       *statusBoard
 	slots       *slotTable
 
@@ -72,6 +73,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return every(ctx, d.config.PollInterval, d.pollEngines) })
 	group.Go(func() error { return every(ctx, d.config.StatusInterval, d.pullStatus) })
+	group.Go(func() error { return every(ctx, d.config.SweepInterval, d.sweepEngines) })
 	group.Go(func() error { return d.quarantined.watch(ctx) })
 	group.Go(func() error { return every(ctx, cleanInterval, d.quarantined.clean) })
 	return group.Wait()
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -29,6 +29,7 @@
 	underWay    *underWay
 	// suspects lets one suspect at a time run here.
 	suspects semaphore
+	doubts   *doubts
 
 	mu      sync.Mutex
 	server  structs.Server
@@ -52,6 +53,7 @@
 		quarantined: quarantined,
 		underWay:    newUnderWay(),
 		suspects:    make(semaphore, 1),
+		doubts:      newDoubts(),
 	}
 }
 
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -70,6 +70,11 @@
 }
 
 func (f *fleet) start(config dispatch.Config, name string) *daemon {
+	return f.startWith(config, name, func(*daemon) {})
+}
+
+// startWith starts a daemon after prepare was called with it.
+func (f *fleet) startWith(config dispatch.Config, name string, prepare func(d *daemon)) *daemon {
 	ctx, kill := context.WithCancel(context.Background())
 	d := &daemon{name: name, handlers: map[string]peer.Handler{}, fleet: f, ctx: ctx, kill: kill}
 	d.Dispatcher = dispatch.New(config, dispatch.Deps{
@@ -84,6 +89,7 @@
 		Metrics:   metrics.NewSet(),
 		Log:       &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 	})
+	prepare(d)
 	f.mu.Lock()
 	f.daemons[name] = d
 	f.live = append(f.live, structs.Instance{Name: name, Region: "r1", State: structs.StateLive})
--- /dev/null
+++ b/internal/dispatch/sweep_test.go
@@ -0,0 +1,91 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// homes implements dispatch.ProgramStates with scripted answers.
+type homes struct {
+	mu    sync.Mutex
+	state map[string]structs.ProgramState
+	fail  map[string]error
+}
+
+func (h *homes) State(_ context.Context, program string) (structs.ProgramState, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state[program], h.fail[program]
+}
+
+func (h *homes) set(program string, state structs.ProgramState, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.state[program], h.fail[program] = state, err
+}
+
+// sweepFleet runs one engine that holds memory of the named programs.
+func sweepFleet(t *testing.T, programs []string, test func(f *fleet, h *homes)) {
+	h := &homes{state: map[string]structs.ProgramState{}, fail: map[string]error{}}
+	config := dispatch.Config{SweepInterval: 10 * time.Second}
+	runFleet(t, config, nil, engines("e1"), func(t *testing.T, f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) {
+			for _, program := range programs {
+				e.kv[program] = 100
+			}
+		})
+		for _, name := range []string{"d1", "d2"} {
+			f.startWith(config, name, func(d *daemon) { d.SetPrograms(h) })
+		}
+		test(f, h)
+	})
+}
+
+func TestSweepReleasesWhatEndedAndKeepsTheRest(t *testing.T) {
+	all := []string{"live", "ended", "gone", "unreachable", "returns"}
+	sweepFleet(t, all, func(f *fleet, h *homes) {
+		unknown := verdict.Refuse(verdict.UnknownProgram, "unknown")
+		h.set("ended", structs.ProgramState{Ended: true}, nil)
+		h.set("gone", structs.ProgramState{}, unknown)
+		h.set("returns", structs.ProgramState{}, unknown)
+		h.set("unreachable", structs.ProgramState{Ended: true}, verdict.Refuse(verdict.PeerLost, "home is down"))
+		time.Sleep(5 * time.Second)
+		require.NotContains(t, f.engines.get("e1").released, "gone")
+		h.set("returns", structs.ProgramState{}, nil)
+		time.Sleep(30 * time.Second)
+		require.ElementsMatch(t, []string{"ended", "gone"}, f.engines.get("e1").released)
+	})
+}
+
+func TestSweepIsRepeatedUntilTheEngineConfirms(t *testing.T) {
+	sweepFleet(t, []string{"ended"}, func(f *fleet, h *homes) {
+		h.set("ended", structs.ProgramState{Ended: true}, nil)
+		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		time.Sleep(25 * time.Second)
+		require.Empty(t, f.engines.get("e1").released)
+		f.engines.set("e1", func(e *fakeEngine) { e.down = false })
+		time.Sleep(15 * time.Second)
+		require.Equal(t, []string{"ended"}, f.engines.get("e1").released)
+	})
+}
+
+func TestSweepLeavesARequestUnderWayAlone(t *testing.T) {
+	sweepFleet(t, nil, func(f *fleet, h *homes) {
+		h.set("p", structs.ProgramState{Ended: true}, nil)
+		f.engines.set("e1", func(e *fakeEngine) { e.gap = 10 * time.Second })
+		call := f.daemons["d1"].generateLater(context.Background(), modelCall("p"))
+		time.Sleep(25 * time.Second)
+		require.Empty(t, f.engines.get("e1").released)
+		require.NoError(t, (<-call).err)
+		time.Sleep(25 * time.Second)
+		require.Equal(t, []string{"p"}, f.engines.get("e1").released)
+	})
+}
