Give fenced orders to engines

Cause: orders to load a model or change a role must not come from two daemons, and some engines ignore fencing numbers. Ruled out: the epoch of a program shard as the fence, because engines belong to no shard; one small object for each engine, orders/<engine>, names the holder and the fence, and is written only at a takeover. Change: the dispatcher of an engine reads the holder before each order and takes over by conditional update with a higher fence. Where the engine ignores fences, the new holder waits out the pause allowance that the old one wrote down. An order in doubt is read back before it is given again.

--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -50,6 +50,9 @@
 	// SweepInterval is the time between two comparisons of an engine's KV memory
 	// with the programs that live.
 	SweepInterval time.Duration
+	// PauseAllowance is the longest time for which this daemon may be paused and
+	// still give an order to an engine that ignores fencing numbers.
+	PauseAllowance time.Duration
 }
 
 const (
@@ -62,6 +65,7 @@
 	defaultPollInterval     = time.Second
 	defaultStatusInterval   = time.Second
 	defaultSweepInterval    = 10 * time.Second
+	defaultPauseAllowance   = 30 * time.Second
 )
 
 // withDefaults replaces zero values.
@@ -76,6 +80,7 @@
 	c.PollInterval = orDefault(c.PollInterval, defaultPollInterval)
 	c.StatusInterval = orDefault(c.StatusInterval, defaultStatusInterval)
 	c.SweepInterval = orDefault(c.SweepInterval, defaultSweepInterval)
+	c.PauseAllowance = orDefault(c.PauseAllowance, defaultPauseAllowance)
 	return c
 }
 
@@ -95,6 +100,8 @@
 	ListKV(ctx context.Context, server structs.Server) (map[string]int, error)
 	ReleaseKV(ctx context.Context, server structs.Server, program string) error
 	KVEvents(ctx context.Context, server structs.Server, after int64) (backend.KVEvents, error)
+	SendOrder(ctx context.Context, server structs.Server, order backend.Order) error
+	OrderState(ctx context.Context, server structs.Server) (backend.OrderState, error)
 }
 
 var (
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,6 +25,7 @@
 	outputs     *outputs
 	quarantined *quarantined
 	programs    ProgramStates
+	orders      *orderDesk
 	board       *statusBoard
 	slots       *slotTable
 
@@ -47,13 +48,15 @@
 
 // New returns a dispatcher and registers its handlers with the mux.
 func New(config Config, deps Deps) *Dispatcher {
+	config = config.withDefaults()
 	d := &Dispatcher{
-		config:      config.withDefaults(),
+		config:      config,
 		deps:        deps,
 		shares:      newShareTable(deps.Catalogue),
 		account:     newAccount(),
 		outputs:     newOutputs(),
 		quarantined: newQuarantined(deps),
+		orders:      newOrderDesk(deps, config.PauseAllowance),
 		board:       newStatusBoard(),
 		slots:       newSlotTable(),
 		engines:     map[string]*engine{},
@@ -65,6 +68,7 @@
 	deps.Mux.Handle(methodSlot, d.handleSlot)
 	deps.Mux.Handle(methodStatus, d.handleStatus)
 	deps.Mux.Handle(methodQuarantine, d.quarantined.handle)
+	deps.Mux.Handle(methodOrder, d.handleOrder)
 	return d
 }
 
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -269,7 +269,13 @@
 	crashes  int
 	crashed  chan struct{}
 	released []string
-	order    []string
+	orders   backend.OrderState
+	// loseOrders is the number of coming orders whose reply is lost; loseEffect
+	// loses the order itself.
+	loseOrders  int
+	loseEffect  bool
+	ordersTaken int
+	order       []string
 }
 
 // fakeEngines implements dispatch.EngineClient in memory.
@@ -416,3 +422,32 @@
 func (f *fakeEngines) KVEvents(context.Context, structs.Server, int64) (backend.KVEvents, error) {
 	return backend.KVEvents{}, nil
 }
+
+func (f *fakeEngines) SendOrder(_ context.Context, server structs.Server, order backend.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engine(server.Name)
+	lost := e.loseOrders > 0
+	if lost {
+		e.loseOrders--
+		if e.loseEffect {
+			return cut()
+		}
+	}
+	if server.Fences && order.Fence < e.orders.Fence {
+		return backend.ErrFenced
+	}
+	e.ordersTaken++
+	e.orders.Fence = order.Fence
+	if order.Kind == backend.LoadModel {
+		e.orders.Models = append(e.orders.Models, order.Name)
+	}
+	if lost {
+		return cut()
+	}
+	return nil
+}
+
+func (f *fakeEngines) OrderState(_ context.Context, server structs.Server) (backend.OrderState, error) {
+	return f.get(server.Name).orders, nil
+}
--- /dev/null
+++ b/internal/dispatch/orders_test.go
@@ -0,0 +1,88 @@
+package dispatch_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/backend"
+	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/member"
+	"ibisline/internal/verdict"
+)
+
+var loadModel = backend.Order{Kind: backend.LoadModel, Name: "new"}
+
+const pauseAllowance = 20 * time.Second
+
+// orderFleet has one engine; the daemon that gives its orders is returned.
+func orderFleet(t *testing.T, fences bool, test func(f *fleet, holder, other *daemon)) {
+	servers := engines("e1")
+	servers[0].Fences = fences
+	config := dispatch.Config{PauseAllowance: pauseAllowance}
+	runFleet(t, config, []string{"d1", "d2"}, servers, func(t *testing.T, f *fleet) {
+		require.NoError(t, f.daemons["d1"].Order(context.Background(), "e1", backend.Order{Kind: backend.SetRole, Name: "serve"}))
+		owner, _ := member.Owner(view{f.daemons["d1"]}, "r1", "e1")
+		holder, other := f.daemons["d1"], f.daemons["d2"]
+		if owner.Name == "d2" {
+			holder, other = other, holder
+		}
+		test(f, holder, other)
+	})
+}
+
+func TestTakeoverRaisesTheFenceAndTheOldHolderIsRefused(t *testing.T) {
+	orderFleet(t, true, func(f *fleet, holder, other *daemon) {
+		before := f.engines.get("e1").orders.Fence
+		f.leave(holder.name)
+		start := time.Now()
+		require.NoError(t, other.Order(context.Background(), "e1", loadModel))
+		require.Zero(t, time.Since(start))
+		require.Greater(t, f.engines.get("e1").orders.Fence, before)
+		require.ErrorIs(t, f.engines.SendOrder(context.Background(), f.servers[0], backend.Order{Kind: backend.LoadModel, Name: "old", Fence: before}), backend.ErrFenced)
+	})
+}
+
+func TestTakeoverWaitsOutTheOldHolderWhereFencesAreIgnored(t *testing.T) {
+	orderFleet(t, false, func(f *fleet, holder, other *daemon) {
+		f.leave(holder.name)
+		start := time.Now()
+		require.NoError(t, other.Order(context.Background(), "e1", loadModel))
+		require.Equal(t, pauseAllowance, time.Since(start))
+		start = time.Now()
+		require.NoError(t, other.Order(context.Background(), "e1", loadModel))
+		require.Zero(t, time.Since(start))
+	})
+}
+
+func TestOrderInDoubtIsReadBackBeforeItIsRepeated(t *testing.T) {
+	for _, effect := range []bool{true, false} {
+		orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
+			f.engines.set("e1", func(e *fakeEngine) { e.loseOrders, e.loseEffect = 1, !effect; e.ordersTaken = 0 })
+			require.NoError(t, holder.Order(context.Background(), "e1", loadModel))
+			require.Equal(t, 1, f.engines.get("e1").ordersTaken)
+			require.Contains(t, f.engines.get("e1").orders.Models, "new")
+		})
+	}
+}
+
+func TestNoOrderWithoutThePlatform(t *testing.T) {
+	orderFleet(t, true, func(f *fleet, holder, _ *daemon) {
+		f.store.SetFaults(objects.Faults{Outage: true})
+		taken := f.engines.get("e1").ordersTaken
+		err := holder.Order(context.Background(), "e1", loadModel)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+		require.Equal(t, taken, f.engines.get("e1").ordersTaken)
+	})
+}
+
+func TestLostReplyOfTheTakeoverIsSettled(t *testing.T) {
+	orderFleet(t, true, func(f *fleet, holder, other *daemon) {
+		f.leave(holder.name)
+		f.store.SetFaults(objects.Faults{LoseReplies: 1})
+		require.NoError(t, other.Order(context.Background(), "e1", loadModel))
+	})
+}
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -10,6 +10,7 @@
 	ShardPrefix      = "shards/"
 	SegmentPrefix    = "segments/"
 	QuarantinePrefix = "quarantine/"
+	OrderPrefix      = "orders/"
 )
 
 // Entry is a catalogue entry: an owner, a class of work and the limits.
