Play random schedules of faults over the dispatchers

Cause: the tests so far bring about one fault at a time; faults come together. Change: rapid draws calls, cancels, crashes, cuts, hangs, slow and leaving engines, crashing requests and lost daemons in virtual time, and checks that answers are whole, that not run is true, that tries are bounded and that no request is left behind anywhere. Ruled out: timed assertions.

--- /dev/null
+++ b/internal/dispatch/random_test.go
@@ -0,0 +1,168 @@
+package dispatch_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// A run without -rapid.seed always draws the same schedules.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var (
+	randomEngines = []string{"e1", "e2", "e3", "e4"}
+	randomDaemons = []string{"d1", "d2", "d3"}
+)
+
+// scheduleRun is one random schedule of calls and faults over a fleet.
+type scheduleRun struct {
+	f       *fleet
+	calls   sync.WaitGroup
+	mu      sync.Mutex
+	results map[string]outcome
+	count   int
+}
+
+// step is one event of a schedule.
+type step struct {
+	Kind   string
+	Engine string
+	Daemon string
+	Calls  int
+	Wait   time.Duration
+}
+
+var stepKinds = []string{"calls", "calls", "calls", "canceled", "crash", "cut", "hang", "heal", "leave", "stay", "slow", "poison", "lose"}
+
+func drawStep(t *rapid.T) step {
+	return step{
+		Kind:   rapid.SampledFrom(stepKinds).Draw(t, "kind"),
+		Engine: rapid.SampledFrom(randomEngines).Draw(t, "engine"),
+		Daemon: rapid.SampledFrom(randomDaemons).Draw(t, "daemon"),
+		Calls:  rapid.IntRange(1, 8).Draw(t, "calls"),
+		Wait:   time.Duration(rapid.IntRange(0, 2000).Draw(t, "wait")) * time.Millisecond,
+	}
+}
+
+func (r *scheduleRun) play(s step) {
+	switch s.Kind {
+	case "calls", "canceled", "poison":
+		r.start(s)
+	case "crash":
+		r.f.engines.crash(s.Engine)
+	case "lose":
+		if s.Daemon != "d1" {
+			r.f.lose(s.Daemon)
+		}
+	default:
+		r.f.engines.set(s.Engine, func(e *fakeEngine) { changeEngine(e, s.Kind) })
+	}
+	time.Sleep(s.Wait)
+}
+
+func changeEngine(e *fakeEngine, kind string) {
+	switch kind {
+	case "cut":
+		e.failAfter, e.failure = 1, cut()
+	case "hang":
+		e.hang = true
+	case "heal":
+		e.failAfter, e.hang, e.gap = -1, false, 100*time.Millisecond
+	case "leave":
+		e.leaving = true
+	case "stay":
+		e.leaving = false
+	case "slow":
+		e.gap = time.Second
+	}
+}
+
+// start makes calls at a daemon that lives.
+func (r *scheduleRun) start(s step) {
+	d := r.f.daemons[s.Daemon]
+	if d.ctx.Err() != nil {
+		d = r.f.daemons["d1"]
+	}
+	for range s.Calls {
+		request := modelCall(fmt.Sprintf("p%d", r.count))
+		r.count++
+		request.Deadline = time.Now().Add(20 * time.Second)
+		if s.Kind == "poison" {
+			request.Messages = []structs.Message{{Role: "user", Content: poison}}
+		}
+		ctx, cancel := context.WithTimeout(d.ctx, time.Minute)
+		if s.Kind == "canceled" {
+			ctx, cancel = context.WithTimeout(d.ctx, s.Wait/2)
+		}
+		r.calls.Go(func() {
+			defer cancel()
+			got := d.generate(ctx, request)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.results[request.Program] = got
+		})
+	}
+}
+
+// check asserts what must hold after any schedule.
+func (r *scheduleRun) check(t require.TestingT) {
+	started := map[string]int{}
+	for _, name := range randomEngines {
+		e := r.f.engines.get(name)
+		require.Zero(t, e.running, "requests left at %s", name)
+		for _, program := range e.order {
+			started[program]++
+		}
+	}
+	whole := strings.Repeat("x", 3)
+	for program, got := range r.results {
+		if got.err == nil {
+			require.Equal(t, whole, got.text, "answer of %s", program)
+			continue
+		}
+		require.True(t, strings.HasPrefix(whole, got.text), "text of %s", program)
+		if verdict.Is(got.err, verdict.NotRun) {
+			require.Zero(t, started[program], "%s was called not run: %v", program, got.err)
+		}
+		require.LessOrEqual(t, started[program], 3, "tries of %s", program)
+	}
+}
+
+// quiet reports that no daemon holds a request.
+func (r *scheduleRun) quiet(t require.TestingT) {
+	for _, d := range r.f.daemons {
+		for _, status := range d.Dump().(dispatch.Snapshot).Engines {
+			require.Zero(t, status.Running+status.Waiting+status.Prefilling, "%s at %s", status.Engine, d.name)
+		}
+	}
+}
+
+func TestPromisesHoldInRandomSchedules(t *testing.T) {
+	config := dispatch.Config{Stragglers: true, FixedWindow: 4}
+	rapid.Check(t, func(rt *rapid.T) {
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 30).Draw(rt, "steps")
+		runFleet(t, config, slices.Clone(randomDaemons), engines(randomEngines...), func(_ *testing.T, f *fleet) {
+			r := &scheduleRun{f: f, results: map[string]outcome{}}
+			for _, s := range steps {
+				r.play(s)
+			}
+			r.calls.Wait()
+			synctest.Wait()
+			r.check(rt)
+			r.quiet(rt)
+		})
+	})
+}
