Count the dispatcher's decisions and spread calls over servers

Cause: operators could not see moves, refusals, waits or cached tokens, and all calls to a plain service went to the first server listed until it refused. Ruled out: labels by owner or entry, whose number grows to tens of thousands; classes and reasons are bounded. Conclusion: no change of behaviour at engines.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -104,6 +104,7 @@
 		e.underWay.dismiss(i)
 		return
 	}
+	e.measures.crashes.Inc()
 	e.cache.clear()
 	requests := make([]structs.GenerateRequest, len(i.flights))
 	for n, hit := range i.flights {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -23,6 +23,7 @@
 	shares      *shareTable
 	account     *account
 	outputs     *outputs
+	measures    *measures
 	quarantined *quarantined
 	programs    ProgramStates
 	orders      *orderDesk
@@ -55,6 +56,7 @@
 		shares:      newShareTable(deps.Catalogue),
 		account:     newAccount(),
 		outputs:     newOutputs(),
+		measures:    newMeasures(deps.Metrics),
 		quarantined: newQuarantined(deps),
 		orders:      newOrderDesk(deps, config.PauseAllowance),
 		board:       newStatusBoard(),
@@ -95,7 +97,12 @@
 func (d *Dispatcher) spendRetry() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.retries.Spend(time.Now())
+	if !d.retries.Spend(time.Now()) {
+		d.measures.noBudget.Inc()
+		return false
+	}
+	d.measures.retries.Inc()
+	return true
 }
 
 // lastRequest is the time at which the last model call came in.
@@ -142,7 +149,12 @@
 	e := d.engines[server.Name]
 	if e == nil {
 		queue := newServerQueue(d.newQueue(), d.newWindow(server), d.shares, d.config.QueueLimit)
-		e = newEngine(server, d.deps.Engines, queue, d.account, d.outputs, d.quarantined)
+		e = newEngine(server, d.deps.Engines, queue, engineParts{
+			account:     d.account,
+			outputs:     d.outputs,
+			measures:    d.measures,
+			quarantined: d.quarantined,
+		})
 		e.applyState()
 		d.engines[server.Name] = e
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -16,20 +16,25 @@
 	"ibisline/internal/verdict"
 )
 
+// engineParts are shared by all engines of a dispatcher.
+type engineParts struct {
+	account     *account
+	outputs     *outputs
+	measures    *measures
+	quarantined *quarantined
+}
+
 // engine is one model engine that this daemon dispatches to.
 type engine struct {
-	name    string
-	queue   *serverQueue
-	client  EngineClient
-	account *account
-	cache   *cacheMap
-	outputs *outputs
-
-	quarantined *quarantined
-	underWay    *underWay
+	engineParts
+	name     string
+	client   EngineClient
+	queue    *serverQueue
+	cache    *cacheMap
+	underWay *underWay
+	doubts   *doubts
 	// suspects lets one suspect at a time run here.
 	suspects semaphore
-	doubts   *doubts
 
 	mu      sync.Mutex
 	server  structs.Server
@@ -39,21 +44,18 @@
 	slow    straggler.Detector
 }
 
-func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs, quarantined *quarantined) *engine {
+func newEngine(server structs.Server, client EngineClient, queue *serverQueue, parts engineParts) *engine {
 	return &engine{
-		name:    server.Name,
-		server:  server,
-		client:  client,
-		queue:   queue,
-		account: account,
-		cache:   newCacheMap(),
-		outputs: outputs,
-		kvFree:  server.KVTokens,
-
-		quarantined: quarantined,
+		engineParts: parts,
+		name:        server.Name,
+		client:      client,
+		queue:       queue,
+		cache:       newCacheMap(),
 		underWay:    newUnderWay(),
-		suspects:    make(semaphore, 1),
 		doubts:      newDoubts(),
+		suspects:    make(semaphore, 1),
+		server:      server,
+		kvFree:      server.KVTokens,
 	}
 }
 
@@ -131,7 +133,11 @@
 	}
 	e.account.addWaiting(request.Entry, 1)
 	defer e.account.addWaiting(request.Entry, -1)
-	return e.queue.acquire(ctx, item, need, request.Deadline)
+	grant, err := e.queue.acquire(ctx, item, need, request.Deadline)
+	if err == nil {
+		e.measures.waited(request.Class, time.Since(item.Arrived))
+	}
+	return grant, err
 }
 
 // stream runs a granted request and records its progress.
@@ -146,6 +152,8 @@
 		return structs.Generated{}, err
 	}
 	usage := generated.Usage
+	e.measures.finished(usage)
+	e.measures.firstToken.Update(grant.first.Seconds())
 	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -54,6 +54,17 @@
 // Generate implements Router.
 func (d *Dispatcher) Generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	d.countRequest()
+	generated, err := d.generate(ctx, request, emit)
+	if err != nil {
+		d.measures.refused(err)
+		return structs.Generated{}, err
+	}
+	d.learn(request, generated)
+	return generated, nil
+}
+
+// generate tries engines until one has run the call.
+func (d *Dispatcher) generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	g := &generation{request: request, emit: emit, excluded: map[string]bool{}}
 	giveUp := repickUntil(request.Deadline)
 	var last error
@@ -71,12 +82,12 @@
 		}
 		generated, err := d.runAt(ctx, server, g)
 		if err == nil {
-			d.learn(request, generated)
 			return generated, nil
 		}
 		if !d.mayMove(ctx, g, err) {
 			return structs.Generated{}, g.failure(err)
 		}
+		d.measures.moves.Inc()
 		g.excluded[server.Name] = true
 		last = err
 	}
@@ -168,6 +179,9 @@
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
 	d.board.sent(server.Name, d.uncachedAt(server.Name, request))
+	if server.Region != d.deps.Region {
+		d.measures.farPrompts.Add(request.PromptTokens)
+	}
 	if owner.Name != d.deps.Self {
 		order := generateOrder{Engine: server.Name, Request: request, Wait: waitUntil(request.Deadline)}
 		return d.runRemote(ctx, owner.Name, order, emit)
--- a/internal/dispatch/slots.go
+++ b/internal/dispatch/slots.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 
 	"ibisline/internal/member"
@@ -16,35 +19,68 @@
 )
 
 // slotTable holds the slots granted to this daemon's homes with the means to
-// give them back.
+// give them back, and the number of slots held and asked for at each server.
 type slotTable struct {
 	mu      sync.Mutex
-	release map[string]func()
+	held    map[string]heldSlot
+	pending map[string]int
 }
 
-func newSlotTable() *slotTable { return &slotTable{release: map[string]func(){}} }
+// heldSlot is one granted slot.
+type heldSlot struct {
+	server  string
+	release func()
+}
+
+func newSlotTable() *slotTable {
+	return &slotTable{held: map[string]heldSlot{}, pending: map[string]int{}}
+}
+
+// ask counts a slot that is asked for.
+func (t *slotTable) ask(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pending[server]++
+}
+
+// drop counts out a slot that was given back or refused.
+func (t *slotTable) drop(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pending[server]--
+	if t.pending[server] == 0 {
+		delete(t.pending, server)
+	}
+}
+
+// load is the number of slots held and asked for at a server.
+func (t *slotTable) load(server string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.pending[server]
+}
 
 func (t *slotTable) add(server structs.Server, release func()) structs.Slot {
 	slot := structs.Slot{ID: uuid.NewString(), Server: server}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.release[slot.ID] = release
+	t.held[slot.ID] = heldSlot{server: server.Name, release: release}
 	return slot
 }
 
-// take returns the release of a slot once.
-func (t *slotTable) take(id string) func() {
+// take removes a slot; ok is false when it was given back before.
+func (t *slotTable) take(id string) (slot heldSlot, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	release := t.release[id]
-	delete(t.release, id)
-	return release
+	slot, ok = t.held[id]
+	delete(t.held, id)
+	return slot, ok
 }
 
 func (t *slotTable) count() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.release)
+	return len(t.held)
 }
 
 // AcquireSlot implements Router.
@@ -55,10 +91,12 @@
 		if !ok {
 			return structs.Slot{}, verdict.Refuse(verdict.NoServer, "no server of service %q takes calls", request.Service).After(time.Second)
 		}
+		d.slots.ask(server.Name)
 		slot, err := d.slotAt(ctx, server, request)
 		if err == nil {
 			return slot, nil
 		}
+		d.slots.drop(server.Name)
 		refusal := asNotRun(err)
 		if !slotElsewhere(refusal.Reason) {
 			return structs.Slot{}, refusal
@@ -86,30 +124,44 @@
 
 // ReleaseSlot implements Router.
 func (d *Dispatcher) ReleaseSlot(slot structs.Slot) {
-	if release := d.slots.take(slot.ID); release != nil {
-		release()
+	held, ok := d.slots.take(slot.ID)
+	if !ok {
+		return
 	}
+	held.release()
+	d.slots.drop(held.server)
 }
 
-// pickService returns the server of a plain service that has the fewest calls
-// known here, in this region when it has one.
+// pickService returns the server of a plain service at which this daemon has
+// the fewest slots, in this region when it has one.
 func (d *Dispatcher) pickService(service string, excluded map[string]bool) (structs.Server, bool) {
-	var best structs.Server
-	found := false
+	var candidates []structs.Server
 	for _, server := range d.deps.View.Servers() {
 		if server.Kind != structs.KindService || server.Service != service {
 			continue
 		}
-		if server.State == structs.StateLeaving || excluded[server.Name] {
-			continue
-		}
-		near := server.Region == d.deps.Region
-		if !found || (near && best.Region != d.deps.Region) {
-			best = server
-			found = true
+		if server.State != structs.StateLeaving && !excluded[server.Name] {
+			candidates = append(candidates, server)
 		}
 	}
-	return best, found
+	if len(candidates) == 0 {
+		return structs.Server{}, false
+	}
+	return slices.MinFunc(candidates, func(a, b structs.Server) int {
+		return cmp.Or(
+			cmp.Compare(d.distance(a), d.distance(b)),
+			cmp.Compare(d.slots.load(a.Name), d.slots.load(b.Name)),
+			cmp.Compare(xxhash.Sum64String(d.deps.Self+a.Name), xxhash.Sum64String(d.deps.Self+b.Name)),
+		)
+	}), true
+}
+
+// distance is 0 for a server of this region and 1 for any other.
+func (d *Dispatcher) distance(server structs.Server) int {
+	if server.Region == d.deps.Region {
+		return 0
+	}
+	return 1
 }
 
 // slotAt asks the dispatcher of one server for a slot.
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -67,3 +67,18 @@
 		require.NoError(t, err)
 	})
 }
+
+func TestCallsSpreadOverTheServersOfAService(t *testing.T) {
+	far := service("s3", 10)
+	far.Region = "r2"
+	servers := []structs.Server{service("s1", 2), service("s2", 2), far}
+	runFleet(t, dispatch.Config{}, []string{"d1"}, servers, func(t *testing.T, f *fleet) {
+		used := map[string]int{}
+		for range 4 {
+			slot, err := f.daemons["d1"].AcquireSlot(context.Background(), slotRequest(time.Second))
+			require.NoError(t, err)
+			used[slot.Server.Name]++
+		}
+		require.Equal(t, map[string]int{"s1": 2, "s2": 2}, used)
+	})
+}
--- a/internal/dispatch/sweep.go
+++ b/internal/dispatch/sweep.go
@@ -96,6 +96,7 @@
 		return
 	}
 	e.cache.remove(program)
+	d.measures.swept.Inc()
 	d.deps.Log.WithField("program", program).WithField("engine", e.name).Info("released memory of an ended program")
 }
 
