--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -70,6 +70,11 @@
 }
 
 func (f *fleet) start(config dispatch.Config, name string) *daemon {
+	return f.startWith(config, name, func(*daemon) {})
+}
+
+// startWith starts a daemon after prepare was called with it.
+func (f *fleet) startWith(config dispatch.Config, name string, prepare func(d *daemon)) *daemon {
 	ctx, kill := context.WithCancel(context.Background())
 	d := &daemon{name: name, handlers: map[string]peer.Handler{}, fleet: f, ctx: ctx, kill: kill}
 	d.Dispatcher = dispatch.New(config, dispatch.Deps{
@@ -84,6 +89,7 @@
 		Metrics:   metrics.NewSet(),
 		Log:       &log.Logger{Handler: discard.Default, Level: log.FatalLevel},
 	})
+	prepare(d)
 	f.mu.Lock()
 	f.daemons[name] = d
 	f.live = append(f.live, structs.Instance{Name: name, Region: "r1", State: structs.StateLive})
@@ -260,8 +266,16 @@
 	started  int
 	running  int
 	peak     int
+	crashes  int
+	crashed  chan struct{}
 	released []string
-	order    []string
+	orders   backend.OrderState
+	// loseOrders is the number of coming orders whose reply is lost; loseEffect
+	// loses the order itself.
+	loseOrders  int
+	loseEffect  bool
+	ordersTaken int
+	order       []string
 }
 
 // fakeEngines implements dispatch.EngineClient in memory.
@@ -289,7 +303,7 @@
 func (f *fakeEngines) engine(name string) *fakeEngine {
 	e := f.engines[name]
 	if e == nil {
-		e = &fakeEngine{tokens: 3, gap: 10 * time.Millisecond, failAfter: -1, kv: map[string]int{}}
+		e = &fakeEngine{tokens: 3, gap: 10 * time.Millisecond, failAfter: -1, kv: map[string]int{}, crashed: make(chan struct{})}
 		f.engines[name] = e
 	}
 	return e
@@ -312,6 +326,9 @@
 	if script.hang {
 		<-ctx.Done()
 	}
+	if request.Messages[0].Content == poison {
+		f.crash(server.Name)
+	}
 	for i := range script.tokens {
 		if i == script.failAfter {
 			return structs.Generated{}, script.failure
@@ -319,6 +336,8 @@
 		select {
 		case <-ctx.Done():
 			return structs.Generated{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.Canceled, "canceled")
+		case <-script.crashed:
+			return structs.Generated{}, cut()
 		case <-time.After(script.gap):
 		}
 		if err := emit("x"); err != nil {
@@ -332,6 +351,18 @@
 	return structs.Generated{Engine: server.Name, Usage: usage, Finish: "stop"}, nil
 }
 
+// crash ends all requests of an engine, which stays down for a second.
+func (f *fakeEngines) crash(name string) {
+	f.set(name, func(e *fakeEngine) {
+		e.crashes++
+		e.down = true
+		e.kv = map[string]int{}
+		close(e.crashed)
+		e.crashed = make(chan struct{})
+	})
+	time.AfterFunc(time.Second, func() { f.set(name, func(e *fakeEngine) { e.down = false }) })
+}
+
 func (f *fakeEngines) begin(name string, request structs.GenerateRequest) (fakeEngine, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -391,3 +422,32 @@
 func (f *fakeEngines) KVEvents(context.Context, structs.Server, int64) (backend.KVEvents, error) {
 	return backend.KVEvents{}, nil
 }
+
+func (f *fakeEngines) SendOrder(_ context.Context, server structs.Server, order backend.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engine(server.Name)
+	lost := e.loseOrders > 0
+	if lost {
+		e.loseOrders--
+		if e.loseEffect {
+			return cut()
+		}
+	}
+	if server.Fences && order.Fence < e.orders.Fence {
+		return backend.ErrFenced
+	}
+	e.ordersTaken++
+	e.orders.Fence = order.Fence
+	if order.Kind == backend.LoadModel {
+		e.orders.Models = append(e.orders.Models, order.Name)
+	}
+	if lost {
+		return cut()
+	}
+	return nil
+}
+
+func (f *fakeEngines) OrderState(_ context.Context, server structs.Server) (backend.OrderState, error) {
+	return f.get(server.Name).orders, nil
+}
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -150,10 +150,7 @@
 	if !waits && <-w.ready == nil {
 		(&grant{queue: q, item: w.item, need: w.need}).release(0)
 	}
-	if ctx.Err() == context.DeadlineExceeded {
-		return verdict.Refuse(verdict.DeadlinePassed, "no slot before the deadline").After(minRetryAfter)
-	}
-	return verdict.Refuse(verdict.Canceled, "canceled while waiting for a slot")
+	return waitEnded(ctx)
 }
 
 // updateShares takes over an edit of the catalogue. The caller holds mu.
@@ -234,6 +231,13 @@
 	q.fill()
 }
 
+// shrink lowers the window of an engine that was found to be slow.
+func (q *serverQueue) shrink(fraction float64, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window.Shrink(fraction, now)
+}
+
 // forget drops what the window observed too long ago.
 func (q *serverQueue) forget(now time.Time) {
 	q.mu.Lock()
@@ -275,7 +279,7 @@
 		WaitingCost: q.queue.Cost(),
 		Prefilling:  q.window.Prefilling(),
 		PrefillRate: q.window.PrefillRate(),
-		Gap:         q.window.Gap(),
+		Gap:         q.window.Gap(time.Now()),
 		Service:     q.pace.meanService(),
 	}
 	if q.closed != nil {
