--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -218,8 +218,25 @@
 // it cannot be stored: it is true, and the stored intent keeps others from
 // sending again.
 func (h *Home) conclude(ctx context.Context, sh *shard, r structs.CallRequest, reply structs.CallReply) {
+	body := ""
+	if len(reply.Body) > inlineBody {
+		key, err := sh.journal.StoreBody(ctx, reply.Body)
+		if err != nil {
+			h.log.WithField("program", r.Program).WithError(err).Warn("body of a call is not kept")
+		}
+		body = key
+		reply.Body = nil
+	}
 	seq, err := sh.journal.Update(func(s *journal.State) error {
-		s.Programs[r.Program].Orders[r.Key].Outcome = &reply
+		known, ok := s.Programs[r.Program].Orders[r.Key]
+		if !ok {
+			return nil
+		}
+		known.Outcome = &reply
+		known.Body = body
+		if body != "" {
+			s.Segments = append(s.Segments, body)
+		}
 		return nil
 	})
 	if err != nil {
@@ -228,18 +245,36 @@
 	_ = h.durable(ctx, sh, seq)
 }
 
+// inlineBody is the size in bytes up to which the body of an outcome is kept in
+// the shard object.
+const inlineBody = 4 << 10
+
 // storedOrder answers a request whose key is known from the record.
 func (h *Home) storedOrder(ctx context.Context, sh *shard, p *program, r structs.CallRequest, stored *journal.Order) (structs.CallReply, error) {
 	if stored.Outcome != nil {
-		reply := *stored.Outcome
-		reply.Replayed = true
-		reply.Home = h.deps.Self
-		return reply, nil
+		return h.storedOutcome(ctx, sh, r, stored)
 	}
 	unsettled := verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "call %q was sent and its outcome is not known", r.Key)
 	return h.settle(ctx, sh, r, stored.Server, unsettled)
 }
 
+// storedOutcome returns the outcome on record. The call ran, whatever can still
+// be read of it.
+func (h *Home) storedOutcome(ctx context.Context, sh *shard, r structs.CallRequest, stored *journal.Order) (structs.CallReply, error) {
+	reply := *stored.Outcome
+	reply.Replayed = true
+	reply.Home = h.deps.Self
+	if len(reply.Body) > 0 || stored.Body == "" {
+		return reply, nil
+	}
+	body, err := sh.journal.Body(ctx, stored.Body)
+	if err != nil {
+		return structs.CallReply{}, verdict.Wrap(err, verdict.Ran, verdict.PlatformDown, "call ran, and its answer cannot be read now").After(retryLater)
+	}
+	reply.Body = body
+	return reply, nil
+}
+
 // settle asks a service that offers look-ups what became of a call. Without an
 // answer the call stays one that may have run: it is never sent again.
 func (h *Home) settle(ctx context.Context, sh *shard, r structs.CallRequest, server structs.Server, failed error) (structs.CallReply, error) {
--- /dev/null
+++ b/internal/home/resend.go
@@ -0,0 +1,89 @@
+package home
+
+import (
+	"encoding/hex"
+
+	"ibisline/internal/journal"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// resent is history that a caller sends again because the home does not have
+// it: the answers that were given while the platform took no writes and that
+// were lost with their home.
+type resent struct {
+	first  int // number of the first turn
+	turns  []journal.Turn
+	digest string // of the last of them, in hexadecimal, as the caller got it
+}
+
+// splitResent separates resent history from the messages of the turn itself.
+// Each assistant message ends a turn, so there must be one for each turn from
+// ResendFrom to the one before Turn. Without ResendFrom it returns nil.
+func splitResent(r structs.TurnRequest) (*resent, structs.TurnRequest, error) {
+	if r.ResendFrom == 0 {
+		return nil, r, nil
+	}
+	if r.ResendFrom < 0 || r.ResendFrom >= r.Turn || r.Digest == "" {
+		return nil, r, verdict.Refuse(verdict.BadRequest, "resend_from must lie before turn %d and come with a digest", r.Turn)
+	}
+	past := &resent{first: r.ResendFrom, digest: r.Digest}
+	start := 0
+	for i, message := range r.Messages {
+		if message.Role != "assistant" {
+			continue
+		}
+		past.turns = append(past.turns, journal.Turn{
+			Number:   r.ResendFrom + len(past.turns),
+			Messages: r.Messages[start:i],
+			Answer:   message.Content,
+			Pieces:   []int{len(message.Content)},
+		})
+		start = i + 1
+	}
+	if len(past.turns) != r.Turn-r.ResendFrom || start == len(r.Messages) {
+		return nil, r, verdict.Refuse(verdict.BadRequest,
+			"turns %d to %d need an assistant message each, and turn %d new messages", r.ResendFrom, r.Turn-1, r.Turn)
+	}
+	r.Messages = r.Messages[start:]
+	return past, r, nil
+}
+
+// restore appends resent turns to the history if they continue it and end in
+// the digest that the caller got. The caller holds p.mu; no turn is under way.
+func (sh *shard) restore(p *program, past *resent) error {
+	_, err := sh.journal.Update(func(s *journal.State) error {
+		record := s.Programs[p.id]
+		next := record.Turns + 1
+		if past.first > next {
+			return historyGap(next, "turns from %d are missing", next)
+		}
+		missing := past.turns[min(next-past.first, len(past.turns)):]
+		digest := record.Digest
+		for i := range missing {
+			turn := &missing[i]
+			digest = journal.NextDigest(digest, p.id, turn.Number, turn.Messages, turn.Answer)
+			turn.Digest = digest
+		}
+		if hex.EncodeToString(digest) != past.digest {
+			return historyGap(next, "resent history does not match its digest")
+		}
+		for _, turn := range missing {
+			record.AddTurn(turn)
+			record.Context = 0
+		}
+		return nil
+	})
+	p.history, p.loaded = nil, false
+	if err != nil {
+		return refuseUpdate(err, "resent history")
+	}
+	return nil
+}
+
+// historyGap is a refusal that names the turn to resend from.
+func historyGap(from int, format string, args ...any) error {
+	gap := verdict.Refuse(verdict.HistoryGap, format, args...)
+	gap.Turn = from
+	return gap
+}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -26,15 +26,23 @@
 
 // start begins the turn if it is the next one and none is under way. Otherwise
 // it returns a channel that is closed at the next change.
-func (h *Home) start(sh *shard, p *program, r structs.TurnRequest, content []byte) (*answer, <-chan struct{}, error) {
+func (h *Home) start(sh *shard, p *program, r structs.TurnRequest, past *resent, content []byte) (*answer, <-chan struct{}, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.run != nil && !p.run.settled {
 		return nil, p.changed, nil
 	}
+	if past != nil && sh.nextTurn(p.id) < r.Turn {
+		if err := sh.restore(p, past); err != nil {
+			return nil, nil, err
+		}
+	}
 	if sh.nextTurn(p.id) != r.Turn {
 		return nil, p.changed, nil
 	}
+	if err := sh.sameDigest(p.id, r); err != nil {
+		return nil, nil, err
+	}
 	job, err := h.prepare(sh, p, r)
 	if err != nil {
 		return nil, nil, err
@@ -54,6 +62,19 @@
 	return started.answer, nil, nil
 }
 
+// sameDigest refuses a turn whose caller has another history than this home.
+func (sh *shard) sameDigest(id string, r structs.TurnRequest) error {
+	if r.Digest == "" {
+		return nil
+	}
+	var digest []byte
+	sh.journal.View(func(s *journal.State) { digest = s.Programs[id].Digest })
+	if r.Digest == hex.EncodeToString(digest) {
+		return nil
+	}
+	return verdict.Refuse(verdict.TurnConflict, "the digest of the history before turn %d differs", r.Turn)
+}
+
 // job is what a run needs to know of its program.
 type job struct {
 	request  structs.TurnRequest
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -17,11 +17,15 @@
 	if r.Turn < 1 || r.MaxTokens < 0 || len(r.Messages) == 0 {
 		return verdict.Refuse(verdict.BadRequest, "a turn needs a number from 1, messages, and no negative max_tokens")
 	}
+	past, r, err := splitResent(r)
+	if err != nil {
+		return err
+	}
 	sh, p, err := h.enter(ctx, r.Program)
 	if err != nil {
 		return err
 	}
-	a, err := h.admit(ctx, sh, p, r)
+	a, err := h.admit(ctx, sh, p, r, past)
 	if err != nil {
 		return err
 	}
@@ -60,7 +64,7 @@
 
 // admit returns the answer of a turn: a stored one, the one under way, or a new
 // one. A turn that comes early waits a while for the turns before it.
-func (h *Home) admit(ctx context.Context, sh *shard, p *program, r structs.TurnRequest) (*answer, error) {
+func (h *Home) admit(ctx context.Context, sh *shard, p *program, r structs.TurnRequest, past *resent) (*answer, error) {
 	content := journal.TurnContent(r)
 	early := time.NewTimer(h.cfg.EarlyWait)
 	defer early.Stop()
@@ -69,7 +73,7 @@
 		if a != nil || err != nil {
 			return a, err
 		}
-		a, changed, err := h.start(sh, p, r, content)
+		a, changed, err := h.start(sh, p, r, past, content)
 		if a != nil || err != nil {
 			return a, err
 		}
@@ -80,14 +84,18 @@
 		case <-ctx.Done():
 			return nil, verdict.Refuse(verdict.Canceled, "caller left before turn %d started", r.Turn)
 		case <-early.C:
-			return nil, outOfOrder(r.Turn, sh.nextTurn(p.id))
+			return nil, outOfOrder(r, sh.nextTurn(p.id))
 		}
 	}
 }
 
-// outOfOrder is the refusal of a turn whose predecessors are missing.
-func outOfOrder(turn, next int) error {
-	refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d came before turn %d", turn, next)
+// outOfOrder is the refusal of a turn whose predecessors are missing. A caller
+// that has the answer before the turn, as the digest shows, can resend them.
+func outOfOrder(r structs.TurnRequest, next int) error {
+	if r.Digest != "" {
+		return historyGap(next, "turns from %d on are not known here", next)
+	}
+	refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d came before turn %d", r.Turn, next)
 	refusal.Turn = next
 	return refusal
 }
@@ -119,8 +127,9 @@
 }
 
 // sameContent refuses a request that differs from the one known for its turn.
+// Of a resent turn only the messages are known, which its digest covers.
 func sameContent(turn int, known, sent []byte) error {
-	if sent == nil || bytes.Equal(known, sent) {
+	if sent == nil || known == nil || bytes.Equal(known, sent) {
 		return nil
 	}
 	return verdict.Refuse(verdict.TurnConflict, "turn %d was sent with other content", turn)
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -21,6 +21,10 @@
 	Programs map[string][]Turn `msgpack:"p"`
 }
 
+// maxSegment bounds the estimated size of a segment in bytes, below the
+// platform's limit.
+const maxSegment = 900 << 10
+
 // spill moves the recent history into a segment when it has grown large.
 //
 // The segment is written before the shard object that names it, under a key
@@ -40,6 +44,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.state.Segments = append(s.state.Segments, key)
 	for program, turns := range segment.Programs {
 		s.state.move(program, key, turns)
 	}
@@ -50,21 +55,32 @@
 func (s *Shard) tails() (string, *Segment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	total := 0
+	for _, p := range s.state.Programs {
+		total += turnsSize(p.Tail)
+	}
+	if total < s.cfg.TailBytes {
+		return "", nil
+	}
 	segment := &Segment{Programs: map[string][]Turn{}}
 	size := 0
 	for id, p := range s.state.Programs {
-		if len(p.Tail) == 0 {
-			continue
+		for _, turn := range p.Tail {
+			size += turnsSize([]Turn{turn})
+			if size > maxSegment {
+				return s.nextSegment(), segment
+			}
+			segment.Programs[id] = append(segment.Programs[id], turn)
 		}
-		segment.Programs[id] = append([]Turn(nil), p.Tail...)
-		size += turnsSize(p.Tail)
-	}
-	if size < s.cfg.TailBytes {
-		return "", nil
 	}
+	return s.nextSegment(), segment
+}
+
+// nextSegment returns the key of a new segment. No other write ever uses it,
+// because an epoch has one holder. The caller holds mu.
+func (s *Shard) nextSegment() string {
 	s.state.NextSegment++
-	key := fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, s.state.Shard, s.state.Epoch, s.state.NextSegment)
-	return key, segment
+	return fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, s.state.Shard, s.state.Epoch, s.state.NextSegment)
 }
 
 // turnsSize estimates the encoded size of turns in bytes.
@@ -86,11 +102,19 @@
 	if !ok || len(p.Tail) < len(turns) {
 		return
 	}
-	last := turns[len(turns)-1].Number
-	p.Blocks = append(p.Blocks, Block{Segment: key, First: turns[0].Number, Last: last})
+	p.Blocks = append(p.Blocks, newBlock(key, turns))
 	p.Tail = append([]Turn(nil), p.Tail[len(turns):]...)
 }
 
+func newBlock(key string, turns []Turn) Block {
+	return Block{
+		Segment: key,
+		First:   turns[0].Number,
+		Last:    turns[len(turns)-1].Number,
+		Bytes:   turnsSize(turns),
+	}
+}
+
 // create writes a segment object. Its key belongs to this epoch and number, so
 // a conflict means that an earlier try of the same content took effect.
 func (s *Shard) create(ctx context.Context, key string, value []byte) error {
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -90,6 +90,7 @@
 	doubtful  int64 // newest change in a write in doubt, or 0
 	started   time.Time
 	failing   bool
+	size      int // of the last encoded state, with what was reserved since
 	lost      error
 	successor *State
 	progress  chan struct{} // closed at each change of the fields above
@@ -150,6 +151,19 @@
 	return s.seq, nil
 }
 
+// Reserve sets room in the shard object aside for a change that adds about n
+// bytes. It returns ErrFull when share, a part of the platform's limit between
+// 0 and 1, would be exceeded. The next write replaces the estimate.
+func (s *Shard) Reserve(n int, share float64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if float64(s.size+n) > share*platform.MaxValueBytes {
+		return ErrFull
+	}
+	s.size += n
+	return nil
+}
+
 // Committed is the number of the newest durable change.
 func (s *Shard) Committed() int64 {
 	s.mu.Lock()
@@ -335,6 +349,7 @@
 	if err != nil {
 		return nil, attempt{}, err
 	}
+	s.size = len(value)
 	s.writing = s.seq
 	s.started = time.Now()
 	return value, attempt{nonce: s.state.Nonce, seq: s.seq}, nil
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -27,7 +27,9 @@
 	// Nonce is unique to the write that stored this state.
 	Nonce string `msgpack:"n"`
 	// NextSegment numbers the segment objects of this epoch.
-	NextSegment int64               `msgpack:"g"`
+	NextSegment int64 `msgpack:"g"`
+	// Segments are the segment objects of this shard that are not deleted yet.
+	Segments []string            `msgpack:"o,omitempty"`
 	Programs    map[string]*Program `msgpack:"p"`
 }
 
@@ -76,8 +78,9 @@
 	// Epoch is the one under which the intent was written.
 	Epoch   int64              `msgpack:"e"`
 	Outcome *structs.CallReply `msgpack:"o,omitempty"`
-	// BodyLost is set when the outcome's body was too large to be kept.
-	BodyLost bool `msgpack:"b,omitempty"`
+	// Body names the segment object that holds the outcome's body, when it is
+	// too large for the shard object.
+	Body string `msgpack:"b,omitempty"`
 }
 
 // Turn is one finished turn of a program's history.
@@ -101,6 +104,8 @@
 	Segment string `msgpack:"s"`
 	First   int    `msgpack:"f"`
 	Last    int    `msgpack:"l"`
+	// Bytes estimates the size of the turns.
+	Bytes int `msgpack:"b"`
 }
 
 // NewState returns the state of a shard that was never held.
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -59,6 +59,10 @@
 	// Run is the Run of the events that the caller has. When it names another
 	// execution than the one at hand, delivery starts over at event 1.
 	Run string `msgpack:"u,omitempty"`
+	// From, when whole, replaces After: a front then checks that the text before
+	// it is unchanged. A home does not look at it.
+	From      Position `msgpack:"-"`
+	RequestID string   `msgpack:"q"`
 }
 
 // Event is one server-sent event of an answer. Seq counts from 1 without gaps.
