Keep expected HTTP failures of go-zero out of the error log

Cause: httpc logs every non-2xx exchange as an error; a trial of three daemons logged a 404 for each absent shard object. Change: only panics and alerts of go-zero are errors; the rest is debug. Ruled out: switching its log off, which would hide panics.

--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -12,7 +12,7 @@
 
 func TestGoZeroRecordsReachTheOneLog(t *testing.T) {
 	var out bytes.Buffer
-	logger, err := logging.New(&out, "info", "json")
+	logger, err := logging.New(&out, "debug", "json")
 	require.NoError(t, err)
 	logging.CaptureLogx(logger)
 	t.Cleanup(func() { logx.Reset() })
@@ -22,6 +22,19 @@
 	require.Contains(t, out.String(), `"url":"/v1/objects"`)
 }
 
+func TestExpectedFailuresOfExchangesAreNoErrors(t *testing.T) {
+	var out bytes.Buffer
+	logger, err := logging.New(&out, "info", "json")
+	require.NoError(t, err)
+	logging.CaptureLogx(logger)
+	t.Cleanup(func() { logx.Reset() })
+
+	logx.Error("[HTTP] 404")
+	require.Empty(t, out.String())
+	logx.ErrorStack("panic")
+	require.Contains(t, out.String(), "panic")
+}
+
 func TestUnknownLevelIsRefused(t *testing.T) {
 	_, err := logging.New(&bytes.Buffer{}, "loud", "json")
 	require.ErrorContains(t, err, "loud")
