Tell live daemons from dead ones by probes among peers

Cause: the platform's list of instances lags and may be down, and no daemon may write heartbeats to it. Each daemon probes at most eight others, chosen on a ring so that each is also probed by eight and news crosses the fleet in a few steps. A daemon refutes only what it learns from a probe that reached it, so that one which can send but not be reached stays out instead of flapping. The state machine is pure; the service around it follows the platform's lists and registers itself once.

Ruled out: random targets, which need a connection to every daemon.

--- /dev/null
+++ b/internal/member/config.go
@@ -0,0 +1,76 @@
+package member
+
+import (
+	"time"
+
+	"ibisline/internal/member/gossip"
+)
+
+// Config holds the times of the membership. Zero fields take their defaults.
+type Config struct {
+	// HeartbeatInterval is the time between two probes of another daemon.
+	HeartbeatInterval time.Duration
+	// SuspectAfter is the silence after which a daemon is suspected. It is dead
+	// half as long again later.
+	SuspectAfter time.Duration
+	// Fanout is the number of daemons that each daemon probes.
+	Fanout int
+	// RelistInterval is the time after which the platform's lists are read
+	// whole, in case a watch missed a change.
+	RelistInterval time.Duration
+}
+
+const (
+	defaultHeartbeatInterval = 250 * time.Millisecond
+	defaultSuspectAfter      = time.Second
+	defaultFanout            = 8
+	defaultRelistInterval    = 5 * time.Minute
+
+	// reachInterval is the time between two attempts to reach a dead daemon.
+	reachInterval = time.Second
+	// isolationLimit is the time for which a daemon that hears nobody keeps its
+	// view of the others.
+	isolationLimit = 10 * time.Second
+	// forgetAfter is the time for which a dead daemon is remembered.
+	forgetAfter = 10 * time.Minute
+	// syncAfter is the time after which daemons whose digests differ exchange
+	// all that they know.
+	syncAfter = 5 * time.Second
+	// helperCount is the number of daemons asked to reach a silent one.
+	helperCount = 3
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	// platformRetryMin and platformRetryMax bound the wait after a failed call.
+	platformRetryMin = 200 * time.Millisecond
+	platformRetryMax = 5 * time.Second
+)
+
+// withDefaults returns c with its zero fields filled.
+func (c Config) withDefaults() Config {
+	if c.HeartbeatInterval <= 0 {
+		c.HeartbeatInterval = defaultHeartbeatInterval
+	}
+	if c.SuspectAfter <= 0 {
+		c.SuspectAfter = defaultSuspectAfter
+	}
+	if c.Fanout <= 0 {
+		c.Fanout = defaultFanout
+	}
+	if c.RelistInterval <= 0 {
+		c.RelistInterval = defaultRelistInterval
+	}
+	return c
+}
+
+// machine returns the settings of the state machine.
+func (c Config) machine() gossip.Config {
+	return gossip.Config{
+		Interval:       c.HeartbeatInterval,
+		SuspectAfter:   c.SuspectAfter,
+		DeadAfter:      c.SuspectAfter / 2,
+		ReachInterval:  reachInterval,
+		IsolationLimit: max(isolationLimit, 3*c.SuspectAfter),
+		ForgetAfter:    forgetAfter,
+		Fanout:         c.Fanout,
+	}
+}
--- /dev/null
+++ b/internal/member/members_test.go
@@ -0,0 +1,371 @@
+package member_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/member"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+)
+
+// deathLimit is the stated target: a dead daemon is known as such everywhere
+// within this time.
+const deathLimit = 1750 * time.Millisecond
+
+// fleet is a set of daemons on one network and platform.
+type fleet struct {
+	t     *testing.T
+	net   *network
+	store *objects.Store
+	nodes map[string]*node
+}
+
+// node is one daemon.
+type node struct {
+	*member.Members
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// inFleet runs test under virtual time with size daemons that have met.
+func inFleet(t *testing.T, size int, test func(*fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleet{t: t, net: newNetwork(1), store: objects.New(), nodes: map[string]*node{}}
+		for i := range size {
+			f.start(fmt.Sprintf("d%02d", i))
+		}
+		defer f.stopAll()
+		f.await(30*time.Second, func() bool { return f.agreed(f.names()...) })
+		test(f)
+	})
+}
+
+func (f *fleet) start(name string) {
+	host := f.net.host(name)
+	self := structs.Instance{Name: name, Region: "r", DataCentre: "r-a", PeerAddr: name, HTTPAddr: name}
+	logger := &log.Logger{Handler: discard.New()}
+	m := member.New(member.Config{}, self, f.store, host, host, metrics.NewSet(), logger)
+	ctx, stop := context.WithCancel(context.Background())
+	n := &node{Members: m, stop: stop, done: make(chan struct{})}
+	f.nodes[name] = n
+	go func() {
+		defer close(n.done)
+		_ = m.Run(ctx)
+	}()
+}
+
+// kill ends a daemon as kill -9 does.
+func (f *fleet) kill(name string) {
+	f.net.kill(name)
+	f.nodes[name].stop()
+	<-f.nodes[name].done
+	delete(f.nodes, name)
+}
+
+func (f *fleet) stopAll() {
+	for name := range f.nodes {
+		f.net.kill(name)
+		f.nodes[name].stop()
+	}
+	for _, n := range f.nodes {
+		<-n.done
+	}
+	synctest.Wait()
+}
+
+func (f *fleet) names() []string {
+	var names []string
+	for name := range f.nodes {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// sees returns the daemons that a node takes to be live.
+func (f *fleet) sees(name string) []string {
+	var live []string
+	for _, instance := range f.nodes[name].Live() {
+		live = append(live, instance.Name)
+	}
+	return live
+}
+
+// agreed is true when all running nodes see exactly these daemons.
+func (f *fleet) agreed(live ...string) bool {
+	for name := range f.nodes {
+		if !slices.Equal(f.sees(name), live) {
+			return false
+		}
+	}
+	return true
+}
+
+// await advances the virtual time until the condition holds and returns how
+// long that took; it fails after limit.
+func (f *fleet) await(limit time.Duration, condition func() bool) time.Duration {
+	f.t.Helper()
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			views := map[string][]string{}
+			for _, name := range f.names() {
+				view := fmt.Sprint(f.sees(name))
+				views[view] = append(views[view], name)
+			}
+			for view, holders := range views {
+				f.t.Logf("%v see %s", holders, view)
+			}
+			f.t.Fatalf("condition does not hold after %v", limit)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// never checks that the condition does not come to hold for a while.
+func (f *fleet) never(during time.Duration, condition func() bool, message string) {
+	f.t.Helper()
+	for start := time.Now(); time.Since(start) < during; time.Sleep(20 * time.Millisecond) {
+		require.False(f.t, condition(), message)
+	}
+}
+
+func without(names []string, gone ...string) []string {
+	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(gone, name) })
+}
+
+func TestKilledDaemonIsFoundDead(t *testing.T) {
+	for _, size := range []int{2, 3, 9, 50} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inFleet(t, size, func(f *fleet) {
+				all := f.names()
+				f.kill("d01")
+				took := f.await(deathLimit, func() bool { return f.agreed(without(all, "d01")...) })
+				t.Logf("%d daemons: dead everywhere after %v", size, took)
+				f.start("d01")
+				took = f.await(deathLimit, func() bool { return f.agreed(all...) })
+				t.Logf("%d daemons: back everywhere after %v", size, took)
+			})
+		})
+	}
+}
+
+func TestSilentDaemonIsFoundDeadAndRejoins(t *testing.T) {
+	for _, size := range []int{3, 9, 50} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			inFleet(t, size, func(f *fleet) {
+				all := f.names()
+				others := without(all, "d01")
+				dead := func() bool {
+					return !slices.ContainsFunc(others, func(n string) bool { return slices.Contains(f.sees(n), "d01") })
+				}
+				f.net.pause("d01")
+				took := f.await(deathLimit, dead)
+				t.Logf("%d daemons: dead everywhere after %v", size, took)
+				time.Sleep(30 * time.Second)
+				require.True(t, dead(), "a paused daemon came back by itself")
+				f.net.resume("d01")
+				took = f.await(5*time.Second, func() bool { return f.agreed(all...) })
+				t.Logf("%d daemons: back everywhere after %v", size, took)
+			})
+		})
+	}
+}
+
+// TestCutBetweenTwoDaemons: one pair cannot talk in one direction, everybody
+// else reaches both. Nobody may be taken for dead.
+func TestCutBetweenTwoDaemons(t *testing.T) {
+	for _, size := range []int{3, 9} {
+		inFleet(t, size, func(f *fleet) {
+			all := f.names()
+			f.net.cut("d00", "d01")
+			f.never(time.Minute, func() bool { return !f.agreed(all...) }, "a cut of one link changed the view")
+		})
+	}
+}
+
+// TestDaemonThatCannotBeReached can itself reach all others. It must be dead,
+// once, for the others and for itself, until the cut is healed.
+func TestDaemonThatCannotBeReached(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		all := f.names()
+		for _, name := range without(all, "d01") {
+			f.net.cut(name, "d01")
+		}
+		f.await(2*deathLimit, func() bool { return f.agreed(without(all, "d01")...) })
+		f.never(time.Minute, func() bool { return !f.agreed(without(all, "d01")...) }, "the view flaps")
+		for _, name := range all {
+			f.net.heal(name, "d01")
+		}
+		f.await(10*time.Second, func() bool { return f.agreed(all...) })
+	})
+}
+
+// TestIsolatedDaemonKeepsItsView: a daemon that hears nobody is cut off; it does
+// not take all others for dead at once.
+func TestIsolatedDaemonKeepsItsView(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		all := f.names()
+		for _, name := range without(all, "d01") {
+			f.net.cut(name, "d01")
+			f.net.cut("d01", name)
+		}
+		f.never(5*time.Second, func() bool { return len(f.sees("d01")) != len(all) }, "took the others for dead")
+		require.Len(t, f.sees("d00"), len(all)-1)
+		for _, name := range all {
+			f.net.heal(name, "d01")
+			f.net.heal("d01", name)
+		}
+		f.await(10*time.Second, func() bool { return f.agreed(all...) })
+	})
+}
+
+// TestSplitFleetMeetsAgain: both halves take each other for dead, and find each
+// other again although nothing restarts.
+func TestSplitFleetMeetsAgain(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		all := f.names()
+		left, right := all[:4], all[4:]
+		set := func(cut bool) {
+			for _, a := range left {
+				for _, b := range right {
+					f.net.setCut(a, b, cut)
+					f.net.setCut(b, a, cut)
+				}
+			}
+		}
+		set(true)
+		f.await(15*time.Second, func() bool {
+			return slices.Equal(f.sees(left[0]), left) && slices.Equal(f.sees(right[0]), right)
+		})
+		time.Sleep(3 * time.Minute)
+		set(false)
+		f.await(15*time.Second, func() bool { return f.agreed(all...) })
+	})
+}
+
+// TestLateMessagesDoNotKill: one message in twenty comes late, as after a lost packet.
+func TestLateMessagesDoNotKill(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		all := f.names()
+		f.net.mu.Lock()
+		f.net.slow = 0.05
+		f.net.mu.Unlock()
+		f.never(5*time.Minute, func() bool { return !f.agreed(all...) }, "late messages changed the view")
+	})
+}
+
+func TestLeavingDaemonIsKnownAtOnce(t *testing.T) {
+	inFleet(t, 50, func(f *fleet) {
+		all := f.names()
+		f.nodes["d01"].Leave()
+		took := f.await(500*time.Millisecond, func() bool { return f.agreed(without(all, "d01")...) })
+		t.Logf("50 daemons: known everywhere after %v", took)
+		instance, ok := f.nodes["d02"].Lookup("d01")
+		require.True(t, ok, "a leaving daemon must still be found")
+		require.Equal(t, structs.StateLeaving, instance.State)
+		f.kill("d01")
+		_, err := f.store.Get(context.Background(), structs.InstancePrefix+"d01")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		f.start("d01")
+		f.await(deathLimit, func() bool { return f.agreed(all...) })
+	})
+}
+
+// TestPlatformDown: the view goes on from heartbeats, and keeps the servers.
+func TestPlatformDown(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		all := f.names()
+		put(t, f.store, "servers/e1", structs.Server{Name: "e1", Kind: structs.KindEngine})
+		f.await(time.Second, func() bool { return len(f.nodes["d00"].Servers()) == 1 })
+		f.store.SetFaults(objects.Faults{Outage: true})
+		time.Sleep(3 * time.Minute)
+		require.True(t, f.agreed(all...))
+		f.kill("d01")
+		f.await(deathLimit, func() bool { return f.agreed(without(all, "d01")...) })
+		require.Len(t, f.nodes["d00"].Servers(), 1)
+		// A daemon restarted now knows nobody, but the others find it.
+		f.start("d01")
+		f.await(10*time.Second, func() bool { return f.agreed(all...) })
+	})
+}
+
+// put writes an object whatever its version.
+func put(t *testing.T, store *objects.Store, key string, value any) {
+	t.Helper()
+	encoded, err := json.Marshal(value)
+	require.NoError(t, err)
+	current, _ := store.Get(context.Background(), key)
+	_, err = store.Put(context.Background(), key, encoded, current.Version)
+	require.NoError(t, err)
+}
+
+func TestServersFollowThePlatform(t *testing.T) {
+	inFleet(t, 2, func(f *fleet) {
+		names := func() string {
+			var list string
+			for _, s := range f.nodes["d00"].Servers() {
+				list += s.Name + ":" + s.State + " "
+			}
+			return list
+		}
+		put(t, f.store, "servers/b", structs.Server{Name: "b", State: structs.StateLive})
+		put(t, f.store, "servers/a", structs.Server{Name: "a", State: structs.StateLive})
+		put(t, f.store, "servers/x", "not a server")
+		f.await(time.Second, func() bool { return names() == "a:live b:live " })
+
+		put(t, f.store, "servers/a", structs.Server{Name: "a", State: structs.StateLeaving})
+		f.await(time.Second, func() bool { return names() == "a:leaving b:live " })
+
+		// A deletion that no watch can show any more.
+		f.store.SetFaults(objects.Faults{Outage: true})
+		time.Sleep(time.Minute)
+		f.store.SetFaults(objects.Faults{})
+		object, err := f.store.Get(context.Background(), "servers/b")
+		require.NoError(t, err)
+		require.NoError(t, f.store.Delete(context.Background(), "servers/b", object.Version))
+		f.store.Compact()
+		f.await(30*time.Second, func() bool { return names() == "a:leaving " })
+	})
+}
+
+// TestSteadyStateWritesNothing: heartbeats cost the platform no write.
+func TestSteadyStateWritesNothing(t *testing.T) {
+	inFleet(t, 9, func(f *fleet) {
+		before := f.store.Counts()
+		time.Sleep(3 * time.Minute)
+		after := f.store.Counts()
+		require.Equal(t, before.Puts, after.Puts)
+		require.Equal(t, before.Gets, after.Gets)
+		t.Logf("reads in three minutes of 9 daemons: %d watches, %d lists", after.Watches-before.Watches, after.Lists-before.Lists)
+	})
+}
+
+// TestProbesStayBounded: what a daemon sends does not grow with the fleet once
+// each has its full number of targets.
+func TestProbesStayBounded(t *testing.T) {
+	for _, size := range []int{9, 25, 50} {
+		inFleet(t, size, func(f *fleet) {
+			time.Sleep(time.Minute)
+			m0, b0 := f.net.traffic()
+			time.Sleep(time.Minute)
+			m1, b1 := f.net.traffic()
+			perDaemon := float64(m1-m0) / float64(size) / 60
+			t.Logf("%d daemons: %.1f messages/s and %.0f payload bytes/s sent by each", size, perDaemon, float64(b1-b0)/float64(size)/60)
+			require.Less(t, perDaemon, 75.0)
+		})
+	}
+}
--- a/internal/member/owner.go
+++ b/internal/member/owner.go
@@ -16,6 +16,9 @@
 // daemons of a region, or over all live daemons when the region has none or is
 // empty. It returns false when no daemon is live.
 func Owner(v View, region, key string) (structs.Instance, bool) {
+	if prepared, ok := v.(ownerTable); ok {
+		return prepared.Owner(region, key)
+	}
 	live := v.Live()
 	byName := make(map[string]structs.Instance, len(live))
 	names := namesOf(live, region, byName)
@@ -29,6 +32,11 @@
 	return byName[owner], true
 }
 
+// ownerTable is a View that has the rendezvous hash prepared.
+type ownerTable interface {
+	Owner(region, key string) (structs.Instance, bool)
+}
+
 // namesOf collects the names of the instances of a region into byName.
 func namesOf(live []structs.Instance, region string, byName map[string]structs.Instance) []string {
 	var names []string
--- /dev/null
+++ b/internal/member/snapshot.go
@@ -0,0 +1,108 @@
+package member
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"ibisline/internal/member/gossip"
+	"ibisline/internal/structs"
+)
+
+// snapshot is an immutable state of the view.
+type snapshot struct {
+	live    []structs.Instance
+	known   map[string]structs.Instance // live or leaving
+	servers []structs.Server
+	owners  map[string]*rendezvous.Rendezvous // by region, "" for all
+	changed chan struct{}
+}
+
+// newSnapshot copies the state of the machine.
+func newSnapshot(machine *gossip.Machine, servers []structs.Server) *snapshot {
+	s := &snapshot{
+		live:    machine.Live(),
+		known:   map[string]structs.Instance{},
+		servers: servers,
+		changed: make(chan struct{}),
+	}
+	for _, member := range machine.Members() {
+		if member.Status != gossip.Dead {
+			s.known[member.Instance.Name] = member.Instance
+		}
+	}
+	s.owners = ownerTables(s.live)
+	return s
+}
+
+// ownerTables prepares the rendezvous hash of each region and of all regions.
+func ownerTables(live []structs.Instance) map[string]*rendezvous.Rendezvous {
+	names := map[string][]string{}
+	for _, instance := range live {
+		names[""] = append(names[""], instance.Name)
+		names[instance.Region] = append(names[instance.Region], instance.Name)
+	}
+	tables := map[string]*rendezvous.Rendezvous{}
+	for region, members := range names {
+		tables[region] = rendezvous.New(members, xxhash.Sum64String)
+	}
+	return tables
+}
+
+// owner returns the daemon responsible for key; see Owner.
+func (s *snapshot) owner(region, key string) (structs.Instance, bool) {
+	table, ok := s.owners[region]
+	if !ok {
+		table, ok = s.owners[""]
+	}
+	if !ok {
+		return structs.Instance{}, false
+	}
+	return s.known[table.Lookup(key)], true
+}
+
+// Self implements View.
+func (m *Members) Self() structs.Instance { return m.self }
+
+// Live implements View. A daemon that learned that no other can reach it leaves
+// itself out, as the others do.
+func (m *Members) Live() []structs.Instance { return m.snapshot.Load().live }
+
+// Lookup implements View.
+func (m *Members) Lookup(name string) (structs.Instance, bool) {
+	instance, ok := m.snapshot.Load().known[name]
+	return instance, ok
+}
+
+// Servers implements View.
+func (m *Members) Servers() []structs.Server { return m.snapshot.Load().servers }
+
+// Changed implements View.
+func (m *Members) Changed() <-chan struct{} { return m.snapshot.Load().changed }
+
+// Owner returns the daemon responsible for key, like the function Owner, from
+// tables prepared once for each change of the membership.
+func (m *Members) Owner(region, key string) (structs.Instance, bool) {
+	return m.snapshot.Load().owner(region, key)
+}
+
+// State is the dump of the membership.
+type State struct {
+	Self    structs.Instance `json:"self"`
+	Members []gossip.Member  `json:"members"`
+	Targets []string         `json:"targets"`
+	Servers []structs.Server `json:"servers"`
+	Digest  uint64           `json:"digest"`
+}
+
+// Dump returns a State.
+func (m *Members) Dump() any {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return State{
+		Self:    m.self,
+		Members: m.machine.Members(),
+		Targets: m.machine.Targets(),
+		Servers: m.servers,
+		Digest:  m.machine.Digest(),
+	}
+}
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -67,6 +67,8 @@
 	PeerAddr string `json:"peer_addr" msgpack:"p"`
 	HTTPAddr string `json:"http_addr" msgpack:"h"`
 	State    string `json:"state" msgpack:"s"`
+	// Incarnation rises with each start of the daemon.
+	Incarnation uint64 `json:"incarnation,omitempty" msgpack:"i,omitempty"`
 }
 
 // Kinds of backend servers.
