--- a/Makefile
+++ b/Makefile
@@ -5,3 +5,6 @@
 
 test:
 	go test -race ./...
+
+demo: build
+	go run ./test/demo -bin bin
