--- a/internal/home/answer.go
+++ b/internal/home/answer.go
@@ -14,6 +14,7 @@
 	mu      sync.Mutex
 	run     string
 	events  []structs.Event
+	length  int // of the text, in bytes
 	err     error
 	done    bool
 	changed chan struct{}
@@ -23,11 +24,13 @@
 	return &answer{run: run, changed: make(chan struct{})}
 }
 
-// text appends a piece of the answer.
-func (a *answer) text(piece string) {
+// text appends a piece of the answer and returns the length of the whole.
+func (a *answer) text(piece string) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.length += len(piece)
 	a.append(structs.Event{Text: piece})
+	return a.length
 }
 
 // append numbers and stores an event. The caller holds mu.
--- a/internal/home/end.go
+++ b/internal/home/end.go
@@ -86,9 +86,32 @@
 		h.endIdle(sh)
 		h.release(sh)
 		h.purge(sh)
+		h.collect(sh)
 	}
 }
 
+// collectInterval is the time between two looks for unused segments.
+const collectInterval = 10 * time.Second
+
+// collect lets the journal delete unused segments, once in a while.
+func (h *Home) collect(sh *shard) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.collecting || time.Since(sh.collected) < collectInterval {
+		return
+	}
+	sh.collecting = true
+	h.work.Go(func() {
+		if err := sh.journal.Collect(sh.ctx); err != nil {
+			h.log.WithField("shard", string(sh.id)).WithError(err).Debug("segments not collected")
+		}
+		sh.mu.Lock()
+		defer sh.mu.Unlock()
+		sh.collecting = false
+		sh.collected = time.Now()
+	})
+}
+
 // endIdle ends programs that are idle beyond their entry's limit, and those of
 // retired entries that have nothing under way.
 func (h *Home) endIdle(sh *shard) {
--- a/internal/home/open.go
+++ b/internal/home/open.go
@@ -30,6 +30,9 @@
 		return structs.OpenReply{}, err
 	}
 	defer end()
+	if err := sh.journal.Reserve(programBytes, openShare); err != nil {
+		return structs.OpenReply{}, refuseCommit(err, "new program")
+	}
 	seq, err := sh.grantUpdate(r.Program, func(s *journal.State) error { return h.add(s, r, entry) })
 	if err != nil {
 		return structs.OpenReply{}, refuseUpdate(err, "new program")
@@ -40,6 +43,16 @@
 	return structs.OpenReply{Program: r.Program}, nil
 }
 
+// programBytes and orderBytes estimate the records of a program and of a call.
+const (
+	programBytes = 512
+	orderBytes   = 512 + inlineBody
+)
+
+// openShare is the part of a shard object that programs and calls may fill. The
+// rest is for what programs already open have to store.
+const openShare = 0.6
+
 // refuseUpdate keeps the refusal of a change that was not made.
 func refuseUpdate(err error, what string) error {
 	var refusal *verdict.Error
--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -136,6 +136,9 @@
 
 // intend stores the intent of a call.
 func (h *Home) intend(ctx context.Context, sh *shard, r structs.CallRequest, content []byte, server structs.Server) error {
+	if err := sh.journal.Reserve(orderBytes, openShare); err != nil {
+		return refuseCommit(err, "call")
+	}
 	seq, err := sh.journal.Update(func(s *journal.State) error {
 		p := s.Programs[r.Program]
 		if p.Ended {
--- a/internal/home/resend.go
+++ b/internal/home/resend.go
@@ -33,6 +33,9 @@
 		if message.Role != "assistant" {
 			continue
 		}
+		if err := checkSize(r.Messages[start : i+1]); err != nil {
+			return nil, r, err
+		}
 		past.turns = append(past.turns, journal.Turn{
 			Number:   r.ResendFrom + len(past.turns),
 			Messages: r.Messages[start:i],
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -176,7 +176,9 @@
 	defer release()
 	request := h.generateRequest(sh, p.id, j, turns, held)
 	generated, err := h.deps.Router.Generate(ctx, request, func(text string) error {
-		current.answer.text(text)
+		if current.answer.text(text) > maxTurnBytes {
+			return verdict.New(verdict.Ran, verdict.BackendFailed, "answer is longer than %d bytes", maxTurnBytes)
+		}
 		return nil
 	})
 	if err != nil && sh.ctx.Err() != nil && !verdict.Is(err, verdict.NotRun) {
--- a/internal/home/shard.go
+++ b/internal/home/shard.go
@@ -31,6 +31,9 @@
 	// did.
 	wanted time.Time
 	asked  time.Time
+	// collected is when the journal last looked for unused segments.
+	collected  time.Time
+	collecting bool
 }
 
 // program is the part of a program's state that need not last.
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -21,6 +21,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkSize(r.Messages); err != nil {
+		return err
+	}
 	sh, p, err := h.enter(ctx, r.Program)
 	if err != nil {
 		return err
@@ -32,6 +35,22 @@
 	return a.follow(ctx, 0, sink)
 }
 
+// maxTurnBytes bounds the messages of one turn, and its answer, so that a turn
+// fits into one object of the platform.
+const maxTurnBytes = 400 << 10
+
+// checkSize refuses messages of one turn that are too large to be stored.
+func checkSize(messages []structs.Message) error {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(m.Content)
+	}
+	if size > maxTurnBytes {
+		return verdict.Refuse(verdict.BadRequest, "messages have %d bytes, at most %d are allowed", size, maxTurnBytes)
+	}
+	return nil
+}
+
 // Resume implements Service.
 func (h *Home) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
 	sh, p, err := h.enter(ctx, r.Program)
@@ -157,7 +176,8 @@
 	}
 	turns, err := sh.journal.History(ctx, p.id)
 	if errors.Is(err, journal.ErrGap) {
-		h.checks.Check(false, "history", "program %s: %v", p.id, err)
+		h.deps.Metrics.GetOrCreateCounter("ibisline_home_history_gaps_total").Inc()
+		h.log.WithField("program", p.id).WithError(err).Error("stored history is incomplete")
 		gap := verdict.Wrap(err, verdict.NotRun, verdict.HistoryGap, "stored history is incomplete")
 		gap.Turn = 1
 		return nil, gap
--- a/internal/home/world_test.go
+++ b/internal/home/world_test.go
@@ -264,6 +264,7 @@
 	forgets int
 	closing chan struct{} // ends what hold holds
 	lookup  bool
+	body    []byte // of the service's answers, unless nil
 	engine  string
 }
 
@@ -363,6 +364,9 @@
 	b.sent[r.Program+"/"+r.Key]++
 	b.seen[r.RequestID] = true
 	reply := structs.CallReply{Status: 200, Body: []byte("done " + r.Key)}
+	if b.body != nil {
+		reply.Body = b.body
+	}
 	b.settled[r.Program+"/"+r.Key] = reply
 	b.mu.Unlock()
 	if err := b.onSend(r); err != nil {
