Play random schedules of faults over the homes

Change: a schedule kills, pauses, drains and isolates homes, also at a write, a send or a generation, before and after its effect, while the platform is down, slow, loses replies or writes late; callers repeat at other homes, leave and resume, resend history and send calls twice at once. Each engine prompt must equal its caller's own copy of the history. Found by it: a caller whose turn named the digest of a lost answer was told of the gap only after the wait for early turns, past its own patience; it is told at once now. A finished answer no longer counts the platform as down when the process itself was paused. Ruled out: uniform virtual waits of 90 s after each schedule, which cost most of the processor time.

--- /dev/null
+++ b/internal/home/faulty_test.go
@@ -0,0 +1,176 @@
+package home
+
+import (
+	"context"
+	"sync"
+
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// point is a place at which a process may be killed.
+type point int
+
+const (
+	atPut point = iota
+	afterPut
+	atSend
+	afterSend
+	atGenerate
+)
+
+// process stands between a home and everything outside it. A dead process has
+// no effect any more and gets no answers; a paused one has neither until it is
+// resumed.
+type process struct {
+	world *world
+	name  string
+	dead  chan struct{}
+
+	mu      sync.Mutex
+	paused  chan struct{} // closed at resume, or nil
+	armed   map[point]bool
+	stopped bool
+}
+
+func newProcess(w *world, name string) *process {
+	return &process{world: w, name: name, dead: make(chan struct{}), armed: map[point]bool{}}
+}
+
+// kill makes the process dead.
+func (p *process) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.stopped {
+		p.stopped = true
+		close(p.dead)
+	}
+}
+
+func (p *process) pause() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused == nil {
+		p.paused = make(chan struct{})
+	}
+}
+
+func (p *process) resume() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.paused != nil {
+		close(p.paused)
+		p.paused = nil
+	}
+}
+
+func (p *process) arm(at point) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.armed[at] = true
+}
+
+// pass waits while the process is paused, and returns false when it is dead or
+// is killed at this point.
+func (p *process) pass(at point) bool {
+	p.mu.Lock()
+	fire := p.armed[at]
+	delete(p.armed, at)
+	paused := p.paused
+	p.mu.Unlock()
+	if fire {
+		p.kill()
+		p.world.live.remove(p.name)
+	}
+	if paused != nil {
+		select {
+		case <-paused:
+		case <-p.dead:
+		}
+	}
+	select {
+	case <-p.dead:
+		return false
+	default:
+		return true
+	}
+}
+
+// faultyStore is the store as one process sees it.
+type faultyStore struct {
+	platform.Store
+	process *process
+}
+
+// Put implements platform.Store.
+func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	if !s.process.pass(atPut) {
+		return 0, platform.ErrUnknown
+	}
+	version, err := s.Store.Put(ctx, key, value, expected)
+	if !s.process.pass(afterPut) {
+		return 0, platform.ErrUnknown
+	}
+	return version, err
+}
+
+// Get implements platform.Store.
+func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if !s.process.pass(-1) {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	object, err := s.Store.Get(ctx, key)
+	if !s.process.pass(-1) {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	return object, err
+}
+
+// Delete implements platform.Store.
+func (s *faultyStore) Delete(ctx context.Context, key string, expected int64) error {
+	if !s.process.pass(-1) {
+		return platform.ErrUnknown
+	}
+	return s.Store.Delete(ctx, key, expected)
+}
+
+// faultyBackends are the router and the sender as one process sees them.
+type faultyBackends struct {
+	*backends
+	process *process
+}
+
+var errKilled = verdict.New(verdict.MayHaveRun, verdict.PeerLost, "process was killed")
+
+// Generate implements dispatch.Router.
+func (b *faultyBackends) Generate(ctx context.Context, r structs.GenerateRequest, emit func(string) error) (structs.Generated, error) {
+	if !b.process.pass(atGenerate) {
+		return structs.Generated{}, errKilled
+	}
+	g, err := b.backends.Generate(ctx, r, emit)
+	if !b.process.pass(-1) {
+		return structs.Generated{}, errKilled
+	}
+	return g, err
+}
+
+// Send implements dispatch.Sender.
+func (b *faultyBackends) Send(ctx context.Context, server structs.Server, r structs.CallRequest) (structs.CallReply, error) {
+	if !b.process.pass(atSend) {
+		return structs.CallReply{}, errKilled
+	}
+	reply, err := b.backends.Send(ctx, server, r)
+	if !b.process.pass(afterSend) {
+		return structs.CallReply{}, errKilled
+	}
+	return reply, err
+}
+
+// Forget implements dispatch.Router.
+func (b *faultyBackends) Forget(ctx context.Context, engine, program string) error {
+	if !b.process.pass(-1) {
+		return errKilled
+	}
+	return b.backends.Forget(ctx, engine, program)
+}
--- /dev/null
+++ b/internal/home/race_on_test.go
@@ -0,0 +1,7 @@
+//go:build race
+
+package home
+
+// defaultSchedules is lower under the race detector, which makes each schedule
+// several times slower; the full number runs without it.
+const defaultSchedules = 300
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -96,6 +96,11 @@
 		if a != nil || err != nil {
 			return a, err
 		}
+		// A home records a turn before its caller gets the digest, so a caller
+		// with a digest that is not known here has more than this home.
+		if next := sh.nextTurn(p.id); r.Digest != "" && next < r.Turn && past == nil {
+			return nil, outOfOrder(r, next)
+		}
 		select {
 		case <-changed:
 		case <-sh.ctx.Done():
--- a/internal/home/world_test.go
+++ b/internal/home/world_test.go
@@ -13,13 +13,13 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/go-faster/errors"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/invariant"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -28,18 +28,21 @@
 
 // world is a store, an engine, a plain service and a few homes.
 type world struct {
-	store    platform.Store
 	objects  *objects.Store
 	backends *backends
 	entries  *entries
 	live     *liveList
-	homes    map[string]*daemon
 	cfg      Config
+
+	mu    sync.Mutex
+	homes map[string]*daemon
 }
 
 // daemon is one running home.
 type daemon struct {
 	*Home
+	name string
+	view *view
 	stop context.CancelFunc
 	done chan struct{}
 }
@@ -47,7 +50,6 @@
 func newWorld() *world {
 	store := objects.New()
 	return &world{
-		store:    store,
 		objects:  store,
 		backends: newBackends(),
 		entries:  &entries{byName: map[string]structs.Entry{"desk": {Name: "desk", Owner: "weavers", Class: "agent", Share: 1}}},
@@ -59,38 +61,57 @@
 
 // start runs a home and makes it live.
 func (w *world) start(name string) *daemon {
-	return w.startWith(name, w.store)
+	return w.startWith(name, func(*Deps) {})
 }
 
-func (w *world) startWith(name string, store platform.Store) *daemon {
+// startWith is start with other services around the home.
+func (w *world) startWith(name string, change func(*Deps)) *daemon {
 	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
-	h := New(w.cfg, Deps{
+	v := w.live.viewOf(name)
+	deps := Deps{
 		Self:      name,
-		Store:     store,
-		View:      w.live.viewOf(name),
+		Store:     w.objects,
+		View:      v,
 		Catalogue: w.entries,
 		Router:    w.backends,
 		Sender:    w.backends,
 		Dialer:    w,
 		Metrics:   metrics.NewSet(),
 		Log:       logger,
-	})
+	}
+	change(&deps)
+	h := New(w.cfg, deps)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemon{Home: h, stop: cancel, done: make(chan struct{})}
+	d := &daemon{Home: h, name: name, view: v, stop: cancel, done: make(chan struct{})}
 	go func() {
 		defer close(d.done)
 		_ = h.Run(ctx)
 	}()
 	<-h.started
+	w.mu.Lock()
 	w.homes[name] = d
+	w.mu.Unlock()
 	w.live.add(name)
 	return d
 }
 
+// daemon returns a running home, or nil.
+func (w *world) daemon(name string) *daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.homes[name]
+}
+
+func (w *world) dropDaemon(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.homes, name)
+}
+
 // crash ends a home without a hand-over and takes it off the list.
 func (w *world) crash(name string) {
-	d := w.homes[name]
-	delete(w.homes, name)
+	d := w.daemon(name)
+	w.dropDaemon(name)
 	w.live.remove(name)
 	d.stop()
 	<-d.done
@@ -106,8 +127,8 @@
 
 // Open implements peer.Dialer with direct calls of the hand-over.
 func (w *world) Open(ctx context.Context, name, method string) (peer.Stream, error) {
-	d, ok := w.homes[name]
-	if !ok {
+	d := w.daemon(name)
+	if d == nil {
 		return nil, verdict.Refuse(verdict.PeerLost, "%s is not reachable", name)
 	}
 	return &handoverStream{ctx: ctx, home: d.Home}, nil
@@ -146,9 +167,25 @@
 	defer l.mu.Unlock()
 	l.names = append(l.names, name)
 	slices.Sort(l.names)
+	l.names = slices.Compact(l.names)
+	l.leaving = slices.DeleteFunc(l.leaving, func(n string) bool { return n == name })
 	l.wake()
 }
 
+// all returns the names of the live homes.
+func (l *liveList) all() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.names)
+}
+
+// home returns the home of a program's shard.
+func (l *liveList) home(program string) string {
+	id, _ := structs.ShardOf(program)
+	owner, _ := member.Home(l.viewOf(""), id)
+	return owner.Name
+}
+
 func (l *liveList) remove(name string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -190,6 +227,12 @@
 
 func (v *view) Self() structs.Instance { return instance(v.self) }
 
+func (v *view) setAlone(alone bool) {
+	v.own.Lock()
+	defer v.own.Unlock()
+	v.alone = alone
+}
+
 func (v *view) Live() []structs.Instance {
 	v.own.Lock()
 	alone := v.alone
@@ -258,29 +301,40 @@
 	seen    map[string]bool
 	settled map[string]structs.CallReply
 	// before runs before each generation and each send, outside the lock.
-	before  func(what, id string)
-	onSend  func(r structs.CallRequest) error
-	pieces  int
-	forgets int
-	closing chan struct{} // ends what hold holds
-	lookup  bool
-	body    []byte // of the service's answers, unless nil
-	engine  string
+	before func(what, id string)
+	// onSend and onGenerate play failures, before and after the execution.
+	onSend     func(r structs.CallRequest, executed bool) error
+	onGenerate func(r structs.GenerateRequest, begun bool) error
+	// check is given each prompt.
+	check   func(r structs.GenerateRequest, prompt string)
+	callsOf map[string]int // calls by root
+	runs    int
+	// tokenTime is the time between pieces.
+	tokenTime time.Duration
+	pieces    int
+	forgets   int
+	closing   chan struct{} // ends what hold holds
+	lookup    bool
+	body      []byte // of the service's answers, unless nil
+	engine    string
 }
 
 func newBackends() *backends {
 	return &backends{
-		prompts: map[string][]string{},
-		used:    map[string]int{},
-		held:    map[string]bool{},
-		sent:    map[string]int{},
-		seen:    map[string]bool{},
-		settled: map[string]structs.CallReply{},
-		before:  func(string, string) {},
-		onSend:  func(structs.CallRequest) error { return nil },
-		pieces:  3,
-		closing: make(chan struct{}),
-		engine:  "engine-1",
+		prompts:    map[string][]string{},
+		used:       map[string]int{},
+		held:       map[string]bool{},
+		sent:       map[string]int{},
+		seen:       map[string]bool{},
+		settled:    map[string]structs.CallReply{},
+		onGenerate: func(structs.GenerateRequest, bool) error { return nil },
+		before:     func(string, string) {},
+		onSend:     func(structs.CallRequest, bool) error { return nil },
+		check:      func(structs.GenerateRequest, string) {},
+		callsOf:    map[string]int{},
+		pieces:     3,
+		closing:    make(chan struct{}),
+		engine:     "engine-1",
 	}
 }
 
@@ -304,23 +358,47 @@
 
 func turnID(program string, turn int) string { return fmt.Sprintf("%s#%d", program, turn) }
 
-// Generate answers with words derived from the prompt; a token is a byte.
+// writeMessages writes messages as the engine counts them.
+func writeMessages(b *strings.Builder, messages []structs.Message) {
+	for _, m := range messages {
+		b.WriteString(m.Role + ":" + m.Content + "|")
+	}
+}
+
+// wholeText reports whether text is a whole answer of one run of the turn.
+func wholeText(text, program string, turn int) bool {
+	words := strings.Fields(text)
+	for i, word := range words {
+		if word != fmt.Sprintf("%s.%d.%s.%d", program, turn, strings.Split(words[0], ".")[4], i) {
+			return false
+		}
+	}
+	return len(words) > 0
+}
+
+// Generate answers with words that name the program, the turn and the run; a
+// token is a byte.
 func (b *backends) Generate(ctx context.Context, r structs.GenerateRequest, emit func(string) error) (structs.Generated, error) {
+	if err := b.onGenerate(r, false); err != nil {
+		return structs.Generated{}, err
+	}
 	b.mu.Lock()
 	b.seen[r.RequestID] = true
 	b.held[r.Program] = true
+	b.runs++
+	run := b.runs
 	b.mu.Unlock()
 	b.before("generate", turnID(r.Program, r.Turn))
 	var whole strings.Builder
-	for _, m := range r.Messages {
-		whole.WriteString(m.Role + ":" + m.Content + "|")
-	}
+	writeMessages(&whole, r.Messages)
+	b.check(r, whole.String())
 	output := 0
 	for i := range b.pieces {
 		if err := ctx.Err(); err != nil {
 			return structs.Generated{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "generation canceled")
 		}
-		piece := fmt.Sprintf("%d.%d ", r.Turn, i)
+		time.Sleep(b.tokenTime)
+		piece := fmt.Sprintf("%s.%d.%d.%d ", r.Program, r.Turn, run, i)
 		if output+len(piece) > r.MaxTokens {
 			break
 		}
@@ -334,6 +412,12 @@
 	usage := structs.Usage{PromptTokens: whole.Len(), OutputTokens: output}
 	b.prompts[turnID(r.Program, r.Turn)] = append(b.prompts[turnID(r.Program, r.Turn)], whole.String())
 	b.used[r.Root] += usage.Total()
+	b.mu.Unlock()
+	err := b.onGenerate(r, true)
+	b.mu.Lock()
+	if err != nil {
+		return structs.Generated{}, err
+	}
 	return structs.Generated{Engine: b.engine, Usage: usage, Finish: "stop"}, nil
 }
 
@@ -357,11 +441,12 @@
 	if err := ctx.Err(); err != nil {
 		return structs.CallReply{}, verdict.Wrap(err, verdict.NotRun, verdict.Canceled, "not sent")
 	}
-	if err := b.onSend(r); verdict.Is(err, verdict.NotRun) {
+	if err := b.onSend(r, false); err != nil {
 		return structs.CallReply{}, err
 	}
 	b.mu.Lock()
 	b.sent[r.Program+"/"+r.Key]++
+	b.callsOf[strings.TrimSuffix(r.Program, "c")]++
 	b.seen[r.RequestID] = true
 	reply := structs.CallReply{Status: 200, Body: []byte("done " + r.Key)}
 	if b.body != nil {
@@ -369,7 +454,7 @@
 	}
 	b.settled[r.Program+"/"+r.Key] = reply
 	b.mu.Unlock()
-	if err := b.onSend(r); err != nil {
+	if err := b.onSend(r, true); err != nil {
 		return structs.CallReply{}, err
 	}
 	return reply, nil
@@ -421,10 +506,33 @@
 }
 
 // collect gathers the events of an answer.
-type collect struct{ events []structs.Event }
+type collect struct {
+	events []structs.Event
+	// leaveAfter, when positive, is the number of events after which the reader
+	// leaves.
+	leaveAfter int
+}
+
+var errLeft = errors.New("reader left")
 
 func (c *collect) sink(e structs.Event) error {
 	c.events = append(c.events, e)
+	if c.leaveAfter > 0 && len(c.events) == c.leaveAfter {
+		return errLeft
+	}
+	return nil
+}
+
+func (c *collect) done() bool { return len(c.events) > 0 && c.events[len(c.events)-1].Done }
+
+// failure is the error in the last event.
+func (c *collect) failure() error {
+	if c.done() && c.events[len(c.events)-1].Err != nil {
+		return c.events[len(c.events)-1].Err
+	}
+	if !c.done() {
+		return errLeft
+	}
 	return nil
 }
 
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -247,6 +247,14 @@
 	return s.writing > 0 && time.Since(s.started) > s.cfg.SlowAfter
 }
 
+// Failing reports whether the last write failed. Unlike Down it is false while
+// a write is merely slow, as after a pause of this process.
+func (s *Shard) Failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failing
+}
+
 // Lost reports whether the shard is no longer held.
 func (s *Shard) Lost() bool {
 	s.mu.Lock()
