Sharpen the random schedules and mend what they found

Change: tight budgets in half of the schedules, three engines, failing release orders, twin turns, late resumes, longer outages; final events are compared with the shard object, all readers of a turn with each other, and a key that was only ever refused must not be found as an intent. A final event could stand in for the durable one after a single failed write; the failure must now last. Ruled out: counting slow writes as an outage, which a paused process mistakes.

--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -26,8 +26,8 @@
 	QueueFor time.Duration
 	// EarlyWait bounds the wait of a turn for the one before it.
 	EarlyWait time.Duration
-	// OutageGrace is how long a finished answer waits for a platform that takes
-	// no writes before the caller's copy stands in for the durable one.
+	// OutageGrace is how long the platform must have taken no writes before the
+	// caller's copy of a finished answer stands in for the durable one.
 	OutageGrace time.Duration
 	// WithdrawFor bounds the wait for a withdrawal of an intent.
 	WithdrawFor time.Duration
@@ -62,7 +62,7 @@
 const (
 	defaultQueueFor        = time.Minute
 	defaultEarlyWait       = 2 * time.Second
-	defaultOutageGrace     = time.Second
+	defaultOutageGrace     = 2 * time.Second
 	defaultWithdrawFor     = 3 * time.Second
 	defaultIntendFor       = 2 * time.Second
 	defaultCallTimeout     = 30 * time.Second
--- a/internal/home/faulty_test.go
+++ b/internal/home/faulty_test.go
@@ -32,10 +32,11 @@
 	paused  chan struct{} // closed at resume, or nil
 	armed   map[point]bool
 	stopped bool
+	running map[string]int // generations under way by program
 }
 
 func newProcess(w *world, name string) *process {
-	return &process{world: w, name: name, dead: make(chan struct{}), armed: map[point]bool{}}
+	return &process{world: w, name: name, dead: make(chan struct{}), armed: map[point]bool{}, running: map[string]int{}}
 }
 
 // kill makes the process dead.
@@ -71,6 +72,16 @@
 	p.armed[at] = true
 }
 
+// count notes generations under way; a home runs one of a program at a time.
+func (p *process) count(program string, n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[program] += n
+	if p.running[program] > 1 {
+		p.world.violate("order: home %s runs two turns of %s at once", p.name, program)
+	}
+}
+
 // pass waits while the process is paused, and returns false when it is dead or
 // is killed at this point.
 func (p *process) pass(at point) bool {
@@ -148,6 +159,8 @@
 	if !b.process.pass(atGenerate) {
 		return structs.Generated{}, errKilled
 	}
+	b.process.count(r.Program, 1)
+	defer b.process.count(r.Program, -1)
 	g, err := b.backends.Generate(ctx, r, emit)
 	if !b.process.pass(-1) {
 		return structs.Generated{}, errKilled
--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -113,7 +113,7 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		w.cfg.Journal.TailBytes = 1 << 10
 		w.cfg.KeepEnded = time.Minute
-		w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+		w.live.servers = engines
 		d := w.start("a")
 		id := w.open(t, d, "p")
 		for turn := 1; turn <= 20; turn++ {
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -192,7 +192,7 @@
 
 func TestEndReleasesEngineMemoryAfterTheHomeDied(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+		w.live.servers = engines
 		d := w.start("a")
 		id := w.open(t, d, "p")
 		runTurn(t, d, turnRequest(id, 1))
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -385,7 +385,7 @@
 			return nil
 		case errors.Is(err, journal.ErrLost), ctx.Err() != nil:
 			return err
-		case sh.journal.Failing():
+		case sh.journal.FailingFor() >= h.cfg.OutageGrace:
 			return nil
 		}
 	}
--- a/internal/home/sim_test.go
+++ b/internal/home/sim_test.go
@@ -19,6 +19,7 @@
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/journal"
+	"ibisline/internal/peer"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -35,6 +36,7 @@
 func TestPromisesUnderRandomSchedules(t *testing.T) {
 	setFlag(t, "rapid.checks", strconv.Itoa(*schedules))
 	setFlag(t, "rapid.seed", strconv.FormatUint(*seed, 10))
+	setFlag(t, "rapid.nofailfile", "true")
 	total := &tally{}
 	rapid.Check(t, func(rt *rapid.T) {
 		plan := drawSchedule(rt)
@@ -76,6 +78,8 @@
 	outage    bool
 	failures  int
 	sendFault int
+	forgets   int // release orders that are going to fail
+	answers   map[string]string
 }
 
 // callFacts is what callers learned of one key.
@@ -83,16 +87,32 @@
 	attempts int
 	notRun   int
 	ran      int
+	// twins is set when two requests with the key were under way at once.
+	twins bool
 }
 
+// outageStep is the least length of an outage, times up to three.
+const outageStep = 1200 * time.Millisecond
+
 // settleFor is the time in which releases must be confirmed after all faults.
 const settleFor = 10 * time.Second
 
 const (
 	simBudgetTokens = 5000
 	simBudgetCalls  = 6
+	// tightTokens is the least of the budgets that programs use up.
+	tightTokens = 600
 )
 
+// budget is the budget of each program in tokens. Half of the schedules have
+// one that is used up.
+func (p schedule) budget() int {
+	if p.seed%2 == 0 {
+		return simBudgetTokens
+	}
+	return tightTokens + int(uint64(p.seed)%8)*200
+}
+
 func runSchedule(plan schedule, total *tally) string {
 	w := newWorld()
 	w.cfg.CommitInterval = 10 * time.Millisecond
@@ -101,8 +121,8 @@
 	w.cfg.GrantCalls = 1
 	w.cfg.Journal.TailBytes = 600
 	w.cfg.Journal.MaxBlocks = 2
-	w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", Share: 1, BudgetTokens: simBudgetTokens, BudgetCalls: simBudgetCalls})
-	w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+	w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", Share: 1, BudgetTokens: plan.budget(), BudgetCalls: simBudgetCalls})
+	w.live.servers = engines
 	s := &sim{
 		world:     w,
 		plan:      plan,
@@ -112,12 +132,16 @@
 		calls:     map[string]*callFacts{},
 		ended:     map[string]time.Time{},
 		generated: map[string]time.Time{},
+		answers:   map[string]string{},
 	}
 	w.backends.lookup = plan.seed%3 == 0
 	w.backends.tokenTime = time.Duration(uint64(plan.seed)%4) * 20 * time.Millisecond
 	w.backends.check = s.checkPrompt
 	w.backends.onSend = s.faultSend
+	w.backends.onForget = s.faultForget
+	w.backends.pickEngine = true
 	w.backends.onGenerate = s.faultGenerate
+	w.violate = s.violate
 	for _, name := range homeNames[:2] {
 		s.launch(name)
 	}
@@ -157,6 +181,19 @@
 	}
 }
 
+// Open implements peer.Dialer: the dead do not answer, and the paused not yet.
+func (s *sim) Open(ctx context.Context, name, method string) (peer.Stream, error) {
+	p := s.process(name)
+	if p == nil || p.isDead() {
+		return nil, verdict.Refuse(verdict.PeerLost, "%s is not reachable", name)
+	}
+	if p.isPaused() {
+		<-ctx.Done()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.PeerLost, "%s does not answer", name)
+	}
+	return s.world.Open(ctx, name, method)
+}
+
 // launch starts a process of the given name unless one runs.
 func (s *sim) launch(name string) {
 	s.mu.Lock()
@@ -173,6 +210,7 @@
 		d.Store = &faultyStore{Store: s.objects, process: p}
 		d.Router = &faultyBackends{backends: s.backends, process: p}
 		d.Sender = d.Router.(*faultyBackends)
+		d.Dialer = s
 	})
 }
 
@@ -233,6 +271,8 @@
 		p.arm(point(o.kind - opCrashAtPut))
 	case opFailGenerate:
 		s.setFaults(func() { s.failures = o.n })
+	case opFailForget:
+		s.setFaults(func() { s.forgets = 3 * o.n })
 	case opFailSend:
 		s.setFaults(func() { s.sendFault = o.n })
 	default:
@@ -253,9 +293,14 @@
 	case opOutage:
 		f.Outage = true
 		s.setFaults(func() { s.outage = true })
+		s.objects.SetFaults(f)
+		time.Sleep(time.Duration(o.n) * outageStep)
 	case opSlow:
-		f.Slow = time.Duration(o.n) * 300 * time.Millisecond
-		s.setFaults(func() { s.outage = true })
+		f.Slow = time.Duration(o.n) * 200 * time.Millisecond
+		if o.n > 1 {
+			// Together with lost replies this lasts as long as an outage.
+			s.setFaults(func() { s.outage = true })
+		}
 	case opLoseReplies:
 		f.LoseReplies = o.n
 	case opLateWrites:
@@ -371,6 +416,46 @@
 	return nil
 }
 
+// faultForget plays failures of release orders.
+func (s *sim) faultForget() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.forgets == 0 {
+		return nil
+	}
+	s.forgets--
+	return verdict.New(verdict.MayHaveRun, verdict.BackendTimeout, "no answer to the release order")
+}
+
+// checkDurable checks that the turn of a final event is in the shard object. An
+// outage is the only excuse.
+func (s *sim) checkDurable(program string, turn int) {
+	head, err := journal.Read(context.Background(), s.objects, structs.ShardID(testRegion+".0"))
+	s.mu.Lock()
+	outage := s.outage
+	s.mu.Unlock()
+	if outage || err != nil {
+		return
+	}
+	if p := head.State.Programs[program]; p == nil || p.Turns < turn {
+		s.violate("history: %s turn %d got its final event before it was stored", program, turn)
+	}
+}
+
+// checkAnswer checks that all readers of a turn get the same answer. Two can
+// exist only when the first was given during an outage and the turn was sent
+// again before the first was stored or resent.
+func (s *sim) checkAnswer(program string, turn int, text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := turnID(program, turn)
+	former, ok := s.answers[id]
+	s.answers[id] = text
+	if ok && former != text && !s.outage && s.violation == "" {
+		s.violation = fmt.Sprintf("whole answers: %s was answered %q and %q", id, former, text)
+	}
+}
+
 // checkEnd checks what must hold over the whole run.
 func (s *sim) checkEnd() {
 	b := s.backends
@@ -396,8 +481,8 @@
 		}
 	}
 	for root, used := range b.used {
-		if used > simBudgetTokens {
-			s.violate("budget: program %s used %d of %d tokens", root, used, simBudgetTokens)
+		if used > s.plan.budget() {
+			s.violate("budget: program %s used %d of %d tokens", root, used, s.plan.budget())
 		}
 	}
 	for root, n := range b.callsOf {
@@ -405,10 +490,11 @@
 			s.violate("budget: program %s made %d of %d calls", root, n, simBudgetCalls)
 		}
 	}
-	for program := range b.held {
+	for held := range b.held {
+		_, program, _ := strings.Cut(held, "/")
 		acknowledged, ended := s.ended[program]
 		if ended && s.generated[program].Before(acknowledged) {
-			s.violate("engine memory: program %s ended and its memory is still held", program)
+			s.violate("engine memory: program %s ended and its memory is still held: %s", program, held)
 		}
 	}
 }
@@ -575,7 +661,7 @@
 			return
 		case verdict.HasReason(err, verdict.HistoryGap):
 			resendFrom = verdict.From(err).Turn
-			c.sim.setFaults(func() { c.sim.total.Gaps++ })
+			c.sim.noteGap(c.id, turn)
 		case verdict.HasReason(err, verdict.BudgetSpent), verdict.HasReason(err, verdict.ProgramEnded):
 			c.over = true
 			return
@@ -591,12 +677,57 @@
 	c.sim.violate("program %s turn %d never ended: %v", c.id, turn, last)
 }
 
+// noteGap checks that history is missing only after an outage.
+func (s *sim) noteGap(program string, turn int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.total.Gaps++
+	if !s.outage && s.violation == "" {
+		s.violation = fmt.Sprintf("history: %s turn %d met a gap without an outage", program, turn)
+	}
+}
+
+// twin sends the same turn once more at the same time.
+func (c *caller) twin(r structs.TurnRequest) {
+	other := newCaller(c.sim, c.id, c.parent, c.rng.Int64())
+	go func() {
+		got, err := other.askOnce(r, -1)
+		if err == nil {
+			other.checkWhole(r.Turn, got)
+		}
+	}()
+}
+
 // ask sends a turn, leaves its answer early now and then, and resumes it.
 func (c *caller) ask(r structs.TurnRequest) (*collect, error) {
+	if c.rng.IntN(5) == 0 {
+		c.twin(r)
+	}
 	leaveAfter := -1
-	if c.rng.IntN(4) == 0 {
-		leaveAfter = c.rng.IntN(3)
+	if c.rng.IntN(3) == 0 {
+		leaveAfter = 1 + c.rng.IntN(2)
 	}
+	got, err := c.askOnce(r, leaveAfter)
+	for range 4 {
+		if got == nil || len(got.events) == 0 || got.done() {
+			break
+		}
+		// The reader left; the answer is resumed some time later.
+		time.Sleep(time.Duration(c.rng.IntN(800)) * time.Millisecond)
+		var rest *collect
+		rest, err = c.resume(r, got)
+		if rest != nil {
+			got = rest
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return got, got.failure()
+}
+
+// askOnce sends a turn to some home.
+func (c *caller) askOnce(r structs.TurnRequest, leaveAfter int) (*collect, error) {
 	var arrived atomic.Pointer[collect]
 	err := c.attempt(func(ctx context.Context, d *daemon, id string) error {
 		r := r
@@ -607,8 +738,8 @@
 		return err
 	})
 	got := arrived.Load()
-	if got != nil && leaveAfter >= 0 && len(got.events) > 0 && !got.done() {
-		return c.resume(r, got)
+	if got != nil && len(got.events) > 0 && !got.done() {
+		return got, err
 	}
 	if err != nil {
 		return nil, err
@@ -616,7 +747,7 @@
 	return got, got.failure()
 }
 
-// resume gets the rest of an answer, from any home.
+// resume gets the rest of an answer, from any home, and returns what there is.
 func (c *caller) resume(r structs.TurnRequest, got *collect) (*collect, error) {
 	var arrived atomic.Pointer[collect]
 	err := c.attempt(func(ctx context.Context, d *daemon, _ string) error {
@@ -636,19 +767,28 @@
 	return whole, whole.failure()
 }
 
-// accept checks a finished answer and appends it to the history.
-func (c *caller) accept(turn int, got *collect) {
+// checkWhole checks the events of a finished answer and returns its text.
+func (c *caller) checkWhole(turn int, got *collect) string {
 	for i, e := range got.events {
 		last := i == len(got.events)-1
 		if e.Seq != i+1 || e.Run != got.events[0].Run || e.Done != last {
 			c.sim.violate("whole answers: %s turn %d event %d is %+v of %d", c.id, turn, i, e, len(got.events))
-			return
+			return ""
 		}
 	}
 	text := got.text()
-	if !wholeText(text, c.id, turn) {
+	cut := text == "" && c.sim.plan.budget() < simBudgetTokens
+	if !cut && !wholeText(text, c.id, turn) {
 		c.sim.violate("whole answers: %s turn %d is %q", c.id, turn, text)
 	}
+	c.sim.checkAnswer(c.id, turn, text)
+	c.sim.checkDurable(c.id, turn)
+	return text
+}
+
+// accept checks a finished answer and appends it to the history.
+func (c *caller) accept(turn int, got *collect) {
+	text := c.checkWhole(turn, got)
 	var former []byte
 	if len(c.history) > 0 {
 		former = c.history[len(c.history)-1].Digest
@@ -701,6 +841,9 @@
 	twins := 1
 	if c.rng.IntN(4) == 0 {
 		twins = 2
+		c.sim.mu.Lock()
+		c.sim.facts(c.id + "/" + key).twins = true
+		c.sim.mu.Unlock()
 	}
 	var both sync.WaitGroup
 	for range twins {
@@ -741,12 +884,9 @@
 func (c *caller) noteCall(key string, err error) {
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
-	facts := c.sim.calls[c.id+"/"+key]
-	if facts == nil {
-		facts = &callFacts{}
-		c.sim.calls[c.id+"/"+key] = facts
-	}
+	facts := c.sim.facts(c.id + "/" + key)
 	c.sim.total.Calls++
+	c.sim.checkWithdrawn(c.id+"/"+key, facts, err)
 	facts.attempts++
 	switch {
 	case err == nil:
@@ -756,6 +896,28 @@
 	}
 }
 
+// facts returns what is known of a key. The caller holds mu.
+func (s *sim) facts(key string) *callFacts {
+	known := s.calls[key]
+	if known == nil {
+		known = &callFacts{}
+		s.calls[key] = known
+	}
+	return known
+}
+
+// checkWithdrawn checks that a key whose requests were all answered not_run is
+// not found as an intent. The caller holds mu.
+func (s *sim) checkWithdrawn(key string, facts *callFacts, err error) {
+	stored := verdict.Is(err, verdict.MayHaveRun) && strings.Contains(err.Error(), "was sent and its outcome is not known")
+	if !stored || facts.twins || facts.attempts == 0 || facts.attempts != facts.notRun {
+		return
+	}
+	if s.violation == "" {
+		s.violation = fmt.Sprintf("true refusal: call %s was only ever refused and reads may_have_run", key)
+	}
+}
+
 // end ends the program and notes when that was acknowledged.
 func (c *caller) end() {
 	for range patience {
--- a/internal/home/world_test.go
+++ b/internal/home/world_test.go
@@ -28,6 +28,8 @@
 
 // world is a store, an engine, a plain service and a few homes.
 type world struct {
+	// violate is told of broken promises.
+	violate  func(format string, args ...any)
 	objects  *objects.Store
 	backends *backends
 	entries  *entries
@@ -50,6 +52,7 @@
 func newWorld() *world {
 	store := objects.New()
 	return &world{
+		violate:  func(format string, args ...any) { panic(fmt.Sprintf(format, args...)) },
 		objects:  store,
 		backends: newBackends(),
 		entries:  &entries{byName: map[string]structs.Entry{"desk": {Name: "desk", Owner: "weavers", Class: "agent", Share: 1}}},
@@ -306,9 +309,13 @@
 	onSend     func(r structs.CallRequest, executed bool) error
 	onGenerate func(r structs.GenerateRequest, begun bool) error
 	// check is given each prompt.
-	check   func(r structs.GenerateRequest, prompt string)
-	callsOf map[string]int // calls by root
-	runs    int
+	check func(r structs.GenerateRequest, prompt string)
+	// onForget plays failures of release orders.
+	onForget func() error
+	// pickEngine spreads runs over the engines.
+	pickEngine bool
+	callsOf    map[string]int // calls by root
+	runs       int
 	// tokenTime is the time between pieces.
 	tokenTime time.Duration
 	pieces    int
@@ -316,7 +323,6 @@
 	closing   chan struct{} // ends what hold holds
 	lookup    bool
 	body      []byte // of the service's answers, unless nil
-	engine    string
 }
 
 func newBackends() *backends {
@@ -330,11 +336,11 @@
 		onGenerate: func(structs.GenerateRequest, bool) error { return nil },
 		before:     func(string, string) {},
 		onSend:     func(structs.CallRequest, bool) error { return nil },
+		onForget:   func() error { return nil },
 		check:      func(structs.GenerateRequest, string) {},
 		callsOf:    map[string]int{},
 		pieces:     3,
 		closing:    make(chan struct{}),
-		engine:     "engine-1",
 	}
 }
 
@@ -356,6 +362,13 @@
 	return reached
 }
 
+// engines are the engines of the tests.
+var engines = []structs.Server{
+	{Name: "engine-1", Kind: structs.KindEngine},
+	{Name: "engine-2", Kind: structs.KindEngine},
+	{Name: "engine-3", Kind: structs.KindEngine},
+}
+
 func turnID(program string, turn int) string { return fmt.Sprintf("%s#%d", program, turn) }
 
 // writeMessages writes messages as the engine counts them.
@@ -384,9 +397,13 @@
 	}
 	b.mu.Lock()
 	b.seen[r.RequestID] = true
-	b.held[r.Program] = true
 	b.runs++
 	run := b.runs
+	engine := engines[0].Name
+	if b.pickEngine {
+		engine = engines[run%len(engines)].Name
+	}
+	b.held[engine+"/"+r.Program] = true
 	b.mu.Unlock()
 	b.before("generate", turnID(r.Program, r.Turn))
 	var whole strings.Builder
@@ -418,7 +435,7 @@
 	if err != nil {
 		return structs.Generated{}, err
 	}
-	return structs.Generated{Engine: b.engine, Usage: usage, Finish: "stop"}, nil
+	return structs.Generated{Engine: engine, Usage: usage, Finish: "stop"}, nil
 }
 
 func (b *backends) AcquireSlot(_ context.Context, r structs.SlotRequest) (structs.Slot, error) {
@@ -427,12 +444,15 @@
 
 func (b *backends) ReleaseSlot(structs.Slot) {}
 
-func (b *backends) Forget(_ context.Context, _, program string) error {
+func (b *backends) Forget(_ context.Context, engine, program string) error {
 	b.before("forget", program)
+	if err := b.onForget(); err != nil {
+		return err
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.forgets++
-	delete(b.held, program)
+	delete(b.held, engine+"/"+program)
 	return nil
 }
 
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -90,10 +90,12 @@
 	doubtful  int64 // newest change in a write in doubt, or 0
 	started   time.Time
 	failing   bool
-	size      int // of the last encoded state, with what was reserved since
-	lost      error
-	successor *State
-	progress  chan struct{} // closed at each change of the fields above
+	// failingSince is the time of the first failed write after the last good one.
+	failingSince time.Time
+	size         int // of the last encoded state, with what was reserved since
+	lost         error
+	successor    *State
+	progress     chan struct{} // closed at each change of the fields above
 }
 
 func newShard(store platform.Store, state *State, w *writer, cfg Config) *Shard {
@@ -247,12 +249,25 @@
 	return s.writing > 0 && time.Since(s.started) > s.cfg.SlowAfter
 }
 
-// Failing reports whether the last write failed. Unlike Down it is false while
-// a write is merely slow, as after a pause of this process.
-func (s *Shard) Failing() bool {
+// FailingFor returns for how long all writes have failed. Unlike Down it does
+// not count a write that is merely slow, as after a pause of this process.
+func (s *Shard) FailingFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failing
+	if !s.failing {
+		return 0
+	}
+	return time.Since(s.failingSince)
+}
+
+// Confirm returns nil once a write shows that the shard is still held. Errors
+// are those of Try.
+func (s *Shard) Confirm(ctx context.Context) error {
+	seq, err := s.Update(func(*State) error { return nil })
+	if err != nil {
+		return err
+	}
+	return s.Try(ctx, seq)
 }
 
 // Lost reports whether the shard is no longer held.
@@ -369,7 +384,7 @@
 	defer s.mu.Unlock()
 	s.writing = 0
 	s.doubtful = s.writer.exposed()
-	s.failing = err != nil
+	s.note(err != nil)
 	if err == nil {
 		s.committed = landed.seq
 	}
@@ -383,6 +398,14 @@
 func (s *Shard) fail() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failing = true
+	s.note(true)
 	s.wake()
 }
+
+// note remembers since when writes have failed. The caller holds mu.
+func (s *Shard) note(failing bool) {
+	if failing && !s.failing {
+		s.failingSince = time.Now()
+	}
+	s.failing = failing
+}
