Let prompts being computed not shrink the window

Prompts delay the tokens of all streams, so the window shrank without end and cost throughput. Ruled out: a low quantile of the gaps, which coalesced reads pull to zero. Change: the limit follows only gaps beside no prompt; stragglers are judged by the same; placement keeps the gap over all tokens. An eviction reported for a prefix that was used within two seconds is taken as older than the use.

--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -13,6 +13,9 @@
 	maxCachedPrograms = 20_000
 	// cacheAgeWeight is the weight of one eviction in the mean age.
 	cacheAgeWeight = 0.2
+	// eventLag is how late a cache event may be. A prefix that was used since is
+	// taken to have been stored again after the eviction.
+	eventLag = 2 * time.Second
 )
 
 // cacheMap is what is believed of one engine's prefix cache: from the streams
@@ -92,20 +95,18 @@
 	return c.next
 }
 
-// apply takes over cache events. An eviction that was reported late may be
-// older than a request that stored the prefix again; it costs a wrong guess.
+// apply takes over cache events.
 func (c *cacheMap) apply(events backend.KVEvents, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = events.Next
 	for _, event := range events.Events {
-		if event.Kind != backend.KVEvicted {
+		prefix, ok := c.programs.get(event.Program)
+		if !ok || event.Kind != backend.KVEvicted || now.Sub(prefix.used) < eventLag {
 			continue
 		}
-		if prefix, ok := c.programs.get(event.Program); ok {
-			c.observeAge(now.Sub(prefix.used))
-			c.programs.remove(event.Program)
-		}
+		c.observeAge(now.Sub(prefix.used))
+		c.programs.remove(event.Program)
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -239,6 +239,7 @@
 		Waiting:     state.Waiting,
 		WaitingCost: state.WaitingCost,
 		Gap:         state.Gap,
+		DecodeGap:   state.DecodeGap,
 		Service:     state.Service,
 		Prefilling:  state.Prefilling,
 		PrefillRate: state.PrefillRate,
@@ -284,7 +285,7 @@
 // judge compares the engine with the gaps of its peers. The window of one that
 // turns out slow shrinks at once.
 func (e *engine) judge(peers []time.Duration, target time.Duration) {
-	gap := e.queue.state().Gap
+	gap := e.queue.state().DecodeGap
 	e.mu.Lock()
 	before := e.slow.Slow()
 	slow := e.slow.Judge(gap, peers, target)
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -51,7 +51,7 @@
 	var peers []time.Duration
 	for _, other := range d.deps.View.Servers() {
 		if other.Name != server.Name && sharesModel(other, server) {
-			peers = append(peers, d.board.get(other.Name).Gap)
+			peers = append(peers, d.board.get(other.Name).DecodeGap)
 		}
 	}
 	e.judge(peers, d.config.TokenGapTarget)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -78,6 +78,8 @@
 	WaitingCost float64 `msgpack:"c" json:"waiting_cost"`
 	// Gap is the mean time between the tokens of one stream.
 	Gap time.Duration `msgpack:"g" json:"gap_ns"`
+	// DecodeGap is the same beside no prompt that is being computed.
+	DecodeGap time.Duration `msgpack:"b" json:"decode_gap_ns"`
 	// Service is the mean time that a request is under way.
 	Service time.Duration `msgpack:"t" json:"service_ns"`
 	// Prefilling is the number of admitted prompt tokens still to be computed.
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -265,6 +265,7 @@
 	Prefilling  int           `json:"prefilling"`
 	PrefillRate float64       `json:"prefill_rate"`
 	Gap         time.Duration `json:"gap_ns"`
+	DecodeGap   time.Duration `json:"decode_gap_ns"`
 	Service     time.Duration `json:"service_ns"`
 	Closed      string        `json:"closed,omitempty"`
 }
@@ -280,6 +281,7 @@
 		Prefilling:  q.window.Prefilling(),
 		PrefillRate: q.window.PrefillRate(),
 		Gap:         q.window.Gap(time.Now()),
+		DecodeGap:   q.window.DecodeGap(time.Now()),
 		Service:     q.pace.meanService(),
 	}
 	if q.closed != nil {
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -63,13 +63,16 @@
 // Window is the state of one engine's admission. It is not safe for concurrent
 // use.
 type Window struct {
-	config      Config
-	limit       float64
-	running     int
-	kv          int
-	prefilling  int
-	streaming   int
+	config     Config
+	limit      float64
+	running    int
+	kv         int
+	prefilling int
+	streaming  int
+	// gap is the mean over all tokens, decodeGap the mean over those that came
+	// while no admitted prompt was being computed.
 	gap         float64
+	decodeGap   float64
 	samples     int
 	prefillRate float64
 	lastToken   time.Time
@@ -165,17 +168,26 @@
 }
 
 // Token records the time between two tokens of a stream and adapts the limit.
+// The limit follows the gaps beside no prompt only: a prompt that is computed
+// delays the tokens of all streams whatever their number, so that a smaller
+// limit would cost throughput and not help.
 func (w *Window) Token(gap time.Duration, now time.Time) {
 	w.lastToken = now
 	need := streamSamples * max(w.running, 1)
-	weight := 1 / float64(min(w.samples+1, need))
-	w.gap += weight * (float64(gap) - w.gap)
+	if w.gap == 0 {
+		w.gap = float64(gap)
+	}
+	w.gap += (float64(gap) - w.gap) / float64(need)
+	if w.prefilling > 0 {
+		return
+	}
+	w.decodeGap += (float64(gap) - w.decodeGap) / float64(min(w.samples+1, need))
 	w.samples++
 	if w.config.Fixed || w.config.GapTarget == 0 || w.samples < need {
 		return
 	}
-	if w.gap > shrinkAt*float64(w.config.GapTarget) {
-		w.shrinkTo(float64(w.config.GapTarget)/w.gap, now)
+	if w.decodeGap > shrinkAt*float64(w.config.GapTarget) {
+		w.shrinkTo(float64(w.config.GapTarget)/w.decodeGap, now)
 	}
 }
 
@@ -200,17 +212,27 @@
 func (w *Window) Forget(now time.Time) {
 	if w.streaming == 0 && now.Sub(w.lastToken) >= staleAfter {
 		w.gap = 0
+		w.decodeGap = 0
 		w.samples = 0
 	}
 }
 
+// DecodeGap is the mean time between tokens beside no prompt, 0 while unknown.
+// Like Gap it grows while open streams get nothing.
+func (w *Window) DecodeGap(now time.Time) time.Duration {
+	if w.streaming == 0 || w.prefilling > 0 {
+		return time.Duration(w.decodeGap)
+	}
+	return max(time.Duration(w.decodeGap), now.Sub(w.lastToken))
+}
+
 // Wanted tells that requests wait although the limit is used up; it grows by a
 // small step when the gap allows.
 func (w *Window) Wanted(now time.Time) {
 	if w.config.Fixed || w.running < w.Limit() || w.Limit() >= w.config.MaxLimit {
 		return
 	}
-	if w.samples > 0 && w.gap > growAt*float64(w.config.GapTarget) {
+	if w.samples > 0 && w.decodeGap > growAt*float64(w.config.GapTarget) {
 		return
 	}
 	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
--- a/internal/policy/window/window_test.go
+++ b/internal/policy/window/window_test.go
@@ -116,3 +116,18 @@
 	w.End(window.Need{}, true)
 	require.Zero(t, w.Gap(now.Add(time.Minute)))
 }
+
+func TestPromptsBeingComputedDoNotShrinkTheLimit(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(0, 0)
+	for range 10 {
+		w.Begin(window.Need{})
+		w.FirstToken(window.Need{}, now)
+	}
+	w.Begin(window.Need{PrefillTokens: 5_000})
+	for range 1_000 {
+		w.Token(90*ms, now)
+	}
+	require.Equal(t, 16, w.Limit())
+	require.Equal(t, 90*ms, w.Gap(now).Round(ms))
+}
