Place by a slower mean of the gaps between tokens

Cause: placement took the mean over four tokens of each stream, about a tenth of a second, for the pace of an answer that takes seconds, and left caches for it. Ruled out: a coarser rounding of estimates, which hides real differences too. Change: the mean for placement runs over 64 tokens of each stream; the quick one stays for the window and for stragglers.

--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -28,6 +28,9 @@
 	// streamSamples is the number of tokens of each stream after which a mean
 	// gap is acted on.
 	streamSamples = 4
+	// paceSamples is the number of tokens of each stream over which the mean of
+	// all gaps is taken.
+	paceSamples = 64
 	// shrinkAt and growAt are fractions of GapTarget.
 	shrinkAt = 1.05
 	growAt   = 0.9
@@ -69,8 +72,8 @@
 	kv         int
 	prefilling int
 	streaming  int
-	// gap is the mean over all tokens, decodeGap the mean over those that came
-	// while no admitted prompt was being computed.
+	// gap is the mean over all tokens of the last seconds, decodeGap a quicker
+	// mean over those that came while no admitted prompt was being computed.
 	gap         float64
 	decodeGap   float64
 	samples     int
@@ -177,7 +180,7 @@
 	if w.gap == 0 {
 		w.gap = float64(gap)
 	}
-	w.gap += (float64(gap) - w.gap) / float64(need)
+	w.gap += (float64(gap) - w.gap) / float64(paceSamples*max(w.running, 1))
 	if w.prefilling > 0 {
 		return
 	}
