Act on evidence against a daemon without waiting for the next tick

Cause: in virtual time a killed daemon was dead everywhere only after 1.25 s, most of it spent waiting for the next probe and for two ticks. Ruled out: a shorter time to refute, which is what protects a slow but living daemon.

--- a/internal/member/gossip/tick.go
+++ b/internal/member/gossip/tick.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Tick advances the time. It is called once an interval.
+// Tick advances the time. It is called at least once an interval.
 func (m *Machine) Tick(now time.Time) Actions {
 	gap := now.Sub(m.ticked)
 	m.ticked = now
--- a/internal/member/gossip/types.go
+++ b/internal/member/gossip/types.go
@@ -57,8 +57,8 @@
 
 // Config holds the times of the machine.
 type Config struct {
-	// Interval is the time between two probes of a target, and between two
-	// calls of Tick.
+	// Interval is the time between two probes of a target, and the longest
+	// between two calls of Tick.
 	Interval time.Duration
 	// SuspectAfter is the silence after which a daemon that helpers cannot
 	// reach either is suspected.
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -35,6 +35,8 @@
 	synced   bool
 	ended    bool
 
+	evidence chan struct{} // holds one wake-up
+
 	snapshot atomic.Pointer[snapshot]
 	ctx      context.Context // bounds all goroutines
 	stop     context.CancelFunc
@@ -69,6 +71,7 @@
 		machine:  gossip.New(config.machine(), self, incarnation, rand.New(rand.NewPCG(incarnation, 0)), now),
 		probers:  map[string]*prober{},
 		reaching: map[string]bool{},
+		evidence: make(chan struct{}, 1),
 		ctx:      ctx,
 		stop:     stop,
 		probes:   set.GetOrCreateCounter("ibisline_member_probes_total"),
@@ -123,17 +126,28 @@
 	m.tasks.Wait()
 }
 
-// tick advances the state machine until the end.
+// tick advances the state machine until the end: twice an interval, and at once
+// after evidence against a daemon.
 func (m *Members) tick() {
-	ticker := time.NewTicker(m.config.HeartbeatInterval)
+	ticker := time.NewTicker(m.config.HeartbeatInterval / 2)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-m.ctx.Done():
 			return
 		case <-ticker.C:
-			m.advance()
+		case <-m.evidence:
 		}
+		m.advance()
+	}
+}
+
+// accuse passes evidence against a daemon to the machine and lets it decide.
+func (m *Members) accuse(evidence func(*gossip.Machine)) {
+	m.update(evidence)
+	select {
+	case m.evidence <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -36,6 +36,8 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	news    chan struct{} // holds one wake-up
+	// answered is set once the current stream carried an answer.
+	answered bool
 	// differs is the time since which the digests differ.
 	differs time.Time
 }
@@ -62,6 +64,12 @@
 			return
 		}
 		p.members.probeFailed(p.target, err)
+		if p.answered {
+			// A stream that worked is opened again at once: a refused connection
+			// then shows the death of the daemon without waiting for its silence.
+			p.answered = false
+			continue
+		}
 		// News does not shorten this wait: it may be about this very failure,
 		// and nothing carries it while no probe succeeds.
 		p.wait(nil)
@@ -99,6 +107,7 @@
 			return err
 		}
 		watchdog.Stop()
+		p.answered = true
 		p.compare(answer)
 		p.wait(p.news)
 		if p.ctx.Err() != nil {
@@ -165,7 +174,7 @@
 func (m *Members) probeFailed(target string, err error) {
 	m.failures.Inc()
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		m.update(func(machine *gossip.Machine) { machine.Refused(target) })
+		m.accuse(func(machine *gossip.Machine) { machine.Refused(target) })
 	}
 }
 
@@ -269,7 +278,7 @@
 		}
 	}
 	if m.ctx.Err() == nil {
-		m.update(func(machine *gossip.Machine) { machine.Denied(name, time.Now()) })
+		m.accuse(func(machine *gossip.Machine) { machine.Denied(name, time.Now()) })
 	}
 }
 
