--- /dev/null
+++ b/cmd/ibislined/main.go
@@ -0,0 +1,73 @@
+// Command ibislined is the daemon that runs on every entry instance.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"ibisline/internal/daemon"
+	"ibisline/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// fileArgs names a settings file.
+type fileArgs struct {
+	File string `arg:"positional,required" help:"settings file in TOML"`
+}
+
+// arguments is the command line.
+type arguments struct {
+	Run   *fileArgs `arg:"subcommand:run" help:"run the daemon"`
+	Check *fileArgs `arg:"subcommand:check" help:"check a settings file and exit"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "ibislined schedules the requests of agent programs onto model engines and services.\n" +
+		"Exit codes: 0 stopped as planned, 1 failed, 2 faulty settings or arguments."
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	switch {
+	case args.Run != nil:
+		os.Exit(run(args.Run.File))
+	case args.Check != nil:
+		os.Exit(check(args.Check.File))
+	default:
+		parser.WriteHelp(os.Stderr)
+		os.Exit(exitSettings)
+	}
+}
+
+// check reads the settings and reports every fault.
+func check(file string) int {
+	if _, err := settings.Load(file); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	fmt.Printf("%s: settings are valid\n", file)
+	return 0
+}
+
+// run runs the daemon until a planned stop or a failure.
+func run(file string) int {
+	loaded, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if err := daemon.Run(loaded); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/daemon/register.go
@@ -0,0 +1,117 @@
+package daemon
+
+import (
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+
+	"ibisline/internal/catalogue"
+	"ibisline/internal/kernel"
+	"ibisline/internal/member"
+	"ibisline/internal/peer"
+	"ibisline/internal/platform"
+	"ibisline/internal/settings"
+	"ibisline/internal/structs"
+)
+
+// Names under which the services are registered. The order of registration is
+// the order of start; each service uses only those before it.
+const (
+	servicePeers     = "peers"
+	serviceMembers   = "members"
+	serviceCatalogue = "catalogue"
+	serviceDispatch  = "dispatch"
+	serviceLimits    = "limits"
+	serviceHome      = "home"
+	serviceAPI       = "api"
+	serviceStop      = "stop"
+)
+
+// parts is what the services of one daemon share while they are built.
+type parts struct {
+	settings settings.Settings
+	kernel   *kernel.Kernel
+	metrics  *metrics.Set
+	log      log.Interface
+	store    platform.Store
+	self     structs.Instance
+}
+
+// register builds the services and registers them with k.
+func register(k *kernel.Kernel, s settings.Settings, logger log.Interface) error {
+	set := metrics.NewSet()
+	p := &parts{
+		settings: s,
+		kernel:   k,
+		metrics:  set,
+		log:      logger.WithField("instance", s.Instance.Name),
+		store:    platform.NewClient(platform.Config{Addrs: s.Platform.Addrs, Timeout: s.Platform.Timeout.Std()}, set, logger),
+		self:     selfOf(s.Instance),
+	}
+	steps := []func() error{
+		p.addPeers, p.addMembers, p.addCatalogue, p.addDispatch, p.addLimits, p.addHome, p.addAPI,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// selfOf describes this daemon to the others.
+func selfOf(s settings.Instance) structs.Instance {
+	advertised := s.PeerAdvertise
+	if advertised == "" {
+		advertised = s.PeerAddr
+	}
+	return structs.Instance{
+		Name:       s.Name,
+		Region:     s.Region,
+		DataCentre: s.DataCentre,
+		PeerAddr:   advertised,
+		HTTPAddr:   s.HTTPAddr,
+		State:      structs.StateLive,
+	}
+}
+
+// addPeers adds the transport between daemons.
+func (p *parts) addPeers() error {
+	transport := peer.NewTransport(peer.Config{Listen: p.settings.Instance.PeerAddr}, p.self.Name, nil, p.metrics, p.log)
+	if err := transport.Listen(); err != nil {
+		return err
+	}
+	return p.kernel.Register(servicePeers, transport)
+}
+
+// addMembers adds the view of daemons and backend servers, by which the
+// transport finds its peers.
+func (p *parts) addMembers() error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	config := member.Config{
+		HeartbeatInterval: p.settings.Peers.HeartbeatInterval.Std(),
+		SuspectAfter:      p.settings.Peers.SuspectAfter.Std(),
+	}
+	members := member.New(config, p.self, p.store, transport, transport, p.metrics, p.log)
+	transport.SetResolver(func(daemon string) (string, bool) {
+		instance, ok := members.Lookup(daemon)
+		return instance.PeerAddr, ok
+	})
+	return p.kernel.Register(serviceMembers, members)
+}
+
+// addCatalogue adds the copy of the catalogue.
+func (p *parts) addCatalogue() error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	view, err := kernel.Lookup[member.View](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	config := catalogue.Config{StaleAfter: p.settings.Peers.CatalogueStaleAfter.Std()}
+	return p.kernel.Register(serviceCatalogue, catalogue.New(config, p.store, view, transport, transport, p.metrics, p.log))
+}
--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -119,7 +119,7 @@
 
 // slot waits for the entry's limits and for a slot at a server.
 func (h *Home) slot(ctx context.Context, j job, r structs.CallRequest, deadline time.Time) (structs.Slot, func(), error) {
-	release, err := h.limit(ctx, j.entry.Name, deadline)
+	release, err := h.limit(ctx, j.entry, deadline)
 	if err != nil {
 		return structs.Slot{}, nil, err
 	}
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -13,6 +13,7 @@
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/platform"
+	"ibisline/internal/structs"
 )
 
 // Config holds the settings of a home. Zero fields take defaults.
@@ -111,7 +112,7 @@
 	// Acquire waits until a request under entry may start, at most until
 	// deadline. The caller must call release. Errors are *verdict.Error with
 	// verdict NotRun.
-	Acquire(ctx context.Context, entry string, deadline time.Time) (release func(), err error)
+	Acquire(ctx context.Context, entry structs.Entry, deadline time.Time) (release func(), err error)
 }
 
 // Deps are the services that a home uses. Limits and Dialer may be nil.
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -145,7 +145,7 @@
 }
 
 // limit waits until the fleet-wide limits of the entry admit one more request.
-func (h *Home) limit(ctx context.Context, entry string, deadline time.Time) (func(), error) {
+func (h *Home) limit(ctx context.Context, entry structs.Entry, deadline time.Time) (func(), error) {
 	if h.deps.Limits == nil {
 		return func() {}, nil
 	}
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -169,7 +169,7 @@
 
 // generate sends the turn to an engine and collects its text.
 func (h *Home) generate(ctx context.Context, sh *shard, p *program, current *run, j job, turns []journal.Turn, held turnReservation) (structs.Generated, error) {
-	release, err := h.limit(ctx, j.entry.Name, j.deadline)
+	release, err := h.limit(ctx, j.entry, j.deadline)
 	if err != nil {
 		return structs.Generated{}, err
 	}
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -30,7 +30,7 @@
 	NextSegment int64 `msgpack:"g"`
 	// Segments are the segment objects of this shard that are not deleted yet.
 	Segments []string            `msgpack:"o,omitempty"`
-	Programs    map[string]*Program `msgpack:"p"`
+	Programs map[string]*Program `msgpack:"p"`
 }
 
 // Program is the record of one program.
