--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"ibisline/internal/api"
-	"ibisline/internal/catalogue"
 	"ibisline/internal/dispatch"
 	"ibisline/internal/front"
 	"ibisline/internal/home"
@@ -53,7 +52,7 @@
 		BalancerDelay: p.settings.Stop.BalancerDelay.Std(),
 	}
 	callers := api.Register(server.Rest(), finder, limits, p.metrics, p.log)
-	if err := p.addOperator(server, v.members, v.catalogue, callers); err != nil {
+	if err := p.addOperator(server, v, finder, callers); err != nil {
 		return err
 	}
 	if err := server.Listen(p.settings.Instance.HTTPAddr); err != nil {
@@ -65,23 +64,26 @@
 	return p.kernel.Register(serviceStop, &leaver{members: v.members, api: callers})
 }
 
-// addOperator adds the operators' routes.
-func (p *parts) addOperator(server *api.Server, members *member.Members, entries *catalogue.Catalogue, callers *api.API) error {
+// addOperator adds the operators' routes, and lets the dispatcher's sweep ask
+// for programs through the front.
+func (p *parts) addOperator(server *api.Server, v views, finder *front.Front, callers *api.API) error {
 	dispatcher, err := kernel.Lookup[*dispatch.Dispatcher](p.kernel, serviceDispatch)
 	if err != nil {
 		return err
 	}
+	dispatcher.SetPrograms(finder)
 	operator.Register(server.Rest(), operator.Sources{
 		Metrics: p.metrics,
 		Status: func() operator.Status {
 			return operator.Status{
-				Instance:          members.Self(),
-				CatalogueRevision: entries.Revision(),
+				Instance:          v.members.Self(),
+				CatalogueRevision: v.catalogue.Revision(),
 				Leaving:           callers.Leaving(),
 			}
 		},
 		Dump:   p.kernel.Dump,
 		Shares: func() any { return dispatcher.Shares() },
+		Order:  dispatcher.Order,
 	})
 	return nil
 }
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -48,6 +48,7 @@
 		QueueLimit:       s.QueueLimit,
 		FirstTokenTarget: s.FirstToken.Std(),
 		TokenGapTarget:   s.TokenGap.Std(),
+		SweepInterval:    s.SweepInterval.Std(),
 	}
 	deps := dispatch.Deps{
 		Self:      p.self.Name,
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -188,7 +188,8 @@
 		Digest:      hex.EncodeToString(p.Digest),
 	}
 	if entry, ok := h.deps.Catalogue.Entry(root.Entry); ok && entry.BudgetTokens != budget.Unlimited {
-		state.BudgetLeft = root.Tokens.Left(entry.BudgetTokens, 0)
+		left := root.Tokens.Left(entry.BudgetTokens, 0)
+		state.BudgetLeft = &left
 	}
 	return state
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,14 +1,16 @@
 // Package operator serves the operators' HTTP calls of a daemon: metrics, state
-// dump, status, and the shares that owners received.
+// dump, status, the shares that owners received, and orders to engines.
 package operator
 
 import (
+	"context"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
 
+	"ibisline/internal/backend"
 	"ibisline/internal/structs"
 )
 
@@ -27,6 +29,8 @@
 	Dump    func() map[string]any
 	// Shares returns what each entry was granted and received here.
 	Shares func() any
+	// Order gives an order to an engine. Errors are *verdict.Error.
+	Order func(ctx context.Context, engine string, order backend.Order) error
 }
 
 // Register adds the operators' routes to server.
@@ -36,6 +40,7 @@
 		{Method: http.MethodGet, Path: "/v1/status", Handler: jsonHandler(func() any { return s.Status() })},
 		{Method: http.MethodGet, Path: "/v1/dump", Handler: jsonHandler(func() any { return s.Dump() })},
 		{Method: http.MethodGet, Path: "/v1/shares", Handler: jsonHandler(s.Shares)},
+		{Method: http.MethodPost, Path: "/v1/servers/:name/orders", Handler: orderHandler(s.Order)},
 	})
 }
 
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -123,18 +123,19 @@
 
 // ProgramState is what a caller sees of a program.
 type ProgramState struct {
-	Program     string   `json:"program" msgpack:"p"`
-	Entry       string   `json:"entry" msgpack:"e"`
-	Owner       string   `json:"owner" msgpack:"o"`
-	Parent      string   `json:"parent,omitempty" msgpack:"r,omitempty"`
-	Home        string   `json:"home" msgpack:"h"`
-	Epoch       int64    `json:"epoch" msgpack:"c"`
-	NextTurn    int      `json:"next_turn" msgpack:"n"`
-	Ended       bool     `json:"ended" msgpack:"d"`
-	SpentTokens int      `json:"spent_tokens" msgpack:"s"`
-	BudgetLeft  int      `json:"budget_left" msgpack:"l"`
-	Engines     []string `json:"engines,omitempty" msgpack:"g,omitempty"`
-	Digest      string   `json:"digest,omitempty" msgpack:"i,omitempty"`
+	Program     string `json:"program" msgpack:"p"`
+	Entry       string `json:"entry" msgpack:"e"`
+	Owner       string `json:"owner" msgpack:"o"`
+	Parent      string `json:"parent,omitempty" msgpack:"r,omitempty"`
+	Home        string `json:"home" msgpack:"h"`
+	Epoch       int64  `json:"epoch" msgpack:"c"`
+	NextTurn    int    `json:"next_turn" msgpack:"n"`
+	Ended       bool   `json:"ended" msgpack:"d"`
+	SpentTokens int    `json:"spent_tokens" msgpack:"s"`
+	// BudgetLeft is in tokens; nil when the entry sets no budget.
+	BudgetLeft *int     `json:"budget_left,omitempty" msgpack:"l,omitempty"`
+	Engines    []string `json:"engines,omitempty" msgpack:"g,omitempty"`
+	Digest     string   `json:"digest,omitempty" msgpack:"i,omitempty"`
 }
 
 // GenerateRequest is a model call on its way from a home to a dispatcher. It is
