Charge the delay of other streams to an uncached prompt

Cause: a prompt that is computed delays every stream of the engine, but placement counted only the caller's own time, so that small differences of pace moved programs away from their caches. Change: the estimate adds the computation of the uncached part once for each stream under way.

--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -57,7 +57,15 @@
 
 // Estimate is the expected time from now to the end of the call.
 func Estimate(request Request, engine Engine) time.Duration {
-	return FirstToken(request, engine) + Generation(request, engine)
+	return FirstToken(request, engine) + Generation(request, engine) + delayOfOthers(request, engine)
+}
+
+// delayOfOthers is what the computation of the uncached part costs the streams
+// under way, all of which wait for it.
+func delayOfOthers(request Request, engine Engine) time.Duration {
+	uncached := float64(max(request.PromptTokens-engine.Cached, 0))
+	seconds := uncached / cmp.Or(engine.PrefillRate, defaultPrefillRate)
+	return time.Duration(float64(engine.Running) * seconds * float64(time.Second))
 }
 
 // Generation is the expected time from the first token to the end.
--- a/internal/policy/placement/placement_test.go
+++ b/internal/policy/placement/placement_test.go
@@ -62,3 +62,12 @@
 	slower := engine(func(e *placement.Engine) { e.PrefillRate = 7999 })
 	require.Equal(t, 1, choose(long, loaded, slower))
 }
+
+func TestDelayOfOtherStreamsIsCharged(t *testing.T) {
+	request := placement.Request{PromptTokens: 4_000, OutputTokens: 100}
+	cached := engine(func(e *placement.Engine) { e.Cached, e.Running, e.Gap = 4_000, 10, 35*ms })
+	other := engine(func(e *placement.Engine) { e.Running = 10 })
+	require.Equal(t, 0, choose(request, cached, other))
+	idle := engine(nil)
+	require.Equal(t, 1, choose(request, cached, idle))
+}
