Leave heartbeats out of the drain and reach dead daemons by address

Cause: a planned stop waits until no stream is served for a peer, but heartbeat streams last as long as the connection, so the stop would always have used its whole limit. And the transport resolved names by Lookup, which leaves dead daemons out, so that a daemon once taken for dead could never be probed back and could not refute it. Both were found by reading the wiring against the services.

Change: methods may be registered as background, which Drain and Served do not count; the resolver is Members.Address, which also knows the dead. Ruled out: counting only streams with a request, since heartbeats carry requests too.

--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -95,10 +95,7 @@
 		SuspectAfter:      p.settings.Peers.SuspectAfter.Std(),
 	}
 	members := member.New(config, p.self, p.store, transport, transport, p.metrics, p.log)
-	transport.SetResolver(func(daemon string) (string, bool) {
-		instance, ok := members.Lookup(daemon)
-		return instance.PeerAddr, ok
-	})
+	transport.SetResolver(members.Address)
 	return p.kernel.Register(serviceMembers, members)
 }
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -82,7 +82,7 @@
 	}
 	set.GetOrCreateGauge("ibisline_member_live", func() float64 { return float64(len(m.Live())) })
 	m.publish()
-	mux.Handle(methodProbe, m.serveProbe)
+	peer.HandleBackground(mux, methodProbe, m.serveProbe)
 	mux.Handle(methodConfirm, m.serveConfirm)
 	mux.Handle(methodSync, m.serveSync)
 	return m
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -29,6 +29,23 @@
 	Handle(method string, h Handler)
 }
 
+// BackgroundMux is a Mux that also serves streams which last as long as the
+// connection, such as heartbeats. They are not work under way.
+type BackgroundMux interface {
+	Mux
+	HandleBackground(method string, h Handler)
+}
+
+// HandleBackground registers h for streams that are not work under way, if mux
+// tells them apart.
+func HandleBackground(mux Mux, method string, h Handler) {
+	if background, ok := mux.(BackgroundMux); ok {
+		background.HandleBackground(method, h)
+		return
+	}
+	mux.Handle(method, h)
+}
+
 // Dialer opens streams to daemons by their instance name. Errors from Open are
 // *verdict.Error with reason PeerLost and verdict NotRun: nothing was sent.
 // Errors of a broken stream carry PeerLost and MayHaveRun.
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -202,9 +202,12 @@
 	_ = raw.SetReadDeadline(time.Time{})
 	s.frames = make(chan readResult, 1)
 	t.group.Go(func() { s.readAhead(cancel) })
-	t.active.Add(1)
-	defer t.active.Add(-1)
-	if err := t.dispatch(ctx, method, s); err != nil {
+	route := t.handlers[method]
+	if !route.background {
+		t.active.Add(1)
+		defer t.active.Add(-1)
+	}
+	if err := t.dispatch(ctx, method, route.handler, s); err != nil {
 		_ = s.control(frameError, wireError(err))
 		return
 	}
@@ -228,9 +231,8 @@
 }
 
 // dispatch calls the handler; a panic in it becomes an error of this stream.
-func (t *Transport) dispatch(ctx context.Context, method string, s *stream) (err error) {
-	handler, ok := t.handlers[method]
-	if !ok {
+func (t *Transport) dispatch(ctx context.Context, method string, handler Handler, s *stream) (err error) {
+	if handler == nil {
 		return verdict.Refuse(verdict.BadRequest, "daemon %s serves no method %q", t.self, method)
 	}
 	defer func() {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -24,7 +24,7 @@
 	config   Config
 	self     string
 	logger   log.Interface
-	handlers map[string]Handler
+	handlers map[string]route
 	listener net.Listener
 	resolve  atomic.Pointer[Resolver]
 
@@ -46,10 +46,17 @@
 }
 
 var (
-	_ Mux    = (*Transport)(nil)
-	_ Dialer = (*Transport)(nil)
+	_ BackgroundMux = (*Transport)(nil)
+	_ Dialer        = (*Transport)(nil)
 )
 
+// route is a registered method. The streams of a background method are not
+// counted as work under way.
+type route struct {
+	handler    Handler
+	background bool
+}
+
 // link is the outgoing connection to one daemon, or the attempt to make it.
 type link struct {
 	ready   chan struct{} // closed when session or err is set
@@ -65,7 +72,7 @@
 		config:    config.withDefaults(),
 		self:      self,
 		logger:    logger,
-		handlers:  map[string]Handler{},
+		handlers:  map[string]route{},
 		ctx:       ctx,
 		stop:      stop,
 		links:     map[string]*link{},
@@ -87,7 +94,12 @@
 func (t *Transport) SetResolver(resolve Resolver) { t.resolve.Store(&resolve) }
 
 // Handle implements Mux. It must not be called after Run.
-func (t *Transport) Handle(method string, h Handler) { t.handlers[method] = h }
+func (t *Transport) Handle(method string, h Handler) { t.handlers[method] = route{handler: h} }
+
+// HandleBackground implements BackgroundMux. It must not be called after Run.
+func (t *Transport) HandleBackground(method string, h Handler) {
+	t.handlers[method] = route{handler: h, background: true}
+}
 
 // Listen binds the listening address.
 func (t *Transport) Listen() error {
@@ -149,7 +161,8 @@
 	return nil
 }
 
-// Drain waits until no stream is served here for a peer, or ctx ends.
+// Drain waits until no stream is served here for a peer, those of background
+// methods aside, or ctx ends.
 func (t *Transport) Drain(ctx context.Context) error {
 	for t.active.Load() > 0 {
 		if !pause(ctx, drainPoll) {
@@ -162,7 +175,8 @@
 // drainPoll is the time between looks at the open streams while draining.
 const drainPoll = 10 * time.Millisecond
 
-// Served returns the number of streams served for peers now.
+// Served returns the number of streams served for peers now, those of background
+// methods aside.
 func (t *Transport) Served() int { return int(t.active.Load()) }
 
 // Open implements Dialer.
