--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -22,7 +22,7 @@
 )
 
 func TestMain(m *testing.M) {
-	// go-zero starts goroutines when it is imported; all later ones must end.
+	// go-zero starts goroutines of its own when it is imported.
 	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
 }
 
