--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -105,6 +105,7 @@
 	counts.Requests = maps.Clone(e.counts.Requests)
 	counts.Executions = maps.Clone(e.counts.Executions)
 	counts.Evictions = e.cache.evictions
+	counts.TotalTokens = counts.PromptTokens + counts.OutputTokens
 	counts.Running = len(e.batch)
 	counts.Waiting = len(e.waiting)
 	counts.KVUsed = e.cache.usedTokens()
--- a/internal/fake/engine/settings.go
+++ b/internal/fake/engine/settings.go
@@ -105,10 +105,12 @@
 	PromptTokens   int `json:"prompt_tokens"`
 	CachedTokens   int `json:"cached_tokens"`
 	OutputTokens   int `json:"output_tokens"`
-	Evictions      int `json:"evictions"`
-	Released       int `json:"released"`
-	OrdersTaken    int `json:"orders_taken"`
-	OrdersRefused  int `json:"orders_refused"`
+	// TotalTokens are prompt and output tokens together.
+	TotalTokens   int `json:"total_tokens"`
+	Evictions     int `json:"evictions"`
+	Released      int `json:"released"`
+	OrdersTaken   int `json:"orders_taken"`
+	OrdersRefused int `json:"orders_refused"`
 	// Running and Waiting are the present sequences; KVUsed the present tokens.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
--- a/internal/fake/standin/standin.go
+++ b/internal/fake/standin/standin.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
@@ -65,8 +66,10 @@
 // registerWait is the time between two attempts of Register.
 const registerWait = 100 * time.Millisecond
 
-// NewStore returns a client of the object API at addr, IP:port.
+// NewStore returns a client of the object API at addr, IP:port. It turns the
+// request log of go-zero off for the whole process.
 func NewStore(addr string) platform.Store {
+	logx.Disable()
 	return platform.NewClient(platform.Config{Addrs: []string{addr}}, metrics.NewSet(), log.Log)
 }
 
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -225,6 +226,22 @@
 	return d, ok
 }
 
+// Daemons returns the names of the daemons whose process runs, sorted.
+func (f *Fleet) Daemons() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.daemons {
+		select {
+		case <-f.processes[name].Done():
+		default:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Process returns the newest process of a name.
 func (f *Fleet) Process(name string) (*Process, bool) {
 	f.mu.Lock()
