Refuse a daemon whose shard count differs from the fleet's

Cause: fronts derive a program's shard from home.shards; two daemons with different numbers would look for one keyed program in two shards. Ruled out: a check before the start, which would keep daemons from starting during an outage of the platform.

--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -5,6 +5,7 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/catalogue"
+	"ibisline/internal/fleetcheck"
 	"ibisline/internal/kernel"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
@@ -16,6 +17,7 @@
 // Names under which the services are registered. The order of registration is
 // the order of start; each service uses only those before it.
 const (
+	serviceCheck     = "fleetcheck"
 	servicePeers     = "peers"
 	serviceMembers   = "members"
 	serviceCatalogue = "catalogue"
@@ -48,7 +50,7 @@
 		self:     selfOf(s.Instance),
 	}
 	steps := []func() error{
-		p.addPeers, p.addMembers, p.addCatalogue, p.addDispatch, p.addLimits, p.addHome, p.addAPI,
+		p.addCheck, p.addPeers, p.addMembers, p.addCatalogue, p.addDispatch, p.addLimits, p.addHome, p.addAPI,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -74,6 +76,12 @@
 	}
 }
 
+// addCheck adds the comparison of the settings on which the fleet must agree.
+func (p *parts) addCheck() error {
+	values := fleetcheck.Values{Shards: p.settings.Home.Shards}
+	return p.kernel.Register(serviceCheck, fleetcheck.New(p.store, values, p.log))
+}
+
 // addPeers adds the transport between daemons.
 func (p *parts) addPeers() error {
 	transport := peer.NewTransport(peer.Config{Listen: p.settings.Instance.PeerAddr}, p.self.Name, nil, p.metrics, p.log)
--- /dev/null
+++ b/internal/fleetcheck/fleetcheck_test.go
@@ -0,0 +1,55 @@
+package fleetcheck_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/fleetcheck"
+)
+
+// start runs a check in the background; its outcome arrives on the channel.
+func start(ctx context.Context, store *objects.Store, shards int) <-chan error {
+	logger := &log.Logger{Handler: discard.New()}
+	done := make(chan error, 1)
+	check := fleetcheck.New(store, fleetcheck.Values{Shards: shards}, logger)
+	go func() { done <- check.Run(ctx) }()
+	return done
+}
+
+func TestFirstDaemonDecidesAndOthersAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := objects.New()
+		first := start(ctx, store, 8)
+		synctest.Wait()
+		require.ErrorIs(t, <-start(ctx, store, 16), fleetcheck.ErrDiffers)
+		same := start(ctx, store, 8)
+		cancel()
+		require.NoError(t, <-same)
+		require.NoError(t, <-first)
+	})
+}
+
+func TestOutageAndLostReplyDelayTheCheckOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := objects.New()
+		store.SetFaults(objects.Faults{Outage: true})
+		first := start(ctx, store, 8)
+		synctest.Wait()
+		store.SetFaults(objects.Faults{LoseReplies: 1})
+		for store.Counts().Puts == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		require.NoError(t, <-first)
+		require.ErrorIs(t, <-start(t.Context(), store, 4), fleetcheck.ErrDiffers)
+	})
+}
