Refuse from the working state only after confirming the shard

Cause: a home learns of a takeover by its next commit. Ruled out: a lost commit; the program was durable at the new home. Change: refusals that rest on the working state are given only after the platform said that the shard's epoch is unchanged; else not_home.

--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -22,7 +22,8 @@
 		return structs.CallReply{}, err
 	}
 	if !r.Repeatable {
-		return h.order(ctx, sh, p, r)
+		reply, err := h.order(ctx, sh, p, r)
+		return reply, h.confirmed(ctx, sh, err)
 	}
 	end, err := sh.begin()
 	if err != nil {
--- /dev/null
+++ b/internal/home/confirm.go
@@ -0,0 +1,40 @@
+package home
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/journal"
+	"ibisline/internal/verdict"
+)
+
+// stateReasons are the refusals that rest on the working state of a shard.
+var stateReasons = map[verdict.Reason]bool{
+	verdict.UnknownProgram: true,
+	verdict.ProgramEnded:   true,
+	verdict.TurnOutOfOrder: true,
+	verdict.TurnConflict:   true,
+	verdict.HistoryGap:     true,
+	verdict.BudgetSpent:    true,
+}
+
+// confirmed returns err, unless err rests on a working state that is out of
+// date. A home learns of a takeover by its next commit; before that it would
+// deny programs and turns that the new home knows. So such a refusal is given
+// only after the platform said that the shard is still held here.
+func (h *Home) confirmed(ctx context.Context, sh *shard, err error) error {
+	if err == nil || !stateReasons[verdict.From(err).Reason] {
+		return err
+	}
+	lost := sh.journal.Confirm(ctx)
+	switch {
+	case lost == nil:
+		return err
+	case errors.Is(lost, journal.ErrLost):
+		sh.cancel()
+		return notHome("shard %s was taken over", sh.id)
+	default:
+		return verdict.Wrap(lost, verdict.NotRun, verdict.PlatformDown, "the shard's holder cannot be confirmed").After(retrySoon)
+	}
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -123,7 +123,7 @@
 	}
 	p, err := sh.program(id)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, h.confirmed(ctx, sh, err)
 	}
 	sh.touch(id)
 	return sh, p, nil
--- a/internal/home/open.go
+++ b/internal/home/open.go
@@ -35,7 +35,7 @@
 	}
 	seq, err := sh.grantUpdate(r.Program, func(s *journal.State) error { return h.add(s, r, entry) })
 	if err != nil {
-		return structs.OpenReply{}, refuseUpdate(err, "new program")
+		return structs.OpenReply{}, h.confirmed(ctx, sh, refuseUpdate(err, "new program"))
 	}
 	if err := sh.journal.Try(ctx, seq); err != nil {
 		return structs.OpenReply{}, refuseCommit(err, "new program")
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -30,7 +30,7 @@
 	}
 	a, err := h.admit(ctx, sh, p, r, past)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	return a.follow(ctx, 0, sink)
 }
@@ -59,7 +59,7 @@
 	}
 	a, err := h.known(ctx, sh, p, r.Turn, nil)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	if a == nil {
 		next := sh.nextTurn(p.id)
