--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -22,7 +22,8 @@
 		return structs.CallReply{}, err
 	}
 	if !r.Repeatable {
-		return h.order(ctx, sh, p, r)
+		reply, err := h.order(ctx, sh, p, r)
+		return reply, h.confirmed(ctx, sh, err)
 	}
 	end, err := sh.begin()
 	if err != nil {
@@ -119,7 +120,7 @@
 
 // slot waits for the entry's limits and for a slot at a server.
 func (h *Home) slot(ctx context.Context, j job, r structs.CallRequest, deadline time.Time) (structs.Slot, func(), error) {
-	release, err := h.limit(ctx, j.entry.Name, deadline)
+	release, err := h.limit(ctx, j.entry, deadline)
 	if err != nil {
 		return structs.Slot{}, nil, err
 	}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -123,7 +123,7 @@
 	}
 	p, err := sh.program(id)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, h.confirmed(ctx, sh, err)
 	}
 	sh.touch(id)
 	return sh, p, nil
@@ -145,7 +145,7 @@
 }
 
 // limit waits until the fleet-wide limits of the entry admit one more request.
-func (h *Home) limit(ctx context.Context, entry string, deadline time.Time) (func(), error) {
+func (h *Home) limit(ctx context.Context, entry structs.Entry, deadline time.Time) (func(), error) {
 	if h.deps.Limits == nil {
 		return func() {}, nil
 	}
@@ -188,7 +188,8 @@
 		Digest:      hex.EncodeToString(p.Digest),
 	}
 	if entry, ok := h.deps.Catalogue.Entry(root.Entry); ok && entry.BudgetTokens != budget.Unlimited {
-		state.BudgetLeft = root.Tokens.Left(entry.BudgetTokens, 0)
+		left := root.Tokens.Left(entry.BudgetTokens, 0)
+		state.BudgetLeft = &left
 	}
 	return state
 }
