Keep one confirmation of a held shard

Ruled out: the write, which costs one of the platform's scarce writes for each refusal. Change: the read of the epoch stays and now covers the refusal of early turns too.

--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -99,7 +99,7 @@
 		// A home records a turn before its caller gets the digest, so a caller
 		// with a digest that is not known here has more than this home.
 		if r.Digest != "" && sh.nextTurn(p.id) < r.Turn && past == nil {
-			return nil, sh.missing(ctx, r)
+			return nil, outOfOrder(r, sh.nextTurn(p.id))
 		}
 		select {
 		case <-changed:
@@ -108,21 +108,11 @@
 		case <-ctx.Done():
 			return nil, verdict.Refuse(verdict.Canceled, "caller left before turn %d started", r.Turn)
 		case <-early.C:
-			return nil, sh.missing(ctx, r)
+			return nil, outOfOrder(r, sh.nextTurn(p.id))
 		}
 	}
 }
 
-// missing is the refusal of a turn whose predecessors this home does not have.
-// A home that was paused may have lost the shard without knowing, and with it
-// the right to say so; a write tells.
-func (sh *shard) missing(ctx context.Context, r structs.TurnRequest) error {
-	if err := sh.journal.Confirm(ctx); err != nil {
-		return refuseCommit(err, "confirmation of the shard")
-	}
-	return outOfOrder(r, sh.nextTurn(r.Program))
-}
-
 // outOfOrder is the refusal of a turn whose predecessors are missing. A caller
 // that has the answer before the turn, as the digest shows, can resend them.
 func outOfOrder(r structs.TurnRequest, next int) error {
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -260,16 +260,6 @@
 	return time.Since(s.failingSince)
 }
 
-// Confirm returns nil once a write shows that the shard is still held. Errors
-// are those of Try.
-func (s *Shard) Confirm(ctx context.Context) error {
-	seq, err := s.Update(func(*State) error { return nil })
-	if err != nil {
-		return err
-	}
-	return s.Try(ctx, seq)
-}
-
 // Lost reports whether the shard is no longer held.
 func (s *Shard) Lost() bool {
 	s.mu.Lock()
