Count the home's work, bound its memory and check intents before a send

Cause: operators need figures of a home; idle programs must not keep their history in memory; one shard with many programs must not fill its platform link; and the rule "intent before send" was not asserted in the running program. Change: metrics, histories of programs idle for 30 s are dropped from memory and read back when needed, a pause after each write in proportion to the object's size, the invariant "intent before send", tests of a lowered budget, of sub-agents on one budget, and of idle and retired programs. Ruled out: caching encoded programs, which needs a mark at each change; to be weighed once the cost is measured.

--- a/internal/home/claim.go
+++ b/internal/home/claim.go
@@ -99,6 +99,7 @@
 	if err != nil {
 		return nil, refuseClaim(err)
 	}
+	h.counts.claims.Inc()
 	h.log.WithField("shard", string(id)).WithField("epoch", head.State.Epoch).Info("shard claimed")
 	return held, nil
 }
@@ -142,6 +143,7 @@
 	if h.shards[sh.id] == sh {
 		delete(h.shards, sh.id)
 	}
+	h.counts.drops.Inc()
 	h.log.WithField("shard", string(sh.id)).Info("shard dropped")
 }
 
--- a/internal/home/end.go
+++ b/internal/home/end.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"ibisline/internal/journal"
@@ -87,9 +89,34 @@
 		h.release(sh)
 		h.purge(sh)
 		h.collect(sh)
+		sh.trim(time.Now())
 	}
 }
 
+// keepIdle is how long the history of an idle program stays in memory.
+const keepIdle = 30 * time.Second
+
+// trim frees what idle programs hold in memory and can be read back.
+func (sh *shard) trim(now time.Time) {
+	sh.mu.Lock()
+	programs := slices.Collect(maps.Values(sh.programs))
+	sh.mu.Unlock()
+	for _, p := range programs {
+		p.trim(now)
+	}
+}
+
+// trim frees the history and the last answer of an idle program.
+func (p *program) trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.lastUsed) < keepIdle || (p.run != nil && !p.run.settled) {
+		return
+	}
+	p.run = nil
+	p.history, p.loaded = nil, false
+}
+
 // collectInterval is the time between two looks for unused segments.
 const collectInterval = 10 * time.Second
 
@@ -207,6 +234,7 @@
 	h.work.Go(func() {
 		err := h.deps.Router.Forget(sh.ctx, engine, p.id)
 		if err == nil {
+			h.counts.releases.Inc()
 			_, _ = sh.journal.Update(func(s *journal.State) error {
 				if record, ok := s.Programs[p.id]; ok {
 					record.DropEngine(engine)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -49,6 +49,7 @@
 	cfg    Config
 	deps   Deps
 	checks *invariant.Checker
+	counts *counters
 	log    log.Interface
 
 	started chan struct{} // closed when Run set ctx
@@ -69,7 +70,7 @@
 
 // New returns a home that holds no shard yet. It serves once Run was called.
 func New(cfg Config, deps Deps) *Home {
-	return &Home{
+	h := &Home{
 		cfg:     cfg.withDefaults(),
 		deps:    deps,
 		checks:  invariant.New(deps.Metrics, deps.Log),
@@ -80,6 +81,8 @@
 		settled: map[structs.ShardID]time.Time{},
 		changed: deps.View.Changed(),
 	}
+	h.counts = newCounters(deps.Metrics, h)
+	return h
 }
 
 // Run holds shards and does the upkeep until ctx ends. Shards still held then
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -205,3 +205,70 @@
 		require.Empty(t, w.backends.heldPrograms())
 	})
 }
+
+func TestLoweredBudgetHoldsFromTheNextTurn(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		entry := structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 100000, Share: 1}
+		w.entries.put(entry)
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		entry.BudgetTokens = w.backends.used[id] + 10
+		w.entries.put(entry)
+		err := d.Turn(context.Background(), turnRequest(id, 2), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.BudgetSpent), "%v", err)
+		entry.BudgetTokens = 100000
+		w.entries.put(entry)
+		runTurn(t, d, turnRequest(id, 2))
+	})
+}
+
+func TestSubAgentsShareTheParentsBudget(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 1500, BudgetTurns: 8, Share: 1})
+		w.backends.tokenTime = time.Second
+		d := w.start("a")
+		root := w.open(t, d, "p")
+		done := make(chan struct{})
+		for i := range 5 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				child := programID("c" + string(rune('0'+i)))
+				_, err := d.Open(context.Background(), structs.OpenRequest{Entry: "desk", Parent: root, Program: child})
+				for turn := 1; err == nil; turn++ {
+					err = d.Turn(context.Background(), turnRequest(child, turn), (&collect{}).sink)
+				}
+			}()
+		}
+		for range 5 {
+			<-done
+		}
+		require.LessOrEqual(t, w.backends.used[root], 1500)
+		require.LessOrEqual(t, len(w.backends.prompts), 8)
+		require.Greater(t, w.backends.used[root], 500)
+	})
+}
+
+func TestIdleAndRetiredProgramsEnd(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.live.servers = engines
+		entry := structs.Entry{Name: "desk", Owner: "weavers", IdleSeconds: 60, Share: 1}
+		w.entries.put(entry)
+		d := w.start("a")
+		idle := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(idle, 1))
+		time.Sleep(59 * time.Second)
+		require.NotEmpty(t, w.backends.heldPrograms())
+		time.Sleep(3 * time.Second)
+		require.Empty(t, w.backends.heldPrograms())
+
+		retired := w.open(t, d, "q")
+		runTurn(t, d, turnRequest(retired, 1))
+		entry.Retired = true
+		w.entries.put(entry)
+		err := d.Turn(context.Background(), turnRequest(retired, 2), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.EntryRetired), "%v", err)
+		time.Sleep(time.Second)
+		require.Empty(t, w.backends.heldPrograms())
+	})
+}
--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -100,6 +100,7 @@
 		return structs.CallReply{}, err
 	}
 	reply, err := h.slotAndSend(ctx, sh, j, r, content)
+	h.counts.countOrder(err)
 	if verdict.Is(err, verdict.NotRun) {
 		sh.unreserve(counted)
 		return reply, err
@@ -123,6 +124,7 @@
 	if err := h.intend(ctx, sh, r, content, slot.Server); err != nil {
 		return structs.CallReply{}, err
 	}
+	h.checkIntent(sh, r)
 	reply, err := h.send(ctx, slot.Server, r)
 	if verdict.Is(err, verdict.NotRun) {
 		return structs.CallReply{}, h.withdraw(sh, r, verdict.From(err))
@@ -134,6 +136,16 @@
 	return reply, nil
 }
 
+// checkIntent checks that the call about to be sent is on record as an intent
+// of this home's epoch, and that nobody sent it before.
+func (h *Home) checkIntent(sh *shard, r structs.CallRequest) {
+	stored := sh.storedOrder(r.Program, r.Key)
+	epoch := int64(0)
+	sh.journal.View(func(s *journal.State) { epoch = s.Epoch })
+	h.checks.Check(stored != nil && stored.Outcome == nil && stored.Epoch == epoch, "intent before send",
+		"program %s call %q is sent without an intent of epoch %d", r.Program, r.Key, epoch)
+}
+
 // intend stores the intent of a call.
 func (h *Home) intend(ctx context.Context, sh *shard, r structs.CallRequest, content []byte, server structs.Server) error {
 	if err := sh.journal.Reserve(orderBytes, openShare); err != nil {
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -114,8 +114,10 @@
 		p.wake()
 		p.mu.Unlock()
 		current.answer.finish(last)
+		h.counts.turns.Inc()
 		return
 	}
+	h.counts.turnsFailed.Inc()
 	h.turnLog(p, j).WithError(err).Warn("turn failed")
 	p.mu.Lock()
 	if !current.recorded {
--- a/internal/home/shard.go
+++ b/internal/home/shard.go
@@ -85,6 +85,19 @@
 	return p, nil
 }
 
+// openPrograms counts the programs that have not ended.
+func (sh *shard) openPrograms() int {
+	n := 0
+	sh.journal.View(func(s *journal.State) {
+		for _, p := range s.Programs {
+			if !p.Ended {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 func newProgram(id string) *program {
 	return &program{
 		id:       id,
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -181,7 +181,7 @@
 	}
 	turns, err := sh.journal.History(ctx, p.id)
 	if errors.Is(err, journal.ErrGap) {
-		h.deps.Metrics.GetOrCreateCounter("ibisline_home_history_gaps_total").Inc()
+		h.counts.gaps.Inc()
 		h.log.WithField("program", p.id).WithError(err).Error("stored history is incomplete")
 		gap := verdict.Wrap(err, verdict.NotRun, verdict.HistoryGap, "stored history is incomplete")
 		gap.Turn = 1
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -41,6 +41,8 @@
 	// MaxBlocks is the number of segments of one program from which they are
 	// joined into larger ones.
 	MaxBlocks int
+	// BytesPerSecond bounds the rate of the writes of one shard.
+	BytesPerSecond int
 }
 
 // Defaults of Config.
@@ -49,8 +51,9 @@
 	defaultSlowAfter    = 500 * time.Millisecond
 	defaultRetryMin     = 20 * time.Millisecond
 	defaultRetryMax     = time.Second
-	defaultTailBytes    = 64 << 10
+	defaultTailBytes    = 32 << 10
 	defaultMaxBlocks    = 16
+	defaultBytesPerSec  = 16 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -60,6 +63,7 @@
 	setDefault(&c.RetryMax, defaultRetryMax)
 	setDefault(&c.TailBytes, defaultTailBytes)
 	setDefault(&c.MaxBlocks, defaultMaxBlocks)
+	setDefault(&c.BytesPerSecond, defaultBytesPerSec)
 	return c
 }
 
@@ -310,12 +314,21 @@
 		if err := s.commit(ctx); err != nil {
 			return err
 		}
-		if err := sleep(ctx, s.cfg.Interval); err != nil {
+		if err := sleep(ctx, s.pause()); err != nil {
 			return err
 		}
 	}
 }
 
+// pause is the wait between two writes: Interval, and longer for a large object
+// so that one shard writes at most BytesPerSecond.
+func (s *Shard) pause() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bySize := time.Duration(s.size) * time.Second / time.Duration(s.cfg.BytesPerSecond)
+	return max(s.cfg.Interval, bySize)
+}
+
 // commit writes until an attempt took effect.
 func (s *Shard) commit(ctx context.Context) error {
 	wait := s.cfg.RetryMin
