--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -175,3 +175,18 @@
 		require.Contains(t, string(text), id)
 	})
 }
+
+func TestTurnOnAnotherAnswerThanTheStoredOneIsAConflict(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		id, answers := answerDuringOutage(t, w)
+		b := w.start("b")
+		again := runTurn(t, b, turnRequest(id, 2))
+		require.NotEqual(t, answers[1].text(), again.text())
+		next := turnRequest(id, 3)
+		next.Digest = digestOf(answers[1])
+		err := b.Turn(context.Background(), next, (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.TurnConflict), "%v", err)
+		next.Digest = digestOf(again)
+		runTurn(t, b, next)
+	})
+}
