Finish short programs that began and always serve the oldest

Cause: at a crest (trial, five times the rate for 20 s) least attained service let each new program pass those under way, so that all were slow together and their caches were evicted; with waits beyond ten seconds standard work passed tills; batch turns of a flooding owner never got a slot before their deadline. Change: programs with little service are ranked up to 30 s forward by the age of the whole program (new field GenerateRequest.Age, set by the home; 0 gives no credit), classes lie 60 and 90 s apart, and one in eight grants of an owner goes to the request that arrived first.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -125,6 +125,7 @@
 		Class:    request.Class,
 		Cost:     float64(uncached + e.outputs.expect(request)),
 		Attained: float64(request.Attained),
+		Age:      request.Age,
 		Arrived:  time.Now(),
 	}
 	need := window.Need{
--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -7,8 +7,10 @@
 // time, so that it neither pays for what it borrowed out nor keeps credit.
 //
 // Inside an owner the order is by arrival, put back by the class of work and by
-// the service that the whole program has attained. Both delays are bounded, so
-// that a request can only be passed by requests that arrive within that bound.
+// the service that the whole program has attained, and put forward for a short
+// program that began early. All of it is bounded, so that a request can only be
+// passed by requests that arrive within that bound, and one grant of several
+// goes to the request that arrived first.
 package fairshare
 
 import (
@@ -26,17 +28,26 @@
 )
 
 const (
-	standardDelay = 10 * time.Second
-	batchDelay    = 30 * time.Second
-	// serviceRate converts attained service to delay, in cost units a second.
+	standardDelay = 60 * time.Second
+	batchDelay    = 90 * time.Second
+	// freeService is the attained service, in cost units, up to which a program
+	// counts as short. What it has beyond is converted to delay by serviceRate,
+	// in cost units a second.
+	freeService     = 4000.0
 	serviceRate     = 2000.0
 	maxServiceDelay = 30 * time.Second
-	minCost         = 1.0
-	defaultShare    = 1.0
+	// maxAgeCredit bounds the time for which a short program is moved forward
+	// because it began earlier, so that those begun are finished first.
+	maxAgeCredit = 30 * time.Second
+	// oldestEvery is the number of an owner's grants of which one goes to the
+	// request that arrived first, whatever its rank.
+	oldestEvery  = 8
+	minCost      = 1.0
+	defaultShare = 1.0
 )
 
 // MaxDelay bounds how much later than by arrival a request may be ranked.
-const MaxDelay = batchDelay + maxServiceDelay
+const MaxDelay = batchDelay + maxServiceDelay + maxAgeCredit
 
 // Item is one waiting request. Its fields are set before Push.
 type Item struct {
@@ -46,7 +57,9 @@
 	Cost float64
 	// Attained is the service that the whole program has had, in cost units.
 	Attained float64
-	Arrived  time.Time
+	// Age is the time since the whole program began.
+	Age     time.Duration
+	Arrived time.Time
 
 	rank  time.Time
 	seq   uint64
@@ -91,9 +104,10 @@
 
 // ownerQueue holds the waiting requests of one owner.
 type ownerQueue struct {
-	name  string
-	start float64
-	items itemHeap
+	name   string
+	start  float64
+	items  itemHeap
+	grants int
 }
 
 var _ Queue = (*Fair)(nil)
@@ -150,7 +164,7 @@
 	if next == nil {
 		return nil, false
 	}
-	return next.items[0], true
+	return next.first(), true
 }
 
 // Pop implements Queue.
@@ -159,7 +173,9 @@
 	if next == nil {
 		return nil, false
 	}
-	item := heap.Pop(&next.items).(*Item)
+	item := next.first()
+	heap.Remove(&next.items, item.index)
+	next.grants++
 	f.left(item)
 	f.virtual = max(f.virtual, next.start)
 	next.start += max(item.Cost, minCost) / shareOf(f.shares, next.name)
@@ -181,6 +197,21 @@
 	return best
 }
 
+// first returns the request to be granted next: the one ranked first, and every
+// so often the one that arrived first.
+func (o *ownerQueue) first() *Item {
+	if o.grants%oldestEvery != oldestEvery-1 {
+		return o.items[0]
+	}
+	oldest := o.items[0]
+	for _, item := range o.items {
+		if item.Arrived.Before(oldest.Arrived) {
+			oldest = item
+		}
+	}
+	return oldest
+}
+
 func (o *ownerQueue) before(other *ownerQueue) bool {
 	if o.start != other.start {
 		return o.start < other.start
@@ -303,9 +334,17 @@
 func (f *Fair) Cost() float64 { return f.cost }
 
 // Rank is the time by which an owner's requests are ordered: the arrival, put
-// back by class and by the service attained.
+// back by class and by the service attained, and forward by a short program's
+// age.
 func Rank(item *Item) time.Time {
-	return item.Arrived.Add(classDelay(item.Class) + serviceDelay(item.Attained))
+	return item.Arrived.Add(classDelay(item.Class) + serviceDelay(item.Attained) - ageCredit(item))
+}
+
+func ageCredit(item *Item) time.Duration {
+	if item.Attained > freeService {
+		return 0
+	}
+	return min(max(item.Age, 0), maxAgeCredit)
 }
 
 func classDelay(class string) time.Duration {
@@ -320,7 +359,7 @@
 }
 
 func serviceDelay(attained float64) time.Duration {
-	seconds := max(attained, 0) / serviceRate
+	seconds := max(attained-freeService, 0) / serviceRate
 	if seconds >= maxServiceDelay.Seconds() {
 		return maxServiceDelay
 	}
--- a/internal/policy/fairshare/fairshare_test.go
+++ b/internal/policy/fairshare/fairshare_test.go
@@ -127,6 +127,33 @@
 	})
 }
 
+func TestOldestRequestIsServedBesideAFloodOfABetterClass(t *testing.T) {
+	q := fairshare.NewFair()
+	q.Push(&fairshare.Item{Owner: "a", Class: fairshare.Batch, Attained: 1e6, Cost: 1, Arrived: epoch})
+	for i := range 20 {
+		q.Push(&fairshare.Item{Owner: "a", Class: fairshare.Interactive, Cost: 1, Arrived: epoch.Add(time.Second)})
+		granted, _ := q.Pop()
+		if granted.Class == fairshare.Batch {
+			require.Less(t, i, 8)
+			return
+		}
+	}
+	require.Fail(t, "the oldest request was never served")
+}
+
+func TestEarlierProgramIsFinishedFirst(t *testing.T) {
+	q := fairshare.NewFair()
+	fresh := &fairshare.Item{Owner: "a", Cost: 1, Arrived: epoch}
+	begun := &fairshare.Item{Owner: "a", Cost: 1, Age: 20 * time.Second, Attained: 2000, Arrived: epoch.Add(time.Second)}
+	session := &fairshare.Item{Owner: "a", Cost: 1, Age: time.Hour, Attained: 50_000, Arrived: epoch}
+	for _, it := range []*fairshare.Item{session, fresh, begun} {
+		q.Push(it)
+	}
+	first, _ := q.Pop()
+	second, _ := q.Pop()
+	require.Equal(t, []*fairshare.Item{begun, fresh}, []*fairshare.Item{first, second})
+}
+
 func TestShortInteractiveWorkPassesLongSessions(t *testing.T) {
 	q := fairshare.NewFair()
 	long := &fairshare.Item{Owner: "a", Class: fairshare.Standard, Attained: 50_000, Cost: 1, Arrived: epoch}
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -155,6 +155,8 @@
 	PromptTokens int `msgpack:"n"`
 	// Attained is the service that the whole program has had so far, in tokens.
 	Attained int `msgpack:"a"`
+	// Age is the time since the root program was opened.
+	Age time.Duration `msgpack:"b"`
 	// LastEngine is the engine that ran the program's previous turn.
 	LastEngine string `msgpack:"l"`
 	// Deadline is the latest time at which the request may get a slot.
