--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -30,7 +30,7 @@
 	}
 	a, err := h.admit(ctx, sh, p, r, past)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	return a.follow(ctx, 0, sink)
 }
@@ -59,7 +59,7 @@
 	}
 	a, err := h.known(ctx, sh, p, r.Turn, nil)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	if a == nil {
 		next := sh.nextTurn(p.id)
@@ -96,6 +96,11 @@
 		if a != nil || err != nil {
 			return a, err
 		}
+		// A home records a turn before its caller gets the digest, so a caller
+		// with a digest that is not known here has more than this home.
+		if next := sh.nextTurn(p.id); r.Digest != "" && next < r.Turn && past == nil {
+			return nil, outOfOrder(r, next)
+		}
 		select {
 		case <-changed:
 		case <-sh.ctx.Done():
