Measure policies by open-loop programs against real daemons

The policies could not be compared on whole programs. internal/load plans programs with chains, pauses, sub-agents and crests from a TOML profile and a seed before the run, plays them against daemons, counts waiting from the intended start and programs cut off by the end with the time they had. make measure starts nine daemons with stand-ins for each policy and seed in turn and writes medians as a table and latencies as a plot. Scaled time was ruled out: several bounds of the policies are absolute, so that a faster clock would change what they decide; the runs are short instead. Starting many processes met a port that another had taken meanwhile; the start is tried again with another.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test
+.PHONY: build demo measure test
 
 build:
 	go build -o bin/ ./cmd/...
@@ -8,3 +8,7 @@
 
 demo: build
 	go run ./test/demo -bin bin
+
+measure: build
+	go run ./test/measure --bin bin --out measured
+	go run ./test/measure --bin bin --out measured --slow
--- a/cmd/ibisfake/callers.go
+++ b/cmd/ibisfake/callers.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"strings"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/job"
+	"ibisline/internal/load"
 )
 
 type jobArgs struct {
@@ -24,3 +28,32 @@
 	}
 	return job.Run(ctx, config, os.Stdout)
 }
+
+type loadArgs struct {
+	Profile string   `arg:"--profile,required" help:"TOML file; see test/profiles"`
+	Seed    uint64   `arg:"--seed" default:"1"`
+	Daemons []string `arg:"--daemons,required" help:"for each region of the profile the IP:port of its daemons, separated by commas"`
+}
+
+// run plays a profile against running daemons and writes the result as JSON.
+func (a *loadArgs) run(ctx context.Context) error {
+	profile, err := load.ReadProfile(a.Profile)
+	if err != nil {
+		return err
+	}
+	if len(a.Daemons) != len(profile.Fleet.Regions) {
+		return errors.Errorf("%d lists of daemons for %d regions", len(a.Daemons), len(profile.Fleet.Regions))
+	}
+	var targets load.Targets
+	for _, list := range a.Daemons {
+		targets = append(targets, strings.Split(list, ","))
+	}
+	schedule := load.NewSchedule(profile, a.Seed)
+	samples, err := load.Run(ctx, profile, schedule, targets)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", " ")
+	return encoder.Encode(load.Summarise(profile, a.Seed, schedule, samples))
+}
--- a/cmd/ibisfake/main.go
+++ b/cmd/ibisfake/main.go
@@ -19,6 +19,7 @@
 	Engine  *engineArgs  `arg:"subcommand:engine" help:"play a model engine"`
 	Service *serviceArgs `arg:"subcommand:service" help:"play a plain service"`
 	Job     *jobArgs     `arg:"subcommand:job" help:"run one program through daemons and check its answers"`
+	Load    *loadArgs    `arg:"subcommand:load" help:"drive daemons by a load profile"`
 }
 
 // command is a subcommand.
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,94 @@
+package load
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const profiles = "../../test/profiles"
+
+func TestProfilesAreReadAndPlannedTheSameForASeed(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join(profiles, "*.toml"))
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		p, err := ReadProfile(file)
+		require.NoError(t, err)
+		plan := NewSchedule(p, 1)
+		require.NotEmpty(t, plan)
+		require.Equal(t, plan, NewSchedule(p, 1))
+		require.NotEqual(t, plan, NewSchedule(p, 2))
+	}
+}
+
+func TestProfileRefusesUnknownKeysAndEntries(t *testing.T) {
+	for _, text := range []string{"nmae = \"x\"", "[[work]]\nname = \"w\"\nentry = \"none\""} {
+		file := filepath.Join(t.TempDir(), "p.toml")
+		require.NoError(t, os.WriteFile(file, []byte(text), 0o644))
+		_, err := ReadProfile(file)
+		require.Error(t, err)
+	}
+}
+
+func TestOfferedLoadIsTheOneOfTheProfile(t *testing.T) {
+	p, err := ReadProfile(filepath.Join(profiles, "consorcio.toml"))
+	require.NoError(t, err)
+	for i := range p.Work {
+		p.Work[i].Crest = nil
+	}
+	p.Start = Duration(20 * time.Minute)
+	want := 0.0
+	for _, work := range p.Work {
+		want += work.Load
+	}
+	require.InEpsilon(t, want, p.Offered(NewSchedule(p, 1), 0, p.Start.Std()), 0.15)
+}
+
+func TestWaterFillGrantsSharesUpToTheDemand(t *testing.T) {
+	shares := map[string]float64{"a": 1, "b": 1, "c": 2}
+	granted := waterFill(100, shares, map[string]float64{"a": 10, "b": 1000, "c": 1000})
+	require.InDelta(t, 10, granted["a"], 1e-9)
+	require.InDelta(t, 30, granted["b"], 1e-9)
+	require.InDelta(t, 60, granted["c"], 1e-9)
+}
+
+func TestWaterFillNeverExceedsTotalOrDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shares, demand := map[string]float64{}, map[string]float64{}
+		for _, owner := range []string{"a", "b", "c", "d"} {
+			shares[owner] = rapid.Float64Range(0.1, 10).Draw(t, "share")
+			demand[owner] = rapid.Float64Range(0, 100).Draw(t, "demand")
+		}
+		total := rapid.Float64Range(0, 500).Draw(t, "total")
+		sum, wanted := 0.0, 0.0
+		for owner, amount := range waterFill(total, shares, demand) {
+			require.LessOrEqual(t, amount, demand[owner]+1e-6)
+			sum += amount
+		}
+		for _, amount := range demand {
+			wanted += amount
+		}
+		require.InDelta(t, min(total, wanted), sum, 1e-6)
+	})
+}
+
+func TestJainIsOneForEqualRatiosOnly(t *testing.T) {
+	require.InDelta(t, 1, jain([]float64{2, 2, 2}), 1e-9)
+	require.InDelta(t, 0.25, jain([]float64{1, 0, 0, 0}), 1e-9)
+}
+
+func TestWaitingCountsFromTheIntendedStartAndCutOffProgramsCount(t *testing.T) {
+	p := Profile{Work: []Work{{Entry: "e"}}}
+	samples := []Sample{
+		{Start: 0, Latency: 10 * time.Second, Ended: false},
+		{Start: 0, Latency: time.Second, OK: true, Ended: true},
+	}
+	result := Summarise(p, 1, Schedule{{}, {}}, samples)
+	require.Equal(t, 1, result.Unfinished)
+	require.InEpsilon(t, 10_000, result.Latency.P99, 0.01)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,315 @@
+package load
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histograms, in microseconds, and their precision.
+const (
+	lowestLatency  = 1
+	highestLatency = int64(time.Hour / time.Microsecond)
+	digits         = 3
+)
+
+// Quantiles of a latency in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// Group is what the programs of one owner and class had.
+type Group struct {
+	Owner    string    `json:"owner"`
+	Class    string    `json:"class"`
+	Programs int       `json:"programs"`
+	Failed   int       `json:"failed"`
+	Refused  int       `json:"refused"`
+	Latency  Quantiles `json:"latency"`
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Profile string `json:"profile"`
+	Seed    uint64 `json:"seed"`
+	// Offered is the load over the whole run and at its crest, as multiples of
+	// the engines' capacity.
+	Offered      float64 `json:"offered"`
+	OfferedCrest float64 `json:"offered_crest"`
+	Programs     int     `json:"programs"`
+	// Failed counts programs that ended without their whole work; Unfinished
+	// those that the end of the run cut off. Both count with the time they had.
+	Failed     int            `json:"failed"`
+	Unfinished int            `json:"unfinished"`
+	Refused    int            `json:"refused"`
+	Reasons    map[string]int `json:"reasons"`
+	Latency    Quantiles      `json:"latency"`
+	Groups     []Group        `json:"groups"`
+	// Short are the programs of short work, ShortFirst their waits for a first
+	// token.
+	Short      Quantiles `json:"short"`
+	ShortFirst Quantiles `json:"short_first"`
+	// Jain is the fairness index of what owners received over what their shares
+	// granted them.
+	Jain     float64            `json:"jain"`
+	Received map[string]float64 `json:"received_over_granted"`
+	// HistoryTokens are the prompt tokens that programs had before; Recomputed
+	// those of them that no cache held.
+	HistoryTokens int `json:"history_tokens"`
+	Recomputed    int `json:"recomputed_tokens"`
+	// InTime is the part of the programs with a time limit that started at a
+	// crest and ended in time.
+	InTime      float64 `json:"in_time"`
+	InTimeCount int     `json:"in_time_programs"`
+	// CDF are the latencies of all programs at each percent, in milliseconds.
+	CDF []float64 `json:"cdf_ms"`
+}
+
+// histogram records latencies.
+type histogram struct{ h *hdrhistogram.Histogram }
+
+func newHistogram() histogram {
+	return histogram{h: hdrhistogram.New(lowestLatency, highestLatency, digits)}
+}
+
+func (h histogram) add(d time.Duration) {
+	_ = h.h.RecordValue(min(max(d.Microseconds(), lowestLatency), highestLatency))
+}
+
+func (h histogram) at(percent float64) float64 {
+	return float64(h.h.ValueAtQuantile(percent)) / 1000
+}
+
+func (h histogram) quantiles() Quantiles {
+	return Quantiles{P50: h.at(50), P95: h.at(95), P99: h.at(99)}
+}
+
+// Summarise computes the result of a run.
+func Summarise(p Profile, seed uint64, schedule Schedule, samples []Sample) Result {
+	result := Result{
+		Profile:  p.Name,
+		Seed:     seed,
+		Offered:  p.Offered(schedule, 0, p.Start.Std()),
+		Programs: len(schedule),
+		Reasons:  map[string]int{},
+	}
+	result.OfferedCrest = p.crestLoad(schedule)
+	all := newHistogram()
+	for _, sample := range samples {
+		result.count(sample)
+		all.add(sample.Latency)
+	}
+	result.Latency = all.quantiles()
+	for percent := range 100 {
+		result.CDF = append(result.CDF, all.at(float64(percent)))
+	}
+	result.Groups = p.groups(samples)
+	result.short(p, samples)
+	result.inTime(p, samples)
+	result.fairness(p, schedule, samples)
+	return result
+}
+
+// crestLoad is the offered load during the first crest of the profile, or 0.
+func (p Profile) crestLoad(schedule Schedule) float64 {
+	for _, work := range p.Work {
+		for _, crest := range work.Crest {
+			return p.Offered(schedule, crest.From.Std(), crest.To.Std())
+		}
+	}
+	return 0
+}
+
+// count adds a sample to the totals.
+func (r *Result) count(sample Sample) {
+	r.Refused += sample.Refused
+	switch {
+	case !sample.Ended && !sample.OK:
+		r.Unfinished++
+	case !sample.OK:
+		r.Failed++
+		r.Reasons[string(sample.Reason)]++
+	}
+	for _, turn := range sample.Turns {
+		r.HistoryTokens += turn.History
+		r.Recomputed += max(turn.History-turn.Usage.CachedTokens, 0)
+	}
+}
+
+// groups summarises by owner and class.
+func (p Profile) groups(samples []Sample) []Group {
+	type key struct{ owner, class string }
+	groups := map[key]*Group{}
+	latencies := map[key]histogram{}
+	for _, sample := range samples {
+		entry, _ := p.EntryOf(p.Work[sample.Work])
+		k := key{entry.Owner, entry.Class}
+		if groups[k] == nil {
+			groups[k] = &Group{Owner: k.owner, Class: k.class}
+			latencies[k] = newHistogram()
+		}
+		groups[k].Programs++
+		groups[k].Refused += sample.Refused
+		if !sample.OK {
+			groups[k].Failed++
+		}
+		latencies[k].add(sample.Latency)
+	}
+	var sorted []Group
+	for k, group := range groups {
+		group.Latency = latencies[k].quantiles()
+		sorted = append(sorted, *group)
+	}
+	slices.SortFunc(sorted, func(a, b Group) int {
+		return cmp.Or(cmp.Compare(a.Owner, b.Owner), cmp.Compare(a.Class, b.Class))
+	})
+	return sorted
+}
+
+// short summarises the short work.
+func (r *Result) short(p Profile, samples []Sample) {
+	whole, first := newHistogram(), newHistogram()
+	for _, sample := range samples {
+		if !p.Work[sample.Work].Short {
+			continue
+		}
+		whole.add(sample.Latency)
+		for _, turn := range sample.Turns {
+			first.add(turn.First)
+		}
+	}
+	r.Short = whole.quantiles()
+	r.ShortFirst = first.quantiles()
+}
+
+// inTime computes the service at the crest.
+func (r *Result) inTime(p Profile, samples []Sample) {
+	served := 0
+	for _, sample := range samples {
+		work := p.Work[sample.Work]
+		if work.InTime == 0 || !work.AtCrest(sample.Start) {
+			continue
+		}
+		r.InTimeCount++
+		if sample.OK && sample.Latency <= work.InTime.Std() {
+			served++
+		}
+	}
+	if r.InTimeCount > 0 {
+		r.InTime = float64(served) / float64(r.InTimeCount)
+	}
+}
+
+// fairness compares what owners received with what their shares granted.
+func (r *Result) fairness(p Profile, schedule Schedule, samples []Sample) {
+	from, to := p.FairFrom.Std(), p.FairTo.Std()
+	if to == 0 {
+		return
+	}
+	shares := map[string]float64{}
+	for _, entry := range p.Entry {
+		shares[entry.Owner] += entry.Share
+	}
+	demand := p.demand(schedule, to)
+	for owner, cost := range p.received(samples, 0, from) {
+		demand[owner] = max(demand[owner]-cost, 0)
+	}
+	received := p.received(samples, from, to)
+	total := 0.0
+	for _, cost := range received {
+		total += cost
+	}
+	granted := waterFill(total, shares, demand)
+	r.Received = map[string]float64{}
+	var ratios []float64
+	for owner, amount := range granted {
+		if amount <= 0 {
+			continue
+		}
+		ratio := received[owner] / amount
+		r.Received[owner] = ratio
+		ratios = append(ratios, ratio)
+	}
+	r.Jain = jain(ratios)
+}
+
+// demand is the engine time in seconds that each owner asked for until a time.
+func (p Profile) demand(schedule Schedule, until time.Duration) map[string]float64 {
+	demand := map[string]float64{}
+	for _, program := range schedule {
+		if program.Start < until {
+			entry, _ := p.EntryOf(p.Work[program.Work])
+			demand[entry.Owner] += p.cost(program).Seconds()
+		}
+	}
+	return demand
+}
+
+// received is the engine time that each owner had between two times: for output
+// and for the part of its prompts that no cache held.
+func (p Profile) received(samples []Sample, from, to time.Duration) map[string]float64 {
+	received := map[string]float64{}
+	for _, sample := range samples {
+		entry, _ := p.EntryOf(p.Work[sample.Work])
+		for _, turn := range sample.Turns {
+			if turn.At < from || turn.At >= to {
+				continue
+			}
+			uncached := turn.Usage.PromptTokens - turn.Usage.CachedTokens
+			received[entry.Owner] += p.engineTime(uncached, turn.Usage.OutputTokens).Seconds()
+		}
+	}
+	return received
+}
+
+// waterFill divides a total by shares among owners, none above its demand.
+func waterFill(total float64, shares, demand map[string]float64) map[string]float64 {
+	granted := map[string]float64{}
+	open := map[string]bool{}
+	for owner := range demand {
+		open[owner] = true
+	}
+	for len(open) > 0 && total > 0 {
+		weight := 0.0
+		for owner := range open {
+			weight += shares[owner]
+		}
+		level := total / weight
+		filled := false
+		for owner := range open {
+			if demand[owner] > level*shares[owner] {
+				continue
+			}
+			granted[owner] = demand[owner]
+			total -= demand[owner]
+			delete(open, owner)
+			filled = true
+		}
+		if filled {
+			continue
+		}
+		for owner := range open {
+			granted[owner] = level * shares[owner]
+		}
+		return granted
+	}
+	return granted
+}
+
+// jain is the fairness index of n ratios: 1 when all are equal, 1/n when one
+// has all.
+func jain(ratios []float64) float64 {
+	sum, squares := 0.0, 0.0
+	for _, ratio := range ratios {
+		sum += ratio
+		squares += ratio * ratio
+	}
+	if squares == 0 {
+		return 0
+	}
+	return sum * sum / (float64(len(ratios)) * squares)
+}
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -122,9 +122,33 @@
 	return addr, nil
 }
 
+// startTries bounds the attempts to start a daemon whose chosen port was taken
+// by another process meanwhile.
+const startTries = 5
+
 // StartDaemon starts a daemon and waits until it takes callers. Addresses that d
 // leaves empty are chosen; a name that was started before keeps its place.
 func (f *Fleet) StartDaemon(ctx context.Context, d Daemon) (Daemon, error) {
+	_, known := f.Daemon(d.Name)
+	chosen := d.HTTPAddr == "" && !known
+	for try := 1; ; try++ {
+		started, err := f.startOnce(ctx, d)
+		if err == nil || !chosen || try == startTries || !strings.Contains(err.Error(), "address already in use") {
+			return started, err
+		}
+		f.forget(d.Name)
+	}
+}
+
+// forget drops the place of a daemon that did not start.
+func (f *Fleet) forget(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.daemons, name)
+}
+
+// startOnce starts a daemon and waits until it takes callers.
+func (f *Fleet) startOnce(ctx context.Context, d Daemon) (Daemon, error) {
 	d, err := f.place(d)
 	if err != nil {
 		return d, err
