--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo recovery test
+.PHONY: build demo measure recovery test
 
 build:
 	go build -o bin/ ./cmd/...
@@ -11,3 +11,7 @@
 
 recovery: build
 	go run ./test/recovery -bin bin
+
+measure: build
+	go run ./test/measure --bin bin --out measured
+	go run ./test/measure --bin bin --out measured --slow
