Replay no empty body, delete unused segments of a dead home

Cause: when the body of a large outcome could not be stored, a repeat of the call was answered with an empty body, which breaks "the whole answer"; a home that died between a segment and the shard object left the segment for ever. Ruled out: refusing the call, which has run; listing all segments at a takeover, which reads every value. Change: a lost body is on record, and the repeat gets the verdict ran with an error; the new holder probes the numbers after the last stored one. A test of a newcomer that gets its shard while a turn runs there. Conclusion: a paused former home may still write one unused segment later.

--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -190,3 +190,21 @@
 		runTurn(t, b, next)
 	})
 }
+
+func TestSegmentThatNoStateRefersToIsDeleted(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.cfg.Journal.TailBytes = 1
+		p := newProcess(w, "a")
+		d := w.startWith("a", func(d *Deps) { d.Store = &faultyStore{Store: w.objects, process: p} })
+		id := w.open(t, d, "p")
+		// The home dies after it wrote the segment and before the shard object.
+		p.arm(afterPut)
+		go func() { _ = d.Turn(context.Background(), turnRequest(id, 1), (&collect{}).sink) }()
+		<-p.dead
+		w.crash("a")
+		require.Len(t, w.segments(t), 1)
+		w.start("b")
+		time.Sleep(time.Minute)
+		require.Empty(t, w.segments(t))
+	})
+}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/member"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -272,3 +273,39 @@
 		require.Empty(t, w.backends.heldPrograms())
 	})
 }
+
+func TestNewDaemonGetsItsShardWithoutInterruption(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		shardID := structs.ShardID(testRegion + ".0")
+		names := []string{"a", "b"}
+		w.live.names = names
+		newcomer, _ := member.Home(w.live.viewOf(""), shardID)
+		w.live.names = nil
+		former := names[0]
+		if former == newcomer.Name {
+			former = names[1]
+		}
+		d := w.start(former)
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		before, err := d.State(context.Background(), id)
+		require.NoError(t, err)
+		release := make(chan struct{})
+		reached := w.backends.hold("generate", release)
+		running := make(chan error, 1)
+		go func() { running <- d.Turn(context.Background(), turnRequest(id, 2), (&collect{}).sink) }()
+		<-reached
+		next := w.start(newcomer.Name)
+		time.Sleep(10 * time.Second)
+		close(release)
+		require.NoError(t, <-running)
+		time.Sleep(2 * time.Second)
+		after, err := next.State(context.Background(), id)
+		require.NoError(t, err)
+		require.Equal(t, newcomer.Name, after.Home)
+		require.Equal(t, 3, after.NextTurn)
+		require.EqualValues(t, before.Epoch+1, after.Epoch)
+		require.Less(t, after.SpentTokens, 1000, "a clean hand-over forfeits no grant")
+		runTurn(t, next, turnRequest(id, 3))
+	})
+}
--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -233,13 +233,13 @@
 // it cannot be stored: it is true, and the stored intent keeps others from
 // sending again.
 func (h *Home) conclude(ctx context.Context, sh *shard, r structs.CallRequest, reply structs.CallReply) {
-	body := ""
+	body, lost := "", false
 	if len(reply.Body) > inlineBody {
 		key, err := sh.journal.StoreBody(ctx, reply.Body)
 		if err != nil {
 			h.log.WithField("program", r.Program).WithError(err).Warn("body of a call is not kept")
 		}
-		body = key
+		body, lost = key, err != nil
 		reply.Body = nil
 	}
 	seq, err := sh.journal.Update(func(s *journal.State) error {
@@ -248,8 +248,8 @@
 			return nil
 		}
 		known.Outcome = &reply
-		known.Body = body
-		if body != "" {
+		known.Body, known.BodyLost = body, lost
+		if body != "" && !lost {
 			s.Segments = append(s.Segments, body)
 		}
 		return nil
@@ -279,7 +279,10 @@
 	reply := *stored.Outcome
 	reply.Replayed = true
 	reply.Home = h.deps.Self
-	if len(reply.Body) > 0 || stored.Body == "" {
+	if stored.BodyLost {
+		return structs.CallReply{}, verdict.New(verdict.Ran, verdict.Internal, "call ran with status %d, and its answer was not kept", reply.Status)
+	}
+	if stored.Body == "" {
 		return reply, nil
 	}
 	body, err := sh.journal.Body(ctx, stored.Body)
--- a/internal/home/order_test.go
+++ b/internal/home/order_test.go
@@ -144,3 +144,16 @@
 		require.Equal(t, 1, w.backends.sends(id+"/k"))
 	})
 }
+
+func TestAnswerThatWasNotKeptIsNotReplayedEmpty(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.backends.body = make([]byte, platform.MaxValueBytes+1)
+		_, err := d.Call(context.Background(), callRequest(id, "k"))
+		require.NoError(t, err)
+		_, err = d.Call(context.Background(), callRequest(id, "k"))
+		require.True(t, verdict.Is(err, verdict.Ran), "%v", err)
+		require.Equal(t, 1, w.backends.sends(id+"/k"))
+	})
+}
--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -39,6 +39,7 @@
 // former holder, because such a write expects an older version.
 func Claim(ctx context.Context, store platform.Store, head Head, self string, cfg Config) (*Shard, error) {
 	cfg = cfg.withDefaults()
+	former := segments{epoch: head.State.Epoch, count: head.State.NextSegment}
 	head.State.Claim(self)
 	w := &writer{store: store, key: Key(head.State.Shard), version: head.Version, limit: cfg.WriteTimeout}
 	for {
@@ -52,7 +53,7 @@
 		var lost *lostError
 		switch {
 		case err == nil:
-			return newShard(store, head.State, w, cfg), nil
+			return newShard(store, head.State, former, w, cfg), nil
 		case errors.As(err, &lost):
 			return nil, ErrLost
 		case !errors.Is(err, errDoubt):
--- a/internal/journal/collect.go
+++ b/internal/journal/collect.go
@@ -17,6 +17,9 @@
 // Collect deletes the segments that nothing refers to any more, and joins the
 // blocks of programs that have many.
 func (s *Shard) Collect(ctx context.Context) error {
+	if err := s.removeOrphans(ctx); err != nil {
+		return err
+	}
 	if err := s.compact(ctx); err != nil {
 		return err
 	}
@@ -35,6 +38,27 @@
 	return nil
 }
 
+// removeOrphans deletes segments that the former holder wrote and that no state
+// refers to. A stored state that refers to a segment also counts it, so the
+// numbers beyond the stored count are free of references, now and later.
+func (s *Shard) removeOrphans(ctx context.Context) error {
+	for ; s.former.epoch > 0; s.former.count++ {
+		key := segmentKey(s.state.Shard, s.former.epoch, s.former.count+1)
+		_, err := s.store.Get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			s.former.epoch = 0
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read segment")
+		}
+		if err := s.remove(ctx, key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // garbage lists the segments without a reference. It returns none while changes
 // are not durable: the stored state may still refer to them. References are
 // only made to new segments, so a segment on the list stays without one.
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -80,7 +80,11 @@
 // because an epoch has one holder. The caller holds mu.
 func (s *Shard) nextSegment() string {
 	s.state.NextSegment++
-	return fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, s.state.Shard, s.state.Epoch, s.state.NextSegment)
+	return segmentKey(s.state.Shard, s.state.Epoch, s.state.NextSegment)
+}
+
+func segmentKey(id structs.ShardID, epoch, number int64) string {
+	return fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, id, epoch, number)
 }
 
 // turnsSize estimates the encoded size of turns in bytes.
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -85,6 +85,8 @@
 	store  platform.Store
 	writer *writer
 	dirty  chan struct{}
+	// former is where the segments of the former holder end. Collect uses it.
+	former segments
 
 	mu        sync.Mutex
 	state     *State
@@ -102,12 +104,19 @@
 	progress     chan struct{} // closed at each change of the fields above
 }
 
-func newShard(store platform.Store, state *State, w *writer, cfg Config) *Shard {
+// segments counts the segments of an epoch.
+type segments struct {
+	epoch int64
+	count int64
+}
+
+func newShard(store platform.Store, state *State, former segments, w *writer, cfg Config) *Shard {
 	return &Shard{
 		cfg:      cfg,
 		store:    store,
 		writer:   w,
 		dirty:    make(chan struct{}, 1),
+		former:   former,
 		state:    state,
 		progress: make(chan struct{}),
 	}
--- a/internal/journal/state.go
+++ b/internal/journal/state.go
@@ -81,6 +81,8 @@
 	// Body names the segment object that holds the outcome's body, when it is
 	// too large for the shard object.
 	Body string `msgpack:"b,omitempty"`
+	// BodyLost is set when the body could not be kept.
+	BodyLost bool `msgpack:"l,omitempty"`
 }
 
 // Turn is one finished turn of a program's history.
