Do not count state queries as activity of a program

Change: a state query finds the program without touching it; the test of idle programs now polls the state each second. The random run counts requests of callers as steps, too.

--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -114,8 +114,17 @@
 	return verdict.Refuse(verdict.NotHome, format, args...).After(retrySoon)
 }
 
-// enter returns the held shard and the program.
+// enter returns the held shard and the program, and counts as activity of it.
 func (h *Home) enter(ctx context.Context, id string) (*shard, *program, error) {
+	sh, p, err := h.find(ctx, id)
+	if err == nil {
+		sh.touch(id)
+	}
+	return sh, p, err
+}
+
+// find returns the held shard and the program.
+func (h *Home) find(ctx context.Context, id string) (*shard, *program, error) {
 	shardID, ok := structs.ShardOf(id)
 	if !ok {
 		return nil, nil, verdict.Refuse(verdict.BadRequest, "malformed program identifier %q", id)
@@ -128,7 +137,6 @@
 	if err != nil {
 		return nil, nil, h.confirmed(ctx, sh, err)
 	}
-	sh.touch(id)
 	return sh, p, nil
 }
 
@@ -163,9 +171,10 @@
 	return time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
 }
 
-// State implements Service.
+// State implements Service. It does not count as activity of the program: the
+// sweeps of the dispatchers ask for it all the time.
 func (h *Home) State(ctx context.Context, id string) (structs.ProgramState, error) {
-	sh, _, err := h.enter(ctx, id)
+	sh, _, err := h.find(ctx, id)
 	if err != nil {
 		return structs.ProgramState{}, err
 	}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -258,7 +258,11 @@
 		d := w.start("a")
 		idle := w.open(t, d, "p")
 		runTurn(t, d, turnRequest(idle, 1))
-		time.Sleep(59 * time.Second)
+		for range 59 {
+			time.Sleep(time.Second)
+			_, err := d.State(context.Background(), idle)
+			require.NoError(t, err)
+		}
 		require.NotEmpty(t, w.backends.heldPrograms())
 		time.Sleep(3 * time.Second)
 		require.Empty(t, w.backends.heldPrograms())
--- a/internal/home/sim_test.go
+++ b/internal/home/sim_test.go
@@ -56,7 +56,8 @@
 	}
 }
 
-// tally counts what the schedules reached, to show that they are not idle.
+// tally counts what the schedules reached, to show that they are not idle. A
+// step is an event of a schedule or a request of a caller to a home.
 type tally struct {
 	Turns, Calls, Sends, MayHaveRun, NotRun, Gaps, Claims, Ended, Adopted, Steps int
 }
@@ -242,7 +243,7 @@
 
 // play makes one event happen.
 func (s *sim) play(o op) {
-	s.total.Steps++
+	s.setFaults(func() { s.total.Steps++ })
 	p := s.process(o.home)
 	if p == nil && o.kind != opStart {
 		return
@@ -596,6 +597,7 @@
 	err := c.at(d, func(ctx context.Context) error { return ask(ctx, d, id) })
 	c.sim.mu.Lock()
 	defer c.sim.mu.Unlock()
+	c.sim.total.Steps++
 	switch {
 	case verdict.Is(err, verdict.NotRun):
 		c.sim.total.NotRun++
