Prove the catalogue's promise by randomised schedules

Cause: promise 10 has to hold under faults that meet: racing operators, outages, cuts of daemons and regions, stuck watches, pauses, restarts, lost positions. Change: 300 fixed schedules (six shards of 50; rapid's flags give more) over five real catalogues in virtual time. Checked all along: no daemon reverts or invents a state, all edits up to a daemon's revision are applied, a daemon that admits work has every edit of more than 3 s ago in force; after the faults all admit. The one excuse is written down: nobody in reach has contact, as in an outage.

--- a/internal/catalogue/fleet_test.go
+++ b/internal/catalogue/fleet_test.go
@@ -72,6 +72,12 @@
 	return g.cut
 }
 
+func (g *gate) isPaused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.held != nil
+}
+
 func (g *gate) isStuck() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/internal/catalogue/random_test.go
@@ -0,0 +1,423 @@
+package catalogue_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"ibisline/internal/catalogue"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/platform"
+)
+
+// Defaults of rapid's flags: CI runs the same schedules each time, ciSchedules in
+// each shard. More and fresh ones:
+// go test ./internal/catalogue -rapid.checks=1000 -rapid.seed=7
+const (
+	ciSchedules = "50"
+	ciSeed      = "1"
+	shards      = 6
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.checks": ciSchedules, "rapid.seed": ciSeed} {
+		if !given[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// kind is what a step of a schedule does.
+type kind string
+
+const (
+	edit         kind = "edit"
+	racingEdits  kind = "racing edits"
+	remove       kind = "remove"
+	malformed    kind = "malformed"
+	outage       kind = "outage"
+	compact      kind = "compact"
+	cutPlatform  kind = "cut platform"
+	cutPeers     kind = "cut peers"
+	isolate      kind = "isolate"
+	cutRegion    kind = "cut region"
+	stickWatch   kind = "stick watch"
+	pauseProcess kind = "pause"
+	restart      kind = "restart"
+)
+
+// step is one action, followed by a wait. Actions on faults switch them over.
+type step struct {
+	Kind kind
+	// Daemon selects a daemon, and its region.
+	Daemon int
+	Entry  int
+	WaitMS int
+}
+
+// randomFleetSize gives two regions with two daemons and one with a single one.
+const randomFleetSize = 5
+
+// stepGen draws steps. Edits are frequent, so that most faults meet some.
+var stepGen = rapid.Custom(func(t *rapid.T) step {
+	return step{
+		Kind: rapid.SampledFrom([]kind{
+			edit, edit, edit, edit, racingEdits, remove, malformed, outage, compact, cutPlatform, cutPeers, isolate,
+			cutRegion, stickWatch, stickWatch, pauseProcess, restart,
+		}).Draw(t, "kind"),
+		Daemon: rapid.IntRange(0, randomFleetSize-1).Draw(t, "daemon"),
+		Entry:  rapid.IntRange(0, 2).Draw(t, "entry"),
+		WaitMS: rapid.SampledFrom([]int{0, 5, 20, 300, 1500, 4000, 7000}).Draw(t, "wait"),
+	}
+})
+
+// accepted is one state of an entry that the platform accepted. Share is 0 for a
+// deletion.
+type accepted struct {
+	share   float64
+	version int64
+	at      time.Time
+}
+
+// trial runs one schedule and checks the promises on the way.
+type trial struct {
+	*fleet
+	// history holds the accepted states of each entry, the first one being
+	// that it does not exist.
+	history map[string][]accepted
+	shares  float64
+	// seen is the newest state that each process has shown.
+	seen map[*daemon]map[string]int
+	// excused holds the times until which a daemon need not have new edits.
+	excused map[int]time.Time
+	faults  map[kind]map[int]bool
+	failure string
+}
+
+// entryNames are the entries that schedules edit.
+var entryNames = []string{"a", "b", "c"}
+
+func newTrial(t require.TestingT, seed int64) *trial {
+	tr := &trial{
+		fleet:   newFleet(t, randomFleetSize, seed),
+		history: map[string][]accepted{},
+		seen:    map[*daemon]map[string]int{},
+		excused: map[int]time.Time{},
+		faults:  map[kind]map[int]bool{},
+	}
+	for _, name := range entryNames {
+		tr.history[name] = []accepted{{at: time.Now()}}
+	}
+	for _, k := range []kind{cutPlatform, cutPeers, isolate, cutRegion, stickWatch, pauseProcess, outage} {
+		tr.faults[k] = map[int]bool{}
+	}
+	return tr
+}
+
+// fail records the first broken promise.
+func (tr *trial) fail(format string, args ...any) {
+	if tr.failure == "" {
+		tr.failure = fmt.Sprintf(format, args...)
+	}
+}
+
+// run executes a schedule, heals everything and returns the first broken promise.
+func (tr *trial) run(steps []step) string {
+	tr.advance(inForceBound)
+	for _, s := range steps {
+		tr.do(s)
+		tr.advance(time.Duration(s.WaitMS) * time.Millisecond)
+		if tr.failure != "" {
+			return tr.failure
+		}
+	}
+	for _, of := range tr.faults {
+		clear(of)
+	}
+	tr.applyFaults()
+	tr.advance(2 * inForceBound)
+	tr.excused = map[int]time.Time{}
+	for i := range tr.daemons {
+		tr.check(i)
+		if err := tr.daemons[i].Admit(); err != nil {
+			tr.fail("daemon %d admits nothing after all faults ended: %s", i, err)
+		}
+	}
+	return tr.failure
+}
+
+// advance lets virtual time pass and checks the promises on the way.
+func (tr *trial) advance(d time.Duration) {
+	const tick = 100 * time.Millisecond
+	for end := time.Now().Add(d); time.Now().Before(end) && tr.failure == ""; {
+		time.Sleep(min(tick, time.Until(end)))
+		synctest.Wait()
+		for i := range tr.daemons {
+			tr.excuse(i)
+		}
+		for i := range tr.daemons {
+			tr.check(i)
+		}
+	}
+}
+
+// do executes one step.
+func (tr *trial) do(s step) {
+	name := entryNames[s.Entry]
+	switch s.Kind {
+	case edit:
+		tr.edit(name)
+	case racingEdits:
+		tr.race(name)
+	case remove:
+		tr.remove(name)
+	case malformed:
+		tr.spoil(name)
+	case compact:
+		tr.store.Compact()
+	case restart:
+		tr.fleet.restart(s.Daemon)
+		tr.applyFaults()
+	case outage, cutRegion:
+		tr.toggle(s.Kind, s.Daemon%len(regions))
+	default:
+		tr.toggle(s.Kind, s.Daemon)
+	}
+}
+
+// toggle switches a fault over.
+func (tr *trial) toggle(k kind, i int) {
+	if k == outage {
+		i = 0
+	}
+	tr.faults[k][i] = !tr.faults[k][i]
+	tr.applyFaults()
+}
+
+// applyFaults brings network, gates and store in line with the faults.
+func (tr *trial) applyFaults() {
+	tr.store.SetFaults(objects.Faults{Outage: tr.faults[outage][0]})
+	for i, d := range tr.daemons {
+		cut := !tr.reachesPlatform(i)
+		stuck := tr.faults[stickWatch][i]
+		d.gate.set(func(g *gate) { g.cut, g.stuck = cut, stuck })
+		if tr.faults[pauseProcess][i] && !d.gate.isPaused() {
+			d.gate.pause()
+		}
+		if !tr.faults[pauseProcess][i] {
+			d.gate.resume()
+		}
+		for j := range tr.daemons {
+			tr.network.Cut(d.name, tr.daemons[j].name, !tr.connected(i, j))
+		}
+	}
+}
+
+// reachesPlatform reports whether daemon i is not cut off from the platform.
+func (tr *trial) reachesPlatform(i int) bool {
+	return !tr.faults[cutPlatform][i] && !tr.faults[isolate][i]
+}
+
+// connected reports whether two daemons reach each other.
+func (tr *trial) connected(i, j int) bool {
+	for _, k := range []kind{cutPeers, isolate, pauseProcess} {
+		if tr.faults[k][i] || tr.faults[k][j] {
+			return i == j
+		}
+	}
+	ri, rj := i%len(regions), j%len(regions)
+	return ri == rj || !tr.faults[cutRegion][ri] && !tr.faults[cutRegion][rj]
+}
+
+// group returns the daemons that reach daemon i, directly or through others.
+func (tr *trial) group(i int) []int {
+	group := []int{i}
+	for at := 0; at < len(group); at++ {
+		for j := range tr.daemons {
+			if tr.connected(group[at], j) && !slices.Contains(group, j) {
+				group = append(group, j)
+			}
+		}
+	}
+	return group
+}
+
+// excuse notes when a daemon cannot know of an edit although it hears of all
+// data centres: nobody in reach has contact to the platform. Such a fleet works
+// on, as in an outage.
+func (tr *trial) excuse(i int) {
+	group := tr.group(i)
+	reaches := func(j int) bool {
+		return tr.reachesPlatform(j) && !tr.faults[outage][0] && !tr.faults[pauseProcess][j]
+	}
+	others := map[int]bool{}
+	for j := range tr.daemons {
+		if j != i {
+			others[j%len(regions)] = true
+		}
+	}
+	for _, j := range group {
+		if j != i {
+			delete(others, j%len(regions))
+		}
+	}
+	if len(others) == 0 && !slices.ContainsFunc(group, reaches) {
+		tr.excused[i] = time.Now().Add(inForceBound)
+	}
+}
+
+// put writes an entry as an operator who saw the version expected.
+func (tr *trial) put(name string, expected int64) {
+	tr.shares++
+	share := tr.shares
+	value, err := catalogue.Encode(entry(name, share))
+	require.NoError(tr.t, err)
+	version, err := tr.store.Put(context.Background(), catalogue.Key(name), value, expected)
+	if err == nil {
+		tr.history[name] = append(tr.history[name], accepted{share: share, version: version, at: time.Now()})
+	}
+}
+
+// version is the version of the entry's object that an operator reads, and false
+// during an outage.
+func (tr *trial) version(name string) (int64, bool) {
+	object, err := tr.store.Get(context.Background(), catalogue.Key(name))
+	return object.Version, err == nil || errors.Is(err, platform.ErrNotFound)
+}
+
+func (tr *trial) edit(name string) {
+	if expected, ok := tr.version(name); ok {
+		tr.put(name, expected)
+	}
+}
+
+// race lets two operators edit what they both have read.
+func (tr *trial) race(name string) {
+	if expected, ok := tr.version(name); ok {
+		tr.put(name, expected)
+		tr.put(name, expected)
+	}
+}
+
+func (tr *trial) remove(name string) {
+	expected, ok := tr.version(name)
+	if !ok || expected == platform.NoVersion {
+		return
+	}
+	require.NoError(tr.t, tr.store.Delete(context.Background(), catalogue.Key(name), expected))
+	_, revision, err := tr.store.List(context.Background(), "none/")
+	require.NoError(tr.t, err)
+	tr.history[name] = append(tr.history[name], accepted{version: revision, at: time.Now()})
+}
+
+// spoil writes an object that is no entry over an existing one, and mends it at
+// once: a listing in between must not lose the entry.
+func (tr *trial) spoil(name string) {
+	expected, ok := tr.version(name)
+	if !ok || expected == platform.NoVersion {
+		return
+	}
+	version, err := tr.store.Put(context.Background(), catalogue.Key(name), []byte("{"), expected)
+	if err == nil {
+		tr.advance(20 * time.Millisecond)
+		tr.put(name, version)
+	}
+}
+
+// check asserts the promises at one daemon.
+func (tr *trial) check(i int) {
+	d := tr.daemons[i]
+	if tr.seen[d] == nil {
+		tr.seen[d] = map[string]int{}
+	}
+	revision := d.Revision()
+	admits := d.Admit() == nil
+	for _, name := range entryNames {
+		held, _ := d.Entry(name)
+		at := tr.find(name, held.Share, held.Version)
+		if at < 0 {
+			tr.fail("daemon %d has a state of %s that was never accepted: %+v", i, name, held)
+			return
+		}
+		if at < tr.seen[d][name] {
+			tr.fail("daemon %d reverted %s from state %d to %d", i, name, tr.seen[d][name], at)
+		}
+		tr.seen[d][name] = at
+		tr.checkRevision(i, name, at, revision)
+		if admits && time.Now().After(tr.excused[i]) {
+			tr.checkInForce(i, name, at)
+		}
+	}
+}
+
+// find returns the position of a state in the history of an entry. A missing
+// entry matches the latest deletion that it can.
+func (tr *trial) find(name string, share float64, version int64) int {
+	states := tr.history[name]
+	for at, state := range slices.Backward(states) {
+		if state.share == share && (share == 0 || state.version == version) {
+			return at
+		}
+	}
+	return -1
+}
+
+// checkRevision asserts that all edits up to the daemon's revision are applied.
+func (tr *trial) checkRevision(i int, name string, at int, revision int64) {
+	for later, state := range tr.history[name] {
+		if later > at && state.version <= revision {
+			tr.fail("daemon %d has revision %d in force, but not state %d of %s (version %d)", i, revision, later, name, state.version)
+		}
+	}
+}
+
+// checkInForce asserts that a daemon that admits work has all edits in force that
+// were accepted longer ago than the bound.
+func (tr *trial) checkInForce(i int, name string, at int) {
+	for later, state := range tr.history[name] {
+		if age := time.Since(state.at); later > at && age > inForceBound {
+			tr.fail("daemon %d admits work on state %d of %s, but state %d was accepted %s ago", i, at, name, later, age)
+		}
+	}
+}
+
+func TestRandomSchedulesKeepThePromise(t *testing.T) {
+	for shard := range shards {
+		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
+			t.Parallel()
+			rapid.Check(t, func(rt *rapid.T) { checkSchedule(t, rt, shard) })
+		})
+	}
+}
+
+// checkSchedule draws one schedule and runs it. Shards share rapid's seed; each
+// skips another number of draws, so that their schedules differ.
+func checkSchedule(t *testing.T, rt *rapid.T, shard int) {
+	for range shard {
+		rapid.Uint64().Draw(rt, "skipped")
+	}
+	steps := rapid.SliceOfN(stepGen, 1, 12).Draw(rt, "steps")
+	seed := rapid.Int64().Draw(rt, "latencies")
+	var failure string
+	synctest.Test(t, func(t *testing.T) {
+		tr := newTrial(t, seed)
+		defer tr.stop()
+		failure = tr.run(steps)
+	})
+	if failure != "" {
+		rt.Fatal(failure)
+	}
+}
--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -86,17 +86,18 @@
 
 // Catalogue is the daemon's copy of the catalogue. It implements Reader.
 type Catalogue struct {
-	config  Config
-	store   platform.Store
-	view    member.View
-	dialer  peer.Dialer
-	table   *table
-	contact *contact
-	pushes  *ring.Ring[batch]
-	metrics counters
-	logger  log.Interface
-	waiting waiting
-	tail    tail
+	config     Config
+	store      platform.Store
+	view       member.View
+	dialer     peer.Dialer
+	table      *table
+	contact    *contact
+	neighbours *neighbourhood
+	pushes     *ring.Ring[batch]
+	metrics    counters
+	logger     log.Interface
+	waiting    waiting
+	tail       tail
 	// loading is held while entries are taken from a peer.
 	loading atomic.Bool
 	started time.Time
@@ -108,15 +109,16 @@
 func New(config Config, store platform.Store, view member.View, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Catalogue {
 	config = config.withDefaults()
 	c := &Catalogue{
-		config:  config,
-		store:   store,
-		view:    view,
-		dialer:  dialer,
-		table:   newTable(),
-		contact: newContact(config.StaleAfter, config.ForgetAfter),
-		pushes:  ring.New[batch](set, "catalogue_push", pushRingSize),
-		logger:  logger,
-		started: time.Now(),
+		config:     config,
+		store:      store,
+		view:       view,
+		dialer:     dialer,
+		table:      newTable(),
+		contact:    newContact(config.StaleAfter, config.ForgetAfter),
+		neighbours: &neighbourhood{view: view, size: config.Neighbours},
+		pushes:     ring.New[batch](set, "catalogue_push", pushRingSize),
+		logger:     logger,
+		started:    time.Now(),
 	}
 	c.metrics = newCounters(set, c)
 	mux.Handle(MethodStatus, c.serveStatus)
@@ -198,7 +200,7 @@
 		Admits:       loaded && c.contact.current(now, revision),
 		ContactAgeMS: age.Milliseconds(),
 		Silent:       c.contact.silentNow(now),
-		Neighbours:   c.neighbours(),
+		Neighbours:   c.neighbours.all(),
 		Entries:      make([]SnapshotEntry, 0, len(held)),
 		Unconfirmed:  c.table.unconfirmed(),
 	}
--- a/internal/catalogue/spread.go
+++ b/internal/catalogue/spread.go
@@ -1,14 +1,11 @@
 package catalogue
 
 import (
-	"cmp"
 	"context"
 	"io"
-	"math/rand/v2"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
@@ -75,34 +72,6 @@
 	return instance.Region + "/" + instance.DataCentre
 }
 
-// neighbours returns the daemons to which this one talks: a fixed choice by hash
-// among the live ones, different for each daemon, with at least one of each data
-// centre.
-func (c *Catalogue) neighbours() []string {
-	self := c.view.Self().Name
-	others := slices.DeleteFunc(slices.Clone(c.view.Live()), func(i structs.Instance) bool { return i.Name == self })
-	slices.SortFunc(others, func(a, b structs.Instance) int {
-		return cmp.Compare(xxhash.Sum64String(self+" "+a.Name), xxhash.Sum64String(self+" "+b.Name))
-	})
-	var names []string
-	seen := map[string]bool{}
-	for i, other := range others {
-		dataCentre := dataCentreOf(other)
-		if i < c.config.Neighbours || !seen[dataCentre] {
-			names = append(names, other.Name)
-		}
-		seen[dataCentre] = true
-	}
-	return names
-}
-
-// pick returns up to n neighbours at random.
-func (c *Catalogue) pick(n int) []string {
-	names := c.neighbours()
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	return names[:min(n, len(names))]
-}
-
 // spread hands a batch to the push duty when it brought news here. A full ring
 // loses it; the neighbours then find it by their exchanges.
 func (c *Catalogue) spread(b batch, accepted []change) {
@@ -124,7 +93,7 @@
 		case <-ctx.Done():
 			return calls.Wait()
 		case b := <-c.pushes.Items():
-			for _, name := range c.pick(c.config.Fanout) {
+			for _, name := range c.neighbours.pick(c.config.Fanout) {
 				calls.TryGo(func() error {
 					c.pushTo(ctx, name, b)
 					return nil
@@ -151,7 +120,7 @@
 	defer ticker.Stop()
 	for {
 		c.reviewDataCentres()
-		for _, name := range c.pick(c.config.Fanout) {
+		for _, name := range c.neighbours.pick(c.config.Fanout) {
 			calls.TryGo(func() error {
 				c.exchangeWith(ctx, name)
 				return nil
@@ -194,6 +163,12 @@
 	if c.behind(reply.Batch.Revision) && c.outOfReach() {
 		c.load(ctx, name)
 	}
+	c.prove(reply, asked)
+}
+
+// prove takes a neighbour's proof of contact, if it has one and all edits that
+// the neighbour has are applied here.
+func (c *Catalogue) prove(reply exchangeReply, asked time.Time) {
 	if reply.ContactAge >= 0 && !c.behind(reply.Batch.Revision) {
 		c.contact.reached(asked.Add(-reply.ContactAge))
 	}
