--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -13,13 +13,16 @@
 	maxCachedPrograms = 20_000
 	// cacheAgeWeight is the weight of one eviction in the mean age.
 	cacheAgeWeight = 0.2
+	// eventLag is how late a cache event may be. A prefix that was used since is
+	// taken to have been stored again after the eviction.
+	eventLag = 2 * time.Second
 )
 
 // cacheMap is what is believed of one engine's prefix cache: from the streams
 // seen here at once, and from the engine's cache events late and with gaps.
 type cacheMap struct {
 	mu       sync.Mutex
-	programs map[string]cachedPrefix
+	programs *recentMap[cachedPrefix]
 	// age is the mean time from the last use of a prefix to its eviction.
 	age  time.Duration
 	next int64
@@ -31,42 +34,58 @@
 	used   time.Time
 }
 
-func newCacheMap() *cacheMap { return &cacheMap{programs: map[string]cachedPrefix{}} }
+func newCacheMap() *cacheMap {
+	return &cacheMap{programs: newRecentMap[cachedPrefix](maxCachedPrograms)}
+}
 
 // uncached estimates the part of a prompt that the engine has to compute.
 func (c *cacheMap) uncached(request structs.GenerateRequest) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return max(request.PromptTokens-c.programs[request.Program].tokens, 0)
+	prefix, _ := c.programs.get(request.Program)
+	return max(request.PromptTokens-prefix.tokens, 0)
 }
 
 // stored records the prefix that a finished request left behind.
 func (c *cacheMap) stored(program string, tokens int, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.programs) >= maxCachedPrograms {
-		c.dropOldest()
-	}
-	c.programs[program] = cachedPrefix{tokens: tokens, used: now}
+	c.programs.set(program, cachedPrefix{tokens: tokens, used: now})
 }
 
-// dropOldest forgets the prefix that was used the longest time ago. The caller
-// holds mu.
-func (c *cacheMap) dropOldest() {
-	oldest, found := "", false
-	for program, prefix := range c.programs {
-		if !found || prefix.used.Before(c.programs[oldest].used) {
-			oldest, found = program, true
-		}
-	}
-	delete(c.programs, oldest)
+// usedWithin reports whether a request of the program finished lately.
+func (c *cacheMap) usedWithin(program string, within time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	prefix, ok := c.programs.get(program)
+	return ok && time.Since(prefix.used) < within
 }
 
 // remove forgets a program whose memory was released.
 func (c *cacheMap) remove(program string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.programs, program)
+	c.programs.remove(program)
+}
+
+// clear forgets everything, after the engine lost its memory.
+func (c *cacheMap) clear() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.programs.clear()
+	c.next = 0
+}
+
+// lost reports whether the engine holds none of the programs that it should.
+func (c *cacheMap) lost(held map[string]int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for program := range held {
+		if _, ok := c.programs.get(program); ok {
+			return false
+		}
+	}
+	return len(c.programs.items) > 0
 }
 
 // position is the number of the event to ask for next.
@@ -76,20 +95,18 @@
 	return c.next
 }
 
-// apply takes over cache events. An eviction that was reported late may be
-// older than a request that stored the prefix again; it costs a wrong guess.
+// apply takes over cache events.
 func (c *cacheMap) apply(events backend.KVEvents, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = events.Next
 	for _, event := range events.Events {
-		if event.Kind != backend.KVEvicted {
+		prefix, ok := c.programs.get(event.Program)
+		if !ok || event.Kind != backend.KVEvicted || now.Sub(prefix.used) < eventLag {
 			continue
 		}
-		if prefix, ok := c.programs[event.Program]; ok {
-			c.observeAge(now.Sub(prefix.used))
-			delete(c.programs, event.Program)
-		}
+		c.observeAge(now.Sub(prefix.used))
+		c.programs.remove(event.Program)
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -9,46 +9,107 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/policy/fairshare"
+	"ibisline/internal/policy/quarantine"
+	"ibisline/internal/policy/straggler"
 	"ibisline/internal/policy/window"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
 
+// engineParts are shared by all engines of a dispatcher.
+type engineParts struct {
+	account     *account
+	outputs     *outputs
+	measures    *measures
+	quarantined *quarantined
+}
+
 // engine is one model engine that this daemon dispatches to.
 type engine struct {
-	name    string
-	queue   *serverQueue
-	client  EngineClient
-	account *account
-	cache   *cacheMap
-	outputs *outputs
+	engineParts
+	name     string
+	client   EngineClient
+	queue    *serverQueue
+	cache    *cacheMap
+	underWay *underWay
+	doubts   *doubts
+	// suspects lets one suspect at a time run here.
+	suspects semaphore
 
 	mu      sync.Mutex
 	server  structs.Server
 	leaving bool
 	down    bool
 	kvFree  int
+	slow    straggler.Detector
 }
 
-func newEngine(server structs.Server, client EngineClient, queue *serverQueue, account *account, outputs *outputs) *engine {
+func newEngine(server structs.Server, client EngineClient, queue *serverQueue, parts engineParts) *engine {
 	return &engine{
-		name:    server.Name,
-		server:  server,
-		client:  client,
-		queue:   queue,
-		account: account,
-		cache:   newCacheMap(),
-		outputs: outputs,
+		engineParts: parts,
+		name:        server.Name,
+		client:      client,
+		queue:       queue,
+		cache:       newCacheMap(),
+		underWay:    newUnderWay(),
+		doubts:      newDoubts(),
+		suspects:    make(semaphore, 1),
+		server:      server,
+		kvFree:      server.KVTokens,
 	}
 }
 
-// run waits for a slot, then streams the answer of the engine.
+// run waits for a slot, then streams the answer of the engine. A request that
+// is suspected of crashing engines runs with no other suspect beside it.
 func (e *engine) run(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	if e.quarantined.standing(request).Standing == quarantine.Suspect {
+		return e.runSuspect(ctx, request, emit)
+	}
+	grant, err := e.admit(ctx, request)
+	if err != nil {
+		return structs.Generated{}, err
+	}
+	switch e.quarantined.standing(request).Standing {
+	case quarantine.Clear:
+		return e.runGranted(ctx, grant, request, emit)
+	case quarantine.Suspect:
+		grant.release(0)
+		return e.runSuspect(ctx, request, emit)
+	default:
+		grant.release(0)
+		return structs.Generated{}, e.quarantined.check(request)
+	}
+}
+
+// runSuspect runs a suspect once no other one runs here.
+func (e *engine) runSuspect(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	if err := e.suspects.acquire(ctx, request.Deadline); err != nil {
+		return structs.Generated{}, err
+	}
+	defer e.suspects.release()
 	grant, err := e.admit(ctx, request)
 	if err != nil {
 		return structs.Generated{}, err
 	}
+	if err := e.quarantined.check(request); err != nil {
+		grant.release(0)
+		return structs.Generated{}, err
+	}
+	generated, err := e.runGranted(ctx, grant, request, emit)
+	if err == nil {
+		e.quarantined.finished(request)
+	}
+	return generated, err
+}
+
+// runGranted runs an admitted request.
+func (e *engine) runGranted(ctx context.Context, grant *grant, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	flight := e.underWay.begin(request)
 	generated, err := e.stream(ctx, grant, request, emit)
+	if errors.Is(err, backend.ErrCut) {
+		e.cut(ctx, flight)
+	}
+	e.underWay.end(flight)
 	e.observe(err)
 	cost := actualCost(grant.item, generated, err)
 	e.account.addReceived(request.Entry, cost)
@@ -72,7 +133,11 @@
 	}
 	e.account.addWaiting(request.Entry, 1)
 	defer e.account.addWaiting(request.Entry, -1)
-	return e.queue.acquire(ctx, item, need, request.Deadline)
+	grant, err := e.queue.acquire(ctx, item, need, request.Deadline)
+	if err == nil {
+		e.measures.waited(request.Class, time.Since(item.Arrived))
+	}
+	return grant, err
 }
 
 // stream runs a granted request and records its progress.
@@ -87,6 +152,8 @@
 		return structs.Generated{}, err
 	}
 	usage := generated.Usage
+	e.measures.finished(usage)
+	e.measures.firstToken.Update(grant.first.Seconds())
 	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
@@ -172,6 +239,7 @@
 		Waiting:     state.Waiting,
 		WaitingCost: state.WaitingCost,
 		Gap:         state.Gap,
+		DecodeGap:   state.DecodeGap,
 		Service:     state.Service,
 		Prefilling:  state.Prefilling,
 		PrefillRate: state.PrefillRate,
@@ -179,6 +247,7 @@
 		CacheAge:    e.cache.meanAge(),
 		Leaving:     e.leaving || e.server.State == structs.StateLeaving,
 		Down:        e.down,
+		Slow:        e.slow.Slow(),
 	}
 }
 
@@ -206,9 +275,22 @@
 	changed := e.leaving != load.Leaving || e.down
 	e.leaving = load.Leaving
 	e.down = false
-	e.kvFree = load.KVTotalTokens - load.KVUsedTokens
+	e.kvFree = orDefault(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
 	e.mu.Unlock()
 	if changed {
 		e.applyState()
 	}
 }
+
+// judge compares the engine with the gaps of its peers. The window of one that
+// turns out slow shrinks at once.
+func (e *engine) judge(peers []time.Duration, target time.Duration) {
+	gap := e.queue.state().DecodeGap
+	e.mu.Lock()
+	before := e.slow.Slow()
+	slow := e.slow.Judge(gap, peers, target)
+	e.mu.Unlock()
+	if slow && !before {
+		e.queue.shrink(float64(target)/float64(gap), time.Now())
+	}
+}
--- a/internal/policy/placement/placement.go
+++ b/internal/policy/placement/placement.go
@@ -57,8 +57,25 @@
 
 // Estimate is the expected time from now to the end of the call.
 func Estimate(request Request, engine Engine) time.Duration {
+	return FirstToken(request, engine) + Generation(request, engine) + delayOfOthers(request, engine)
+}
+
+// delayOfOthers is what the computation of the uncached part costs the streams
+// under way, all of which wait for it.
+func delayOfOthers(request Request, engine Engine) time.Duration {
+	uncached := float64(max(request.PromptTokens-engine.Cached, 0))
+	seconds := uncached / cmp.Or(engine.PrefillRate, defaultPrefillRate)
+	return time.Duration(float64(engine.Running) * seconds * float64(time.Second))
+}
+
+// Generation is the expected time from the first token to the end.
+func Generation(request Request, engine Engine) time.Duration {
+	return time.Duration(request.OutputTokens) * cmp.Or(engine.Gap, defaultGap)
+}
+
+// FirstToken is the expected time from now to the first token.
+func FirstToken(request Request, engine Engine) time.Duration {
 	total := Wait(engine) + prefill(request, engine)
-	total += time.Duration(request.OutputTokens) * orGap(engine.Gap)
 	if engine.Far {
 		total += farDelay
 	}
@@ -86,8 +103,6 @@
 	return time.Duration(tokens / rate * float64(time.Second))
 }
 
-func orGap(gap time.Duration) time.Duration { return cmp.Or(gap, defaultGap) }
-
 // Choose returns the index of the engine with the least estimate. Equal ones
 // are told apart by what is under way, then by the given tie-break order, which
 // differs from daemon to daemon so that they do not all pick the same engine.
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -28,6 +28,9 @@
 	// streamSamples is the number of tokens of each stream after which a mean
 	// gap is acted on.
 	streamSamples = 4
+	// paceSamples is the number of tokens of each stream over which the mean of
+	// all gaps is taken.
+	paceSamples = 64
 	// shrinkAt and growAt are fractions of GapTarget.
 	shrinkAt = 1.05
 	growAt   = 0.9
@@ -63,12 +66,16 @@
 // Window is the state of one engine's admission. It is not safe for concurrent
 // use.
 type Window struct {
-	config      Config
-	limit       float64
-	running     int
-	kv          int
-	prefilling  int
+	config     Config
+	limit      float64
+	running    int
+	kv         int
+	prefilling int
+	streaming  int
+	// gap is the mean over all tokens of the last seconds, decodeGap a quicker
+	// mean over those that came while no admitted prompt was being computed.
 	gap         float64
+	decodeGap   float64
 	samples     int
 	prefillRate float64
 	lastToken   time.Time
@@ -93,8 +100,14 @@
 // Prefilling is the number of admitted prompt tokens still to be computed.
 func (w *Window) Prefilling() int { return w.prefilling }
 
-// Gap is the mean time between tokens, 0 before any was observed.
-func (w *Window) Gap() time.Duration { return time.Duration(w.gap) }
+// Gap is the mean time between tokens, 0 before any was observed. While streams
+// are open and nothing comes, it is at least the time since the last token.
+func (w *Window) Gap(now time.Time) time.Duration {
+	if w.streaming == 0 {
+		return time.Duration(w.gap)
+	}
+	return max(time.Duration(w.gap), now.Sub(w.lastToken))
+}
 
 // PrefillRate is the estimated rate at which prompts are computed, in tokens a
 // second.
@@ -132,15 +145,21 @@
 }
 
 // FirstToken records that a request's prompt was computed.
-func (w *Window) FirstToken(need Need) { w.prefilling -= need.PrefillTokens }
+func (w *Window) FirstToken(need Need, now time.Time) {
+	w.prefilling -= need.PrefillTokens
+	w.streaming++
+	w.lastToken = now
+}
 
 // End counts a request out. started says whether FirstToken was called for it.
 func (w *Window) End(need Need, started bool) {
 	w.running--
 	w.kv -= need.KVTokens
-	if !started {
-		w.prefilling -= need.PrefillTokens
+	if started {
+		w.streaming--
+		return
 	}
+	w.prefilling -= need.PrefillTokens
 }
 
 // Prefilled records that so many prompt tokens took so long to compute.
@@ -152,17 +171,26 @@
 }
 
 // Token records the time between two tokens of a stream and adapts the limit.
+// The limit follows the gaps beside no prompt only: a prompt that is computed
+// delays the tokens of all streams whatever their number, so that a smaller
+// limit would cost throughput and not help.
 func (w *Window) Token(gap time.Duration, now time.Time) {
 	w.lastToken = now
 	need := streamSamples * max(w.running, 1)
-	weight := 1 / float64(min(w.samples+1, need))
-	w.gap += weight * (float64(gap) - w.gap)
+	if w.gap == 0 {
+		w.gap = float64(gap)
+	}
+	w.gap += (float64(gap) - w.gap) / float64(paceSamples*max(w.running, 1))
+	if w.prefilling > 0 {
+		return
+	}
+	w.decodeGap += (float64(gap) - w.decodeGap) / float64(min(w.samples+1, need))
 	w.samples++
 	if w.config.Fixed || w.config.GapTarget == 0 || w.samples < need {
 		return
 	}
-	if w.gap > shrinkAt*float64(w.config.GapTarget) {
-		w.shrinkTo(float64(w.config.GapTarget)/w.gap, now)
+	if w.decodeGap > shrinkAt*float64(w.config.GapTarget) {
+		w.shrinkTo(float64(w.config.GapTarget)/w.decodeGap, now)
 	}
 }
 
@@ -185,19 +213,29 @@
 // Forget drops what was observed too long ago, so that an engine that was slow
 // is tried again.
 func (w *Window) Forget(now time.Time) {
-	if now.Sub(w.lastToken) >= staleAfter {
+	if w.streaming == 0 && now.Sub(w.lastToken) >= staleAfter {
 		w.gap = 0
+		w.decodeGap = 0
 		w.samples = 0
 	}
 }
 
+// DecodeGap is the mean time between tokens beside no prompt, 0 while unknown.
+// Like Gap it grows while open streams get nothing.
+func (w *Window) DecodeGap(now time.Time) time.Duration {
+	if w.streaming == 0 || w.prefilling > 0 {
+		return time.Duration(w.decodeGap)
+	}
+	return max(time.Duration(w.decodeGap), now.Sub(w.lastToken))
+}
+
 // Wanted tells that requests wait although the limit is used up; it grows by a
 // small step when the gap allows.
 func (w *Window) Wanted(now time.Time) {
 	if w.config.Fixed || w.running < w.Limit() || w.Limit() >= w.config.MaxLimit {
 		return
 	}
-	if w.samples > 0 && w.gap > growAt*float64(w.config.GapTarget) {
+	if w.samples > 0 && w.decodeGap > growAt*float64(w.config.GapTarget) {
 		return
 	}
 	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -10,6 +10,7 @@
 	ShardPrefix      = "shards/"
 	SegmentPrefix    = "segments/"
 	QuarantinePrefix = "quarantine/"
+	OrderPrefix      = "orders/"
 )
 
 // Entry is a catalogue entry: an owner, a class of work and the limits.
@@ -86,6 +87,8 @@
 	PeerAddr string `json:"peer_addr" msgpack:"p"`
 	HTTPAddr string `json:"http_addr" msgpack:"h"`
 	State    string `json:"state" msgpack:"s"`
+	// Incarnation rises with each start of the daemon.
+	Incarnation uint64 `json:"incarnation,omitempty" msgpack:"i,omitempty"`
 }
 
 // Kinds of backend servers.
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -44,8 +44,11 @@
 	DeadlineMS int `json:"deadline_ms,omitempty" msgpack:"d,omitempty"`
 	// ResendFrom is set when Messages repeats the program's history from that
 	// turn on, in answer to a history gap.
-	ResendFrom int    `json:"resend_from,omitempty" msgpack:"f,omitempty"`
-	RequestID  string `json:"-" msgpack:"q"`
+	ResendFrom int `json:"resend_from,omitempty" msgpack:"f,omitempty"`
+	// Digest is the one of the last answer that the caller has, in hexadecimal.
+	// It verifies resent history and is required with ResendFrom.
+	Digest    string `json:"digest,omitempty" msgpack:"h,omitempty"`
+	RequestID string `json:"-" msgpack:"q"`
 }
 
 // ResumeRequest asks for the events of an answer after event After.
@@ -53,6 +56,9 @@
 	Program string `msgpack:"p"`
 	Turn    int    `msgpack:"t"`
 	After   int    `msgpack:"a"`
+	// Run is the Run of the events that the caller has. When it names another
+	// execution than the one at hand, delivery starts over at event 1.
+	Run string `msgpack:"u,omitempty"`
 	// From, when whole, replaces After: a front then checks that the text before
 	// it is unchanged. A home does not look at it.
 	From      Position `msgpack:"-"`
@@ -62,7 +68,10 @@
 // Event is one server-sent event of an answer. Seq counts from 1 without gaps.
 // The last event has Done set, and then Usage and Engine, or Err.
 type Event struct {
-	Seq    int            `json:"seq" msgpack:"s"`
+	Seq int `json:"seq" msgpack:"s"`
+	// Run identifies the execution that gave the answer. Events of different
+	// runs of one turn must not be put together.
+	Run    string         `json:"run,omitempty" msgpack:"n,omitempty"`
 	Text   string         `json:"text,omitempty" msgpack:"t,omitempty"`
 	Done   bool           `json:"done,omitempty" msgpack:"d,omitempty"`
 	Usage  *Usage         `json:"usage,omitempty" msgpack:"u,omitempty"`
@@ -114,18 +123,19 @@
 
 // ProgramState is what a caller sees of a program.
 type ProgramState struct {
-	Program     string   `json:"program" msgpack:"p"`
-	Entry       string   `json:"entry" msgpack:"e"`
-	Owner       string   `json:"owner" msgpack:"o"`
-	Parent      string   `json:"parent,omitempty" msgpack:"r,omitempty"`
-	Home        string   `json:"home" msgpack:"h"`
-	Epoch       int64    `json:"epoch" msgpack:"c"`
-	NextTurn    int      `json:"next_turn" msgpack:"n"`
-	Ended       bool     `json:"ended" msgpack:"d"`
-	SpentTokens int      `json:"spent_tokens" msgpack:"s"`
-	BudgetLeft  int      `json:"budget_left" msgpack:"l"`
-	Engines     []string `json:"engines,omitempty" msgpack:"g,omitempty"`
-	Digest      string   `json:"digest,omitempty" msgpack:"i,omitempty"`
+	Program     string `json:"program" msgpack:"p"`
+	Entry       string `json:"entry" msgpack:"e"`
+	Owner       string `json:"owner" msgpack:"o"`
+	Parent      string `json:"parent,omitempty" msgpack:"r,omitempty"`
+	Home        string `json:"home" msgpack:"h"`
+	Epoch       int64  `json:"epoch" msgpack:"c"`
+	NextTurn    int    `json:"next_turn" msgpack:"n"`
+	Ended       bool   `json:"ended" msgpack:"d"`
+	SpentTokens int    `json:"spent_tokens" msgpack:"s"`
+	// BudgetLeft is in tokens; nil when the entry sets no budget.
+	BudgetLeft *int     `json:"budget_left,omitempty" msgpack:"l,omitempty"`
+	Engines    []string `json:"engines,omitempty" msgpack:"g,omitempty"`
+	Digest     string   `json:"digest,omitempty" msgpack:"i,omitempty"`
 }
 
 // GenerateRequest is a model call on its way from a home to a dispatcher. It is
