Predict prompt lengths and take a program's age from the router

Cause: the home's estimate of a prompt is an upper bound, one token for each byte of a new message, and its attained service counts cached prompts too; the queue took both for what the engine computes. No home knows a program's age. Change: the ratio of prompt to bound is learnt for each entry beside the answer length; short programs are those with up to 16,000 tokens of service. A test's long session now has 500,000 instead of 50,000 tokens, because the unit changed.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -22,7 +22,7 @@
 	deps        Deps
 	shares      *shareTable
 	account     *account
-	outputs     *outputs
+	lengths     *lengths
 	measures    *measures
 	quarantined *quarantined
 	programs    ProgramStates
@@ -42,6 +42,7 @@
 	engines  map[string]*engine
 	services map[string]*serverQueue
 	lastRuns *recentMap[lastRun]
+	begun    *recentMap[time.Time]
 	retries  *retrybudget.Budget
 }
 
@@ -55,7 +56,7 @@
 		deps:        deps,
 		shares:      newShareTable(deps.Catalogue),
 		account:     newAccount(),
-		outputs:     newOutputs(),
+		lengths:     newLengths(),
 		measures:    newMeasures(deps.Metrics),
 		quarantined: newQuarantined(deps),
 		orders:      newOrderDesk(deps, config.PauseAllowance),
@@ -64,6 +65,7 @@
 		engines:     map[string]*engine{},
 		services:    map[string]*serverQueue{},
 		lastRuns:    newRecentMap[lastRun](maxLastRuns),
+		begun:       newRecentMap[time.Time](maxLastRuns),
 		retries:     retrybudget.New(time.Now()),
 	}
 	deps.Mux.Handle(methodGenerate, d.handleGenerate)
@@ -151,7 +153,7 @@
 		queue := newServerQueue(d.newQueue(), d.newWindow(server), d.shares, d.config.QueueLimit)
 		e = newEngine(server, d.deps.Engines, queue, engineParts{
 			account:     d.account,
-			outputs:     d.outputs,
+			lengths:     d.lengths,
 			measures:    d.measures,
 			quarantined: d.quarantined,
 		})
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -19,7 +19,7 @@
 // engineParts are shared by all engines of a dispatcher.
 type engineParts struct {
 	account     *account
-	outputs     *outputs
+	lengths     *lengths
 	measures    *measures
 	quarantined *quarantined
 }
@@ -119,11 +119,12 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	uncached := e.cache.uncached(request)
+	bound := e.cache.uncached(request)
+	uncached := e.lengths.prompt(request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
-		Cost:     float64(uncached + e.outputs.expect(request)),
+		Cost:     float64(uncached + e.lengths.output(request)),
 		Attained: float64(request.Attained),
 		Age:      request.Age,
 		Arrived:  time.Now(),
@@ -135,10 +136,12 @@
 	e.account.addWaiting(request.Entry, 1)
 	defer e.account.addWaiting(request.Entry, -1)
 	grant, err := e.queue.acquire(ctx, item, need, request.Deadline)
-	if err == nil {
-		e.measures.waited(request.Class, time.Since(item.Arrived))
+	if err != nil {
+		return nil, err
 	}
-	return grant, err
+	grant.uncachedBound = bound
+	e.measures.waited(request.Class, time.Since(item.Arrived))
+	return grant, nil
 }
 
 // stream runs a granted request and records its progress.
@@ -158,7 +161,8 @@
 	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.outputs.observe(request, usage)
+	e.lengths.observePrompt(request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observeOutput(request, usage.OutputTokens)
 	return generated, nil
 }
 
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -11,14 +11,16 @@
 // the progress of the request's stream to the window. It is used by one
 // goroutine.
 type grant struct {
-	queue   *serverQueue
-	item    *fairshare.Item
-	need    window.Need
-	alone   bool
-	begun   time.Time
-	started bool
-	first   time.Duration
-	last    time.Time
+	queue *serverQueue
+	item  *fairshare.Item
+	need  window.Need
+	alone bool
+	// uncachedBound is the uncached part of the prompt by the home's estimate.
+	uncachedBound int
+	begun         time.Time
+	started       bool
+	first         time.Duration
+	last          time.Time
 }
 
 // piece records that the next piece of the answer arrived.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// maxLastRuns bounds the programs whose last engine is remembered.
+	// maxLastRuns bounds the programs whose last engine and first call are
+	// remembered.
 	maxLastRuns = 50_000
 	// guessedCached is the part of a prompt that is taken to be cached at the
 	// program's last engine when nothing more is known.
@@ -31,9 +32,22 @@
 	at     time.Time
 }
 
+// ageOf returns the time since a root program made its first call here. After a
+// move of the program's home it starts anew.
+func (d *Dispatcher) ageOf(root string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	begun, ok := d.begun.get(root)
+	if !ok {
+		begun = time.Now()
+		d.begun.set(root, begun)
+	}
+	return time.Since(begun)
+}
+
 // learn remembers where a program ran.
 func (d *Dispatcher) learn(request structs.GenerateRequest, generated structs.Generated) {
-	d.outputs.observe(request, generated.Usage)
+	d.lengths.observeOutput(request, generated.Usage.OutputTokens)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastRuns.set(request.Program, lastRun{
@@ -129,7 +143,10 @@
 }
 
 func (d *Dispatcher) placementRequest(request structs.GenerateRequest) placement.Request {
-	return placement.Request{PromptTokens: request.PromptTokens, OutputTokens: d.outputs.expect(request)}
+	return placement.Request{
+		PromptTokens: request.PromptTokens,
+		OutputTokens: d.lengths.output(request),
+	}
 }
 
 // placementEngine describes a candidate to the placement policy.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -54,6 +54,7 @@
 // Generate implements Router.
 func (d *Dispatcher) Generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	d.countRequest()
+	request.Age = d.ageOf(request.Root)
 	generated, err := d.generate(ctx, request, emit)
 	if err != nil {
 		d.measures.refused(err)
--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -30,11 +30,11 @@
 const (
 	standardDelay = 60 * time.Second
 	batchDelay    = 90 * time.Second
-	// freeService is the attained service, in cost units, up to which a program
+	// freeService is the attained service, in tokens, up to which a program
 	// counts as short. What it has beyond is converted to delay by serviceRate,
-	// in cost units a second.
-	freeService     = 4000.0
-	serviceRate     = 2000.0
+	// in tokens a second.
+	freeService     = 16_000.0
+	serviceRate     = 8000.0
 	maxServiceDelay = 30 * time.Second
 	// maxAgeCredit bounds the time for which a short program is moved forward
 	// because it began earlier, so that those begun are finished first.
@@ -55,7 +55,8 @@
 	Class string
 	// Cost is the estimated cost: uncached prompt tokens and generated tokens.
 	Cost float64
-	// Attained is the service that the whole program has had, in cost units.
+	// Attained is the service that the whole program has had: the tokens of its
+	// prompts, cached or not, and of its answers.
 	Attained float64
 	// Age is the time since the whole program began.
 	Age     time.Duration
--- a/internal/policy/fairshare/fairshare_test.go
+++ b/internal/policy/fairshare/fairshare_test.go
@@ -145,7 +145,7 @@
 	q := fairshare.NewFair()
 	fresh := &fairshare.Item{Owner: "a", Cost: 1, Arrived: epoch}
 	begun := &fairshare.Item{Owner: "a", Cost: 1, Age: 20 * time.Second, Attained: 2000, Arrived: epoch.Add(time.Second)}
-	session := &fairshare.Item{Owner: "a", Cost: 1, Age: time.Hour, Attained: 50_000, Arrived: epoch}
+	session := &fairshare.Item{Owner: "a", Cost: 1, Age: time.Hour, Attained: 500_000, Arrived: epoch}
 	for _, it := range []*fairshare.Item{session, fresh, begun} {
 		q.Push(it)
 	}
@@ -156,7 +156,7 @@
 
 func TestShortInteractiveWorkPassesLongSessions(t *testing.T) {
 	q := fairshare.NewFair()
-	long := &fairshare.Item{Owner: "a", Class: fairshare.Standard, Attained: 50_000, Cost: 1, Arrived: epoch}
+	long := &fairshare.Item{Owner: "a", Class: fairshare.Standard, Attained: 500_000, Cost: 1, Arrived: epoch}
 	short := &fairshare.Item{Owner: "a", Class: fairshare.Standard, Cost: 1, Arrived: epoch.Add(5 * time.Second)}
 	till := &fairshare.Item{Owner: "a", Class: fairshare.Interactive, Cost: 1, Arrived: epoch.Add(9 * time.Second)}
 	for _, it := range []*fairshare.Item{long, short, till} {
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -155,7 +155,8 @@
 	PromptTokens int `msgpack:"n"`
 	// Attained is the service that the whole program has had so far, in tokens.
 	Attained int `msgpack:"a"`
-	// Age is the time since the root program was opened.
+	// Age is the time since the root program made its first call, as far as the
+	// router of its home knows; the router sets it.
 	Age time.Duration `msgpack:"b"`
 	// LastEngine is the engine that ran the program's previous turn.
 	LastEngine string `msgpack:"l"`
