Look at a copy of the excluded engines when a first token is late

Cause: the race detector found, in a random schedule, that the watch of a first token read the map of excluded engines while the router added to it after the attempt was over. Ruled out: waiting for the watch at the end of each attempt, which would hold the call back behind a look at all engines. Change: an attempt has its own copy of the excluded engines. Conclusion: mended at the cause.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"ibisline/internal/policy/placement"
@@ -17,9 +18,18 @@
 type attempt struct {
 	generation *generation
 	server     structs.Server
-	begun      time.Time
-	cancel     context.CancelCauseFunc
-	moved      bool
+	// excluded are the engines tried before and this one. It is a copy, because
+	// a watch of the first token may still look at it when the attempt is over.
+	excluded map[string]bool
+	begun    time.Time
+	cancel   context.CancelCauseFunc
+	moved    bool
+}
+
+func newAttempt(g *generation, server structs.Server, cancel context.CancelCauseFunc) *attempt {
+	excluded := maps.Clone(g.excluded)
+	excluded[server.Name] = true
+	return &attempt{generation: g, server: server, excluded: excluded, begun: time.Now(), cancel: cancel}
 }
 
 // emit passes text on, unless the call was moved.
@@ -92,7 +102,7 @@
 // by the estimate is taken to be as long away as it was waited for already.
 func (d *Dispatcher) fasterElsewhere(a *attempt) bool {
 	call := a.generation.request
-	others := d.candidates(a.generation, a.server.Name)
+	others := d.candidates(call.Model, a.excluded)
 	if len(others) == 0 {
 		return false
 	}
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -73,7 +73,7 @@
 
 // pickEngine chooses the engine for the next try.
 func (d *Dispatcher) pickEngine(g *generation) (structs.Server, bool) {
-	candidates := d.candidates(g, "")
+	candidates := d.candidates(g.request.Model, g.excluded)
 	if len(candidates) == 0 {
 		return structs.Server{}, false
 	}
@@ -84,12 +84,12 @@
 	return candidates[d.choose(g.request, candidates)], true
 }
 
-// candidates returns the engines that may run the request, without one that is
-// named: those of this region, or of other regions when it has none.
-func (d *Dispatcher) candidates(g *generation, without string) []structs.Server {
+// candidates returns the engines that take calls of a model, without excluded
+// ones: those of this region, or of other regions when it has none.
+func (d *Dispatcher) candidates(model string, excluded map[string]bool) []structs.Server {
 	var near, far []structs.Server
 	for _, server := range d.deps.View.Servers() {
-		if server.Name == without || !d.usable(server, g) {
+		if excluded[server.Name] || !d.usable(server, model) {
 			continue
 		}
 		if server.Region == d.deps.Region {
@@ -104,8 +104,8 @@
 	return far
 }
 
-func (d *Dispatcher) usable(server structs.Server, g *generation) bool {
-	if !serves(server, g.request.Model) || g.excluded[server.Name] {
+func (d *Dispatcher) usable(server structs.Server, model string) bool {
+	if !serves(server, model) {
 		return false
 	}
 	status := d.board.get(server.Name)
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -163,7 +163,7 @@
 func (d *Dispatcher) runAt(ctx context.Context, server structs.Server, g *generation) (structs.Generated, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{generation: g, server: server, begun: time.Now(), cancel: cancel}
+	a := newAttempt(g, server, cancel)
 	stop := d.watchFirstToken(a)
 	defer stop()
 	generated, err := d.sendTo(ctx, server, g.request, a.emit)
