Show how far the machine disturbs a measurement

Other work on the machine slows stand-ins and daemons, and a table alone does not say so. The engine stand-in now counts steps that ended more than 5 ms after their time, and a run reports their part and the daemons' processor time.

--- a/internal/fake/engine/engine.go
+++ b/internal/fake/engine/engine.go
@@ -172,7 +172,7 @@
 		if err := sleepUntil(ctx, next); err != nil {
 			return err
 		}
-		e.end(duration)
+		e.end(duration, time.Since(next))
 	}
 }
 
@@ -278,11 +278,15 @@
 	return e.settings.scaled(d)
 }
 
-// end hands out the tokens of a step.
-func (e *Engine) end(duration time.Duration) {
+// end hands out the tokens of a step that ended late by some time.
+func (e *Engine) end(duration, late time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stepped = duration
+	e.counts.Steps++
+	if late > lateStep {
+		e.counts.LateSteps++
+	}
 	e.batch = slices.DeleteFunc(e.batch, func(s *sequence) bool {
 		if s.prefill > 0 {
 			return false
--- a/internal/fake/engine/settings.go
+++ b/internal/fake/engine/settings.go
@@ -111,12 +111,19 @@
 	Released      int `json:"released"`
 	OrdersTaken   int `json:"orders_taken"`
 	OrdersRefused int `json:"orders_refused"`
+	// Steps is the number of steps and LateSteps of those that ended more than
+	// lateStep after their time, because the machine was busy with other work.
+	Steps     int `json:"steps"`
+	LateSteps int `json:"late_steps"`
 	// Running and Waiting are the present sequences; KVUsed the present tokens.
 	Running int `json:"running"`
 	Waiting int `json:"waiting"`
 	KVUsed  int `json:"kv_used"`
 }
 
+// lateStep is the delay of a step beyond which it counts as late.
+const lateStep = 5 * time.Millisecond
+
 // LeavingGrace is the time within which callers must have learned that an
 // engine is leaving.
 const LeavingGrace = 3 * time.Second
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -65,6 +65,11 @@
 	// crest and ended in time.
 	InTime      float64 `json:"in_time"`
 	InTimeCount int     `json:"in_time_programs"`
+	// LateSteps is the part of the engines' steps that the machine delayed: a
+	// measure of how far the run can be trusted.
+	LateSteps float64 `json:"late_steps"`
+	// DaemonSeconds is the processor time of all daemons.
+	DaemonSeconds float64 `json:"daemon_processor_seconds"`
 	// CDF are the latencies of all programs at each percent, in milliseconds.
 	CDF []float64 `json:"cdf_ms"`
 }
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -38,6 +38,8 @@
 		{"Jain's index, received over granted", func(r Result) float64 { return r.Jain }, 3},
 		{"history tokens recomputed", func(r Result) float64 { return float64(r.Recomputed) }, 0},
 		{"history tokens", func(r Result) float64 { return float64(r.HistoryTokens) }, 0},
+		{"engine steps delayed by the machine", func(r Result) float64 { return r.LateSteps }, 3},
+		{"processor time of the daemons, s", func(r Result) float64 { return r.DaemonSeconds }, 1},
 		{"served in time at the crest", func(r Result) float64 { return r.InTime }, 3},
 	}
 }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -325,3 +325,18 @@
 		p.Kill()
 	}
 }
+
+// ProcessorTime is the time that the ended processes ran on a processor, for the
+// daemons and for the stand-ins. Only the newest process of a name counts.
+func (f *Fleet) ProcessorTime() (daemons, standIns time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, p := range f.processes {
+		if _, ok := f.daemons[name]; ok {
+			daemons += p.ProcessorTime()
+			continue
+		}
+		standIns += p.ProcessorTime()
+	}
+	return daemons, standIns
+}
--- a/test/fleet/process.go
+++ b/test/fleet/process.go
@@ -52,6 +52,16 @@
 // PID returns the process id.
 func (p *Process) PID() int { return p.command.Process.Pid }
 
+// ProcessorTime is the time that an ended process ran on a processor.
+func (p *Process) ProcessorTime() time.Duration {
+	select {
+	case <-p.done:
+		return p.command.ProcessState.UserTime() + p.command.ProcessState.SystemTime()
+	default:
+		return 0
+	}
+}
+
 // Kill ends the process at once, paused or not, and waits for its end.
 func (p *Process) Kill() {
 	_ = p.command.Process.Kill()
--- a/test/measure/run.go
+++ b/test/measure/run.go
@@ -75,7 +75,29 @@
 	if err != nil {
 		return load.Result{}, err
 	}
-	return load.Summarise(profile, seed, schedule, samples), nil
+	result := load.Summarise(profile, seed, schedule, samples)
+	result.LateSteps, err = b.lateSteps(ctx)
+	if err != nil {
+		return result, err
+	}
+	b.fleet.KillAll()
+	daemons, _ := b.fleet.ProcessorTime()
+	result.DaemonSeconds = daemons.Seconds()
+	return result, nil
+}
+
+// lateSteps is the part of all engines' steps that came late.
+func (b *bench) lateSteps(ctx context.Context) (float64, error) {
+	late, steps := 0, 1
+	for _, name := range b.engines {
+		var counts engine.Counts
+		if err := b.fleet.Counts(ctx, name, &counts); err != nil {
+			return 0, err
+		}
+		late += counts.LateSteps
+		steps += counts.Steps
+	}
+	return float64(late) / float64(steps), nil
 }
 
 // start starts stand-ins and daemons and waits until each daemon serves.
