Confirm the shard before denying a turn to resume

Cause: a former holder that does not know of a takeover yet told a caller that wanted to resume a turn that the turn is not known; all other refusals from the working state are confirmed first, this one was missed. Tried and reverted: to let a proof of holding serve for 50 ms, which bounds the reads that a looping caller causes; the test of a former holder showed a wrong denial in that time. Conclusion: each refusal from the working state costs a read of the platform, which a looping caller can multiply; left open.

--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -65,7 +65,7 @@
 		next := sh.nextTurn(p.id)
 		refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d is not known, the next one is %d", r.Turn, next)
 		refusal.Turn = next
-		return refusal
+		return h.confirmed(ctx, sh, refusal)
 	}
 	after := r.After
 	if r.Run != "" && r.Run != a.run {
