Answer health only once ready, and let scenarios wait for the shards

Cause: scenarios failed in 6 of 8 runs on a busy machine: daemons answered /healthz before they had read the catalogue and the lists of servers, and an outage began while shards still moved to the second daemon. Change: the health endpoint says starting until both were read once; status tells whether the daemon's shards are settled; the verb converge waits for it. Ruled out: longer waits in scripts, which only hide the order of events.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,10 @@
 	// BalancerDelay is the time for which requests are still accepted after the
 	// health endpoint said that the daemon is leaving.
 	BalancerDelay time.Duration
+	// Ready tells whether the daemon can take its first requests. Until it was
+	// true once, the health endpoint says that the daemon is starting. Later
+	// failures have verdicts of their own, which no balancer could give.
+	Ready func() bool
 }
 
 const (
@@ -45,6 +50,9 @@
 	if c.WriteTimeout <= 0 {
 		c.WriteTimeout = defaultWriteTimeout
 	}
+	if c.Ready == nil {
+		c.Ready = func() bool { return true }
+	}
 	return c
 }
 
@@ -56,6 +64,7 @@
 	set     *metrics.Set
 	logger  log.Interface
 	gate    gate
+	ready   atomic.Bool
 	slow    *metrics.Counter
 }
 
--- a/internal/api/gate.go
+++ b/internal/api/gate.go
@@ -112,5 +112,10 @@
 		writeJSON(w, http.StatusServiceUnavailable, healthReply{Status: "leaving"})
 		return
 	}
+	if !a.ready.Load() && !a.config.Ready() {
+		writeJSON(w, http.StatusServiceUnavailable, healthReply{Status: "starting"})
+		return
+	}
+	a.ready.Store(true)
 	writeJSON(w, http.StatusOK, healthReply{Status: "live"})
 }
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -50,9 +50,10 @@
 	limits := api.Config{
 		MaxBodyBytes:  p.settings.API.MaxBodyBytes,
 		BalancerDelay: p.settings.Stop.BalancerDelay.Std(),
+		Ready:         func() bool { return v.members.Listed() && v.catalogue.Admit() == nil },
 	}
 	callers := api.Register(server.Rest(), finder, limits, p.metrics, p.log)
-	if err := p.addOperator(server, v, finder, callers); err != nil {
+	if err := p.addOperator(server, v, finder, callers, local); err != nil {
 		return err
 	}
 	if err := server.Listen(p.settings.Instance.HTTPAddr); err != nil {
@@ -66,7 +67,7 @@
 
 // addOperator adds the operators' routes, and lets the dispatcher's sweep ask
 // for programs through the front.
-func (p *parts) addOperator(server *api.Server, v views, finder *front.Front, callers *api.API) error {
+func (p *parts) addOperator(server *api.Server, v views, finder *front.Front, callers *api.API, homes *home.Home) error {
 	dispatcher, err := kernel.Lookup[*dispatch.Dispatcher](p.kernel, serviceDispatch)
 	if err != nil {
 		return err
@@ -79,6 +80,7 @@
 				Instance:          v.members.Self(),
 				CatalogueRevision: v.catalogue.Revision(),
 				Live:              len(v.members.Live()),
+				Settled:           homes.Settled(),
 				Leaving:           callers.Leaving(),
 			}
 		},
--- a/internal/home/eager.go
+++ b/internal/home/eager.go
@@ -30,11 +30,11 @@
 
 // noticeChange forgets what was found under a former membership.
 func (h *Home) noticeChange() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	select {
 	case <-h.changed:
 		h.changed = h.deps.View.Changed()
-		h.mu.Lock()
-		defer h.mu.Unlock()
 		clear(h.settled)
 	default:
 	}
@@ -43,8 +43,7 @@
 // claimable reports whether the upkeep should try to claim the shard now, and
 // keeps the next rounds from doing the same.
 func (h *Home) claimable(id structs.ShardID) bool {
-	owner, ok := member.Home(h.deps.View, id)
-	if !ok || owner.Name != h.deps.Self {
+	if !h.owns(id) {
 		return false
 	}
 	h.mu.Lock()
@@ -74,3 +73,38 @@
 	}
 	_, _ = h.acquire(h.ctx, id)
 }
+
+// Settled reports whether this home holds all stored shards that the membership
+// gives it, and no others. It is false for a while after each change.
+func (h *Home) Settled() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.changed:
+		return false
+	default:
+	}
+	if len(h.claims) > 0 {
+		return false
+	}
+	for id := range h.shards {
+		if !h.owns(id) {
+			return false
+		}
+	}
+	for i := range h.cfg.Shards {
+		id := structs.ShardID(fmt.Sprintf("%s.%d", h.cfg.Region, i))
+		absent, known := h.settled[id]
+		stored := !known || !absent.IsZero()
+		if h.owns(id) && h.shards[id] == nil && stored {
+			return false
+		}
+	}
+	return true
+}
+
+// owns reports whether the membership names this daemon as the shard's home.
+func (h *Home) owns(id structs.ShardID) bool {
+	owner, ok := member.Home(h.deps.View, id)
+	return ok && owner.Name == h.deps.Self
+}
--- a/internal/member/lists.go
+++ b/internal/member/lists.go
@@ -22,6 +22,7 @@
 // every change. While the platform is down the last copy stays in force.
 func (m *Members) follow(prefix string, apply func(objects)) {
 	retry := newRetry()
+	first := true
 	for m.ctx.Err() == nil {
 		copied, revision, err := m.list(prefix)
 		if err != nil {
@@ -30,6 +31,10 @@
 		}
 		retry.Reset()
 		apply(copied)
+		if first {
+			first = false
+			m.listed.Add(1)
+		}
 		m.watch(prefix, copied, revision, apply)
 	}
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -43,6 +43,7 @@
 	tasks    sync.WaitGroup
 	leave    sync.Once
 	left     atomic.Bool
+	listed   atomic.Int32 // lists of the platform read at least once
 
 	probes   *metrics.Counter
 	failures *metrics.Counter
@@ -103,6 +104,13 @@
 	return nil
 }
 
+// listCount is the number of lists that Run follows.
+const listCount = 2
+
+// Listed is true once the platform's lists of daemons and of backend servers
+// were both read.
+func (m *Members) Listed() bool { return m.listed.Load() == listCount }
+
 // spawn runs f in a goroutine that Run waits for, unless Run is ending.
 func (m *Members) spawn(f func()) {
 	m.mu.Lock()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -20,6 +20,9 @@
 	CatalogueRevision int64            `json:"catalogue_revision"`
 	// Live is the number of daemons that this one takes to be live.
 	Live int `json:"live"`
+	// Settled is set when the daemon holds the shards that it should, and no
+	// others.
+	Settled bool `json:"settled"`
 	// Leaving is set once a planned stop began.
 	Leaving bool `json:"leaving"`
 }
--- a/test/scenarios/scenarios_test.go
+++ b/test/scenarios/scenarios_test.go
@@ -62,6 +62,7 @@
 		"terminate":    terminate,
 		"pause":        pause,
 		"resume":       resume,
+		"converge":     converge,
 		"cut":          cut,
 		"heal":         heal,
 		"faults":       faults,
