Find the engine's bound quickly and see its own queue

Ruled out: the number of waiting requests in the load report, which is two seconds late. Change: steps of half until the first step down, then of a twentieth; a first token much later than the prompts ahead take lowers the limit to the streams.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -158,7 +158,7 @@
 	usage := generated.Usage
 	e.measures.finished(usage)
 	e.measures.firstToken.Update(grant.first.Seconds())
-	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
+	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
 	e.lengths.observePrompt(request, grant.uncachedBound, usage.PromptTokens)
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -7,6 +7,13 @@
 	"ibisline/internal/policy/window"
 )
 
+const (
+	// lateFactor and lateSteps bound the time to a first piece: a multiple of
+	// the computation of the prompts and a number of steps of the engine.
+	lateFactor = 2
+	lateSteps  = 4
+)
+
 // grant is the right to run one request at a backend server. It also reports
 // the progress of the request's stream to the window. It is used by one
 // goroutine.
@@ -14,13 +21,16 @@
 	queue *serverQueue
 	item  *fairshare.Item
 	need  window.Need
-	alone bool
 	// uncachedBound is the uncached part of the prompt by the home's estimate.
 	uncachedBound int
 	begun         time.Time
 	started       bool
 	first         time.Duration
-	last          time.Time
+	// ahead is the number of prompt tokens computed before this one's, streams
+	// the number of open streams when its first piece came.
+	ahead   int
+	streams int
+	last    time.Time
 }
 
 // piece records that the next piece of the answer arrived.
@@ -33,6 +43,7 @@
 	}
 	g.started = true
 	g.first = now.Sub(g.begun)
+	g.streams = g.queue.window.Streams()
 	g.queue.window.FirstToken(g.need, now)
 	g.queue.fill()
 }
@@ -43,13 +54,24 @@
 
 // prefilled records the uncached prompt tokens that were computed before the
 // first piece. Beside other prompts the time says nothing about the rate.
-func (g *grant) prefilled(tokens int) {
-	if !g.alone {
-		return
-	}
+func (g *grant) prefilled(tokens int, now time.Time) {
 	g.queue.mu.Lock()
 	defer g.queue.mu.Unlock()
-	g.queue.window.Prefilled(tokens, g.first)
+	if g.late(tokens) {
+		g.queue.window.Queued(g.streams, now)
+		return
+	}
+	if g.ahead == 0 {
+		g.queue.window.Prefilled(tokens, g.first)
+	}
+}
+
+// late reports whether the first piece came much later than the prompts take to
+// compute. The caller holds the queue's mutex.
+func (g *grant) late(tokens int) bool {
+	seconds := float64(g.ahead+tokens) / g.queue.window.PrefillRate()
+	expected := time.Duration(seconds * float64(time.Second))
+	return g.first > lateFactor*expected+lateSteps*g.queue.window.Gap(g.begun)
 }
 
 // finished records a request that ran to its end.
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -35,8 +35,8 @@
 	item  *fairshare.Item
 	need  window.Need
 	ready chan error
-	// alone says that no other prompt was being computed at the grant.
-	alone bool
+	// ahead is the number of prompt tokens to be computed before this one's.
+	ahead int
 }
 
 func newServerQueue(queue fairshare.Queue, w *window.Window, shares *shareTable, maxQueued int) *serverQueue {
@@ -74,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &grant{queue: q, item: w.item, need: w.need, alone: w.alone, begun: time.Now()}, nil
+	return &grant{queue: q, item: w.item, need: w.need, ahead: w.ahead, begun: time.Now()}, nil
 }
 
 // enqueue adds a request or refuses it.
@@ -175,7 +175,7 @@
 		}
 		w := q.waiting[item]
 		q.queue.Pop()
-		w.alone = q.window.Prefilling() == 0
+		w.ahead = q.window.Prefilling()
 		q.window.Begin(w.need)
 		delete(q.waiting, item)
 		w.ready <- nil
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -37,9 +37,9 @@
 	// shrinkMost bounds one step down.
 	shrinkMost   = 0.5
 	growFraction = 0.05
-	// recoverFraction applies below the first limit.
-	recoverFraction = 0.25
-	growInterval    = time.Second
+	// searchFraction is the step up until the bound of the engine is known.
+	searchFraction = 0.5
+	growInterval   = time.Second
 	// staleAfter is the time without tokens after which a gap says nothing.
 	staleAfter = 10 * time.Second
 	// holdAfterShrink is the time without growth after a step down.
@@ -241,10 +241,30 @@
 	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
 		return
 	}
-	step := max(1, w.limit*growFraction)
-	if w.limit < float64(w.config.Limit) {
-		step = max(1, w.limit*recoverFraction)
-	}
-	w.limit = min(w.limit+step, float64(w.config.MaxLimit))
+	w.limit = min(w.limit+max(1, w.limit*w.growth()), float64(w.config.MaxLimit))
 	w.grown = now
 }
+
+// growth is the fraction of one step up: large until a first step down has shown
+// where the engine's bound lies, or while the limit is below its first value.
+func (w *Window) growth() float64 {
+	if w.shrunk.IsZero() || w.limit < float64(w.config.Limit) {
+		return searchFraction
+	}
+	return growFraction
+}
+
+// Queued records that a request's first token came much later than its prompt
+// and those ahead take to compute, while so many streams were open: the engine
+// keeps a queue of its own, in which no order of ours holds. The limit falls to
+// what the engine really runs.
+func (w *Window) Queued(streams int, now time.Time) {
+	if w.config.Fixed || now.Sub(w.shrunk) < holdAfterShrink {
+		return
+	}
+	w.limit = max(min(w.limit, float64(streams)), minLimit)
+	w.shrunk = now
+}
+
+// Streams is the number of requests whose first token has come.
+func (w *Window) Streams() int { return w.streaming }
--- a/internal/policy/window/window_test.go
+++ b/internal/policy/window/window_test.go
@@ -131,3 +131,37 @@
 	require.Equal(t, 16, w.Limit())
 	require.Equal(t, 90*ms, w.Gap(now).Round(ms))
 }
+
+func TestLimitFallsToWhatTheEngineRunsWhenItQueues(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(100, 0)
+	for range 16 {
+		w.Begin(window.Need{})
+	}
+	for range 8 {
+		w.FirstToken(window.Need{}, now)
+	}
+	w.Queued(w.Streams(), now)
+	require.Equal(t, 8, w.Limit())
+	w.Queued(2, now.Add(time.Second))
+	require.Equal(t, 8, w.Limit(), "within the time that a step down takes to show")
+}
+
+func TestLimitIsSoughtQuicklyAndThenGrowsSlowly(t *testing.T) {
+	w := window.New(adaptive())
+	now := time.Unix(100, 0)
+	grow := func(seconds int) int {
+		before := w.Limit()
+		for range seconds {
+			for w.Running() < w.Limit() {
+				w.Begin(window.Need{})
+			}
+			now = now.Add(time.Second)
+			w.Wanted(now)
+		}
+		return w.Limit() - before
+	}
+	require.GreaterOrEqual(t, grow(3), 32)
+	w.Queued(32, now)
+	require.LessOrEqual(t, grow(6), 6)
+}
