--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-.PHONY: build demo measure test
+.PHONY: build demo measure recovery test
 
 build:
 	go build -o bin/ ./cmd/...
 
 test:
-	go test -race ./...
+	go test -race -count=1 ./...
 
 demo: build
 	go run ./test/demo -bin bin
@@ -12,3 +12,6 @@
 measure: build
 	go run ./test/measure --bin bin --out measured
 	go run ./test/measure --bin bin --out measured --slow
+
+recovery: build
+	go run ./test/recovery -bin bin
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -123,7 +123,7 @@
 	}
 	p, err := sh.program(id)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, h.confirmed(ctx, sh, err)
 	}
 	sh.touch(id)
 	return sh, p, nil
@@ -188,7 +188,8 @@
 		Digest:      hex.EncodeToString(p.Digest),
 	}
 	if entry, ok := h.deps.Catalogue.Entry(root.Entry); ok && entry.BudgetTokens != budget.Unlimited {
-		state.BudgetLeft = root.Tokens.Left(entry.BudgetTokens, 0)
+		left := root.Tokens.Left(entry.BudgetTokens, 0)
+		state.BudgetLeft = &left
 	}
 	return state
 }
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -30,7 +30,7 @@
 	}
 	a, err := h.admit(ctx, sh, p, r, past)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	return a.follow(ctx, 0, sink)
 }
@@ -59,7 +59,7 @@
 	}
 	a, err := h.known(ctx, sh, p, r.Turn, nil)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	if a == nil {
 		next := sh.nextTurn(p.id)
@@ -96,6 +96,11 @@
 		if a != nil || err != nil {
 			return a, err
 		}
+		// A home records a turn before its caller gets the digest, so a caller
+		// with a digest that is not known here has more than this home.
+		if r.Digest != "" && sh.nextTurn(p.id) < r.Turn && past == nil {
+			return nil, sh.missing(ctx, r)
+		}
 		select {
 		case <-changed:
 		case <-sh.ctx.Done():
@@ -103,11 +108,21 @@
 		case <-ctx.Done():
 			return nil, verdict.Refuse(verdict.Canceled, "caller left before turn %d started", r.Turn)
 		case <-early.C:
-			return nil, outOfOrder(r, sh.nextTurn(p.id))
+			return nil, sh.missing(ctx, r)
 		}
 	}
 }
 
+// missing is the refusal of a turn whose predecessors this home does not have.
+// A home that was paused may have lost the shard without knowing, and with it
+// the right to say so; a write tells.
+func (sh *shard) missing(ctx context.Context, r structs.TurnRequest) error {
+	if err := sh.journal.Confirm(ctx); err != nil {
+		return refuseCommit(err, "confirmation of the shard")
+	}
+	return outOfOrder(r, sh.nextTurn(r.Program))
+}
+
 // outOfOrder is the refusal of a turn whose predecessors are missing. A caller
 // that has the answer before the turn, as the digest shows, can resend them.
 func outOfOrder(r structs.TurnRequest, next int) error {
