--- a/Makefile
+++ b/Makefile
@@ -9,9 +9,9 @@
 demo: build
 	go run ./test/demo -bin bin
 
+recovery: build
+	go run ./test/recovery -bin bin
+
 measure: build
 	go run ./test/measure --bin bin --out measured
 	go run ./test/measure --bin bin --out measured --slow
-
-recovery: build
-	go run ./test/recovery -bin bin
