Let a hanging test of the home fail

Cause: with one mutation a call that should have been answered at once waited for ever, virtual time ran on, and the mutation run spent minutes on it until the test binary's own limit. Ruled out: a timeout for each request in each test. Change: a watchdog ends a test after an hour of virtual time, which takes less than a second.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -14,12 +14,17 @@
 	"ibisline/internal/verdict"
 )
 
+// hangAfter is the virtual time after which a test counts as hanging.
+const hangAfter = time.Hour
+
 // inWorld runs a test under virtual time.
 func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		defer w.stopAll()
+		watchdog := time.AfterFunc(hangAfter, func() { panic("test hangs") })
+		defer watchdog.Stop()
 		test(t, w)
 	})
 }
