Take an edit of shares that a peer passed on at the next grant

Cause: the sums of shares were kept for a revision of the catalogue, but an edit passed on by another daemon is in force before the revision covers it; with a stuck platform watch the fair queue would have kept the old shares for ever. Ruled out: summing all entries at each grant, too dear for 43,000 of them; a method in catalogue.Reader, which every stand-in of it would have to follow. Change: the catalogue counts its changes (Generation, additive, in its own package), and the share table follows that count where it is offered. Conclusion: edits hold at the next grant by whichever way they come.

--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -157,6 +157,10 @@
 	return revision
 }
 
+// Generation counts the changes of the entries here. It rises with every change,
+// also with one that is in force before the revision covers it.
+func (c *Catalogue) Generation() int64 { return c.table.changes() }
+
 // Admit implements Reader.
 func (c *Catalogue) Admit() error {
 	revision, loaded := c.table.position()
--- a/internal/catalogue/table.go
+++ b/internal/catalogue/table.go
@@ -39,7 +39,9 @@
 	mu       sync.RWMutex
 	loaded   bool
 	revision int64
-	entries  map[string]*structs.Entry
+	// generation counts the changes of the entries.
+	generation int64
+	entries    map[string]*structs.Entry
 	// gone holds the versions of deletions beyond the revision.
 	gone map[string]int64
 	// recent holds all changes after floor, by rising version.
@@ -132,6 +134,7 @@
 
 // set stores one change.
 func (t *table) set(c change) {
+	t.generation++
 	if c.Entry != nil {
 		delete(t.gone, c.Name)
 		t.entries[c.Name] = c.Entry
@@ -225,6 +228,13 @@
 	return t.revision, t.loaded
 }
 
+// changes returns the number of changes of the entries so far.
+func (t *table) changes() int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.generation
+}
+
 // size returns the number of entries.
 func (t *table) size() int {
 	t.mu.RLock()
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -16,15 +16,15 @@
 // serverQueue holds the requests that wait for one backend server and admits
 // them through its window. It is safe for concurrent use.
 type serverQueue struct {
-	mu        sync.Mutex
-	queue     fairshare.Queue
-	window    *window.Window
-	shares    *shareTable
-	revision  int64
-	maxQueued int
-	pace      pace
-	waiting   map[*fairshare.Item]*waiter
-	closed    *verdict.Error
+	mu         sync.Mutex
+	queue      fairshare.Queue
+	window     *window.Window
+	shares     *shareTable
+	generation int64
+	maxQueued  int
+	pace       pace
+	waiting    map[*fairshare.Item]*waiter
+	closed     *verdict.Error
 	// stopped keeps the queue closed for good.
 	stopped bool
 }
@@ -41,12 +41,12 @@
 
 func newServerQueue(queue fairshare.Queue, w *window.Window, shares *shareTable, maxQueued int) *serverQueue {
 	return &serverQueue{
-		queue:     queue,
-		window:    w,
-		shares:    shares,
-		revision:  -1,
-		maxQueued: maxQueued,
-		waiting:   map[*fairshare.Item]*waiter{},
+		queue:      queue,
+		window:     w,
+		shares:     shares,
+		generation: -1,
+		maxQueued:  maxQueued,
+		waiting:    map[*fairshare.Item]*waiter{},
 	}
 }
 
@@ -155,10 +155,10 @@
 
 // updateShares takes over an edit of the catalogue. The caller holds mu.
 func (q *serverQueue) updateShares() {
-	shares, revision := q.shares.current()
-	if revision != q.revision {
+	shares, generation := q.shares.current()
+	if generation != q.generation {
 		q.queue.SetShares(shares)
-		q.revision = revision
+		q.generation = generation
 	}
 }
 
--- a/internal/dispatch/shares.go
+++ b/internal/dispatch/shares.go
@@ -6,27 +6,38 @@
 	"ibisline/internal/catalogue"
 )
 
-// shareTable sums the shares of each owner's entries, once for each revision of
+// generations is offered by a catalogue whose entries can change before its
+// revision does, because other daemons pass edits on.
+type generations interface {
+	Generation() int64
+}
+
+// shareTable sums the shares of each owner's entries, once for each change of
 // the catalogue.
 type shareTable struct {
-	catalogue catalogue.Reader
-	mu        sync.Mutex
-	revision  int64
-	shares    map[string]float64
+	catalogue  catalogue.Reader
+	generation func() int64
+	mu         sync.Mutex
+	seen       int64
+	shares     map[string]float64
 }
 
 func newShareTable(reader catalogue.Reader) *shareTable {
-	return &shareTable{catalogue: reader, revision: -1}
+	t := &shareTable{catalogue: reader, generation: reader.Revision, seen: -1}
+	if counted, ok := reader.(generations); ok {
+		t.generation = counted.Generation
+	}
+	return t
 }
 
-// current returns the shares in force and their revision. The map is not
-// modified afterwards.
+// current returns the shares in force and the generation of the catalogue that
+// they were summed for. The map is not modified afterwards.
 func (t *shareTable) current() (map[string]float64, int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	revision := t.catalogue.Revision()
-	if revision == t.revision {
-		return t.shares, t.revision
+	generation := t.generation()
+	if generation == t.seen {
+		return t.shares, t.seen
 	}
 	shares := map[string]float64{}
 	for _, entry := range t.catalogue.Entries() {
@@ -34,7 +45,7 @@
 			shares[entry.Owner] += entry.Share
 		}
 	}
-	t.revision = revision
+	t.seen = generation
 	t.shares = shares
-	return shares, revision
+	return shares, generation
 }
