Keep a full region's load off the paid links

Cause: when all engines of a region were tried and full, the router went on to another region, which costs traffic by volume and moves the overload there. Ruled out: a higher charge for distance, which only moves the point. Change: engines of other regions are considered only while the own region has none that takes work. Conclusion: cross-region work needs a region without engines.

--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxCachedPrograms bounds the programs that a cache map remembers.
-	maxCachedPrograms = 20_000
+	maxCachedPrograms = 5_000
 	// cacheAgeWeight is the weight of one eviction in the mean age.
 	cacheAgeWeight = 0.2
 	// eventLag is how late a cache event may be. A prefix that was used since is
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -13,7 +13,7 @@
 const (
 	// maxLastRuns bounds the programs whose last engine and first call are
 	// remembered.
-	maxLastRuns = 50_000
+	maxLastRuns = 10_000
 	// guessedCached is the part of a prompt that is taken to be cached at the
 	// program's last engine when nothing more is known.
 	guessedCached = 0.8
@@ -85,23 +85,23 @@
 }
 
 // candidates returns the engines that take calls of a model, without excluded
-// ones: those of this region, or of other regions when it has none.
+// ones: those of this region, or of other regions when it has none at all. A
+// full region does not send its load over the paid links.
 func (d *Dispatcher) candidates(model string, excluded map[string]bool) []structs.Server {
 	var near, far []structs.Server
 	for _, server := range d.deps.View.Servers() {
-		if excluded[server.Name] || !d.usable(server, model) {
-			continue
-		}
-		if server.Region == d.deps.Region {
+		switch {
+		case !d.usable(server, model):
+		case server.Region == d.deps.Region:
 			near = append(near, server)
-		} else {
+		default:
 			far = append(far, server)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(near) == 0 {
+		near = far
 	}
-	return far
+	return slices.DeleteFunc(near, func(server structs.Server) bool { return excluded[server.Name] })
 }
 
 func (d *Dispatcher) usable(server structs.Server, model string) bool {
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/verdict"
 )
 
 func TestProgramStaysWithItsCacheOnlyWhileItPays(t *testing.T) {
@@ -159,3 +160,26 @@
 	}
 	return names
 }
+
+func TestFullRegionDoesNotSendItsLoadToAnother(t *testing.T) {
+	servers := engines("e1", "e2")
+	servers[1].Region = "r2"
+	config := dispatch.Config{FixedWindow: 1, Window: dispatch.WindowFixed, QueueLimit: 1}
+	runFleet(t, config, []string{"d1"}, servers, func(t *testing.T, f *fleet) {
+		f.engines.set("e1", func(e *fakeEngine) { e.gap = time.Second })
+		var calls []<-chan outcome
+		for i := range 5 {
+			calls = append(calls, f.daemons["d1"].generateLater(context.Background(), modelCall(fmt.Sprint(i))))
+			synctest.Wait()
+		}
+		refused := 0
+		for _, call := range calls {
+			if got := <-call; got.err != nil {
+				require.True(t, verdict.HasReason(got.err, verdict.QueueFull), got.err)
+				refused++
+			}
+		}
+		require.Equal(t, 3, refused)
+		require.Zero(t, f.engines.get("e2").started)
+	})
+}
--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -109,6 +109,8 @@
 	start  float64
 	items  itemHeap
 	grants int
+	// cost is the sum of the estimated costs of items.
+	cost float64
 }
 
 var _ Queue = (*Fair)(nil)
@@ -146,6 +148,7 @@
 	item.rank = Rank(item)
 	item.queue = owner
 	heap.Push(&owner.items, item)
+	owner.cost += item.Cost
 	f.length++
 	f.cost += item.Cost
 }
@@ -222,6 +225,7 @@
 
 // left updates the sums after an item has left its owner's heap.
 func (f *Fair) left(item *Item) {
+	item.queue.cost -= item.Cost
 	f.length--
 	f.cost -= item.Cost
 	if f.length == 0 {
@@ -266,7 +270,7 @@
 	ahead := own
 	for name, owner := range f.owners {
 		if name != item.Owner {
-			ahead += min(owner.cost(), rounds*shareOf(f.shares, name))
+			ahead += min(owner.cost, rounds*shareOf(f.shares, name))
 		}
 	}
 	return ahead
@@ -277,12 +281,12 @@
 func (f *Fair) Displace(item *Item) (*Item, bool) {
 	arriving := item.Cost
 	if owner := f.owners[item.Owner]; owner != nil {
-		arriving += owner.cost()
+		arriving += owner.cost
 	}
 	var heaviest *ownerQueue
 	most := arriving / shareOf(f.shares, item.Owner)
 	for name, owner := range f.owners {
-		if load := owner.cost() / shareOf(f.shares, name); name != item.Owner && load > most {
+		if load := owner.cost / shareOf(f.shares, name); name != item.Owner && load > most {
 			heaviest, most = owner, load
 		}
 	}
@@ -297,15 +301,6 @@
 	return last, last.rank.After(Rank(item))
 }
 
-// cost is the sum of the estimated costs of the owner's waiting requests.
-func (o *ownerQueue) cost() float64 {
-	total := 0.0
-	for _, item := range o.items {
-		total += item.Cost
-	}
-	return total
-}
-
 // costBefore is the part of cost that is ranked before a time.
 func (o *ownerQueue) costBefore(rank time.Time) float64 {
 	total := 0.0
