Take no release for an eviction when judging a cache's age

Cause: daemons believed that engines evict after 3 to 4 s, with 60,000 of 100,000 tokens free and no eviction counted by the engine: 54 releases of ended programs, ordered by homes on other daemons, came back as cache events and were taken for evictions; placement then gave cached prefixes up for gone. Change: only evictions of an engine with less than a quarter of its memory free tell an age. Ruled out: leading each release through the engine's dispatcher, which costs a message for each; hiding releases in the stand-in, as real engines show them.

--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -95,8 +95,9 @@
 	return c.next
 }
 
-// apply takes over cache events.
-func (c *cacheMap) apply(events backend.KVEvents, now time.Time) {
+// apply takes over cache events. Only evictions of an engine that is short of
+// memory tell an age: others are releases that another daemon ordered.
+func (c *cacheMap) apply(events backend.KVEvents, now time.Time, short bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = events.Next
@@ -105,7 +106,9 @@
 		if !ok || event.Kind != backend.KVEvicted || now.Sub(prefix.used) < eventLag {
 			continue
 		}
-		c.observeAge(now.Sub(prefix.used))
+		if short {
+			c.observeAge(now.Sub(prefix.used))
+		}
 		c.programs.remove(event.Program)
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -269,11 +269,21 @@
 	e.reported(load)
 	events, err := e.client.KVEvents(ctx, server, e.cache.position())
 	if err == nil {
-		e.cache.apply(events, time.Now())
+		e.cache.apply(events, time.Now(), e.shortOf(load))
 	}
 	e.queue.forget(time.Now())
 }
 
+// shortFraction is the free part of the KV memory below which an engine may
+// have had to evict.
+const shortFraction = 0.25
+
+// shortOf reports whether the engine's memory is so full that it evicts.
+func (e *engine) shortOf(load backend.Load) bool {
+	total := orDefault(load.KVTotalTokens, e.description().KVTokens)
+	return float64(total-load.KVUsedTokens) < shortFraction*float64(total)
+}
+
 // reported takes over a load report.
 func (e *engine) reported(load backend.Load) {
 	e.mu.Lock()
