Keep the mutations of all promises in one place

Cause: mutations of the home lived in its package and were not checked against the code; the promises 8 to 10 had none. Two tests of the planned stop could not fail: the drain of the API was not looked at while a stream ran, and the home's test let no time pass in which a busy shard would have been released. Ruled out: skipping the run in ordinary tests, which would count as a skip.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo measure recovery test
+.PHONY: build demo measure mutations recovery test
 
 build:
 	go build -o bin/ ./cmd/...
@@ -15,3 +15,6 @@
 measure: build
 	go run ./test/measure --bin bin --out measured
 	go run ./test/measure --bin bin --out measured --slow
+
+mutations:
+	go test -count=1 -v -timeout 60m -tags mutations ./test/mutations
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/tmaxmax/go-sse"
 
@@ -322,8 +323,11 @@
 	require.Contains(t, health.body, "leaving")
 	require.Equal(t, http.StatusOK, g.do(http.MethodGet, "/v1/programs/p", "").status)
 
-	drained := make(chan error, 1)
-	go func() { drained <- g.api.Drain(context.Background()) }()
+	drained := make(chan int, 1)
+	go func() {
+		assert.NoError(t, g.api.Drain(context.Background()))
+		drained <- g.api.Active()
+	}()
 	require.Eventually(t, func() bool {
 		return g.do(http.MethodGet, "/v1/programs/p", "").status == http.StatusServiceUnavailable
 	}, waitLimit, time.Millisecond)
@@ -333,7 +337,7 @@
 	require.Equal(t, 1, g.api.Active())
 
 	close(release)
-	require.NoError(t, <-drained)
+	require.Zero(t, <-drained)
 	events := readEvents(t, strings.NewReader((<-got).body))
 	require.True(t, events[len(events)-1].Done)
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -167,7 +167,9 @@
 		b := w.start("b")
 		drained := make(chan error, 1)
 		go func() { drained <- a.Drain(context.Background()) }()
-		synctest.Wait()
+		// Long enough for the shard to be released, if the turn did not hold it.
+		time.Sleep(time.Second)
+		require.Empty(t, drained)
 		_, err := b.State(context.Background(), id)
 		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
 		close(hold)
--- /dev/null
+++ b/test/mutations/mutations_test.go
@@ -0,0 +1,61 @@
+//go:build mutations
+
+package mutations
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestMutationsAreFound(t *testing.T) {
+	for _, p := range readPatches(t) {
+		t.Run(p.name, func(t *testing.T) { find(t, p) })
+	}
+}
+
+// find applies one patch to a copy of the module and runs the tests it names.
+func find(t *testing.T, p patch) {
+	root := t.TempDir()
+	copyModule(t, root)
+	for _, c := range p.changes {
+		path := filepath.Join(root, c.path)
+		content, err := os.ReadFile(path)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, c.apply(t, content), 0o644))
+	}
+	command := exec.Command("go", append([]string{"test", "-count=1", "-vet=off"}, p.tests...)...)
+	command.Dir = root
+	output, err := command.CombinedOutput()
+	require.NotContains(t, string(output), "[build failed]", "%s", output)
+	require.Error(t, err, "%s: the tests pass without the mechanism", p.promise)
+	t.Logf("%s\n%s", p.promise, firstFailure(string(output)))
+}
+
+// copyModule copies the module's files that tests read.
+func copyModule(t *testing.T, to string) {
+	for _, dir := range []string{"internal", "cmd", "test"} {
+		require.NoError(t, os.CopyFS(filepath.Join(to, dir), os.DirFS(filepath.Join(moduleRoot, dir))))
+	}
+	for _, name := range []string{"go.mod", "go.sum"} {
+		content, err := os.ReadFile(filepath.Join(moduleRoot, name))
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(filepath.Join(to, name), content, 0o644))
+	}
+}
+
+// firstFailure returns the line that tells what was found.
+func firstFailure(output string) string {
+	for _, sign := range []string{"failed after", "panic: ", "FAIL: ", "Error:", "--- FAIL"} {
+		for line := range strings.Lines(output) {
+			if strings.Contains(line, sign) {
+				return strings.TrimSpace(line)
+			}
+		}
+	}
+	return ""
+}
