--- /dev/null
+++ b/internal/home/release.go
@@ -0,0 +1,78 @@
+package home
+
+import (
+	"ibisline/internal/journal"
+	"ibisline/internal/structs"
+)
+
+// release sends a release order to each engine that may hold KV memory of an
+// ended program, unless one is under way.
+func (h *Home) release(sh *shard) {
+	for id, engines := range h.owed(sh) {
+		p, err := sh.program(id)
+		if err != nil {
+			continue
+		}
+		for _, engine := range engines {
+			h.sendRelease(sh, p, engine)
+		}
+	}
+}
+
+// owed lists the engines that have not confirmed a release, by ended program.
+// A program that may have run at an unknown engine owes one to every engine.
+func (h *Home) owed(sh *shard) map[string][]string {
+	owed := map[string][]string{}
+	_, _ = sh.journal.UpdateIf(func(s *journal.State) bool {
+		changed := false
+		for id, p := range s.Programs {
+			if !p.Ended {
+				continue
+			}
+			if p.AnyEngine {
+				h.addAllEngines(s.Edit(id))
+				changed = true
+			}
+			if len(p.Engines) > 0 {
+				owed[id] = append([]string(nil), p.Engines...)
+			}
+		}
+		return changed
+	})
+	return owed
+}
+
+// addAllEngines notes every engine of the platform's list.
+func (h *Home) addAllEngines(p *journal.Program) {
+	for _, server := range h.deps.View.Servers() {
+		if server.Kind == structs.KindEngine {
+			p.AddEngine(server.Name)
+		}
+	}
+	p.AnyEngine = false
+}
+
+// sendRelease sends one release order and notes its confirmation.
+func (h *Home) sendRelease(sh *shard, p *program, engine string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.releases[engine] || (p.run != nil && !p.run.settled) {
+		return
+	}
+	p.releases[engine] = true
+	h.work.Go(func() {
+		err := h.deps.Router.Forget(sh.ctx, engine, p.id)
+		if err == nil {
+			h.counts.releases.Inc()
+			_, _ = sh.journal.Update(func(s *journal.State) error {
+				if record := s.Edit(p.id); record != nil {
+					record.DropEngine(engine)
+				}
+				return nil
+			})
+		}
+		p.mu.Lock()
+		delete(p.releases, engine)
+		p.mu.Unlock()
+	})
+}
--- /dev/null
+++ b/internal/home/reserve.go
@@ -0,0 +1,123 @@
+package home
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/budget"
+	"ibisline/internal/journal"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// promptBound is the upper estimate of the prompt's length.
+func (h *Home) promptBound(sh *shard, id string, turns []journal.Turn, r structs.TurnRequest) int {
+	known, model := 0, ""
+	sh.journal.View(func(s *journal.State) { known, model = s.Programs[id].Context, s.Programs[id].Model })
+	if known > 0 && model == r.Model {
+		return budget.PromptBound(known, r.Messages)
+	}
+	bound := budget.PromptBound(0, r.Messages)
+	for _, turn := range turns {
+		bound += budget.PromptBound(len(turn.Answer), turn.Messages)
+	}
+	return bound
+}
+
+// turnReservation is what a turn holds of its tree's budget.
+type turnReservation struct {
+	tokens    need
+	prompt    int
+	maxTokens int
+}
+
+// reserveTurn reserves the prompt and as many output tokens as were asked for
+// and are left.
+func (h *Home) reserveTurn(ctx context.Context, sh *shard, j job, prompt int) (turnReservation, error) {
+	wanted := j.request.MaxTokens
+	if wanted == 0 {
+		wanted = h.cfg.MaxTokens
+	}
+	if err := sh.reserveTurnCount(j); err != nil {
+		return turnReservation{}, err
+	}
+	limit := j.limits.BudgetTokens
+	for {
+		if limit != budget.Unlimited {
+			wanted = min(wanted, sh.tokensLeft(j.root, limit)-prompt)
+		}
+		if wanted < 1 {
+			sh.releaseTurnCount(j.root)
+			return turnReservation{}, verdict.Refuse(verdict.BudgetSpent, "the budget of %d tokens does not cover the prompt", limit)
+		}
+		tokens := need{
+			root:     j.root,
+			amount:   prompt + wanted,
+			limit:    limit,
+			headroom: h.headroom(j.limits, prompt+wanted),
+			escrow:   tokenEscrow,
+			meter:    tokenMeter,
+		}
+		err := sh.reserve(ctx, tokens)
+		if err == nil {
+			return turnReservation{tokens: tokens, prompt: prompt, maxTokens: wanted}, nil
+		}
+		// Another turn of the tree may have reserved in between; what is left
+		// shrinks each time, so this ends.
+		if !errors.Is(err, errSpent) {
+			sh.releaseTurnCount(j.root)
+			return turnReservation{}, err
+		}
+	}
+}
+
+// reserveTurnCount counts the turn against the tree's budget of turns.
+func (sh *shard) reserveTurnCount(j job) error {
+	limit := j.limits.BudgetTurns
+	ok := false
+	sh.journal.View(func(s *journal.State) {
+		m := sh.tree(s, j.root)
+		ok = limit == budget.Unlimited || s.TreeTurns(j.root)+m.turns < limit
+		if ok {
+			m.turns++
+		}
+	})
+	if !ok {
+		return verdict.Refuse(verdict.BudgetSpent, "the budget of %d turns is spent", limit)
+	}
+	return nil
+}
+
+func (sh *shard) releaseTurnCount(root string) {
+	sh.journal.View(func(s *journal.State) { sh.tree(s, root).turns-- })
+}
+
+// tokensLeft is what the limit leaves beside spent and reserved tokens.
+func (sh *shard) tokensLeft(root string, limit int) int {
+	left := 0
+	sh.journal.View(func(s *journal.State) {
+		left = s.Programs[root].Tokens.Left(limit, sh.tree(s, root).tokens.reserved)
+	})
+	return left
+}
+
+// settleFailed gives the reservation of a failed turn back when the turn did
+// not run. When it may have run, the reservation counts as spent, and any
+// engine may hold its KV memory.
+func (sh *shard) settleFailed(id string, held turnReservation, err error) {
+	root := held.tokens.root
+	if verdict.Is(err, verdict.NotRun) {
+		sh.unreserve(held.tokens)
+		sh.releaseTurnCount(root)
+		return
+	}
+	_, _ = sh.grantUpdate(root, func(s *journal.State) error {
+		m := sh.tree(s, root)
+		m.tokens.reserved -= held.tokens.amount
+		m.turns--
+		s.Edit(root).Tokens.Charge(held.tokens.amount)
+		s.Edit(id).AnyEngine = true
+		return nil
+	})
+}
