Judge fairness by what owners asked for and got turn by turn

The index compared whole planned programs with what ended inside the window, so that an owner whose chains were still under way looked starved. Turns now carry when they were asked and when they were done; an owner's demand is what its turns asked for in the window with the backlog at its begin, and work is spread from the first token to the end of a turn. Water filling by planned programs was the tried and dropped way.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"ibisline/internal/structs"
 )
 
 const profiles = "../../test/profiles"
@@ -92,3 +94,29 @@
 	require.Equal(t, 1, result.Unfinished)
 	require.InEpsilon(t, 10_000, result.Latency.P99, 0.01)
 }
+
+func TestTurnCountsInTheWindowInWhichItsWorkWasDone(t *testing.T) {
+	turn := TurnSample{Asked: time.Second, First: time.Second, At: 4 * time.Second}
+	require.InDelta(t, 0.5, turn.doneWithin(0, 3*time.Second), 1e-9)
+	require.InDelta(t, 1, turn.doneWithin(0, time.Minute), 1e-9)
+	require.Zero(t, turn.doneWithin(4*time.Second, time.Minute))
+	require.Zero(t, TurnSample{Asked: time.Second}.doneWithin(0, time.Minute), "a turn that was cut off did nothing")
+}
+
+func TestOwnerThatIsStarvedLowersTheIndex(t *testing.T) {
+	p := Profile{
+		Entry:    []structs.Entry{{Name: "a", Owner: "a", Share: 1}, {Name: "b", Owner: "b", Share: 1}},
+		Work:     []Work{{Entry: "a"}, {Entry: "b"}},
+		Engine:   EngineShape{CapacityBatch: 1, Step: Duration(time.Millisecond)},
+		FairFrom: 0, FairTo: Duration(10 * time.Second),
+	}
+	turn := func(work int, at time.Duration, output int) Sample {
+		return Sample{Work: work, Turns: []TurnSample{{At: at, Output: output}}}
+	}
+	fair := Result{}
+	fair.fairness(p, []Sample{turn(0, 10*time.Second, 1000), turn(1, 10*time.Second, 1000)})
+	require.InDelta(t, 1, fair.Jain, 1e-6)
+	starved := Result{}
+	starved.fairness(p, []Sample{turn(0, 10*time.Second, 1000), turn(1, 0, 1000)})
+	require.InDelta(t, 0.5, starved.Jain, 1e-6)
+}
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -62,8 +62,11 @@
 
 // EngineShape are the settings of the stand-in engines.
 type EngineShape struct {
-	KVTokens        int      `toml:"kv_tokens"`
-	MaxBatch        int      `toml:"max_batch"`
+	KVTokens int `toml:"kv_tokens"`
+	MaxBatch int `toml:"max_batch"`
+	// CapacityBatch is the batch at which the time between tokens is the one to
+	// be kept; the capacity is the throughput at that batch.
+	CapacityBatch   int      `toml:"capacity_batch"`
 	Step            Duration `toml:"step"`
 	StepPerSequence Duration `toml:"step_per_sequence"`
 	PrefillPerToken Duration `toml:"prefill_per_token"`
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -115,7 +115,7 @@
 	result.Groups = p.groups(samples)
 	result.short(p, samples)
 	result.inTime(p, samples)
-	result.fairness(p, schedule, samples)
+	result.fairness(p, samples)
 	return result
 }
 
@@ -210,7 +210,7 @@
 }
 
 // fairness compares what owners received with what their shares granted.
-func (r *Result) fairness(p Profile, schedule Schedule, samples []Sample) {
+func (r *Result) fairness(p Profile, samples []Sample) {
 	from, to := p.FairFrom.Std(), p.FairTo.Std()
 	if to == 0 {
 		return
@@ -219,11 +219,7 @@
 	for _, entry := range p.Entry {
 		shares[entry.Owner] += entry.Share
 	}
-	demand := p.demand(schedule, to)
-	for owner, cost := range p.received(samples, 0, from) {
-		demand[owner] = max(demand[owner]-cost, 0)
-	}
-	received := p.received(samples, from, to)
+	demand, received := p.demand(samples, from, to), p.received(samples, from, to)
 	total := 0.0
 	for _, cost := range received {
 		total += cost
@@ -242,33 +238,46 @@
 	r.Jain = jain(ratios)
 }
 
-// demand is the engine time in seconds that each owner asked for until a time.
-func (p Profile) demand(schedule Schedule, until time.Duration) map[string]float64 {
-	demand := map[string]float64{}
-	for _, program := range schedule {
-		if program.Start < until {
-			entry, _ := p.EntryOf(p.Work[program.Work])
-			demand[entry.Owner] += p.cost(program).Seconds()
+// demand is the engine time that each owner's turns asked for in the time from
+// one point to another, with what was still to be done at its begin.
+func (p Profile) demand(samples []Sample, from, to time.Duration) map[string]float64 {
+	return p.sum(samples, func(turn TurnSample) float64 {
+		if turn.Asked >= to || (turn.At > 0 && turn.At <= from) {
+			return 0
 		}
-	}
-	return demand
+		return 1 - turn.doneWithin(0, from)
+	})
 }
 
-// received is the engine time that each owner had between two times: for output
-// and for the part of its prompts that no cache held.
+// received is the engine time that each owner had between two times.
 func (p Profile) received(samples []Sample, from, to time.Duration) map[string]float64 {
-	received := map[string]float64{}
+	return p.sum(samples, func(turn TurnSample) float64 { return turn.doneWithin(from, to) })
+}
+
+// sum adds up the engine time of the owners' turns, each weighed by part.
+func (p Profile) sum(samples []Sample, part func(TurnSample) float64) map[string]float64 {
+	total := map[string]float64{}
 	for _, sample := range samples {
 		entry, _ := p.EntryOf(p.Work[sample.Work])
 		for _, turn := range sample.Turns {
-			if turn.At < from || turn.At >= to {
-				continue
-			}
-			uncached := turn.Usage.PromptTokens - turn.Usage.CachedTokens
-			received[entry.Owner] += p.engineTime(uncached, turn.Usage.OutputTokens).Seconds()
+			total[entry.Owner] += part(turn) * p.engineTime(turn.New, turn.Output).Seconds()
 		}
 	}
-	return received
+	return total
+}
+
+// doneWithin is the part of a turn that was done between two times. Its work is
+// spread over the time from its first token to its end.
+func (t TurnSample) doneWithin(from, to time.Duration) float64 {
+	if t.At == 0 {
+		return 0
+	}
+	begin := t.Asked + t.First
+	if begin >= t.At {
+		begin = t.At - 1
+	}
+	overlap := min(t.At, to) - max(begin, from)
+	return float64(max(overlap, 0)) / float64(t.At-begin)
 }
 
 // waterFill divides a total by shares among owners, none above its demand.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -43,8 +43,13 @@
 
 // TurnSample is what was seen of one turn.
 type TurnSample struct {
-	// At is the time of its end since the start of the run.
-	At time.Duration
+	// Asked and At are the times of its first request and of its end since the
+	// start of the run. A turn that has no end was cut off.
+	Asked time.Duration
+	At    time.Duration
+	// New and Output are the tokens that it had to compute with a whole cache.
+	New    int
+	Output int
 	// First is the wait for the first token, refusals included.
 	First time.Duration
 	// History are the tokens of the prompt that the program had before.
@@ -224,10 +229,12 @@
 		first = sent + answer.FirstEvent
 		return err
 	})
+	sample := TurnSample{Asked: wanted.Sub(p.r.begin), First: first, New: planned.Tokens, Output: planned.Output}
 	if err != nil {
+		p.turns = append(p.turns, sample)
 		return err
 	}
-	p.record(asked, answer, first)
+	p.record(sample, asked, answer)
 	if err := p.call(ctx, i, planned); err != nil {
 		return err
 	}
@@ -245,8 +252,9 @@
 }
 
 // record keeps what was seen of a turn and checks its answer.
-func (p *player) record(asked structs.Message, answer caller.Answer, first time.Duration) {
-	sample := TurnSample{At: time.Since(p.r.begin), First: first, History: p.held}
+func (p *player) record(sample TurnSample, asked structs.Message, answer caller.Answer) {
+	sample.At = time.Since(p.r.begin)
+	sample.History = p.held
 	if answer.Last.Usage != nil {
 		sample.Usage = *answer.Last.Usage
 	}
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -155,9 +155,9 @@
 	return p.engineTime(program.tokens())
 }
 
-// engineTime is the time that one engine with a full batch takes for tokens.
+// engineTime is the time that one engine at its capacity takes for tokens.
 func (p Profile) engineTime(prompt, output int) time.Duration {
-	batch := time.Duration(p.Engine.MaxBatch)
+	batch := time.Duration(p.Engine.CapacityBatch)
 	perToken := (p.Engine.Step.Std() + batch*p.Engine.StepPerSequence.Std()) / batch
 	return time.Duration(prompt)*p.Engine.PrefillPerToken.Std() + time.Duration(output)*perToken
 }
