Guess the cache of an engine that was taken over

Cause: after a move of an engine to another dispatcher its cache map is empty, so that all prompts there counted as uncached, were charged in full, held back by the prompts ahead, and placed elsewhere. Ruled out: handing the map over, a message of its own for what one turn of each program restores; guessing for evicted prefixes, which are remembered as empty. Change: a program unknown to the map whose last turn ran on the engine counts as four fifths cached. The check for lost memory skips empty prefixes.

--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// guessedCached is the part of a prompt that is taken to be cached at the
+	// program's last engine when nothing more is known.
+	guessedCached = 0.8
 	// maxCachedPrograms bounds the programs that a cache map remembers.
 	maxCachedPrograms = 5_000
 	// cacheAgeWeight is the weight of one eviction in the mean age.
@@ -28,7 +31,8 @@
 	next int64
 }
 
-// cachedPrefix is the part of a program's history that an engine holds.
+// cachedPrefix is the part of a program's history that an engine holds; 0 tokens
+// after it was evicted.
 type cachedPrefix struct {
 	tokens int
 	used   time.Time
@@ -38,14 +42,22 @@
 	return &cacheMap{programs: newRecentMap[cachedPrefix](maxCachedPrograms)}
 }
 
-// uncached estimates the part of a prompt that the engine has to compute.
-func (c *cacheMap) uncached(request structs.GenerateRequest) int {
+// uncached estimates the part of a prompt that the engine has to compute. A
+// dispatcher that took the engine over knows only that the program ran there.
+func (c *cacheMap) uncached(request structs.GenerateRequest, engine string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	prefix, _ := c.programs.get(request.Program)
+	prefix, known := c.programs.get(request.Program)
+	if !known && request.LastEngine == engine {
+		return guessUncached(request.PromptTokens)
+	}
 	return max(request.PromptTokens-prefix.tokens, 0)
 }
 
+func guessUncached(promptTokens int) int {
+	return promptTokens - int(guessedCached*float64(promptTokens))
+}
+
 // stored records the prefix that a finished request left behind.
 func (c *cacheMap) stored(program string, tokens int, now time.Time) {
 	c.mu.Lock()
@@ -80,12 +92,17 @@
 func (c *cacheMap) lost(held map[string]int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for program := range held {
-		if _, ok := c.programs.get(program); ok {
+	believed := 0
+	for program, element := range c.programs.items {
+		if element.Value.(recentItem[cachedPrefix]).value.tokens == 0 {
+			continue
+		}
+		if _, ok := held[program]; ok {
 			return false
 		}
+		believed++
 	}
-	return len(c.programs.items) > 0
+	return believed > 0
 }
 
 // position is the number of the event to ask for next.
@@ -106,11 +123,22 @@
 		if !ok || event.Kind != backend.KVEvicted || now.Sub(prefix.used) < eventLag {
 			continue
 		}
-		if short {
-			c.observeAge(now.Sub(prefix.used))
-		}
-		c.programs.remove(event.Program)
+		c.dropped(event.Program, prefix, now, short)
+	}
+}
+
+// dropped records a prefix that the engine no longer holds. An evicted one is
+// remembered as empty, so that it is not guessed to be there. The caller holds
+// mu.
+func (c *cacheMap) dropped(program string, prefix cachedPrefix, now time.Time, short bool) {
+	if !short {
+		c.programs.remove(program)
+		return
+	}
+	if prefix.tokens > 0 {
+		c.observeAge(now.Sub(prefix.used))
 	}
+	c.programs.set(program, cachedPrefix{used: prefix.used})
 }
 
 // observeAge records the age of an evicted prefix. The caller holds mu.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -119,7 +119,7 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.cache.uncached(request)
+	bound := e.cache.uncached(request, e.name)
 	uncached := e.lengths.prompt(request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -14,9 +14,6 @@
 	// maxLastRuns bounds the programs whose last engine and first call are
 	// remembered.
 	maxLastRuns = 10_000
-	// guessedCached is the part of a prompt that is taken to be cached at the
-	// program's last engine when nothing more is known.
-	guessedCached = 0.8
 	// minKnown is the number of candidates with a current status below which
 	// the others are considered too.
 	minKnown = 8
@@ -176,14 +173,14 @@
 // prefix older than the age at which the engine evicts is taken to be gone.
 func (d *Dispatcher) uncachedAt(engine string, request structs.GenerateRequest) int {
 	if e := d.knownEngine(engine); e != nil {
-		return e.cache.uncached(request)
+		return e.cache.uncached(request, engine)
 	}
 	d.mu.Lock()
 	run, ok := d.lastRuns.get(request.Program)
 	d.mu.Unlock()
 	switch {
 	case !ok && request.LastEngine == engine:
-		return request.PromptTokens - int(guessedCached*float64(request.PromptTokens))
+		return guessUncached(request.PromptTokens)
 	case !ok || run.engine != engine:
 		return request.PromptTokens
 	}
