Measure what a daemon costs by fleet and catalogue size

Cause: docs/CAPACITY.md needs slopes from real processes. Ruled out: Go benchmarks alone, which miss timers, connections and the heap.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo measure mutations recovery test
+.PHONY: build capacity demo measure mutations recovery test
 
 build:
 	go build -o bin/ ./cmd/...
@@ -18,3 +18,6 @@
 
 mutations:
 	go test -count=1 -v -timeout 60m -tags mutations ./test/mutations
+
+capacity: build
+	go run ./test/capacity -bin bin
