Hand a limiter's books over only to a daemon that is known

Cause: tests of daemons whose views disagree found that a limiter gave its books to a successor it did not see as live, took its office back at the next review, and left two limiters. Random schedules found that homes shared a lowered limit in proportion to what they held, idle permits included, and so went beyond it (7 under way with a limit of 6). Change: a limiter refuses the handover until the successor is in its view; the successor asks again. After a lowering a home is left only what the others cannot take. Waiting requests are refused at once when the daemon stops.

--- a/internal/limits/borrower.go
+++ b/internal/limits/borrower.go
@@ -226,7 +226,6 @@
 		}
 		b.rest(ctx, b.quiet())
 	}
-	b.end(verdict.Refuse(verdict.Stopping, "the daemon stops"))
 	return nil
 }
 
--- a/internal/limits/fleet_test.go
+++ b/internal/limits/fleet_test.go
@@ -189,6 +189,7 @@
 	for _, d := range f.daemons {
 		f.kill(d)
 	}
+	time.Sleep(time.Second)
 }
 
 // edit changes the entry; each daemon has it in force within the bound.
--- a/internal/limits/handover.go
+++ b/internal/limits/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"ibisline/internal/peer"
@@ -44,6 +45,9 @@
 	defer l.mu.Unlock()
 	a := t.account
 	a.asking = false
+	if err == nil && reply.Refused {
+		return
+	}
 	a.lapsed = false
 	a.learnedAt = l.owners.safeFrom(t.entry)
 	if err != nil || !reply.Complete {
@@ -77,6 +81,10 @@
 // release gives the books on an entry to another daemon, which is the limiter
 // from then on.
 func (l *limiter) release(r handoverRequest) handoverReply {
+	known := slices.Contains(namesOf(l.view.Live()), r.By)
+	if !known {
+		return handoverReply{Refused: true}
+	}
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/limits/ledger.go
+++ b/internal/limits/ledger.go
@@ -212,15 +212,15 @@
 }
 
 // allowed is the number of requests that a home may have under way: what it was
-// granted, or its part of the limit when the homes hold more than that.
+// granted, or less when the limit was lowered below what the homes hold. All that
+// others hold counts as in use, so a home is left only what they cannot take.
 func (l *ledger) allowed(id holderID) int {
 	h := l.holders[id]
-	held := l.held()
-	limit := l.limits.MaxConcurrent
-	if limit == 0 || held <= limit {
+	if l.limits.MaxConcurrent == 0 {
 		return h.Held
 	}
-	return h.Held * limit / held
+	others := l.held() - h.Held
+	return min(h.Held, max(0, l.limits.MaxConcurrent-others))
 }
 
 // admitQueued books waiting requests of a home as far as the limit permits and
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -113,6 +113,7 @@
 
 	mu        sync.Mutex
 	borrowers map[string]*borrower
+	stopped   bool
 }
 
 // New returns the limits of a daemon and registers their handlers in mux.
@@ -144,6 +145,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			l.stop()
 			return group.Wait()
 		case b := <-l.starts.Items():
 			group.Go(func() error { return b.run(ctx) })
@@ -195,6 +197,9 @@
 func (l *Limits) borrower(entry structs.Entry) (*borrower, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.stopped {
+		return nil, verdict.Refuse(verdict.Stopping, "the daemon stops")
+	}
 	if b, ok := l.borrowers[entry.Name]; ok {
 		return b, nil
 	}
@@ -211,6 +216,16 @@
 	return slices.ContainsFunc(l.view.Live(), func(i structs.Instance) bool { return i.Name == name })
 }
 
+// stop refuses what waits and all later requests.
+func (l *Limits) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopped = true
+	for _, b := range l.borrowers {
+		b.end(verdict.Refuse(verdict.Stopping, "the daemon stops"))
+	}
+}
+
 // drop removes a borrower that ended.
 func (l *Limits) drop(b *borrower) {
 	l.mu.Lock()
--- a/internal/limits/messages.go
+++ b/internal/limits/messages.go
@@ -65,7 +65,10 @@
 }
 
 // handoverReply carries the books. They may lack holders when Complete is false.
+// Refused is set when the predecessor does not know the successor yet, so that
+// homes may still ask the predecessor, which goes on as limiter.
 type handoverReply struct {
+	Refused  bool     `msgpack:"r,omitempty"`
 	Complete bool     `msgpack:"c"`
 	Holders  []holder `msgpack:"h,omitempty"`
 }
--- a/internal/limits/random_test.go
+++ b/internal/limits/random_test.go
@@ -268,6 +268,18 @@
 		{Kind: burst, Daemon: 3, Count: 11, HoldMS: 5000},
 		{Kind: setLimit, Count: 12, WaitMS: 150},
 	},
+	"homes share a lowered limit by what they hold, idle permits included": {
+		{Kind: burst, Daemon: 3, Count: 12, HoldMS: 700, WaitMS: 900},
+		{Kind: burst, Daemon: 3, Count: 11, HoldMS: 1, WaitMS: 10},
+		{Kind: burst, Daemon: 3, Count: 11, HoldMS: 5000},
+		{Kind: crash, Daemon: 0},
+		{Kind: setLimit, Count: 9, WaitMS: 4000},
+		{Kind: setLimit, Count: 6, WaitMS: 150},
+		{Kind: crash, Daemon: 2, WaitMS: 10},
+		{Kind: crash, Daemon: 0, WaitMS: 10},
+		{Kind: burst, Daemon: 1, Count: 10, HoldMS: 700, WaitMS: 4000},
+		{Kind: setLimit, Count: 7, WaitMS: 4000},
+	},
 }
 
 func TestFoundSchedulesKeepTheLimit(t *testing.T) {
