Cut the cost of heartbeats and keep probe targets stable

Found: connections that carry heartbeats were pinged as well; each change of the fleet moved the targets of all daemons, and a new target was judged by a silence from before anybody had probed it, so churn bred suspicion and suspicion bred churn.

Change: a connection is checked only after an interval in which nothing was read; targets are the next three on the ring and two far points, which a change moves only nearby, five instead of eight; a new target's silence starts when it is chosen; a daemon to which most of its targets are silent waits three times as long; confirmations served at once are bounded.

--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -23,7 +23,7 @@
 const (
 	defaultHeartbeatInterval = 250 * time.Millisecond
 	defaultSuspectAfter      = time.Second
-	defaultFanout            = 8
+	defaultFanout            = 5
 	defaultRelistInterval    = 5 * time.Minute
 
 	// reachInterval is the time between two attempts to reach a dead daemon.
@@ -38,6 +38,8 @@
 	syncAfter = 5 * time.Second
 	// helperCount is the number of daemons asked to reach a silent one.
 	helperCount = 3
+	// confirmLimit bounds the requests for confirmation served at once.
+	confirmLimit = 8
 	// platformTimeout bounds one call to the platform.
 	platformTimeout = 2 * time.Second
 	// platformRetryMin and platformRetryMax bound the wait after a failed call.
--- a/internal/member/gossip/machine.go
+++ b/internal/member/gossip/machine.go
@@ -17,6 +17,7 @@
 	members map[string]*Member // with self
 	rumors  rumorQueue
 	targets []string
+	probed  map[string]bool // targets as last chosen
 
 	ticked  time.Time
 	reached time.Time // last attempt to reach a dead daemon
--- a/internal/member/gossip/targets.go
+++ b/internal/member/gossip/targets.go
@@ -1,66 +1,85 @@
 package gossip
 
 import (
-	"math"
+	"cmp"
 	"slices"
-	"strings"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 )
 
-// Targets returns the daemons that this one probes, sorted by name. The daemons
-// stand on a ring in the order of the hash of their names, and each probes those
-// at the same distances from itself: so each is probed by as many as it probes,
-// and news crosses the fleet in few steps because the distances grow
-// geometrically.
+// Targets returns the daemons that this one probes, sorted by name.
+//
+// The daemons stand on a ring in the order of the hash of their names. Each
+// probes the next few, so that each is probed by as many, and some at far points
+// of its own, so that news crosses a large fleet in few steps. A change of the
+// fleet moves only the targets beside it.
 func (m *Machine) Targets() []string {
 	if m.targets != nil {
 		return m.targets
 	}
-	ring := m.ring()
-	me := slices.Index(ring, m.self.Instance.Name)
-	m.targets = []string{}
-	for _, distance := range distances(len(ring), m.config.Fanout) {
-		m.targets = append(m.targets, ring[(me+distance)%len(ring)])
+	old := m.probed
+	m.targets = m.chooseTargets()
+	m.probed = map[string]bool{}
+	for _, name := range m.targets {
+		m.probed[name] = true
+		if !old[name] {
+			// Nobody here has probed it yet; its silence starts now.
+			m.clear(m.members[name], m.ticked)
+		}
 	}
-	slices.Sort(m.targets)
 	return m.targets
 }
 
-// ring returns the daemons that are alive or suspected, and self, in the order
-// of the hash of their names.
-func (m *Machine) ring() []string {
-	var names []string
+// chooseTargets picks the targets from the ring.
+func (m *Machine) chooseTargets() []string {
+	ring := m.ring()
+	self := m.self.Instance.Name
+	me := slices.IndexFunc(ring, func(p place) bool { return p.name == self })
+	count := min(m.config.Fanout, len(ring)-1)
+	near := (m.config.Fanout + 1) / 2
+	chosen := make([]string, 0, count)
+	for step := 1; step <= min(near, count); step++ {
+		chosen = append(chosen, ring[(me+step)%len(ring)].name)
+	}
+	for salt := 0; len(chosen) < count; salt++ {
+		point := xxhash.Sum64String(self + "/" + strconv.Itoa(salt))
+		chosen = append(chosen, firstFree(ring, point, self, chosen))
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+// place is a daemon's place on the ring.
+type place struct {
+	hash uint64
+	name string
+}
+
+// ring returns the places of self and of the daemons that are alive or
+// suspected, in order.
+func (m *Machine) ring() []place {
+	ring := make([]place, 0, len(m.members))
 	for name, member := range m.members {
 		if member == m.self || member.Status == Alive || member.Status == Suspect {
-			names = append(names, name)
+			ring = append(ring, place{hash: xxhash.Sum64String(name), name: name})
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		ha, hb := xxhash.Sum64String(a), xxhash.Sum64String(b)
-		if ha != hb {
-			if ha < hb {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a, b)
+	slices.SortFunc(ring, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
 	})
-	return names
+	return ring
 }
 
-// distances returns up to fanout different distances on a ring of size places:
-// all of them if they are few, else growing geometrically from 1.
-func distances(size, fanout int) []int {
-	others := size - 1
-	count := min(fanout, others)
-	steps := make([]int, 0, max(count, 0))
-	last := 0
-	for i := range count {
-		grown := int(math.Pow(float64(size), float64(i)/float64(fanout)))
-		// Enough room must be left for the distances that follow.
-		last = min(max(grown, last+1), others-(count-1-i))
-		steps = append(steps, last)
+// firstFree returns the first daemon at or after point that is neither self nor
+// chosen already. The ring must have one.
+func firstFree(ring []place, point uint64, self string, chosen []string) string {
+	start, _ := slices.BinarySearchFunc(ring, point, func(p place, h uint64) int { return cmp.Compare(p.hash, h) })
+	for i := range ring {
+		name := ring[(start+i)%len(ring)].name
+		if name != self && !slices.Contains(chosen, name) {
+			return name
+		}
 	}
-	return steps
+	return ""
 }
--- a/internal/member/gossip/tick.go
+++ b/internal/member/gossip/tick.go
@@ -11,8 +11,9 @@
 		m.forgive(now)
 		actions.Woken = true
 	}
+	patience := m.patience(now)
 	for _, name := range m.Targets() {
-		if m.examine(m.members[name], now) {
+		if m.examine(m.members[name], patience, now) {
 			actions.Confirm = append(actions.Confirm, name)
 		}
 	}
@@ -43,12 +44,33 @@
 	}
 }
 
+// slowdown is the factor by which a daemon that doubts itself waits longer.
+const slowdown = 3
+
+// patience is the silence after which a target is suspected. When most targets
+// are silent at once, this daemon is more likely to be slow than all of them, and
+// it waits longer. One whose address refuses connections does not count: that
+// needs no patience.
+func (m *Machine) patience(now time.Time) time.Duration {
+	silent := 0
+	for _, name := range m.Targets() {
+		member := m.members[name]
+		if !member.refused && now.Sub(member.heard) >= m.config.SuspectAfter/2 {
+			silent++
+		}
+	}
+	if silent > 1 && 2*silent > len(m.targets) {
+		return slowdown * m.config.SuspectAfter
+	}
+	return m.config.SuspectAfter
+}
+
 // examine looks at the silence of a target and returns true when helpers should
 // be asked.
-func (m *Machine) examine(member *Member, now time.Time) bool {
+func (m *Machine) examine(member *Member, patience time.Duration, now time.Time) bool {
 	silence := now.Sub(member.heard)
 	convicted := member.denied.After(member.heard) && !member.denied.Before(member.asked)
-	if convicted && member.Status == Alive && (member.refused || silence >= m.config.SuspectAfter) {
+	if convicted && member.Status == Alive && (member.refused || silence >= patience) {
 		m.set(member, Suspect, now)
 		m.rumors.add(m.rumor(member))
 		return false
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -43,6 +43,8 @@
 	tasks    sync.WaitGroup
 	leave    sync.Once
 	left     atomic.Bool
+	// confirming is the number of requests for confirmation served now.
+	confirming atomic.Int32
 
 	probes   *metrics.Counter
 	failures *metrics.Counter
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -288,6 +288,13 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
+	// Above the limit the answer is "not reached": a daemon that is asked about
+	// so many others must not add to their load, and suspects can still refute.
+	if m.confirming.Add(1) > confirmLimit {
+		m.confirming.Add(-1)
+		return s.Send(confirmReply{})
+	}
+	defer m.confirming.Add(-1)
 	answer, err := m.probeOnce(ctx, request.Target, m.config.SuspectAfter*2/5)
 	return s.Send(confirmReply{Reached: err == nil, Incarnation: answer.Incarnation})
 }
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -23,7 +23,7 @@
 	defaultDialTimeout   = time.Second
 	defaultPingInterval  = 500 * time.Millisecond
 	defaultPingTimeout   = 1500 * time.Millisecond
-	defaultIdleTimeout   = 30 * time.Second
+	defaultIdleTimeout   = 15 * time.Second
 )
 
 // withDefaults returns c with its zero fields filled.
--- a/internal/peer/meter.go
+++ b/internal/peer/meter.go
@@ -2,6 +2,8 @@
 
 import (
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -12,14 +14,17 @@
 	net.Conn
 	sent     *metrics.Counter
 	received *metrics.Counter
+	writes   *metrics.Counter
+	// heard is the time of the last read, in unix nanoseconds.
+	heard atomic.Int64
 	// held is a header whose body has not come yet. Only yamux's one sending
 	// goroutine writes.
 	held []byte
 }
 
 // counted wraps a connection after its handshake.
-func (t *Transport) counted(conn net.Conn) net.Conn {
-	return &meteredConn{Conn: conn, sent: t.sent, received: t.received}
+func (t *Transport) counted(conn net.Conn) *meteredConn {
+	return &meteredConn{Conn: conn, sent: t.sent, received: t.received, writes: t.writes}
 }
 
 // Shape of a yamux header: byte 1 is the type, 0 for data, and the last four
@@ -48,6 +53,7 @@
 	out := append(c.held, b...)
 	c.held = out[:0]
 	n, err := c.Conn.Write(out)
+	c.writes.Inc()
 	c.sent.Add(n)
 	return max(n-header, 0), err
 }
@@ -56,5 +62,11 @@
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.received.Add(n)
+	c.heard.Store(time.Now().UnixNano())
 	return n, err
 }
+
+// heardWithin is true when something was read in the last d.
+func (c *meteredConn) heardWithin(d time.Duration) bool {
+	return time.Since(time.Unix(0, c.heard.Load())) < d
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -131,10 +131,10 @@
 	return h, nil
 }
 
-// watch checks a connection while it has streams, so that a cut is noticed
-// although no packet comes back, and closes it when it was idle for too long.
+// watch checks a connection that has streams but was silent for an interval, so
+// that a cut is noticed although no packet comes back, and closes it when it was idle for too long.
 // Only the connecting side closes an idle connection: it alone opens streams.
-func (t *Transport) watch(ctx context.Context, session *yamux.Session, closeIdle bool) {
+func (t *Transport) watch(ctx context.Context, session *yamux.Session, conn *meteredConn, closeIdle bool) {
 	ticker := time.NewTicker(t.config.PingInterval)
 	defer ticker.Stop()
 	defer session.Close()
@@ -154,6 +154,9 @@
 			continue
 		}
 		used = time.Now()
+		if conn.heardWithin(t.config.PingInterval) {
+			continue
+		}
 		if _, err := session.Ping(); err != nil {
 			t.broken.Inc()
 			return
@@ -172,12 +175,13 @@
 		return
 	}
 	_ = conn.SetDeadline(time.Time{})
-	session, err := yamux.Server(t.counted(conn), t.config.yamuxConfig(t.logger))
+	metered := t.counted(conn)
+	session, err := yamux.Server(metered, t.config.yamuxConfig(t.logger))
 	if err != nil {
 		t.logger.WithError(err).Error("peer session not started")
 		return
 	}
-	t.group.Go(func() { t.watch(ctx, session, false) })
+	t.group.Go(func() { t.watch(ctx, session, metered, false) })
 	for {
 		raw, err := session.AcceptStream()
 		if err != nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -43,6 +43,7 @@
 	dials     *metrics.Counter
 	sent      *metrics.Counter
 	received  *metrics.Counter
+	writes    *metrics.Counter
 }
 
 var (
@@ -61,6 +62,7 @@
 type link struct {
 	ready   chan struct{} // closed when session or err is set
 	session *yamux.Session
+	conn    *meteredConn
 	err     error
 }
 
@@ -82,6 +84,7 @@
 		dials:     set.GetOrCreateCounter("ibisline_peer_dials_total"),
 		sent:      set.GetOrCreateCounter("ibisline_peer_sent_bytes_total"),
 		received:  set.GetOrCreateCounter("ibisline_peer_received_bytes_total"),
+		writes:    set.GetOrCreateCounter("ibisline_peer_writes_total"),
 	}
 	set.GetOrCreateGauge("ibisline_peer_streams_served", func() float64 { return float64(t.active.Load()) })
 	if resolve != nil {
@@ -240,10 +243,13 @@
 // connect makes the link and then watches it until it ends.
 func (t *Transport) connect(daemon string, l *link) {
 	t.dials.Inc()
-	l.session, l.err = t.dial(daemon)
+	l.conn, l.err = t.dial(daemon)
+	if l.err == nil {
+		l.session, l.err = yamux.Client(l.conn, t.config.yamuxConfig(t.logger))
+	}
 	close(l.ready)
 	if l.err == nil {
-		t.watch(t.ctx, l.session, true)
+		t.watch(t.ctx, l.session, l.conn, true)
 	}
 	t.drop(daemon, l)
 }
@@ -258,7 +264,7 @@
 }
 
 // dial connects to a daemon and shakes hands.
-func (t *Transport) dial(daemon string) (*yamux.Session, error) {
+func (t *Transport) dial(daemon string) (*meteredConn, error) {
 	resolve := t.resolve.Load()
 	if resolve == nil {
 		return nil, errors.New("no resolver set")
@@ -283,5 +289,5 @@
 		conn.Close()
 		return nil, errors.Wrap(err, "handshake")
 	}
-	return yamux.Client(t.counted(conn), t.config.yamuxConfig(t.logger))
+	return t.counted(conn), nil
 }
