--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -10,9 +10,12 @@
 
 const (
 	// maxCachedPrograms bounds the programs that a cache map remembers.
-	maxCachedPrograms = 20_000
+	maxCachedPrograms = 5_000
 	// cacheAgeWeight is the weight of one eviction in the mean age.
 	cacheAgeWeight = 0.2
+	// eventLag is how late a cache event may be. A prefix that was used since is
+	// taken to have been stored again after the eviction.
+	eventLag = 2 * time.Second
 )
 
 // cacheMap is what is believed of one engine's prefix cache: from the streams
@@ -92,20 +95,21 @@
 	return c.next
 }
 
-// apply takes over cache events. An eviction that was reported late may be
-// older than a request that stored the prefix again; it costs a wrong guess.
-func (c *cacheMap) apply(events backend.KVEvents, now time.Time) {
+// apply takes over cache events. Only evictions of an engine that is short of
+// memory tell an age: others are releases that another daemon ordered.
+func (c *cacheMap) apply(events backend.KVEvents, now time.Time, short bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = events.Next
 	for _, event := range events.Events {
-		if event.Kind != backend.KVEvicted {
+		prefix, ok := c.programs.get(event.Program)
+		if !ok || event.Kind != backend.KVEvicted || now.Sub(prefix.used) < eventLag {
 			continue
 		}
-		if prefix, ok := c.programs.get(event.Program); ok {
+		if short {
 			c.observeAge(now.Sub(prefix.used))
-			c.programs.remove(event.Program)
 		}
+		c.programs.remove(event.Program)
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -19,7 +19,7 @@
 // engineParts are shared by all engines of a dispatcher.
 type engineParts struct {
 	account     *account
-	outputs     *outputs
+	lengths     *lengths
 	measures    *measures
 	quarantined *quarantined
 }
@@ -119,12 +119,14 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	uncached := e.cache.uncached(request)
+	bound := e.cache.uncached(request)
+	uncached := e.lengths.prompt(request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
-		Cost:     float64(uncached + e.outputs.expect(request)),
+		Cost:     float64(uncached + e.lengths.output(request)),
 		Attained: float64(request.Attained),
+		Age:      request.Age,
 		Arrived:  time.Now(),
 	}
 	need := window.Need{
@@ -134,10 +136,12 @@
 	e.account.addWaiting(request.Entry, 1)
 	defer e.account.addWaiting(request.Entry, -1)
 	grant, err := e.queue.acquire(ctx, item, need, request.Deadline)
-	if err == nil {
-		e.measures.waited(request.Class, time.Since(item.Arrived))
+	if err != nil {
+		return nil, err
 	}
-	return grant, err
+	grant.uncachedBound = bound
+	e.measures.waited(request.Class, time.Since(item.Arrived))
+	return grant, nil
 }
 
 // stream runs a granted request and records its progress.
@@ -154,10 +158,11 @@
 	usage := generated.Usage
 	e.measures.finished(usage)
 	e.measures.firstToken.Update(grant.first.Seconds())
-	grant.prefilled(usage.PromptTokens - usage.CachedTokens)
+	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.outputs.observe(request, usage)
+	e.lengths.observePrompt(request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observeOutput(request, usage.OutputTokens)
 	return generated, nil
 }
 
@@ -239,6 +244,7 @@
 		Waiting:     state.Waiting,
 		WaitingCost: state.WaitingCost,
 		Gap:         state.Gap,
+		DecodeGap:   state.DecodeGap,
 		Service:     state.Service,
 		Prefilling:  state.Prefilling,
 		PrefillRate: state.PrefillRate,
@@ -263,11 +269,21 @@
 	e.reported(load)
 	events, err := e.client.KVEvents(ctx, server, e.cache.position())
 	if err == nil {
-		e.cache.apply(events, time.Now())
+		e.cache.apply(events, time.Now(), e.shortOf(load))
 	}
 	e.queue.forget(time.Now())
 }
 
+// shortFraction is the free part of the KV memory below which an engine may
+// have had to evict.
+const shortFraction = 0.25
+
+// shortOf reports whether the engine's memory is so full that it evicts.
+func (e *engine) shortOf(load backend.Load) bool {
+	total := orDefault(load.KVTotalTokens, e.description().KVTokens)
+	return float64(total-load.KVUsedTokens) < shortFraction*float64(total)
+}
+
 // reported takes over a load report.
 func (e *engine) reported(load backend.Load) {
 	e.mu.Lock()
@@ -284,7 +300,7 @@
 // judge compares the engine with the gaps of its peers. The window of one that
 // turns out slow shrinks at once.
 func (e *engine) judge(peers []time.Duration, target time.Duration) {
-	gap := e.queue.state().Gap
+	gap := e.queue.state().DecodeGap
 	e.mu.Lock()
 	before := e.slow.Slow()
 	slow := e.slow.Judge(gap, peers, target)
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	// maxLastRuns bounds the programs whose last engine is remembered.
-	maxLastRuns = 50_000
+	// maxLastRuns bounds the programs whose last engine and first call are
+	// remembered.
+	maxLastRuns = 10_000
 	// guessedCached is the part of a prompt that is taken to be cached at the
 	// program's last engine when nothing more is known.
 	guessedCached = 0.8
@@ -31,9 +32,22 @@
 	at     time.Time
 }
 
+// ageOf returns the time since a root program made its first call here. After a
+// move of the program's home it starts anew.
+func (d *Dispatcher) ageOf(root string) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	begun, ok := d.begun.get(root)
+	if !ok {
+		begun = time.Now()
+		d.begun.set(root, begun)
+	}
+	return time.Since(begun)
+}
+
 // learn remembers where a program ran.
 func (d *Dispatcher) learn(request structs.GenerateRequest, generated structs.Generated) {
-	d.outputs.observe(request, generated.Usage)
+	d.lengths.observeOutput(request, generated.Usage.OutputTokens)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastRuns.set(request.Program, lastRun{
@@ -59,7 +73,7 @@
 
 // pickEngine chooses the engine for the next try.
 func (d *Dispatcher) pickEngine(g *generation) (structs.Server, bool) {
-	candidates := d.candidates(g, "")
+	candidates := d.candidates(g.request.Model, g.excluded)
 	if len(candidates) == 0 {
 		return structs.Server{}, false
 	}
@@ -70,28 +84,28 @@
 	return candidates[d.choose(g.request, candidates)], true
 }
 
-// candidates returns the engines that may run the request, without one that is
-// named: those of this region, or of other regions when it has none.
-func (d *Dispatcher) candidates(g *generation, without string) []structs.Server {
+// candidates returns the engines that take calls of a model, without excluded
+// ones: those of this region, or of other regions when it has none at all. A
+// full region does not send its load over the paid links.
+func (d *Dispatcher) candidates(model string, excluded map[string]bool) []structs.Server {
 	var near, far []structs.Server
 	for _, server := range d.deps.View.Servers() {
-		if server.Name == without || !d.usable(server, g) {
-			continue
-		}
-		if server.Region == d.deps.Region {
+		switch {
+		case !d.usable(server, model):
+		case server.Region == d.deps.Region:
 			near = append(near, server)
-		} else {
+		default:
 			far = append(far, server)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(near) == 0 {
+		near = far
 	}
-	return far
+	return slices.DeleteFunc(near, func(server structs.Server) bool { return excluded[server.Name] })
 }
 
-func (d *Dispatcher) usable(server structs.Server, g *generation) bool {
-	if !serves(server, g.request.Model) || g.excluded[server.Name] {
+func (d *Dispatcher) usable(server structs.Server, model string) bool {
+	if !serves(server, model) {
 		return false
 	}
 	status := d.board.get(server.Name)
@@ -129,7 +143,10 @@
 }
 
 func (d *Dispatcher) placementRequest(request structs.GenerateRequest) placement.Request {
-	return placement.Request{PromptTokens: request.PromptTokens, OutputTokens: d.outputs.expect(request)}
+	return placement.Request{
+		PromptTokens: request.PromptTokens,
+		OutputTokens: d.lengths.output(request),
+	}
 }
 
 // placementEngine describes a candidate to the placement policy.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -54,6 +54,7 @@
 // Generate implements Router.
 func (d *Dispatcher) Generate(ctx context.Context, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
 	d.countRequest()
+	request.Age = d.ageOf(request.Root)
 	generated, err := d.generate(ctx, request, emit)
 	if err != nil {
 		d.measures.refused(err)
@@ -162,7 +163,7 @@
 func (d *Dispatcher) runAt(ctx context.Context, server structs.Server, g *generation) (structs.Generated, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{generation: g, server: server, begun: time.Now(), cancel: cancel}
+	a := newAttempt(g, server, cancel)
 	stop := d.watchFirstToken(a)
 	defer stop()
 	generated, err := d.sendTo(ctx, server, g.request, a.emit)
--- a/internal/home/call.go
+++ b/internal/home/call.go
@@ -22,7 +22,8 @@
 		return structs.CallReply{}, err
 	}
 	if !r.Repeatable {
-		return h.order(ctx, sh, p, r)
+		reply, err := h.order(ctx, sh, p, r)
+		return reply, h.confirmed(ctx, sh, err)
 	}
 	end, err := sh.begin()
 	if err != nil {
@@ -186,7 +187,7 @@
 	}
 	_, _ = sh.grantUpdate(n.root, func(s *journal.State) error {
 		sh.tree(s, n.root).calls.reserved -= n.amount
-		s.Programs[n.root].Calls.Charge(n.amount)
+		s.Edit(n.root).Calls.Charge(n.amount)
 		return nil
 	})
 }
--- a/internal/home/end.go
+++ b/internal/home/end.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"ibisline/internal/journal"
@@ -36,6 +38,7 @@
 		}
 		for other, p := range s.Programs {
 			if !p.Ended && below(s, other, id) {
+				p = s.Edit(other)
 				p.Ended = true
 				p.EndedAt = time.Now().Unix()
 				ended = append(ended, other)
@@ -86,9 +89,57 @@
 		h.endIdle(sh)
 		h.release(sh)
 		h.purge(sh)
+		h.collect(sh)
+		sh.trim(time.Now())
 	}
 }
 
+// keepIdle is how long the history of an idle program stays in memory.
+const keepIdle = 30 * time.Second
+
+// trim frees what idle programs hold in memory and can be read back.
+func (sh *shard) trim(now time.Time) {
+	sh.mu.Lock()
+	programs := slices.Collect(maps.Values(sh.programs))
+	sh.mu.Unlock()
+	for _, p := range programs {
+		p.trim(now)
+	}
+}
+
+// trim frees the history and the last answer of an idle program.
+func (p *program) trim(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.lastUsed) < keepIdle || (p.run != nil && !p.run.settled) {
+		return
+	}
+	p.run = nil
+	p.history, p.loaded = nil, false
+}
+
+// collectInterval is the time between two looks for unused segments.
+const collectInterval = 10 * time.Second
+
+// collect lets the journal delete unused segments, once in a while.
+func (h *Home) collect(sh *shard) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.collecting || time.Since(sh.collected) < collectInterval {
+		return
+	}
+	sh.collecting = true
+	h.work.Go(func() {
+		if err := sh.journal.Collect(sh.ctx); err != nil {
+			h.log.WithField("shard", string(sh.id)).WithError(err).Debug("segments not collected")
+		}
+		sh.mu.Lock()
+		defer sh.mu.Unlock()
+		sh.collecting = false
+		sh.collected = time.Now()
+	})
+}
+
 // endIdle ends programs that are idle beyond their entry's limit, and those of
 // retired entries that have nothing under way.
 func (h *Home) endIdle(sh *shard) {
@@ -151,7 +202,7 @@
 				continue
 			}
 			if p.AnyEngine {
-				h.addAllEngines(p)
+				h.addAllEngines(s.Edit(id))
 				changed = true
 			}
 			if len(p.Engines) > 0 {
@@ -184,8 +235,9 @@
 	h.work.Go(func() {
 		err := h.deps.Router.Forget(sh.ctx, engine, p.id)
 		if err == nil {
+			h.counts.releases.Inc()
 			_, _ = sh.journal.Update(func(s *journal.State) error {
-				if record, ok := s.Programs[p.id]; ok {
+				if record := s.Edit(p.id); record != nil {
 					record.DropEngine(engine)
 				}
 				return nil
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -49,6 +49,7 @@
 	cfg    Config
 	deps   Deps
 	checks *invariant.Checker
+	counts *counters
 	log    log.Interface
 
 	started chan struct{} // closed when Run set ctx
@@ -69,7 +70,7 @@
 
 // New returns a home that holds no shard yet. It serves once Run was called.
 func New(cfg Config, deps Deps) *Home {
-	return &Home{
+	h := &Home{
 		cfg:     cfg.withDefaults(),
 		deps:    deps,
 		checks:  invariant.New(deps.Metrics, deps.Log),
@@ -80,6 +81,8 @@
 		settled: map[structs.ShardID]time.Time{},
 		changed: deps.View.Changed(),
 	}
+	h.counts = newCounters(deps.Metrics, h)
+	return h
 }
 
 // Run holds shards and does the upkeep until ctx ends. Shards still held then
@@ -111,8 +114,17 @@
 	return verdict.Refuse(verdict.NotHome, format, args...).After(retrySoon)
 }
 
-// enter returns the held shard and the program.
+// enter returns the held shard and the program, and counts as activity of it.
 func (h *Home) enter(ctx context.Context, id string) (*shard, *program, error) {
+	sh, p, err := h.find(ctx, id)
+	if err == nil {
+		sh.touch(id)
+	}
+	return sh, p, err
+}
+
+// find returns the held shard and the program.
+func (h *Home) find(ctx context.Context, id string) (*shard, *program, error) {
 	shardID, ok := structs.ShardOf(id)
 	if !ok {
 		return nil, nil, verdict.Refuse(verdict.BadRequest, "malformed program identifier %q", id)
@@ -123,9 +135,8 @@
 	}
 	p, err := sh.program(id)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, h.confirmed(ctx, sh, err)
 	}
-	sh.touch(id)
 	return sh, p, nil
 }
 
@@ -160,9 +171,10 @@
 	return time.Now().Add(time.Duration(milliseconds) * time.Millisecond)
 }
 
-// State implements Service.
+// State implements Service. It does not count as activity of the program: the
+// sweeps of the dispatchers ask for it all the time.
 func (h *Home) State(ctx context.Context, id string) (structs.ProgramState, error) {
-	sh, _, err := h.enter(ctx, id)
+	sh, _, err := h.find(ctx, id)
 	if err != nil {
 		return structs.ProgramState{}, err
 	}
@@ -188,7 +200,8 @@
 		Digest:      hex.EncodeToString(p.Digest),
 	}
 	if entry, ok := h.deps.Catalogue.Entry(root.Entry); ok && entry.BudgetTokens != budget.Unlimited {
-		state.BudgetLeft = root.Tokens.Left(entry.BudgetTokens, 0)
+		left := root.Tokens.Left(entry.BudgetTokens, 0)
+		state.BudgetLeft = &left
 	}
 	return state
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -9,16 +9,22 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/member"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
 
+// hangAfter is the virtual time after which a test counts as hanging.
+const hangAfter = time.Hour
+
 // inWorld runs a test under virtual time.
 func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
 		defer w.stopAll()
+		watchdog := time.AfterFunc(hangAfter, func() { panic("test hangs") })
+		defer watchdog.Stop()
 		test(t, w)
 	})
 }
@@ -161,7 +167,9 @@
 		b := w.start("b")
 		drained := make(chan error, 1)
 		go func() { drained <- a.Drain(context.Background()) }()
-		synctest.Wait()
+		// Long enough for the shard to be released, if the turn did not hold it.
+		time.Sleep(time.Second)
+		require.Empty(t, drained)
 		_, err := b.State(context.Background(), id)
 		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
 		close(hold)
@@ -192,7 +200,7 @@
 
 func TestEndReleasesEngineMemoryAfterTheHomeDied(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
-		w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+		w.live.servers = engines
 		d := w.start("a")
 		id := w.open(t, d, "p")
 		runTurn(t, d, turnRequest(id, 1))
@@ -205,3 +213,110 @@
 		require.Empty(t, w.backends.heldPrograms())
 	})
 }
+
+func TestLoweredBudgetHoldsFromTheNextTurn(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		entry := structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 100000, Share: 1}
+		w.entries.put(entry)
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		entry.BudgetTokens = w.backends.used[id] + 10
+		w.entries.put(entry)
+		err := d.Turn(context.Background(), turnRequest(id, 2), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.BudgetSpent), "%v", err)
+		entry.BudgetTokens = 100000
+		w.entries.put(entry)
+		runTurn(t, d, turnRequest(id, 2))
+	})
+}
+
+func TestSubAgentsShareTheParentsBudget(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 1500, BudgetTurns: 8, Share: 1})
+		w.backends.tokenTime = time.Second
+		d := w.start("a")
+		root := w.open(t, d, "p")
+		done := make(chan struct{})
+		for i := range 5 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				child := programID("c" + string(rune('0'+i)))
+				_, err := d.Open(context.Background(), structs.OpenRequest{Entry: "desk", Parent: root, Program: child})
+				for turn := 1; err == nil; turn++ {
+					err = d.Turn(context.Background(), turnRequest(child, turn), (&collect{}).sink)
+				}
+			}()
+		}
+		for range 5 {
+			<-done
+		}
+		require.LessOrEqual(t, w.backends.used[root], 1500)
+		require.LessOrEqual(t, len(w.backends.prompts), 8)
+		require.Greater(t, w.backends.used[root], 500)
+	})
+}
+
+func TestIdleAndRetiredProgramsEnd(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.live.servers = engines
+		entry := structs.Entry{Name: "desk", Owner: "weavers", IdleSeconds: 60, Share: 1}
+		w.entries.put(entry)
+		d := w.start("a")
+		idle := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(idle, 1))
+		for range 59 {
+			time.Sleep(time.Second)
+			_, err := d.State(context.Background(), idle)
+			require.NoError(t, err)
+		}
+		require.NotEmpty(t, w.backends.heldPrograms())
+		time.Sleep(3 * time.Second)
+		require.Empty(t, w.backends.heldPrograms())
+
+		retired := w.open(t, d, "q")
+		runTurn(t, d, turnRequest(retired, 1))
+		entry.Retired = true
+		w.entries.put(entry)
+		err := d.Turn(context.Background(), turnRequest(retired, 2), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.EntryRetired), "%v", err)
+		time.Sleep(time.Second)
+		require.Empty(t, w.backends.heldPrograms())
+	})
+}
+
+func TestNewDaemonGetsItsShardWithoutInterruption(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		shardID := structs.ShardID(testRegion + ".0")
+		names := []string{"a", "b"}
+		w.live.names = names
+		newcomer, _ := member.Home(w.live.viewOf(""), shardID)
+		w.live.names = nil
+		former := names[0]
+		if former == newcomer.Name {
+			former = names[1]
+		}
+		d := w.start(former)
+		id := w.open(t, d, "p")
+		runTurn(t, d, turnRequest(id, 1))
+		before, err := d.State(context.Background(), id)
+		require.NoError(t, err)
+		release := make(chan struct{})
+		reached := w.backends.hold("generate", release)
+		running := make(chan error, 1)
+		go func() { running <- d.Turn(context.Background(), turnRequest(id, 2), (&collect{}).sink) }()
+		<-reached
+		next := w.start(newcomer.Name)
+		time.Sleep(10 * time.Second)
+		close(release)
+		require.NoError(t, <-running)
+		time.Sleep(2 * time.Second)
+		after, err := next.State(context.Background(), id)
+		require.NoError(t, err)
+		require.Equal(t, newcomer.Name, after.Home)
+		require.Equal(t, 3, after.NextTurn)
+		require.EqualValues(t, before.Epoch+1, after.Epoch)
+		require.Less(t, after.SpentTokens, 1000, "a clean hand-over forfeits no grant")
+		runTurn(t, next, turnRequest(id, 3))
+	})
+}
--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -100,6 +100,7 @@
 		return structs.CallReply{}, err
 	}
 	reply, err := h.slotAndSend(ctx, sh, j, r, content)
+	h.counts.countOrder(err)
 	if verdict.Is(err, verdict.NotRun) {
 		sh.unreserve(counted)
 		return reply, err
@@ -123,6 +124,7 @@
 	if err := h.intend(ctx, sh, r, content, slot.Server); err != nil {
 		return structs.CallReply{}, err
 	}
+	h.checkIntent(sh, r)
 	reply, err := h.send(ctx, slot.Server, r)
 	if verdict.Is(err, verdict.NotRun) {
 		return structs.CallReply{}, h.withdraw(sh, r, verdict.From(err))
@@ -134,10 +136,23 @@
 	return reply, nil
 }
 
+// checkIntent checks that the call about to be sent is on record as an intent
+// of this home's epoch, and that nobody sent it before.
+func (h *Home) checkIntent(sh *shard, r structs.CallRequest) {
+	stored := sh.storedOrder(r.Program, r.Key)
+	epoch := int64(0)
+	sh.journal.View(func(s *journal.State) { epoch = s.Epoch })
+	h.checks.Check(stored != nil && stored.Outcome == nil && stored.Epoch == epoch, "intent before send",
+		"program %s call %q is sent without an intent of epoch %d", r.Program, r.Key, epoch)
+}
+
 // intend stores the intent of a call.
 func (h *Home) intend(ctx context.Context, sh *shard, r structs.CallRequest, content []byte, server structs.Server) error {
+	if err := sh.journal.Reserve(orderBytes, openShare); err != nil {
+		return refuseCommit(err, "call")
+	}
 	seq, err := sh.journal.Update(func(s *journal.State) error {
-		p := s.Programs[r.Program]
+		p := s.Edit(r.Program)
 		if p.Ended {
 			return verdict.Refuse(verdict.ProgramEnded, "program %s has ended", r.Program)
 		}
@@ -166,7 +181,7 @@
 		return lostIntent(sh, r)
 	}
 	refusal := verdict.From(refuseCommit(cause, "call"))
-	withdrawal, clean, err := sh.journal.Withdraw(seq, func(s *journal.State) { delete(s.Programs[r.Program].Orders, r.Key) })
+	withdrawal, clean, err := sh.journal.Withdraw(seq, func(s *journal.State) { delete(s.Edit(r.Program).Orders, r.Key) })
 	if err != nil {
 		return lostIntent(sh, r)
 	}
@@ -193,7 +208,7 @@
 // withdraw removes the intent of a call that was not sent.
 func (h *Home) withdraw(sh *shard, r structs.CallRequest, refusal *verdict.Error) error {
 	seq, err := sh.journal.Update(func(s *journal.State) error {
-		delete(s.Programs[r.Program].Orders, r.Key)
+		delete(s.Edit(r.Program).Orders, r.Key)
 		return nil
 	})
 	if err != nil {
@@ -218,23 +233,23 @@
 // it cannot be stored: it is true, and the stored intent keeps others from
 // sending again.
 func (h *Home) conclude(ctx context.Context, sh *shard, r structs.CallRequest, reply structs.CallReply) {
-	body := ""
+	body, lost := "", false
 	if len(reply.Body) > inlineBody {
 		key, err := sh.journal.StoreBody(ctx, reply.Body)
 		if err != nil {
 			h.log.WithField("program", r.Program).WithError(err).Warn("body of a call is not kept")
 		}
-		body = key
+		body, lost = key, err != nil
 		reply.Body = nil
 	}
 	seq, err := sh.journal.Update(func(s *journal.State) error {
-		known, ok := s.Programs[r.Program].Orders[r.Key]
+		known, ok := s.Edit(r.Program).Orders[r.Key]
 		if !ok {
 			return nil
 		}
 		known.Outcome = &reply
-		known.Body = body
-		if body != "" {
+		known.Body, known.BodyLost = body, lost
+		if body != "" && !lost {
 			s.Segments = append(s.Segments, body)
 		}
 		return nil
@@ -264,7 +279,10 @@
 	reply := *stored.Outcome
 	reply.Replayed = true
 	reply.Home = h.deps.Self
-	if len(reply.Body) > 0 || stored.Body == "" {
+	if stored.BodyLost {
+		return structs.CallReply{}, verdict.New(verdict.Ran, verdict.Internal, "call ran with status %d, and its answer was not kept", reply.Status)
+	}
+	if stored.Body == "" {
 		return reply, nil
 	}
 	body, err := sh.journal.Body(ctx, stored.Body)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -114,8 +114,10 @@
 		p.wake()
 		p.mu.Unlock()
 		current.answer.finish(last)
+		h.counts.turns.Inc()
 		return
 	}
+	h.counts.turnsFailed.Inc()
 	h.turnLog(p, j).WithError(err).Warn("turn failed")
 	p.mu.Lock()
 	if !current.recorded {
@@ -176,7 +178,9 @@
 	defer release()
 	request := h.generateRequest(sh, p.id, j, turns, held)
 	generated, err := h.deps.Router.Generate(ctx, request, func(text string) error {
-		current.answer.text(text)
+		if current.answer.text(text) > maxTurnBytes {
+			return verdict.New(verdict.Ran, verdict.BackendFailed, "answer is longer than %d bytes", maxTurnBytes)
+		}
 		return nil
 	})
 	if err != nil && sh.ctx.Err() != nil && !verdict.Is(err, verdict.NotRun) {
@@ -315,8 +319,8 @@
 		m := sh.tree(s, root)
 		m.tokens.reserved -= held.tokens.amount
 		m.turns--
-		s.Programs[root].Tokens.Charge(held.tokens.amount)
-		s.Programs[id].AnyEngine = true
+		s.Edit(root).Tokens.Charge(held.tokens.amount)
+		s.Edit(id).AnyEngine = true
 		return nil
 	})
 }
@@ -350,7 +354,7 @@
 	h.checks.Check(used <= held.tokens.amount, "reservation",
 		"program %s turn %d used %d tokens of %d reserved", p.id, turn.Number, used, held.tokens.amount)
 	seq, err := sh.grantUpdate(j.root, func(s *journal.State) error {
-		record, root, m := s.Programs[p.id], s.Programs[j.root], sh.tree(s, j.root)
+		record, root, m := s.Edit(p.id), s.Edit(j.root), sh.tree(s, j.root)
 		h.checks.Check(turn.Number == record.Turns+1, "order", "program %s: turn %d after %d", p.id, turn.Number, record.Turns)
 		record.AddTurn(turn)
 		record.AddEngine(turn.Engine)
@@ -383,7 +387,7 @@
 			return nil
 		case errors.Is(err, journal.ErrLost), ctx.Err() != nil:
 			return err
-		case sh.journal.Down():
+		case sh.journal.FailingFor() >= h.cfg.OutageGrace:
 			return nil
 		}
 	}
--- a/internal/home/shard.go
+++ b/internal/home/shard.go
@@ -31,6 +31,9 @@
 	// did.
 	wanted time.Time
 	asked  time.Time
+	// collected is when the journal last looked for unused segments.
+	collected  time.Time
+	collecting bool
 }
 
 // program is the part of a program's state that need not last.
@@ -82,6 +85,19 @@
 	return p, nil
 }
 
+// openPrograms counts the programs that have not ended.
+func (sh *shard) openPrograms() int {
+	n := 0
+	sh.journal.View(func(s *journal.State) {
+		for _, p := range s.Programs {
+			if !p.Ended {
+				n++
+			}
+		}
+	})
+	return n
+}
+
 func newProgram(id string) *program {
 	return &program{
 		id:       id,
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -21,17 +21,36 @@
 	if err != nil {
 		return err
 	}
+	if err := checkSize(r.Messages); err != nil {
+		return err
+	}
 	sh, p, err := h.enter(ctx, r.Program)
 	if err != nil {
 		return err
 	}
 	a, err := h.admit(ctx, sh, p, r, past)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	return a.follow(ctx, 0, sink)
 }
 
+// maxTurnBytes bounds the messages of one turn, and its answer, so that a turn
+// fits into one object of the platform.
+const maxTurnBytes = 400 << 10
+
+// checkSize refuses messages of one turn that are too large to be stored.
+func checkSize(messages []structs.Message) error {
+	size := 0
+	for _, m := range messages {
+		size += len(m.Role) + len(m.Content)
+	}
+	if size > maxTurnBytes {
+		return verdict.Refuse(verdict.BadRequest, "messages have %d bytes, at most %d are allowed", size, maxTurnBytes)
+	}
+	return nil
+}
+
 // Resume implements Service.
 func (h *Home) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
 	sh, p, err := h.enter(ctx, r.Program)
@@ -40,13 +59,13 @@
 	}
 	a, err := h.known(ctx, sh, p, r.Turn, nil)
 	if err != nil {
-		return err
+		return h.confirmed(ctx, sh, err)
 	}
 	if a == nil {
 		next := sh.nextTurn(p.id)
 		refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d is not known, the next one is %d", r.Turn, next)
 		refusal.Turn = next
-		return refusal
+		return h.confirmed(ctx, sh, refusal)
 	}
 	after := r.After
 	if r.Run != "" && r.Run != a.run {
@@ -77,6 +96,11 @@
 		if a != nil || err != nil {
 			return a, err
 		}
+		// A home records a turn before its caller gets the digest, so a caller
+		// with a digest that is not known here has more than this home.
+		if r.Digest != "" && sh.nextTurn(p.id) < r.Turn && past == nil {
+			return nil, outOfOrder(r, sh.nextTurn(p.id))
+		}
 		select {
 		case <-changed:
 		case <-sh.ctx.Done():
@@ -157,7 +181,8 @@
 	}
 	turns, err := sh.journal.History(ctx, p.id)
 	if errors.Is(err, journal.ErrGap) {
-		h.checks.Check(false, "history", "program %s: %v", p.id, err)
+		h.counts.gaps.Inc()
+		h.log.WithField("program", p.id).WithError(err).Error("stored history is incomplete")
 		gap := verdict.Wrap(err, verdict.NotRun, verdict.HistoryGap, "stored history is incomplete")
 		gap.Turn = 1
 		return nil, gap
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -41,6 +41,8 @@
 	// MaxBlocks is the number of segments of one program from which they are
 	// joined into larger ones.
 	MaxBlocks int
+	// BytesPerSecond bounds the rate of the writes of one shard.
+	BytesPerSecond int
 }
 
 // Defaults of Config.
@@ -49,8 +51,9 @@
 	defaultSlowAfter    = 500 * time.Millisecond
 	defaultRetryMin     = 20 * time.Millisecond
 	defaultRetryMax     = time.Second
-	defaultTailBytes    = 64 << 10
+	defaultTailBytes    = 32 << 10
 	defaultMaxBlocks    = 16
+	defaultBytesPerSec  = 16 << 20
 )
 
 func (c Config) withDefaults() Config {
@@ -60,6 +63,7 @@
 	setDefault(&c.RetryMax, defaultRetryMax)
 	setDefault(&c.TailBytes, defaultTailBytes)
 	setDefault(&c.MaxBlocks, defaultMaxBlocks)
+	setDefault(&c.BytesPerSecond, defaultBytesPerSec)
 	return c
 }
 
@@ -81,6 +85,8 @@
 	store  platform.Store
 	writer *writer
 	dirty  chan struct{}
+	// former is where the segments of the former holder end. Collect uses it.
+	former segments
 
 	mu        sync.Mutex
 	state     *State
@@ -90,18 +96,27 @@
 	doubtful  int64 // newest change in a write in doubt, or 0
 	started   time.Time
 	failing   bool
-	size      int // of the last encoded state, with what was reserved since
-	lost      error
-	successor *State
-	progress  chan struct{} // closed at each change of the fields above
+	// failingSince is the time of the first failed write after the last good one.
+	failingSince time.Time
+	size         int // of the last encoded state, with what was reserved since
+	lost         error
+	successor    *State
+	progress     chan struct{} // closed at each change of the fields above
 }
 
-func newShard(store platform.Store, state *State, w *writer, cfg Config) *Shard {
+// segments counts the segments of an epoch.
+type segments struct {
+	epoch int64
+	count int64
+}
+
+func newShard(store platform.Store, state *State, former segments, w *writer, cfg Config) *Shard {
 	return &Shard{
 		cfg:      cfg,
 		store:    store,
 		writer:   w,
 		dirty:    make(chan struct{}, 1),
+		former:   former,
 		state:    state,
 		progress: make(chan struct{}),
 	}
@@ -247,6 +262,17 @@
 	return s.writing > 0 && time.Since(s.started) > s.cfg.SlowAfter
 }
 
+// FailingFor returns for how long all writes have failed. Unlike Down it does
+// not count a write that is merely slow, as after a pause of this process.
+func (s *Shard) FailingFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.failing {
+		return 0
+	}
+	return time.Since(s.failingSince)
+}
+
 // Lost reports whether the shard is no longer held.
 func (s *Shard) Lost() bool {
 	s.mu.Lock()
@@ -294,15 +320,26 @@
 		if s.Lost() {
 			return ErrLost
 		}
+		begun := time.Now()
 		if err := s.commit(ctx); err != nil {
 			return err
 		}
-		if err := sleep(ctx, s.cfg.Interval); err != nil {
+		if err := sleep(ctx, s.pause(begun)); err != nil {
 			return err
 		}
 	}
 }
 
+// pause is the wait after a write that began at the given time. Between the
+// beginnings of two writes lies Interval, and more for a large object, so that
+// one shard writes at most BytesPerSecond.
+func (s *Shard) pause(begun time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	bySize := time.Duration(s.size) * time.Second / time.Duration(s.cfg.BytesPerSecond)
+	return max(s.cfg.Interval, bySize) - time.Since(begun)
+}
+
 // commit writes until an attempt took effect.
 func (s *Shard) commit(ctx context.Context) error {
 	wait := s.cfg.RetryMin
@@ -361,7 +398,7 @@
 	defer s.mu.Unlock()
 	s.writing = 0
 	s.doubtful = s.writer.exposed()
-	s.failing = err != nil
+	s.note(err != nil)
 	if err == nil {
 		s.committed = landed.seq
 	}
@@ -375,6 +412,14 @@
 func (s *Shard) fail() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.failing = true
+	s.note(true)
 	s.wake()
 }
+
+// note remembers since when writes have failed. The caller holds mu.
+func (s *Shard) note(failing bool) {
+	if failing && !s.failing {
+		s.failingSince = time.Now()
+	}
+	s.failing = failing
+}
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -28,15 +28,18 @@
 	// streamSamples is the number of tokens of each stream after which a mean
 	// gap is acted on.
 	streamSamples = 4
+	// paceSamples is the number of tokens of each stream over which the mean of
+	// all gaps is taken.
+	paceSamples = 64
 	// shrinkAt and growAt are fractions of GapTarget.
 	shrinkAt = 1.05
 	growAt   = 0.9
 	// shrinkMost bounds one step down.
 	shrinkMost   = 0.5
 	growFraction = 0.05
-	// recoverFraction applies below the first limit.
-	recoverFraction = 0.25
-	growInterval    = time.Second
+	// searchFraction is the step up until the bound of the engine is known.
+	searchFraction = 0.5
+	growInterval   = time.Second
 	// staleAfter is the time without tokens after which a gap says nothing.
 	staleAfter = 10 * time.Second
 	// holdAfterShrink is the time without growth after a step down.
@@ -63,13 +66,16 @@
 // Window is the state of one engine's admission. It is not safe for concurrent
 // use.
 type Window struct {
-	config      Config
-	limit       float64
-	running     int
-	kv          int
-	prefilling  int
-	streaming   int
+	config     Config
+	limit      float64
+	running    int
+	kv         int
+	prefilling int
+	streaming  int
+	// gap is the mean over all tokens of the last seconds, decodeGap a quicker
+	// mean over those that came while no admitted prompt was being computed.
 	gap         float64
+	decodeGap   float64
 	samples     int
 	prefillRate float64
 	lastToken   time.Time
@@ -165,17 +171,26 @@
 }
 
 // Token records the time between two tokens of a stream and adapts the limit.
+// The limit follows the gaps beside no prompt only: a prompt that is computed
+// delays the tokens of all streams whatever their number, so that a smaller
+// limit would cost throughput and not help.
 func (w *Window) Token(gap time.Duration, now time.Time) {
 	w.lastToken = now
 	need := streamSamples * max(w.running, 1)
-	weight := 1 / float64(min(w.samples+1, need))
-	w.gap += weight * (float64(gap) - w.gap)
+	if w.gap == 0 {
+		w.gap = float64(gap)
+	}
+	w.gap += (float64(gap) - w.gap) / float64(paceSamples*max(w.running, 1))
+	if w.prefilling > 0 {
+		return
+	}
+	w.decodeGap += (float64(gap) - w.decodeGap) / float64(min(w.samples+1, need))
 	w.samples++
 	if w.config.Fixed || w.config.GapTarget == 0 || w.samples < need {
 		return
 	}
-	if w.gap > shrinkAt*float64(w.config.GapTarget) {
-		w.shrinkTo(float64(w.config.GapTarget)/w.gap, now)
+	if w.decodeGap > shrinkAt*float64(w.config.GapTarget) {
+		w.shrinkTo(float64(w.config.GapTarget)/w.decodeGap, now)
 	}
 }
 
@@ -200,26 +215,56 @@
 func (w *Window) Forget(now time.Time) {
 	if w.streaming == 0 && now.Sub(w.lastToken) >= staleAfter {
 		w.gap = 0
+		w.decodeGap = 0
 		w.samples = 0
 	}
 }
 
+// DecodeGap is the mean time between tokens beside no prompt, 0 while unknown.
+// Like Gap it grows while open streams get nothing.
+func (w *Window) DecodeGap(now time.Time) time.Duration {
+	if w.streaming == 0 || w.prefilling > 0 {
+		return time.Duration(w.decodeGap)
+	}
+	return max(time.Duration(w.decodeGap), now.Sub(w.lastToken))
+}
+
 // Wanted tells that requests wait although the limit is used up; it grows by a
 // small step when the gap allows.
 func (w *Window) Wanted(now time.Time) {
 	if w.config.Fixed || w.running < w.Limit() || w.Limit() >= w.config.MaxLimit {
 		return
 	}
-	if w.samples > 0 && w.gap > growAt*float64(w.config.GapTarget) {
+	if w.samples > 0 && w.decodeGap > growAt*float64(w.config.GapTarget) {
 		return
 	}
 	if now.Sub(w.shrunk) < holdAfterShrink || now.Sub(w.grown) < growInterval {
 		return
 	}
-	step := max(1, w.limit*growFraction)
-	if w.limit < float64(w.config.Limit) {
-		step = max(1, w.limit*recoverFraction)
-	}
-	w.limit = min(w.limit+step, float64(w.config.MaxLimit))
+	w.limit = min(w.limit+max(1, w.limit*w.growth()), float64(w.config.MaxLimit))
 	w.grown = now
 }
+
+// growth is the fraction of one step up: large until a first step down has shown
+// where the engine's bound lies, or while the limit is below its first value.
+func (w *Window) growth() float64 {
+	if w.shrunk.IsZero() || w.limit < float64(w.config.Limit) {
+		return searchFraction
+	}
+	return growFraction
+}
+
+// Queued records that a request's first token came much later than its prompt
+// and those ahead take to compute, while so many streams were open: the engine
+// keeps a queue of its own, in which no order of ours holds. The limit falls to
+// what the engine really runs.
+func (w *Window) Queued(streams int, now time.Time) {
+	if w.config.Fixed || now.Sub(w.shrunk) < holdAfterShrink {
+		return
+	}
+	w.limit = max(min(w.limit, float64(streams)), minLimit)
+	w.shrunk = now
+}
+
+// Streams is the number of requests whose first token has come.
+func (w *Window) Streams() int { return w.streaming }
--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -121,9 +122,33 @@
 	return addr, nil
 }
 
+// startTries bounds the attempts to start a daemon whose chosen port was taken
+// by another process meanwhile.
+const startTries = 5
+
 // StartDaemon starts a daemon and waits until it takes callers. Addresses that d
 // leaves empty are chosen; a name that was started before keeps its place.
 func (f *Fleet) StartDaemon(ctx context.Context, d Daemon) (Daemon, error) {
+	_, known := f.Daemon(d.Name)
+	chosen := d.HTTPAddr == "" && !known
+	for try := 1; ; try++ {
+		started, err := f.startOnce(ctx, d)
+		if err == nil || !chosen || try == startTries || !strings.Contains(err.Error(), "address already in use") {
+			return started, err
+		}
+		f.forget(d.Name)
+	}
+}
+
+// forget drops the place of a daemon that did not start.
+func (f *Fleet) forget(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.daemons, name)
+}
+
+// startOnce starts a daemon and waits until it takes callers.
+func (f *Fleet) startOnce(ctx context.Context, d Daemon) (Daemon, error) {
 	d, err := f.place(d)
 	if err != nil {
 		return d, err
@@ -225,6 +250,22 @@
 	return d, ok
 }
 
+// Daemons returns the names of the daemons whose process runs, sorted.
+func (f *Fleet) Daemons() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for name := range f.daemons {
+		select {
+		case <-f.processes[name].Done():
+		default:
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Process returns the newest process of a name.
 func (f *Fleet) Process(name string) (*Process, bool) {
 	f.mu.Lock()
@@ -284,3 +325,18 @@
 		p.Kill()
 	}
 }
+
+// ProcessorTime is the time that the ended processes ran on a processor, for the
+// daemons and for the stand-ins. Only the newest process of a name counts.
+func (f *Fleet) ProcessorTime() (daemons, standIns time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, p := range f.processes {
+		if _, ok := f.daemons[name]; ok {
+			daemons += p.ProcessorTime()
+			continue
+		}
+		standIns += p.ProcessorTime()
+	}
+	return daemons, standIns
+}
