--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test
+.PHONY: build capacity demo measure mutations recovery test
 
 build:
 	go build -o bin/ ./cmd/...
@@ -8,3 +8,16 @@
 
 demo: build
 	go run ./test/demo -bin bin
+
+recovery: build
+	go run ./test/recovery -bin bin
+
+measure: build
+	go run ./test/measure --bin bin --out measured
+	go run ./test/measure --bin bin --out measured --slow
+
+mutations:
+	go test -count=1 -v -timeout 60m -tags mutations ./test/mutations
+
+capacity: build
+	go run ./test/capacity -bin bin
--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -113,7 +113,7 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		w.cfg.Journal.TailBytes = 1 << 10
 		w.cfg.KeepEnded = time.Minute
-		w.live.servers = []structs.Server{{Name: "engine-1", Kind: structs.KindEngine}}
+		w.live.servers = engines
 		d := w.start("a")
 		id := w.open(t, d, "p")
 		for turn := 1; turn <= 20; turn++ {
@@ -175,3 +175,36 @@
 		require.Contains(t, string(text), id)
 	})
 }
+
+func TestTurnOnAnotherAnswerThanTheStoredOneIsAConflict(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		id, answers := answerDuringOutage(t, w)
+		b := w.start("b")
+		again := runTurn(t, b, turnRequest(id, 2))
+		require.NotEqual(t, answers[1].text(), again.text())
+		next := turnRequest(id, 3)
+		next.Digest = digestOf(answers[1])
+		err := b.Turn(context.Background(), next, (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.TurnConflict), "%v", err)
+		next.Digest = digestOf(again)
+		runTurn(t, b, next)
+	})
+}
+
+func TestSegmentThatNoStateRefersToIsDeleted(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.cfg.Journal.TailBytes = 1
+		p := newProcess(w, "a")
+		d := w.startWith("a", func(d *Deps) { d.Store = &faultyStore{Store: w.objects, process: p} })
+		id := w.open(t, d, "p")
+		// The home dies after it wrote the segment and before the shard object.
+		p.arm(afterPut)
+		go func() { _ = d.Turn(context.Background(), turnRequest(id, 1), (&collect{}).sink) }()
+		<-p.dead
+		w.crash("a")
+		require.Len(t, w.segments(t), 1)
+		w.start("b")
+		time.Sleep(time.Minute)
+		require.Empty(t, w.segments(t))
+	})
+}
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -65,7 +65,7 @@
 		next := sh.nextTurn(p.id)
 		refusal := verdict.Refuse(verdict.TurnOutOfOrder, "turn %d is not known, the next one is %d", r.Turn, next)
 		refusal.Turn = next
-		return refusal
+		return h.confirmed(ctx, sh, refusal)
 	}
 	after := r.After
 	if r.Run != "" && r.Run != a.run {
@@ -98,8 +98,8 @@
 		}
 		// A home records a turn before its caller gets the digest, so a caller
 		// with a digest that is not known here has more than this home.
-		if next := sh.nextTurn(p.id); r.Digest != "" && next < r.Turn && past == nil {
-			return nil, outOfOrder(r, next)
+		if r.Digest != "" && sh.nextTurn(p.id) < r.Turn && past == nil {
+			return nil, outOfOrder(r, sh.nextTurn(p.id))
 		}
 		select {
 		case <-changed:
@@ -181,7 +181,7 @@
 	}
 	turns, err := sh.journal.History(ctx, p.id)
 	if errors.Is(err, journal.ErrGap) {
-		h.deps.Metrics.GetOrCreateCounter("ibisline_home_history_gaps_total").Inc()
+		h.counts.gaps.Inc()
 		h.log.WithField("program", p.id).WithError(err).Error("stored history is incomplete")
 		gap := verdict.Wrap(err, verdict.NotRun, verdict.HistoryGap, "stored history is incomplete")
 		gap.Turn = 1
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -80,7 +80,11 @@
 // because an epoch has one holder. The caller holds mu.
 func (s *Shard) nextSegment() string {
 	s.state.NextSegment++
-	return fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, s.state.Shard, s.state.Epoch, s.state.NextSegment)
+	return segmentKey(s.state.Shard, s.state.Epoch, s.state.NextSegment)
+}
+
+func segmentKey(id structs.ShardID, epoch, number int64) string {
+	return fmt.Sprintf("%s%s/%d-%d", structs.SegmentPrefix, id, epoch, number)
 }
 
 // turnsSize estimates the encoded size of turns in bytes.
@@ -98,8 +102,8 @@
 
 // move replaces the turns at the head of a program's tail by a block.
 func (s *State) move(program, key string, turns []Turn) {
-	p, ok := s.Programs[program]
-	if !ok || len(p.Tail) < len(turns) {
+	p := s.Edit(program)
+	if p == nil || len(p.Tail) < len(turns) {
 		return
 	}
 	p.Blocks = append(p.Blocks, newBlock(key, turns))
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/google/uuid"
 
 	"ibisline/internal/platform"
 )
@@ -23,53 +22,6 @@
 	ErrFull = errors.New("shard object is full")
 )
 
-// Config sets the pace of a journal. Zero fields take defaults.
-type Config struct {
-	// Interval is the least time between two writes of one shard.
-	Interval time.Duration
-	// WriteTimeout bounds one write; its outcome is then unknown.
-	WriteTimeout time.Duration
-	// SlowAfter is the age of an unfinished write from which the platform
-	// counts as down.
-	SlowAfter time.Duration
-	// RetryMin and RetryMax bound the wait between failed writes.
-	RetryMin time.Duration
-	RetryMax time.Duration
-	// TailBytes is the size of recent history from which it is moved from the
-	// shard object into a segment.
-	TailBytes int
-	// MaxBlocks is the number of segments of one program from which they are
-	// joined into larger ones.
-	MaxBlocks int
-}
-
-// Defaults of Config.
-const (
-	defaultWriteTimeout = 2 * time.Second
-	defaultSlowAfter    = 500 * time.Millisecond
-	defaultRetryMin     = 20 * time.Millisecond
-	defaultRetryMax     = time.Second
-	defaultTailBytes    = 64 << 10
-	defaultMaxBlocks    = 16
-)
-
-func (c Config) withDefaults() Config {
-	setDefault(&c.WriteTimeout, defaultWriteTimeout)
-	setDefault(&c.SlowAfter, defaultSlowAfter)
-	setDefault(&c.RetryMin, defaultRetryMin)
-	setDefault(&c.RetryMax, defaultRetryMax)
-	setDefault(&c.TailBytes, defaultTailBytes)
-	setDefault(&c.MaxBlocks, defaultMaxBlocks)
-	return c
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Shard is a held shard: its working state and the loop that commits it.
 //
 // Changes are made to the working state at once and numbered. A write stores
@@ -81,6 +33,8 @@
 	store  platform.Store
 	writer *writer
 	dirty  chan struct{}
+	// former is where the segments of the former holder end. Collect uses it.
+	former segments
 
 	mu        sync.Mutex
 	state     *State
@@ -90,18 +44,27 @@
 	doubtful  int64 // newest change in a write in doubt, or 0
 	started   time.Time
 	failing   bool
-	size      int // of the last encoded state, with what was reserved since
-	lost      error
-	successor *State
-	progress  chan struct{} // closed at each change of the fields above
+	// failingSince is the time of the first failed write after the last good one.
+	failingSince time.Time
+	size         int // of the last encoded state, with what was reserved since
+	lost         error
+	successor    *State
+	progress     chan struct{} // closed at each change of the fields above
+}
+
+// segments counts the segments of an epoch.
+type segments struct {
+	epoch int64
+	count int64
 }
 
-func newShard(store platform.Store, state *State, w *writer, cfg Config) *Shard {
+func newShard(store platform.Store, state *State, former segments, w *writer, cfg Config) *Shard {
 	return &Shard{
 		cfg:      cfg,
 		store:    store,
 		writer:   w,
 		dirty:    make(chan struct{}, 1),
+		former:   former,
 		state:    state,
 		progress: make(chan struct{}),
 	}
@@ -247,12 +210,15 @@
 	return s.writing > 0 && time.Since(s.started) > s.cfg.SlowAfter
 }
 
-// Failing reports whether the last write failed. Unlike Down it is false while
-// a write is merely slow, as after a pause of this process.
-func (s *Shard) Failing() bool {
+// FailingFor returns for how long all writes have failed. Unlike Down it does
+// not count a write that is merely slow, as after a pause of this process.
+func (s *Shard) FailingFor() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.failing
+	if !s.failing {
+		return 0
+	}
+	return time.Since(s.failingSince)
 }
 
 // Lost reports whether the shard is no longer held.
@@ -289,100 +255,3 @@
 	close(s.progress)
 	s.progress = make(chan struct{})
 }
-
-// Run commits changes until ctx ends or the shard is lost.
-func (s *Shard) Run(ctx context.Context) error {
-	defer s.Abandon()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-s.dirty:
-		}
-		if s.Lost() {
-			return ErrLost
-		}
-		if err := s.commit(ctx); err != nil {
-			return err
-		}
-		if err := sleep(ctx, s.cfg.Interval); err != nil {
-			return err
-		}
-	}
-}
-
-// commit writes until an attempt took effect.
-func (s *Shard) commit(ctx context.Context) error {
-	wait := s.cfg.RetryMin
-	for {
-		if err := s.spill(ctx); err != nil {
-			s.fail()
-		} else if err := s.attempt(ctx); err == nil {
-			return nil
-		} else if errors.Is(err, ErrLost) {
-			return err
-		}
-		if err := sleep(ctx, wait); err != nil {
-			return err
-		}
-		wait = min(2*wait, s.cfg.RetryMax)
-	}
-}
-
-// attempt writes the working state once.
-func (s *Shard) attempt(ctx context.Context) error {
-	value, try, err := s.begin()
-	if err != nil {
-		return err
-	}
-	landed, err := s.writer.write(ctx, value, try)
-	var lost *lostError
-	if errors.As(err, &lost) {
-		s.drop(lost.successor)
-		return ErrLost
-	}
-	s.finish(landed, err)
-	return err
-}
-
-// begin encodes the working state for a write.
-func (s *Shard) begin() ([]byte, attempt, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lost != nil {
-		return nil, attempt{}, ErrLost
-	}
-	s.state.Nonce = uuid.NewString()
-	value, err := s.state.Encode()
-	if err != nil {
-		return nil, attempt{}, err
-	}
-	s.size = len(value)
-	s.writing = s.seq
-	s.started = time.Now()
-	return value, attempt{nonce: s.state.Nonce, seq: s.seq}, nil
-}
-
-// finish notes the outcome of a write.
-func (s *Shard) finish(landed attempt, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writing = 0
-	s.doubtful = s.writer.exposed()
-	s.failing = err != nil
-	if err == nil {
-		s.committed = landed.seq
-	}
-	if s.committed < s.seq {
-		s.signal()
-	}
-	s.wake()
-}
-
-// fail notes that no write is possible.
-func (s *Shard) fail() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failing = true
-	s.wake()
-}
