Choose among engines without copying their descriptions

Ruled out: choosing from a random sample only, because the status of most engines is stale there anyway and those are left out already. Change: candidates are pointers to the list and to statuses that are replaced, never modified; the cache is looked up only for the program's last engine.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -73,7 +73,7 @@
 	if !d.config.Stragglers {
 		return func() {}
 	}
-	patience := d.patience(a.server, a.generation.request)
+	patience := d.patience(a)
 	var timer *time.Timer
 	ready := make(chan struct{})
 	timer = time.AfterFunc(patience, func() {
@@ -92,8 +92,10 @@
 }
 
 // patience is the time after which a missing first token is looked into.
-func (d *Dispatcher) patience(server structs.Server, request structs.GenerateRequest) time.Duration {
-	expected := placement.FirstToken(d.placementRequest(request), d.placementEngine(server, request))
+func (d *Dispatcher) patience(a *attempt) time.Duration {
+	request := &a.generation.request
+	here := d.placementEngine(d.candidateOf(&a.server), request, d.lastRun(request))
+	expected := placement.FirstToken(d.placementRequest(request), here)
 	return max(patienceFactor*expected, d.config.FirstTokenTarget)
 }
 
@@ -101,14 +103,15 @@
 // sooner by more than the target for a first token. A first token that is late
 // by the estimate is taken to be as long away as it was waited for already.
 func (d *Dispatcher) fasterElsewhere(a *attempt) bool {
-	call := a.generation.request
-	others := d.candidates(call.Model, a.excluded)
+	request := &a.generation.request
+	others := d.candidates(request.Model, a.excluded)
 	if len(others) == 0 {
 		return false
 	}
-	request := d.placementRequest(call)
-	here := d.placementEngine(a.server, call)
-	there := d.placementEngine(others[d.choose(call, others)], call)
-	expected := max(placement.FirstToken(request, here), time.Since(a.begun)) + placement.Generation(request, here)
-	return expected > placement.Estimate(request, there)+d.config.FirstTokenTarget
+	run := d.lastRun(request)
+	call := d.placementRequest(request)
+	here := d.placementEngine(d.candidateOf(&a.server), request, run)
+	there := d.placementEngine(d.choose(request, others), request, run)
+	expected := max(placement.FirstToken(call, here), time.Since(a.begun)) + placement.Generation(call, here)
+	return expected > placement.Estimate(call, there)+d.config.FirstTokenTarget
 }
--- a/internal/dispatch/board.go
+++ b/internal/dispatch/board.go
@@ -11,24 +11,25 @@
 // is safe for concurrent use.
 type statusBoard struct {
 	mu     sync.Mutex
-	status map[string]boardEntry
+	status map[string]*boardEntry
 }
 
 // boardEntry is a status with the time at which it was heard. What this daemon
-// sent to the engine since then is added to it.
+// sent to the engine since then is added to it. An entry is never modified but
+// replaced, so that readers need no copy.
 type boardEntry struct {
 	EngineStatus
 	heard time.Time
 }
 
 func newStatusBoard() *statusBoard {
-	return &statusBoard{status: map[string]boardEntry{}}
+	return &statusBoard{status: map[string]*boardEntry{}}
 }
 
 func (b *statusBoard) put(status EngineStatus, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.status[status.Engine] = boardEntry{EngineStatus: status, heard: now}
+	b.status[status.Engine] = &boardEntry{EngineStatus: status, heard: now}
 }
 
 // sent adds a request that was sent to the engine, so that the requests that
@@ -36,17 +37,25 @@
 func (b *statusBoard) sent(engine string, uncached int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	entry := b.status[engine]
-	entry.Engine = engine
+	entry := boardEntry{EngineStatus: EngineStatus{Engine: engine}}
+	if known := b.status[engine]; known != nil {
+		entry = *known
+	}
 	entry.Waiting++
 	entry.Prefilling += uncached
-	b.status[engine] = entry
+	b.status[engine] = &entry
 }
 
-func (b *statusBoard) get(name string) boardEntry {
+// unheard is the entry of an engine of which nothing was heard.
+var unheard = &boardEntry{}
+
+func (b *statusBoard) get(name string) *boardEntry {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.status[name]
+	if entry := b.status[name]; entry != nil {
+		return entry
+	}
+	return unheard
 }
 
 // all returns the known states, sorted by engine.
--- a/internal/dispatch/cache_map.go
+++ b/internal/dispatch/cache_map.go
@@ -44,7 +44,7 @@
 
 // uncached estimates the part of a prompt that the engine has to compute. A
 // dispatcher that took the engine over knows only that the program ran there.
-func (c *cacheMap) uncached(request structs.GenerateRequest, engine string) int {
+func (c *cacheMap) uncached(request *structs.GenerateRequest, engine string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	prefix, known := c.programs.get(request.Program)
--- a/internal/dispatch/cache_map_test.go
+++ b/internal/dispatch/cache_map_test.go
@@ -31,7 +31,7 @@
 func TestCacheMapFollowsStreamsAndLateEvents(t *testing.T) {
 	c := newCacheMap()
 	now := time.Unix(1_000, 0)
-	request := structs.GenerateRequest{Program: "p", PromptTokens: 1_000}
+	request := &structs.GenerateRequest{Program: "p", PromptTokens: 1_000}
 	evicted := backend.KVEvents{Events: []backend.KVEvent{{Program: "p", Kind: backend.KVEvicted}}}
 
 	require.Equal(t, 1_000, c.uncached(request, "e"))
@@ -47,7 +47,7 @@
 }
 
 func TestDispatcherThatTookAnEngineOverGuessesItsCache(t *testing.T) {
-	request := structs.GenerateRequest{Program: "p", PromptTokens: 1_000, LastEngine: "e"}
+	request := &structs.GenerateRequest{Program: "p", PromptTokens: 1_000, LastEngine: "e"}
 	require.Equal(t, 200, newCacheMap().uncached(request, "e"))
 	require.Equal(t, 1_000, newCacheMap().uncached(request, "other"))
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -119,12 +119,12 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.cache.uncached(request, e.name)
-	uncached := e.lengths.prompt(request, bound)
+	bound := e.cache.uncached(&request, e.name)
+	uncached := e.lengths.prompt(&request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
-		Cost:     float64(uncached + e.lengths.output(request)),
+		Cost:     float64(uncached + e.lengths.output(&request)),
 		Attained: float64(request.Attained),
 		Age:      request.Age,
 		Arrived:  time.Now(),
@@ -161,8 +161,8 @@
 	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.lengths.observePrompt(request, grant.uncachedBound, usage.PromptTokens)
-	e.lengths.observeOutput(request, usage.OutputTokens)
+	e.lengths.observePrompt(&request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observeOutput(&request, usage.OutputTokens)
 	return generated, nil
 }
 
--- a/internal/dispatch/lengths.go
+++ b/internal/dispatch/lengths.go
@@ -55,7 +55,7 @@
 }
 
 // output returns the expected length of an answer in tokens.
-func (l *lengths) output(request structs.GenerateRequest) int {
+func (l *lengths) output(request *structs.GenerateRequest) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	outputs := l.entry(request.Entry).outputs
@@ -66,7 +66,7 @@
 }
 
 // prompt returns the expected uncached part of a prompt for its bound.
-func (l *lengths) prompt(request structs.GenerateRequest, bound int) int {
+func (l *lengths) prompt(request *structs.GenerateRequest, bound int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ratio := l.entry(request.Entry).promptRatio
@@ -77,7 +77,7 @@
 }
 
 // observeOutput records the length of a finished answer.
-func (l *lengths) observeOutput(request structs.GenerateRequest, tokens int) {
+func (l *lengths) observeOutput(request *structs.GenerateRequest, tokens int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.entry(request.Entry).outputs.add(float64(tokens))
@@ -85,7 +85,7 @@
 
 // observePrompt records the length of a prompt whose uncached part was bounded.
 // What the engine had evicted meanwhile does not count as a wrong bound.
-func (l *lengths) observePrompt(request structs.GenerateRequest, bound, tokens int) {
+func (l *lengths) observePrompt(request *structs.GenerateRequest, bound, tokens int) {
 	if bound <= 0 {
 		return
 	}
--- a/internal/dispatch/lengths_test.go
+++ b/internal/dispatch/lengths_test.go
@@ -10,7 +10,7 @@
 
 func TestLengthsFollowWhatTheEntryUsed(t *testing.T) {
 	l := newLengths()
-	request := structs.GenerateRequest{Entry: "e", PromptTokens: 5_000, MaxTokens: 400}
+	request := &structs.GenerateRequest{Entry: "e", PromptTokens: 5_000, MaxTokens: 400}
 	require.Equal(t, 400, l.output(request))
 	require.Equal(t, 2_000, l.prompt(request, 2_000))
 	for range 10 {
@@ -19,5 +19,5 @@
 	}
 	require.Equal(t, 91, l.output(request))
 	require.InDelta(t, 500, l.prompt(request, 2_000), 1)
-	require.Equal(t, 2_000, l.prompt(structs.GenerateRequest{Entry: "other"}, 2_000))
+	require.Equal(t, 2_000, l.prompt(&structs.GenerateRequest{Entry: "other"}, 2_000))
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -44,7 +44,7 @@
 
 // learn remembers where a program ran.
 func (d *Dispatcher) learn(request structs.GenerateRequest, generated structs.Generated) {
-	d.lengths.observeOutput(request, generated.Usage.OutputTokens)
+	d.lengths.observeOutput(&request, generated.Usage.OutputTokens)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastRuns.set(request.Program, lastRun{
@@ -56,18 +56,37 @@
 
 // listed reports whether the platform's list has a live engine with the model.
 func (d *Dispatcher) listed(model string) bool {
-	return slices.ContainsFunc(d.deps.View.Servers(), func(server structs.Server) bool {
-		return serves(server, model)
-	})
+	servers := d.deps.View.Servers()
+	for i := range servers {
+		if serves(&servers[i], model) {
+			return true
+		}
+	}
+	return false
 }
 
-func serves(server structs.Server, model string) bool {
+func serves(server *structs.Server, model string) bool {
 	if server.Kind != structs.KindEngine || server.State == structs.StateLeaving {
 		return false
 	}
 	return slices.Contains(server.Models, model)
 }
 
+// candidate is an engine that may run a call, with what is known of it.
+type candidate struct {
+	server *structs.Server
+	status *boardEntry
+}
+
+func (d *Dispatcher) candidateOf(server *structs.Server) candidate {
+	return candidate{server: server, status: d.board.get(server.Name)}
+}
+
+// usable reports whether the engine takes calls of a model.
+func (c candidate) usable(model string) bool {
+	return serves(c.server, model) && !c.status.Leaving && !c.status.Down
+}
+
 // pickEngine chooses the engine for the next try.
 func (d *Dispatcher) pickEngine(g *generation) (structs.Server, bool) {
 	candidates := d.candidates(g.request.Model, g.excluded)
@@ -76,70 +95,66 @@
 	}
 	if d.config.Placement == PlacementRoundRobin {
 		turn := d.turns.Add(1)
-		return candidates[turn%uint64(len(candidates))], true
+		return *candidates[turn%uint64(len(candidates))].server, true
 	}
-	return candidates[d.choose(g.request, candidates)], true
+	return *d.choose(&g.request, candidates).server, true
 }
 
 // candidates returns the engines that take calls of a model, without excluded
 // ones: those of this region, or of other regions when it has none at all. A
 // full region does not send its load over the paid links.
-func (d *Dispatcher) candidates(model string, excluded map[string]bool) []structs.Server {
-	var near, far []structs.Server
-	for _, server := range d.deps.View.Servers() {
+func (d *Dispatcher) candidates(model string, excluded map[string]bool) []candidate {
+	servers := d.deps.View.Servers()
+	near := make([]candidate, 0, len(servers))
+	var far []candidate
+	for i := range servers {
+		c := d.candidateOf(&servers[i])
 		switch {
-		case !d.usable(server, model):
-		case server.Region == d.deps.Region:
-			near = append(near, server)
+		case !c.usable(model):
+		case c.server.Region == d.deps.Region:
+			near = append(near, c)
 		default:
-			far = append(far, server)
+			far = append(far, c)
 		}
 	}
 	if len(near) == 0 {
 		near = far
 	}
-	return slices.DeleteFunc(near, func(server structs.Server) bool { return excluded[server.Name] })
+	return slices.DeleteFunc(near, func(c candidate) bool { return excluded[c.server.Name] })
 }
 
-func (d *Dispatcher) usable(server structs.Server, model string) bool {
-	if !serves(server, model) {
-		return false
+// choose returns the candidate with the least estimate, among those whose status
+// is current.
+func (d *Dispatcher) choose(request *structs.GenerateRequest, candidates []candidate) candidate {
+	considered := d.current(request, candidates)
+	run := d.lastRun(request)
+	engines := make([]placement.Engine, len(considered))
+	for i, c := range considered {
+		engines[i] = d.placementEngine(c, request, run)
 	}
-	status := d.board.get(server.Name)
-	return !status.Leaving && !status.Down
+	best := placement.Choose(d.placementRequest(request), engines, func(i int) uint64 {
+		return xxhash.Sum64String(d.deps.Self + request.Program + engines[i].Name)
+	})
+	return considered[best]
 }
 
-// choose returns the index of the candidate with the least estimate, among
-// those whose status is current.
-func (d *Dispatcher) choose(request structs.GenerateRequest, candidates []structs.Server) int {
-	var known []int
-	for i, server := range candidates {
-		if d.current(server.Name) || server.Name == request.LastEngine {
-			known = append(known, i)
+// current returns the candidates of which was heard lately and the program's
+// last engine, or all candidates when these are few.
+func (d *Dispatcher) current(request *structs.GenerateRequest, candidates []candidate) []candidate {
+	since := time.Now().Add(-staleIntervals * d.config.StatusInterval)
+	known := make([]candidate, 0, len(candidates))
+	for _, c := range candidates {
+		if c.status.heard.After(since) || c.server.Name == request.LastEngine {
+			known = append(known, c)
 		}
 	}
 	if len(known) < min(minKnown, len(candidates)) {
-		known = known[:0]
-		for i := range candidates {
-			known = append(known, i)
-		}
+		return candidates
 	}
-	engines := make([]placement.Engine, len(known))
-	for i, index := range known {
-		engines[i] = d.placementEngine(candidates[index], request)
-	}
-	best := placement.Choose(d.placementRequest(request), engines, func(i int) uint64 {
-		return xxhash.Sum64String(d.deps.Self + request.Program + engines[i].Name)
-	})
-	return known[best]
-}
-
-// current reports whether the state of an engine was heard of lately.
-func (d *Dispatcher) current(engine string) bool {
-	return time.Since(d.board.get(engine).heard) < staleIntervals*d.config.StatusInterval
+	return known
 }
 
-func (d *Dispatcher) placementRequest(request structs.GenerateRequest) placement.Request {
+func (d *Dispatcher) placementRequest(request *structs.GenerateRequest) placement.Request {
 	return placement.Request{
 		PromptTokens: request.PromptTokens,
 		OutputTokens: d.lengths.output(request),
@@ -147,10 +162,10 @@
 }
 
 // placementEngine describes a candidate to the placement policy.
-func (d *Dispatcher) placementEngine(server structs.Server, request structs.GenerateRequest) placement.Engine {
-	status := d.board.get(server.Name)
+func (d *Dispatcher) placementEngine(c candidate, request *structs.GenerateRequest, run lastRun) placement.Engine {
+	status := c.status
 	engine := placement.Engine{
-		Name:        server.Name,
+		Name:        c.server.Name,
 		Window:      status.Window,
 		Running:     status.Running,
 		Waiting:     status.Waiting,
@@ -158,34 +173,45 @@
 		Service:     status.Service,
 		Gap:         status.Gap,
 		PrefillRate: status.PrefillRate,
-		Cached:      request.PromptTokens - d.uncachedAt(server.Name, request),
+		Cached:      request.PromptTokens - d.uncachedAt(c, request, run),
 		KVFree:      status.KVFree,
-		Far:         server.Region != d.deps.Region,
+		Far:         c.server.Region != d.deps.Region,
 	}
 	if status.heard.IsZero() {
 		engine.Window = d.config.FixedWindow
-		engine.KVFree = server.KVTokens
+		engine.KVFree = c.server.KVTokens
 	}
 	return engine
 }
 
+// lastRun returns where a program ran last as far as this daemon knows. Without
+// tokens it is only known from the request.
+func (d *Dispatcher) lastRun(request *structs.GenerateRequest) lastRun {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if run, ok := d.lastRuns.get(request.Program); ok {
+		return run
+	}
+	return lastRun{engine: request.LastEngine}
+}
+
 // uncachedAt estimates the part of the prompt that an engine has to compute. A
 // prefix older than the age at which the engine evicts is taken to be gone.
-func (d *Dispatcher) uncachedAt(engine string, request structs.GenerateRequest) int {
-	if e := d.knownEngine(engine); e != nil {
-		return e.cache.uncached(request, engine)
+func (d *Dispatcher) uncachedAt(c candidate, request *structs.GenerateRequest, run lastRun) int {
+	name := c.server.Name
+	if name != run.engine && name != request.LastEngine {
+		return request.PromptTokens
 	}
-	d.mu.Lock()
-	run, ok := d.lastRuns.get(request.Program)
-	d.mu.Unlock()
-	switch {
-	case !ok && request.LastEngine == engine:
-		return guessUncached(request.PromptTokens)
-	case !ok || run.engine != engine:
+	if e := d.knownEngine(name); e != nil {
+		return e.cache.uncached(request, name)
+	}
+	if name != run.engine {
 		return request.PromptTokens
 	}
-	age := d.board.get(engine).CacheAge
-	if age > 0 && time.Since(run.at) > age {
+	if run.tokens == 0 {
+		return guessUncached(request.PromptTokens)
+	}
+	if age := c.status.CacheAge; age > 0 && time.Since(run.at) > age {
 		return request.PromptTokens
 	}
 	return max(request.PromptTokens-run.tokens, 0)
