Measure what a turn and a token cost the daemons

Cause: the capacity page needs slopes for work, not only for an idle fleet. Change: make capacity runs programs with answers of three lengths in 9 daemons. Ruled out: the policy measurement, whose load varies by design.

--- /dev/null
+++ b/test/capacity/work.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/jedib0t/go-pretty/v6/table"
+	"golang.org/x/sync/errgroup"
+
+	"ibisline/internal/caller"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/structs"
+)
+
+const (
+	// workDaemons is the fleet in which work is measured.
+	workDaemons = 9
+	// workers is the number of programs under way at once.
+	workers = 64
+	// programsEach and turnsEach bound one measurement.
+	programsEach = 8
+	turnsEach    = 4
+	// promptBytes is the length of a turn's new message.
+	promptBytes = 400
+	model       = "base"
+)
+
+// outputs are the tokens of an answer; the difference between the measurements
+// is the cost of a token.
+var outputs = []int{8, 64, 256}
+
+// workCost is what work costs in the whole fleet.
+type workCost struct {
+	output   int
+	turns    int
+	tokens   int
+	cpu      float64 // seconds of all daemons
+	peerKB   float64
+	writes   int
+	reads    int
+	rss      float64 // mean in MB, at the end
+	programs int
+}
+
+// measureWork runs programs with answers of different length.
+func measureWork(ctx context.Context, o options) ([]workCost, error) {
+	var costs []workCost
+	err := inSite(ctx, o.bin, func(s *site) error {
+		if err := s.startWork(ctx); err != nil {
+			return err
+		}
+		open := 0
+		for _, output := range outputs {
+			cost, err := s.work(ctx, output)
+			if err != nil {
+				return err
+			}
+			open += cost.programs
+			cost.programs = open
+			costs = append(costs, cost)
+		}
+		return nil
+	})
+	return costs, err
+}
+
+// startWork starts fast engines in all regions and the daemons.
+func (s *site) startWork(ctx context.Context) error {
+	for region := range regions {
+		for i := range 3 {
+			name := fmt.Sprintf("engine-%d-%d", region, i)
+			_, err := s.StandIn(ctx, name, "engine", "--name", name, "--region", fmt.Sprintf("region-%d", region),
+				"--models", model, "--kv-tokens", "2000000", "--scale", "0.05", "--register", s.Addr("platform"))
+			if err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.putEntries(ctx, 1); err != nil {
+		return err
+	}
+	return s.addDaemons(ctx, workDaemons)
+}
+
+// work runs programs and returns the difference of all counters.
+func (s *site) work(ctx context.Context, output int) (workCost, error) {
+	before, err := s.samples(ctx)
+	if err != nil {
+		return workCost{}, err
+	}
+	var counted, after objects.Counts
+	if err := s.Counts(ctx, "platform", &counted); err != nil {
+		return workCost{}, err
+	}
+	tokens, err := s.runPrograms(ctx, output)
+	if err != nil {
+		return workCost{}, err
+	}
+	later, err := s.samples(ctx)
+	if err != nil {
+		return workCost{}, err
+	}
+	if err := s.Counts(ctx, "platform", &after); err != nil {
+		return workCost{}, err
+	}
+	cost := workCost{
+		output:   output,
+		programs: workers * programsEach,
+		turns:    workers * programsEach * turnsEach,
+		tokens:   tokens,
+		writes:   after.Puts - counted.Puts,
+		reads:    after.Gets + after.Lists - counted.Gets - counted.Lists,
+	}
+	for i, end := range later {
+		cost.cpu += end.cpuSeconds - before[i].cpuSeconds
+		cost.peerKB += (end.peerBytes - before[i].peerBytes) / 1e3
+		cost.rss += end.rss / 1e6 / float64(len(later))
+	}
+	return cost, nil
+}
+
+// runPrograms runs the programs of one measurement and returns their output tokens.
+func (s *site) runPrograms(ctx context.Context, output int) (int, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	transport := caller.NewTransport()
+	tokens := make([]int, workers)
+	for w := range workers {
+		group.Go(func() error {
+			for i := range programsEach {
+				client := caller.New(s.Addr(s.daemons[(w+i)%len(s.daemons)]), transport)
+				used, err := runProgram(ctx, client, output)
+				if err != nil {
+					return err
+				}
+				tokens[w] += used
+			}
+			return nil
+		})
+	}
+	err := group.Wait()
+	total := 0
+	for _, used := range tokens {
+		total += used
+	}
+	return total, err
+}
+
+// runProgram opens a program, runs its turns and leaves it open.
+func runProgram(ctx context.Context, client *caller.Client, output int) (int, error) {
+	program, err := client.Open(ctx, structs.OpenRequest{Entry: entry(0, 1).Name})
+	if err != nil {
+		return 0, errors.Wrap(err, "open")
+	}
+	tokens := 0
+	for turn := 1; turn <= turnsEach; turn++ {
+		answer, err := client.Turn(ctx, structs.TurnRequest{
+			Program:   program,
+			Turn:      turn,
+			Messages:  []structs.Message{{Role: "user", Content: strings.Repeat("x", promptBytes)}},
+			Model:     model,
+			MaxTokens: output,
+		})
+		if err != nil {
+			return 0, errors.Wrapf(err, "turn %d", turn)
+		}
+		tokens += answer.Last.Usage.OutputTokens
+	}
+	return tokens, nil
+}
+
+// printWork writes the costs of work, in total and for each turn and token.
+func printWork(w io.Writer, costs []workCost) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.AppendHeader(table.Row{"tokens an answer", "turns", "output tokens", "CPU ms a turn", "CPU us a token", "peer KB a turn", "platform writes a turn", "reads a turn", "MB", "open programs"})
+	for _, c := range costs {
+		turns := float64(c.turns)
+		t.AppendRow(table.Row{c.output, c.turns, c.tokens, digits(c.cpu / turns * 1e3), digits(c.cpu / float64(c.tokens) * 1e6),
+			digits(c.peerKB / turns), digits(float64(c.writes) / turns), digits(float64(c.reads) / turns), digits(c.rss), c.programs})
+	}
+	t.RenderMarkdown()
+}
