Measure outages in the random run instead of assuming them

Change: the excuse is now that a living process saw no answered write for the grace time, whatever the fault; a scripted outage alone excuses nothing. Ruled out: to excuse each schedule with slow calls, which would hide faults.

--- a/internal/home/checks_test.go
+++ b/internal/home/checks_test.go
@@ -41,6 +41,7 @@
 // checkDurable checks that the turn of a final event is in the shard object. An
 // outage is the only excuse.
 func (s *sim) checkDurable(program string, turn int) {
+	s.noteOutage()
 	head, err := journal.Read(context.Background(), s.objects, structs.ShardID(testRegion+".0"))
 	s.mu.Lock()
 	outage := s.outage
--- a/internal/home/faulty_test.go
+++ b/internal/home/faulty_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
 
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
@@ -33,6 +36,7 @@
 	armed   map[point]bool
 	stopped bool
 	running map[string]int // generations under way by program
+	failing time.Time      // of the first write without an answer since the last answered one
 }
 
 func newProcess(w *world, name string) *process {
@@ -82,6 +86,27 @@
 	}
 }
 
+// noteWrite notes since when writes get no answer. A conflict is an answer: it
+// is followed by a read that tells what happened.
+func (p *process) noteWrite(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failing.IsZero() && err != nil {
+		p.failing = time.Now()
+	}
+	if err == nil || errors.Is(err, platform.ErrConflict) {
+		p.failing = time.Time{}
+	}
+}
+
+// outage reports whether the living process has had no answered write for the
+// given time.
+func (p *process) outage(grace time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.stopped && !p.failing.IsZero() && time.Since(p.failing) >= grace
+}
+
 // pass waits while the process is paused, and returns false when it is dead or
 // is killed at this point.
 func (p *process) pass(at point) bool {
@@ -123,6 +148,7 @@
 	if !s.process.pass(afterPut) {
 		return 0, platform.ErrUnknown
 	}
+	s.process.noteWrite(err)
 	return version, err
 }
 
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -318,3 +318,17 @@
 		runTurn(t, next, turnRequest(id, 3))
 	})
 }
+
+func TestTurnBeyondTheStoredGrantIsRefusedDuringAnOutage(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.cfg.GrantTokens = 1
+		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetTokens: 800, Share: 1})
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Outage: true})
+		err := d.Turn(context.Background(), turnRequest(id, 1), (&collect{}).sink)
+		require.True(t, verdict.HasReason(err, verdict.PlatformDown), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+		require.Empty(t, w.backends.prompts)
+	})
+}
