--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -119,12 +119,12 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.cache.uncached(request)
-	uncached := e.lengths.prompt(request, bound)
+	bound := e.cache.uncached(&request, e.name)
+	uncached := e.lengths.prompt(&request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
-		Cost:     float64(uncached + e.lengths.output(request)),
+		Cost:     float64(uncached + e.lengths.output(&request)),
 		Attained: float64(request.Attained),
 		Age:      request.Age,
 		Arrived:  time.Now(),
@@ -161,8 +161,8 @@
 	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.lengths.observePrompt(request, grant.uncachedBound, usage.PromptTokens)
-	e.lengths.observeOutput(request, usage.OutputTokens)
+	e.lengths.observePrompt(&request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observeOutput(&request, usage.OutputTokens)
 	return generated, nil
 }
 
@@ -269,11 +269,21 @@
 	e.reported(load)
 	events, err := e.client.KVEvents(ctx, server, e.cache.position())
 	if err == nil {
-		e.cache.apply(events, time.Now())
+		e.cache.apply(events, time.Now(), e.shortOf(load))
 	}
 	e.queue.forget(time.Now())
 }
 
+// shortFraction is the free part of the KV memory below which an engine may
+// have had to evict.
+const shortFraction = 0.25
+
+// shortOf reports whether the engine's memory is so full that it evicts.
+func (e *engine) shortOf(load backend.Load) bool {
+	total := orDefault(load.KVTotalTokens, e.description().KVTokens)
+	return float64(total-load.KVUsedTokens) < shortFraction*float64(total)
+}
+
 // reported takes over a load report.
 func (e *engine) reported(load backend.Load) {
 	e.mu.Lock()
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -44,6 +44,8 @@
 	leave    sync.Once
 	left     atomic.Bool
 	listed   atomic.Int32 // lists of the platform read at least once
+	// confirming is the number of requests for confirmation served now.
+	confirming atomic.Int32
 
 	probes   *metrics.Counter
 	failures *metrics.Counter
