Let reads of quarantine objects wait longer and longer

Cause: during an outage of the platform each daemon read the quarantine objects once a second, 350 reads a second at the target size, and all at once when the platform returns. Ruled out: relying on peers alone; a daemon that was away learns from the objects. Change: the wait after a failed read grows to 15 s with jitter, by the backoff library, and starts anew after a read that succeeded. Figures: not measured.

--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
@@ -24,8 +25,9 @@
 	// spreadTimeout bounds the wait until the other daemons know of a crash.
 	// Only then are its requests answered, and can be tried again.
 	spreadTimeout = time.Second
-	// watchRetry is the wait after a failed read of the quarantine objects.
-	watchRetry = time.Second
+	// watchRetryMax bounds the growing wait after failed reads of the quarantine
+	// objects.
+	watchRetryMax = 15 * time.Second
 	// cleanInterval is the time between two looks for expired objects.
 	cleanInterval = 10 * time.Minute
 )
@@ -159,13 +161,16 @@
 
 // watch follows the platform's objects until ctx ends.
 func (q *quarantined) watch(ctx context.Context) error {
+	retry := backoff.NewExponentialBackOff()
+	retry.MaxInterval = watchRetryMax
 	for ctx.Err() == nil {
 		objects, revision, err := q.deps.Store.List(ctx, structs.QuarantinePrefix)
 		if err == nil {
+			retry.Reset()
 			q.mergeObjects(objects)
 			q.follow(ctx, revision)
 		}
-		pauseFor(ctx, watchRetry)
+		pauseFor(ctx, retry.NextBackOff())
 	}
 	return nil
 }
