--- a/internal/api/events.go
+++ b/internal/api/events.go
@@ -93,7 +93,9 @@
 
 // dropped ends the delivery to a caller that is gone or too slow.
 func (e *events) dropped(err error) error {
-	e.slow()
+	if e.x.r.Context().Err() == nil {
+		e.slow()
+	}
 	return errors.Wrap(err, "caller dropped")
 }
 
