Read granted shares as weights in the report

Cause: the daemons answer /v1/shares with each entry's share as a weight, counted since their start, while ibisctl read a part between 0 and 1 and so would have shown granted tokens several times too high. Change: ibisctl divides a weight by the sum of the weights that the same daemon lists; parts that add up to 1 give the same result. Not measured against real daemons. Since received tokens count from the start of a daemon, a raise of today shows in the report only slowly.

--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -69,16 +69,20 @@
 		index[entry.Name] = i
 	}
 	for _, daemon := range shares {
-		total := 0
+		total, weights := 0, 0.0
 		for _, s := range daemon {
 			total += s.ReceivedTokens
+			weights += s.Granted
+		}
+		if weights == 0 {
+			continue
 		}
 		for _, s := range daemon {
 			i, ok := index[s.Entry]
 			if !ok {
 				continue
 			}
-			lines[i].GrantedTokens += s.Granted * float64(total)
+			lines[i].GrantedTokens += s.Granted / weights * float64(total)
 			lines[i].ReceivedTokens += float64(s.ReceivedTokens)
 			lines[i].Waiting += s.Waiting
 		}
