--- a/test/fleet/fleet.go
+++ b/test/fleet/fleet.go
@@ -122,9 +122,15 @@
 	return addr, nil
 }
 
-// startTries bounds the attempts to start a daemon whose chosen port was taken
+// StartTries bounds the attempts to start a daemon whose chosen port was taken
 // by another process meanwhile.
-const startTries = 5
+const StartTries = 5
+
+// AddressTaken reports whether a daemon did not start because another process
+// has its address.
+func AddressTaken(err error) bool {
+	return err != nil && strings.Contains(err.Error(), "address already in use")
+}
 
 // StartDaemon starts a daemon and waits until it takes callers. Addresses that d
 // leaves empty are chosen; a name that was started before keeps its place.
@@ -133,7 +139,7 @@
 	chosen := d.HTTPAddr == "" && !known
 	for try := 1; ; try++ {
 		started, err := f.startOnce(ctx, d)
-		if err == nil || !chosen || try == startTries || !strings.Contains(err.Error(), "address already in use") {
+		if !chosen || try == StartTries || !AddressTaken(err) {
 			return started, err
 		}
 		f.forget(d.Name)
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -65,16 +65,28 @@
 	if file, ok := a.options["settings"]; ok {
 		d.Settings = ts.ReadFile(file)
 	}
-	if a.word(1) == "link" {
-		if err := w.addLinks(&d); err != nil {
-			return err
-		}
-	}
-	started, err := w.fleet.StartDaemon(w.ctx, d)
+	started, err := w.startLinked(d, a.word(1) == "link")
 	ts.Setenv("ADDR_"+d.Name, started.HTTPAddr)
 	return err
 }
 
+// startLinked starts a daemon, and with links chooses others when another
+// process took one of its addresses meanwhile.
+func (w *world) startLinked(d fleet.Daemon, links bool) (fleet.Daemon, error) {
+	for try := 1; ; try++ {
+		placed := d
+		if links {
+			if err := w.addLinks(&placed); err != nil {
+				return d, err
+			}
+		}
+		started, err := w.fleet.StartDaemon(w.ctx, placed)
+		if !links || try == fleet.StartTries || !fleet.AddressTaken(err) {
+			return started, err
+		}
+	}
+}
+
 // addLinks leads the daemon's platform and peer traffic over links.
 func (w *world) addLinks(d *fleet.Daemon) error {
 	var err error
@@ -94,11 +106,19 @@
 	}
 	d.Platform = toPlatform.addr()
 	d.PeerAdvertise = toPeer.addr()
-	w.links[d.Name+" platform"] = toPlatform
-	w.links[d.Name+" peers"] = toPeer
+	w.setLinkOf(d.Name+" platform", toPlatform)
+	w.setLinkOf(d.Name+" peers", toPeer)
 	return nil
 }
 
+// setLinkOf registers a link in place of an earlier one.
+func (w *world) setLinkOf(name string, l *link) {
+	if old, ok := w.links[name]; ok {
+		old.close()
+	}
+	w.links[name] = l
+}
+
 // sigkill kills a process.
 func sigkill(_ *testscript.TestScript, w *world, raw []string) error {
 	p, err := w.process(parse(raw).word(0))
