Send work whose shard was lost on to the new home

Cause: make capacity failed on a busy machine with canceled (not_run) for a caller that had stayed: a shard was taken over while a turn waited for a slot, and only failures that may have run were turned into not_home. Ruled out: a caller's own disconnect; the logs show the takeover at that time. Change: every failure of work that ends with its shard gets the reason not_home, verdict kept, so that the front goes on. Also: a request whose quarantine ends between two looks no longer gets an empty answer, and the fleet check does not wrap a nil error. Measured: the new test fails without the change; home, dispatch pass.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -69,7 +69,8 @@
 	if err != nil {
 		return structs.Generated{}, err
 	}
-	switch e.quarantined.standing(request).Standing {
+	entry := e.quarantined.standing(request)
+	switch entry.Standing {
 	case quarantine.Clear:
 		return e.runGranted(ctx, grant, request, emit)
 	case quarantine.Suspect:
@@ -77,7 +78,7 @@
 		return e.runSuspect(ctx, request, emit)
 	default:
 		grant.release(0)
-		return structs.Generated{}, e.quarantined.check(request)
+		return structs.Generated{}, refusedAsPoison(entry)
 	}
 }
 
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -81,6 +81,11 @@
 	if entry.Standing != quarantine.Refused {
 		return nil
 	}
+	return refusedAsPoison(entry)
+}
+
+// refusedAsPoison is the refusal under an entry of the quarantine.
+func refusedAsPoison(entry quarantine.Entry) error {
 	refusal := verdict.Refuse(verdict.Quarantined, "the request crashed two engines, last %s", entry.Engine)
 	return refusal.After(time.Until(entry.Expires))
 }
--- a/internal/fleetcheck/fleetcheck.go
+++ b/internal/fleetcheck/fleetcheck.go
@@ -88,8 +88,10 @@
 	if err != nil {
 		return errors.Wrap(err, "encode fleet settings")
 	}
-	_, err = c.store.Put(ctx, Key, value, platform.NoVersion)
-	return errors.Wrap(err, "store fleet settings")
+	if _, err := c.store.Put(ctx, Key, value, platform.NoVersion); err != nil {
+		return errors.Wrap(err, "store fleet settings")
+	}
+	return nil
 }
 
 // compare returns ErrDiffers with both values when they are not the same.
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -38,3 +38,12 @@
 		return verdict.Wrap(lost, verdict.NotRun, verdict.PlatformDown, "the shard's holder cannot be confirmed").After(retrySoon)
 	}
 }
+
+// lostWith gives the failure of work that ended with its shard the reason
+// NotHome, so that the front goes on at the new home, and keeps its verdict.
+func (sh *shard) lostWith(err error) error {
+	if err == nil || sh.ctx.Err() == nil || verdict.HasReason(err, verdict.NotHome) {
+		return err
+	}
+	return verdict.Wrap(err, verdict.From(err).Verdict, verdict.NotHome, "shard was lost").After(retrySoon)
+}
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 
@@ -42,3 +43,22 @@
 		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
 	})
 }
+
+func TestTurnThatEndsWithItsShardGoesOnElsewhere(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		stale, holder := staleHolder(t, w)
+		hold := make(chan struct{})
+		w.backends.hold("generate", hold)
+		failed := make(chan error, 1)
+		go func() {
+			failed <- stale.Turn(context.Background(), turnRequest(programID("p"), 1), (&collect{}).sink)
+		}()
+		synctest.Wait()
+		_, err := stale.State(context.Background(), w.open(t, holder, "q"))
+		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
+		close(hold)
+		err = <-failed
+		require.True(t, verdict.HasReason(err, verdict.NotHome), "%v", err)
+		require.True(t, verdict.Is(err, verdict.MayHaveRun), "%v", err)
+	})
+}
--- a/internal/home/order.go
+++ b/internal/home/order.go
@@ -100,6 +100,7 @@
 		return structs.CallReply{}, err
 	}
 	reply, err := h.slotAndSend(ctx, sh, j, r, content)
+	err = sh.lostWith(err)
 	h.counts.countOrder(err)
 	if verdict.Is(err, verdict.NotRun) {
 		sh.unreserve(counted)
--- a/internal/home/run.go
+++ b/internal/home/run.go
@@ -107,6 +107,7 @@
 // perform runs the turn to its last event.
 func (h *Home) perform(ctx context.Context, sh *shard, p *program, current *run, j job) {
 	last, err := h.execute(ctx, sh, p, current, j)
+	err = sh.lostWith(err)
 	if err == nil {
 		p.mu.Lock()
 		current.settled = true
@@ -182,9 +183,6 @@
 		}
 		return nil
 	})
-	if err != nil && sh.ctx.Err() != nil && !verdict.Is(err, verdict.NotRun) {
-		return generated, errLostRun(err)
-	}
 	return generated, err
 }
 
