--- a/Makefile
+++ b/Makefile
@@ -5,19 +5,20 @@
 
 test:
 	go test -race -count=1 ./...
+	go test -count=1 -run TestPromises ./internal/home
 
 demo: build
-	go run ./test/demo -bin bin
+	go run ./tools/demo -bin bin
 
 recovery: build
-	go run ./test/recovery -bin bin
+	go run ./tools/recovery -bin bin
 
 measure: build
-	go run ./test/measure --bin bin --out measured
-	go run ./test/measure --bin bin --out measured --slow
+	go run ./tools/measure --bin bin --out measured
+	go run ./tools/measure --bin bin --out measured --slow
 
 mutations:
 	go test -count=1 -v -timeout 60m -tags mutations ./test/mutations
 
 capacity: build
-	go run ./test/capacity -bin bin
+	go run ./tools/capacity -bin bin
--- a/cmd/ibisfake/callers.go
+++ b/cmd/ibisfake/callers.go
@@ -30,7 +30,7 @@
 }
 
 type loadArgs struct {
-	Profile string   `arg:"--profile,required" help:"TOML file; see test/profiles"`
+	Profile string   `arg:"--profile,required" help:"TOML file; see tools/measure/profiles"`
 	Seed    uint64   `arg:"--seed" default:"1"`
 	Daemons []string `arg:"--daemons,required" help:"for each region of the profile the IP:port of its daemons, separated by commas"`
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -12,7 +12,7 @@
 	"ibisline/internal/structs"
 )
 
-const profiles = "../../test/profiles"
+const profiles = "../../tools/measure/profiles"
 
 func TestProfilesAreReadAndPlannedTheSameForASeed(t *testing.T) {
 	files, err := filepath.Glob(filepath.Join(profiles, "*.toml"))
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -7,10 +7,10 @@
 	"github.com/go-faster/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/standin"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 // usualSettings shorten the daemons' planned stop, as no balancer has to notice.
--- a/test/scenarios/world_test.go
+++ b/test/scenarios/world_test.go
@@ -12,8 +12,8 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"ibisline/internal/caller"
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 const (
--- a/test/capacity/site.go
+++ b/tools/capacity/site.go
@@ -10,9 +10,9 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/operator"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 const (
--- a/test/demo/main.go
+++ b/tools/demo/main.go
@@ -13,9 +13,9 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/job"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 const (
--- a/test/measure/main.go
+++ b/tools/measure/main.go
@@ -33,7 +33,7 @@
 	var args arguments
 	arg.MustParse(&args)
 	if len(args.Profiles) == 0 {
-		args.Profiles = []string{"test/profiles/consorcio.toml", "test/profiles/lesepreis.toml"}
+		args.Profiles = []string{"tools/measure/profiles/consorcio.toml", "tools/measure/profiles/lesepreis.toml"}
 	}
 	if len(args.Variants) == 0 {
 		args.Variants = []string{"baseline", "new"}
--- a/test/measure/run.go
+++ b/tools/measure/run.go
@@ -11,9 +11,9 @@
 
 	"ibisline/internal/caller"
 	"ibisline/internal/fake/engine"
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/load"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 // variants are the daemons' settings for each policy that is compared.
--- a/test/recovery/main.go
+++ b/tools/recovery/main.go
@@ -14,7 +14,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/core/logx"
 
-	"ibisline/test/fleet"
+	"ibisline/internal/fake/fleet"
 )
 
 // options are the command line.
--- a/test/recovery/site.go
+++ b/tools/recovery/site.go
@@ -8,9 +8,9 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/caller"
+	"ibisline/internal/fake/fleet"
 	"ibisline/internal/operator"
 	"ibisline/internal/structs"
-	"ibisline/test/fleet"
 )
 
 const (
