Read a turn's run and its place in the history together

Cause: the random proof failed about once in 2000 schedules, always with engines that take no time: a final event came before its turn was stored, without any fault of the platform. A reader looked for the turn's run, found none, and then looked at the history; a turn that started and was recorded in between passed for a stored one, and its answer was replayed before the commit. Change: both are read under the program's lock, as record writes them.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -16,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"ibisline/internal/defaults"
 	"ibisline/internal/home"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -44,12 +45,8 @@
 
 // withDefaults returns c with its zero fields filled.
 func (c Config) withDefaults() Config {
-	if c.MaxBodyBytes <= 0 {
-		c.MaxBodyBytes = defaultMaxBodyBytes
-	}
-	if c.WriteTimeout <= 0 {
-		c.WriteTimeout = defaultWriteTimeout
-	}
+	defaults.Set(&c.MaxBodyBytes, defaultMaxBodyBytes)
+	defaults.Set(&c.WriteTimeout, defaultWriteTimeout)
 	if c.Ready == nil {
 		c.Ready = func() bool { return true }
 	}
--- a/internal/backend/engines.go
+++ b/internal/backend/engines.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"ibisline/internal/defaults"
 	"ibisline/internal/structs"
 )
 
@@ -39,12 +40,8 @@
 
 // NewEngines returns a client. Limits of zero take their defaults.
 func NewEngines(options EngineOptions) *Engines {
-	if options.StallTimeout <= 0 {
-		options.StallTimeout = DefaultStallTimeout
-	}
-	if options.ControlTimeout <= 0 {
-		options.ControlTimeout = DefaultControlTimeout
-	}
+	defaults.Set(&options.StallTimeout, DefaultStallTimeout)
+	defaults.Set(&options.ControlTimeout, DefaultControlTimeout)
 	return &Engines{options: options, streams: newService(false), control: newService(false)}
 }
 
--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"ibisline/internal/defaults"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/platform"
@@ -64,26 +65,19 @@
 
 // withDefaults returns c with its zero fields filled in.
 func (c Config) withDefaults() Config {
-	setDefault(&c.StaleAfter, DefaultStaleAfter)
-	setDefault(&c.ProbeAfter, DefaultProbeAfter)
-	setDefault(&c.ExchangeEvery, DefaultExchangeEvery)
-	setDefault(&c.ForgetAfter, DefaultForgetAfter)
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
-	setDefault(&c.ProbeTimeout, DefaultProbeTimeout)
-	setDefault(&c.LoadTimeout, DefaultLoadTimeout)
-	setDefault(&c.ListLimit, DefaultListLimit)
-	setDefault(&c.Fanout, DefaultFanout)
-	setDefault(&c.Neighbours, DefaultNeighbours)
+	defaults.Set(&c.StaleAfter, DefaultStaleAfter)
+	defaults.Set(&c.ProbeAfter, DefaultProbeAfter)
+	defaults.Set(&c.ExchangeEvery, DefaultExchangeEvery)
+	defaults.Set(&c.ForgetAfter, DefaultForgetAfter)
+	defaults.Set(&c.PeerTimeout, DefaultPeerTimeout)
+	defaults.Set(&c.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Set(&c.LoadTimeout, DefaultLoadTimeout)
+	defaults.Set(&c.ListLimit, DefaultListLimit)
+	defaults.Set(&c.Fanout, DefaultFanout)
+	defaults.Set(&c.Neighbours, DefaultNeighbours)
 	return c
 }
 
-// setDefault replaces a value that is not positive.
-func setDefault[T int | time.Duration](value *T, otherwise T) {
-	if *value <= 0 {
-		*value = otherwise
-	}
-}
-
 // Catalogue is the daemon's copy of the catalogue. It implements Reader.
 type Catalogue struct {
 	config     Config
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/catalogue"
+	"ibisline/internal/defaults"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/platform"
@@ -70,28 +71,20 @@
 
 // withDefaults replaces zero values.
 func (c Config) withDefaults() Config {
-	c.Queue = orDefault(c.Queue, QueueFair)
-	c.Placement = orDefault(c.Placement, PlacementEstimate)
-	c.Window = orDefault(c.Window, WindowAdaptive)
-	c.FixedWindow = orDefault(c.FixedWindow, defaultFixedWindow)
-	c.QueueLimit = orDefault(c.QueueLimit, defaultQueueLimit)
-	c.FirstTokenTarget = orDefault(c.FirstTokenTarget, defaultFirstTokenTarget)
-	c.TokenGapTarget = orDefault(c.TokenGapTarget, defaultTokenGapTarget)
-	c.PollInterval = orDefault(c.PollInterval, defaultPollInterval)
-	c.StatusInterval = orDefault(c.StatusInterval, defaultStatusInterval)
-	c.SweepInterval = orDefault(c.SweepInterval, defaultSweepInterval)
-	c.PauseAllowance = orDefault(c.PauseAllowance, defaultPauseAllowance)
+	defaults.Set(&c.Queue, QueueFair)
+	defaults.Set(&c.Placement, PlacementEstimate)
+	defaults.Set(&c.Window, WindowAdaptive)
+	defaults.Set(&c.FixedWindow, defaultFixedWindow)
+	defaults.Set(&c.QueueLimit, defaultQueueLimit)
+	defaults.Set(&c.FirstTokenTarget, defaultFirstTokenTarget)
+	defaults.Set(&c.TokenGapTarget, defaultTokenGapTarget)
+	defaults.Set(&c.PollInterval, defaultPollInterval)
+	defaults.Set(&c.StatusInterval, defaultStatusInterval)
+	defaults.Set(&c.SweepInterval, defaultSweepInterval)
+	defaults.Set(&c.PauseAllowance, defaultPauseAllowance)
 	return c
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
-
 // EngineClient is what the dispatcher asks of engines; *backend.Engines
 // implements it. Errors of Generate are *verdict.Error.
 type EngineClient interface {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -174,7 +175,7 @@
 func (d *Dispatcher) serviceQueue(server structs.Server) *serverQueue {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	limit := orDefault(server.Slots, unlimited)
+	limit := cmp.Or(server.Slots, unlimited)
 	queue := d.services[server.Name]
 	if queue == nil {
 		slots := window.New(window.Config{Limit: limit, Fixed: true})
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -281,7 +282,7 @@
 
 // shortOf reports whether the engine's memory is so full that it evicts.
 func (e *engine) shortOf(load backend.Load) bool {
-	total := orDefault(load.KVTotalTokens, e.description().KVTokens)
+	total := cmp.Or(load.KVTotalTokens, e.description().KVTokens)
 	return float64(total-load.KVUsedTokens) < shortFraction*float64(total)
 }
 
@@ -291,7 +292,7 @@
 	changed := e.leaving != load.Leaving || e.down
 	e.leaving = load.Leaving
 	e.down = false
-	e.kvFree = orDefault(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
+	e.kvFree = cmp.Or(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
 	e.mu.Unlock()
 	if changed {
 		e.applyState()
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -15,6 +15,7 @@
 	"github.com/apex/log"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"ibisline/internal/defaults"
 	"ibisline/internal/home"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
@@ -42,15 +43,9 @@
 
 // withDefaults returns c with its zero fields filled.
 func (c Config) withDefaults() Config {
-	if c.RetryLimit <= 0 {
-		c.RetryLimit = defaultRetryLimit
-	}
-	if c.RetryMin <= 0 {
-		c.RetryMin = defaultRetryMin
-	}
-	if c.RetryMax <= 0 {
-		c.RetryMax = defaultRetryMax
-	}
+	defaults.Set(&c.RetryLimit, defaultRetryLimit)
+	defaults.Set(&c.RetryMin, defaultRetryMin)
+	defaults.Set(&c.RetryMax, defaultRetryMax)
 	return c
 }
 
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/catalogue"
+	"ibisline/internal/defaults"
 	"ibisline/internal/dispatch"
 	"ibisline/internal/journal"
 	"ibisline/internal/member"
@@ -80,33 +81,26 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Shards, defaultShards)
-	setDefault(&c.QueueFor, defaultQueueFor)
-	setDefault(&c.EarlyWait, defaultEarlyWait)
-	setDefault(&c.OutageGrace, defaultOutageGrace)
-	setDefault(&c.WithdrawFor, defaultWithdrawFor)
-	setDefault(&c.IntendFor, defaultIntendFor)
-	setDefault(&c.CallTimeout, defaultCallTimeout)
-	setDefault(&c.CallTries, defaultCallTries)
-	setDefault(&c.MaxTokens, defaultMaxTokens)
-	setDefault(&c.GrantTokens, defaultGrantTokens)
-	setDefault(&c.GrantCalls, defaultGrantCalls)
-	setDefault(&c.KeepEnded, defaultKeepEnded)
-	setDefault(&c.Tick, defaultTick)
-	setDefault(&c.ClaimRate, defaultClaimRate)
-	setDefault(&c.HandoverBusy, defaultHandoverBusy)
-	setDefault(&c.HandoverTimeout, defaultHandoverTimeout)
+	defaults.Set(&c.Shards, defaultShards)
+	defaults.Set(&c.QueueFor, defaultQueueFor)
+	defaults.Set(&c.EarlyWait, defaultEarlyWait)
+	defaults.Set(&c.OutageGrace, defaultOutageGrace)
+	defaults.Set(&c.WithdrawFor, defaultWithdrawFor)
+	defaults.Set(&c.IntendFor, defaultIntendFor)
+	defaults.Set(&c.CallTimeout, defaultCallTimeout)
+	defaults.Set(&c.CallTries, defaultCallTries)
+	defaults.Set(&c.MaxTokens, defaultMaxTokens)
+	defaults.Set(&c.GrantTokens, defaultGrantTokens)
+	defaults.Set(&c.GrantCalls, defaultGrantCalls)
+	defaults.Set(&c.KeepEnded, defaultKeepEnded)
+	defaults.Set(&c.Tick, defaultTick)
+	defaults.Set(&c.ClaimRate, defaultClaimRate)
+	defaults.Set(&c.HandoverBusy, defaultHandoverBusy)
+	defaults.Set(&c.HandoverTimeout, defaultHandoverTimeout)
 	c.Journal.Interval = c.CommitInterval
 	return c
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Limiter holds the limits of an entry across the fleet.
 type Limiter interface {
 	// Acquire waits until a request under entry may start, at most until
--- a/internal/home/turn.go
+++ b/internal/home/turn.go
@@ -127,13 +127,11 @@
 // known returns the answer of a turn that is under way or finished, or nil.
 // Content, unless nil, must match the request that started it.
 func (h *Home) known(ctx context.Context, sh *shard, p *program, turn int, content []byte) (*answer, error) {
-	p.mu.Lock()
-	current := p.run
-	p.mu.Unlock()
+	current, finished := sh.progress(p, turn)
 	if current != nil && current.turn == turn {
 		return current.answer, sameContent(turn, current.content, content)
 	}
-	if turn < 1 || turn >= sh.nextTurn(p.id) {
+	if turn < 1 || !finished {
 		return nil, nil
 	}
 	turns, err := h.history(ctx, sh, p)
@@ -150,6 +148,16 @@
 	return h.replay(stored), nil
 }
 
+// progress returns the run under way and whether the turn is part of the history.
+// Both are read together: a turn is recorded before it is durable, and until then
+// its answer may be had from its run only. Read one after the other, a turn that
+// starts and is recorded in between would pass for a stored one.
+func (sh *shard) progress(p *program, turn int) (*run, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.run, turn < sh.nextTurn(p.id)
+}
+
 // sameContent refuses a request that differs from the one known for its turn.
 // Of a resent turn only the messages are known, which its digest covers.
 func sameContent(turn int, known, sent []byte) error {
--- a/internal/journal/config.go
+++ b/internal/journal/config.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"ibisline/internal/defaults"
 )
 
 // Config sets the pace of a journal. Zero fields take defaults.
@@ -38,19 +40,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.WriteTimeout, defaultWriteTimeout)
-	setDefault(&c.SlowAfter, defaultSlowAfter)
-	setDefault(&c.RetryMin, defaultRetryMin)
-	setDefault(&c.RetryMax, defaultRetryMax)
-	setDefault(&c.TailBytes, defaultTailBytes)
-	setDefault(&c.MaxBlocks, defaultMaxBlocks)
-	setDefault(&c.BytesPerSecond, defaultBytesPerSec)
+	defaults.Set(&c.WriteTimeout, defaultWriteTimeout)
+	defaults.Set(&c.SlowAfter, defaultSlowAfter)
+	defaults.Set(&c.RetryMin, defaultRetryMin)
+	defaults.Set(&c.RetryMax, defaultRetryMax)
+	defaults.Set(&c.TailBytes, defaultTailBytes)
+	defaults.Set(&c.MaxBlocks, defaultMaxBlocks)
+	defaults.Set(&c.BytesPerSecond, defaultBytesPerSec)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -37,6 +37,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/catalogue"
+	"ibisline/internal/defaults"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/ring"
@@ -81,22 +82,15 @@
 
 // withDefaults returns c with its zero fields filled in.
 func (c Config) withDefaults() Config {
-	setDefault(&c.LeaseTTL, DefaultLeaseTTL)
-	setDefault(&c.RenewEvery, DefaultRenewEvery)
-	setDefault(&c.PollFor, DefaultPollFor)
-	setDefault(&c.IdleReturn, DefaultIdleReturn)
-	setDefault(&c.HoldFor, DefaultHoldFor)
-	setDefault(&c.PeerTimeout, DefaultPeerTimeout)
+	defaults.Set(&c.LeaseTTL, DefaultLeaseTTL)
+	defaults.Set(&c.RenewEvery, DefaultRenewEvery)
+	defaults.Set(&c.PollFor, DefaultPollFor)
+	defaults.Set(&c.IdleReturn, DefaultIdleReturn)
+	defaults.Set(&c.HoldFor, DefaultHoldFor)
+	defaults.Set(&c.PeerTimeout, DefaultPeerTimeout)
 	return c
 }
 
-// setDefault replaces a value that is not positive.
-func setDefault(value *time.Duration, otherwise time.Duration) {
-	if *value <= 0 {
-		*value = otherwise
-	}
-}
-
 // Limits is a daemon's part in holding the limits: the home's side for entries in
 // use here, and the limiter's side for entries whose limiter is here.
 type Limits struct {
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"ibisline/internal/defaults"
 	"ibisline/internal/member/gossip"
 )
 
@@ -49,18 +50,10 @@
 
 // withDefaults returns c with its zero fields filled.
 func (c Config) withDefaults() Config {
-	if c.HeartbeatInterval <= 0 {
-		c.HeartbeatInterval = defaultHeartbeatInterval
-	}
-	if c.SuspectAfter <= 0 {
-		c.SuspectAfter = defaultSuspectAfter
-	}
-	if c.Fanout <= 0 {
-		c.Fanout = defaultFanout
-	}
-	if c.RelistInterval <= 0 {
-		c.RelistInterval = defaultRelistInterval
-	}
+	defaults.Set(&c.HeartbeatInterval, defaultHeartbeatInterval)
+	defaults.Set(&c.SuspectAfter, defaultSuspectAfter)
+	defaults.Set(&c.Fanout, defaultFanout)
+	defaults.Set(&c.RelistInterval, defaultRelistInterval)
 	return c
 }
 
--- a/internal/peer/config.go
+++ b/internal/peer/config.go
@@ -1,6 +1,10 @@
 package peer
 
-import "time"
+import (
+	"time"
+
+	"ibisline/internal/defaults"
+)
 
 // Config holds the limits of a Transport. Zero fields take their defaults.
 type Config struct {
@@ -28,20 +32,10 @@
 
 // withDefaults returns c with its zero fields filled.
 func (c Config) withDefaults() Config {
-	if c.MaxFrameBytes <= 0 {
-		c.MaxFrameBytes = defaultMaxFrameBytes
-	}
-	if c.DialTimeout <= 0 {
-		c.DialTimeout = defaultDialTimeout
-	}
-	if c.PingInterval <= 0 {
-		c.PingInterval = defaultPingInterval
-	}
-	if c.PingTimeout <= 0 {
-		c.PingTimeout = defaultPingTimeout
-	}
-	if c.IdleTimeout <= 0 {
-		c.IdleTimeout = defaultIdleTimeout
-	}
+	defaults.Set(&c.MaxFrameBytes, defaultMaxFrameBytes)
+	defaults.Set(&c.DialTimeout, defaultDialTimeout)
+	defaults.Set(&c.PingInterval, defaultPingInterval)
+	defaults.Set(&c.PingTimeout, defaultPingTimeout)
+	defaults.Set(&c.IdleTimeout, defaultIdleTimeout)
 	return c
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -21,6 +21,8 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"golang.org/x/time/rate"
+
+	"ibisline/internal/defaults"
 )
 
 // serviceName names the platform towards httpc.
@@ -58,21 +60,11 @@
 
 // withDefaults returns c with its zero fields filled in.
 func (c Config) withDefaults() Config {
-	if c.Timeout <= 0 {
-		c.Timeout = DefaultTimeout
-	}
-	if c.ListTimeout <= 0 {
-		c.ListTimeout = DefaultListTimeout
-	}
-	if c.WatchTimeout <= 0 {
-		c.WatchTimeout = DefaultWatchTimeout
-	}
-	if c.ReadTries == 0 {
-		c.ReadTries = DefaultReadTries
-	}
-	if c.RetryRate <= 0 {
-		c.RetryRate = DefaultRetryRate
-	}
+	defaults.Set(&c.Timeout, DefaultTimeout)
+	defaults.Set(&c.ListTimeout, DefaultListTimeout)
+	defaults.Set(&c.WatchTimeout, DefaultWatchTimeout)
+	defaults.Set(&c.ReadTries, DefaultReadTries)
+	defaults.Set(&c.RetryRate, DefaultRetryRate)
 	return c
 }
 
