--- a/test/capacity/main.go
+++ b/test/capacity/main.go
@@ -70,11 +70,12 @@
 		idle = append(idle, cost)
 	}
 	printIdle(os.Stdout, idle)
-	work, err := measureWork(ctx, o)
+	work, open, err := measureWork(ctx, o)
 	if err != nil {
 		return errors.Wrap(err, "work")
 	}
 	printWork(os.Stdout, work)
+	printOpen(os.Stdout, open)
 	var starts []startCost
 	for _, entries := range o.entries {
 		cost, err := measureStart(ctx, o, entries)
--- a/test/capacity/work.go
+++ b/test/capacity/work.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jedib0t/go-pretty/v6/table"
@@ -18,7 +19,8 @@
 const (
 	// workDaemons is the fleet in which work is measured.
 	workDaemons = 9
-	// workers is the number of programs under way at once.
+	// workers is the number of programs under way at once, each of an entry of
+	// its own.
 	workers = 64
 	// programsEach and turnsEach bound one measurement.
 	programsEach = 8
@@ -45,13 +47,22 @@
 	programs int
 }
 
-// measureWork runs programs with answers of different length.
-func measureWork(ctx context.Context, o options) ([]workCost, error) {
+// afterWork is the wait before programs count as idle: dispatchers ask each other
+// for status some time longer, and sweeps pass over what was used lately.
+const afterWork = 15 * time.Second
+
+// measureWork runs programs with answers of different length. It returns their
+// costs, and those of the idle fleet without programs and with all of them open.
+func measureWork(ctx context.Context, o options) ([]workCost, []openCost, error) {
 	var costs []workCost
+	var idle []openCost
 	err := inSite(ctx, o.bin, func(s *site) error {
 		if err := s.startWork(ctx); err != nil {
 			return err
 		}
+		if err := s.watchOpen(ctx, o, 0, &idle); err != nil {
+			return err
+		}
 		open := 0
 		for _, output := range outputs {
 			cost, err := s.work(ctx, output)
@@ -62,9 +73,30 @@
 			cost.programs = open
 			costs = append(costs, cost)
 		}
-		return nil
+		return s.watchOpen(ctx, o, open, &idle)
 	})
-	return costs, err
+	return costs, idle, err
+}
+
+// openCost is what a fleet with engines and idle programs costs.
+type openCost struct {
+	programs int
+	idleCost
+}
+
+// watchOpen waits until the fleet is idle and appends what it costs.
+func (s *site) watchOpen(ctx context.Context, o options, programs int, costs *[]openCost) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(afterWork):
+	}
+	cost := openCost{programs: programs, idleCost: idleCost{daemons: workDaemons}}
+	if err := s.watchIdle(ctx, o.span, &cost.idleCost); err != nil {
+		return err
+	}
+	*costs = append(*costs, cost)
+	return nil
 }
 
 // startWork starts fast engines in all regions and the daemons.
@@ -79,7 +111,7 @@
 			}
 		}
 	}
-	if err := s.putEntries(ctx, 1); err != nil {
+	if err := s.putEntries(ctx, workers); err != nil {
 		return err
 	}
 	return s.addDaemons(ctx, workDaemons)
@@ -131,7 +163,7 @@
 		group.Go(func() error {
 			for i := range programsEach {
 				client := caller.New(s.Addr(s.daemons[(w+i)%len(s.daemons)]), transport)
-				used, err := runProgram(ctx, client, output)
+				used, err := runProgram(ctx, client, entry(w, 1).Name, output)
 				if err != nil {
 					return err
 				}
@@ -149,8 +181,8 @@
 }
 
 // runProgram opens a program, runs its turns and leaves it open.
-func runProgram(ctx context.Context, client *caller.Client, output int) (int, error) {
-	program, err := client.Open(ctx, structs.OpenRequest{Entry: entry(0, 1).Name})
+func runProgram(ctx context.Context, client *caller.Client, entryName string, output int) (int, error) {
+	program, err := client.Open(ctx, structs.OpenRequest{Entry: entryName})
 	if err != nil {
 		return 0, errors.Wrap(err, "open")
 	}
@@ -159,7 +191,7 @@
 		answer, err := client.Turn(ctx, structs.TurnRequest{
 			Program:   program,
 			Turn:      turn,
-			Messages:  []structs.Message{{Role: "user", Content: strings.Repeat("x", promptBytes)}},
+			Messages:  []structs.Message{{Role: "user", Content: prompt(output)}},
 			Model:     model,
 			MaxTokens: output,
 		})
@@ -171,6 +203,12 @@
 	return tokens, nil
 }
 
+// prompt is a message that makes a stand-in engine answer with so many tokens.
+func prompt(output int) string {
+	mark := fmt.Sprintf("[out=%d]", output)
+	return mark + strings.Repeat("x", promptBytes-len(mark))
+}
+
 // printWork writes the costs of work, in total and for each turn and token.
 func printWork(w io.Writer, costs []workCost) {
 	t := table.NewWriter()
@@ -183,3 +221,14 @@
 	}
 	t.RenderMarkdown()
 }
+
+// printOpen writes the costs of idle programs.
+func printOpen(w io.Writer, costs []openCost) {
+	t := table.NewWriter()
+	t.SetOutputMirror(w)
+	t.AppendHeader(table.Row{"open programs", "% of a core", "MB", "MB max", "peer KB/s", "platform reads/s", "writes/s", "watches"})
+	for _, c := range costs {
+		t.AppendRow(table.Row{c.programs, digits(c.cpu), digits(c.rss), digits(c.maxRSS), digits(c.bytes), digits(c.reads), digits(c.writes), c.watches})
+	}
+	t.RenderMarkdown()
+}
