Measure the cost of a byte of history

Cause: a turn sends the whole history of its program to the engine.

Ruled out: one measurement with mixed lengths; the slopes could not be told apart.

Change: the work step has a fourth load with messages of 50,000 bytes; each load differs from the first in one number.

--- a/test/capacity/work.go
+++ b/test/capacity/work.go
@@ -21,30 +21,41 @@
 	workDaemons = 9
 	// workers is the number of programs under way at once, each of an entry of
 	// its own.
-	workers = 64
-	// programsEach and turnsEach bound one measurement.
-	programsEach = 8
-	turnsEach    = 4
-	// promptBytes is the length of a turn's new message.
-	promptBytes = 400
-	model       = "base"
+	workers   = 64
+	turnsEach = 4
+	model     = "base"
 )
 
-// outputs are the tokens of an answer; the difference between the measurements
-// is the cost of a token.
-var outputs = []int{8, 64, 256}
+// load is the work of one measurement.
+type load struct {
+	// programs is the number that each worker runs one after the other.
+	programs int
+	// prompt is the length of a turn's new message in bytes.
+	prompt int
+	// output is the length of an answer in tokens.
+	output int
+}
+
+// loads differ in one number each: the differences are the costs of a token and
+// of a byte of history.
+var loads = []load{
+	{programs: 8, prompt: 400, output: 8},
+	{programs: 8, prompt: 400, output: 64},
+	{programs: 8, prompt: 400, output: 256},
+	{programs: 1, prompt: 50_000, output: 8},
+}
 
 // workCost is what work costs in the whole fleet.
 type workCost struct {
-	output   int
-	turns    int
-	tokens   int
-	cpu      float64 // seconds of all daemons
-	peerKB   float64
-	writes   int
-	reads    int
-	rss      float64 // mean in MB, at the end
-	programs int
+	load
+	turns  int
+	tokens int
+	cpu    float64 // seconds of all daemons
+	peerKB float64
+	writes int
+	reads  int
+	rss    float64 // mean in MB, at the end
+	open   int
 }
 
 // afterWork is the wait before programs count as idle: dispatchers ask each other
@@ -64,13 +75,13 @@
 			return err
 		}
 		open := 0
-		for _, output := range outputs {
-			cost, err := s.work(ctx, output)
+		for _, l := range loads {
+			cost, err := s.work(ctx, l)
 			if err != nil {
 				return err
 			}
-			open += cost.programs
-			cost.programs = open
+			open += workers * l.programs
+			cost.open = open
 			costs = append(costs, cost)
 		}
 		return s.watchOpen(ctx, o, open, &idle)
@@ -118,7 +129,7 @@
 }
 
 // work runs programs and returns the difference of all counters.
-func (s *site) work(ctx context.Context, output int) (workCost, error) {
+func (s *site) work(ctx context.Context, l load) (workCost, error) {
 	before, err := s.samples(ctx)
 	if err != nil {
 		return workCost{}, err
@@ -127,7 +138,7 @@
 	if err := s.Counts(ctx, "platform", &counted); err != nil {
 		return workCost{}, err
 	}
-	tokens, err := s.runPrograms(ctx, output)
+	tokens, err := s.runPrograms(ctx, l)
 	if err != nil {
 		return workCost{}, err
 	}
@@ -139,12 +150,11 @@
 		return workCost{}, err
 	}
 	cost := workCost{
-		output:   output,
-		programs: workers * programsEach,
-		turns:    workers * programsEach * turnsEach,
-		tokens:   tokens,
-		writes:   after.Puts - counted.Puts,
-		reads:    after.Gets + after.Lists - counted.Gets - counted.Lists,
+		load:   l,
+		turns:  workers * l.programs * turnsEach,
+		tokens: tokens,
+		writes: after.Puts - counted.Puts,
+		reads:  after.Gets + after.Lists - counted.Gets - counted.Lists,
 	}
 	for i, end := range later {
 		cost.cpu += end.cpuSeconds - before[i].cpuSeconds
@@ -155,15 +165,15 @@
 }
 
 // runPrograms runs the programs of one measurement and returns their output tokens.
-func (s *site) runPrograms(ctx context.Context, output int) (int, error) {
+func (s *site) runPrograms(ctx context.Context, l load) (int, error) {
 	group, ctx := errgroup.WithContext(ctx)
 	transport := caller.NewTransport()
 	tokens := make([]int, workers)
 	for w := range workers {
 		group.Go(func() error {
-			for i := range programsEach {
+			for i := range l.programs {
 				client := caller.New(s.Addr(s.daemons[(w+i)%len(s.daemons)]), transport)
-				used, err := runProgram(ctx, client, entry(w, 1).Name, output)
+				used, err := runProgram(ctx, client, entry(w, 1).Name, l)
 				if err != nil {
 					return err
 				}
@@ -181,7 +191,7 @@
 }
 
 // runProgram opens a program, runs its turns and leaves it open.
-func runProgram(ctx context.Context, client *caller.Client, entryName string, output int) (int, error) {
+func runProgram(ctx context.Context, client *caller.Client, entryName string, l load) (int, error) {
 	program, err := client.Open(ctx, structs.OpenRequest{Entry: entryName})
 	if err != nil {
 		return 0, errors.Wrap(err, "open")
@@ -191,9 +201,9 @@
 		answer, err := client.Turn(ctx, structs.TurnRequest{
 			Program:   program,
 			Turn:      turn,
-			Messages:  []structs.Message{{Role: "user", Content: prompt(output)}},
+			Messages:  []structs.Message{{Role: "user", Content: message(l)}},
 			Model:     model,
-			MaxTokens: output,
+			MaxTokens: l.output,
 		})
 		if err != nil {
 			return 0, errors.Wrapf(err, "turn %d", turn)
@@ -203,21 +213,21 @@
 	return tokens, nil
 }
 
-// prompt is a message that makes a stand-in engine answer with so many tokens.
-func prompt(output int) string {
-	mark := fmt.Sprintf("[out=%d]", output)
-	return mark + strings.Repeat("x", promptBytes-len(mark))
+// message is a prompt that makes a stand-in engine answer with so many tokens.
+func message(l load) string {
+	mark := fmt.Sprintf("[out=%d]", l.output)
+	return mark + strings.Repeat("x", l.prompt-len(mark))
 }
 
 // printWork writes the costs of work, in total and for each turn and token.
 func printWork(w io.Writer, costs []workCost) {
 	t := table.NewWriter()
 	t.SetOutputMirror(w)
-	t.AppendHeader(table.Row{"tokens an answer", "turns", "output tokens", "CPU ms a turn", "CPU us a token", "peer KB a turn", "platform writes a turn", "reads a turn", "MB", "open programs"})
+	t.AppendHeader(table.Row{"message bytes", "tokens an answer", "turns", "output tokens", "CPU ms a turn", "CPU us a token", "peer KB a turn", "platform writes a turn", "reads a turn", "MB", "open programs"})
 	for _, c := range costs {
 		turns := float64(c.turns)
-		t.AppendRow(table.Row{c.output, c.turns, c.tokens, digits(c.cpu / turns * 1e3), digits(c.cpu / float64(c.tokens) * 1e6),
-			digits(c.peerKB / turns), digits(float64(c.writes) / turns), digits(float64(c.reads) / turns), digits(c.rss), c.programs})
+		t.AppendRow(table.Row{c.prompt, c.output, c.turns, c.tokens, digits(c.cpu / turns * 1e3), digits(c.cpu / float64(c.tokens) * 1e6),
+			digits(c.peerKB / turns), digits(float64(c.writes) / turns), digits(float64(c.reads) / turns), digits(c.rss), c.open})
 	}
 	t.RenderMarkdown()
 }
