--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -66,3 +68,36 @@
 	b.ReportMetric(float64(bytes()-before)/float64(b.N), "payload-B/op")
 	b.ReportMetric(float64((usedTime()-used).Microseconds())/float64(b.N), "cpu-us/op")
 }
+
+// memoryInUse returns the bytes of live heap objects and of stacks.
+func memoryInUse() float64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapInuse + stats.StackInuse)
+}
+
+// BenchmarkConnections measures the memory that one end of a connection holds
+// after a call, without a stream: half of what both ends hold.
+func BenchmarkConnections(b *testing.B) {
+	const peers = 100
+	servers := map[string]*peer.Transport{}
+	for i := range peers {
+		name := fmt.Sprint("b", i)
+		servers[name], _ = benchTransport(b, name)
+	}
+	for b.Loop() {
+		client, _ := benchTransport(b, "a")
+		client.SetResolver(func(name string) (string, bool) { return servers[name].Addr(), true })
+		before := memoryInUse()
+		for name := range servers {
+			if err := peer.Call(context.Background(), client, name, "echo", note{Text: "x"}, &note{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		b.ReportMetric((memoryInUse()-before)/(2*peers), "B/end")
+		b.ReportMetric(0, "ns/op")
+	}
+}
