--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,7 +64,7 @@
 	// of a fleet must use the same number.
 	Shards int `toml:"shards" validate:"min=1,max=4096" allowed:"1 to 4096"`
 	// CommitInterval is the shortest time between two commits of a shard.
-	CommitInterval Duration `toml:"commit_interval" validate:"min=0s,max=5s" allowed:"0s to 5s"`
+	CommitInterval Duration `toml:"commit_interval" validate:"min=0s,max=500ms" allowed:"0s to 500ms"`
 	// QueueFor is the default time that a request may wait for a slot.
 	QueueFor Duration `toml:"queue_for" validate:"min=100ms,max=30m" allowed:"100ms to 30m"`
 }
