--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -300,8 +300,11 @@
 	unclear := 0
 	for {
 		err := send()
-		if err == nil || ctx.Err() != nil {
-			return err
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "caller gave up")
 		}
 		failure := verdict.From(err)
 		wait := max(failure.RetryAfter, leastRetryWait)
