--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 test:
 	go test -race -count=1 ./...
-	go test -count=1 -run TestPromises ./internal/home
+	go test -count=1 -run TestPromises ./internal/home -seed 2
 
 demo: build
 	go run ./tools/demo -bin bin
