Let two tests set their faults before the fleet starts

The model network of the membership registered handlers without its lock, so that a confirmation on its way to a restarted daemon read the map while New wrote it. Change: the engine is down before the first daemon starts; the model takes its lock and refuses a connection to a daemon whose handlers are not there yet, as a closed port does. Conclusion: both were faults of the scaffolding; the checks are as strict as before.

--- a/internal/dispatch/sweep_test.go
+++ b/internal/dispatch/sweep_test.go
@@ -32,12 +32,14 @@
 	h.state[program], h.fail[program] = state, err
 }
 
-// sweepFleet runs one engine that holds memory of the named programs.
-func sweepFleet(t *testing.T, programs []string, test func(f *fleet, h *homes)) {
+// sweepFleet runs one engine that holds memory of the named programs. The first
+// sweep comes at the start, so that an engine that is to be down is down before.
+func sweepFleet(t *testing.T, programs []string, down bool, test func(f *fleet, h *homes)) {
 	h := &homes{state: map[string]structs.ProgramState{}, fail: map[string]error{}}
 	config := dispatch.Config{SweepInterval: 10 * time.Second}
 	runFleet(t, config, nil, engines("e1"), func(t *testing.T, f *fleet) {
 		f.engines.set("e1", func(e *fakeEngine) {
+			e.down = down
 			for _, program := range programs {
 				e.kv[program] = 100
 			}
@@ -51,7 +53,7 @@
 
 func TestSweepReleasesWhatEndedAndKeepsTheRest(t *testing.T) {
 	all := []string{"live", "ended", "gone", "unreachable", "returns"}
-	sweepFleet(t, all, func(f *fleet, h *homes) {
+	sweepFleet(t, all, false, func(f *fleet, h *homes) {
 		unknown := verdict.Refuse(verdict.UnknownProgram, "unknown")
 		h.set("ended", structs.ProgramState{Ended: true}, nil)
 		h.set("gone", structs.ProgramState{}, unknown)
@@ -66,9 +68,8 @@
 }
 
 func TestSweepIsRepeatedUntilTheEngineConfirms(t *testing.T) {
-	sweepFleet(t, []string{"ended"}, func(f *fleet, h *homes) {
+	sweepFleet(t, []string{"ended"}, true, func(f *fleet, h *homes) {
 		h.set("ended", structs.ProgramState{Ended: true}, nil)
-		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
 		time.Sleep(25 * time.Second)
 		require.Empty(t, f.engines.get("e1").released)
 		f.engines.set("e1", func(e *fakeEngine) { e.down = false })
@@ -78,7 +79,7 @@
 }
 
 func TestSweepLeavesARequestUnderWayAlone(t *testing.T) {
-	sweepFleet(t, nil, func(f *fleet, h *homes) {
+	sweepFleet(t, nil, false, func(f *fleet, h *homes) {
 		h.set("p", structs.ProgramState{Ended: true}, nil)
 		f.engines.set("e1", func(e *fakeEngine) { e.gap = 10 * time.Second })
 		call := f.daemons["d1"].generateLater(context.Background(), modelCall("p"))
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -139,7 +139,11 @@
 	}
 }
 
-func (h *host) Handle(method string, handler peer.Handler) { h.handlers[method] = handler }
+func (h *host) Handle(method string, handler peer.Handler) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	h.handlers[method] = handler
+}
 
 func (h *host) Open(ctx context.Context, daemon, method string) (peer.Stream, error) {
 	if err := h.awake(ctx); err != nil {
@@ -154,14 +158,16 @@
 	}
 	h.net.mu.Lock()
 	up := to.up
+	handler := to.handlers[method]
 	h.net.mu.Unlock()
-	if !up {
+	// A daemon opens its port after its services have registered.
+	if !up || handler == nil {
 		return nil, lostBefore(syscall.ECONNREFUSED)
 	}
 	near, far := h.net.streams(ctx, h, to)
 	go func() {
 		defer far.Close()
-		if err := to.handlers[method](far.ctx, far); err != nil {
+		if err := handler(far.ctx, far); err != nil {
 			far.end = verdict.From(err)
 		}
 		close(far.out)
