Prove that old silences are forgiven after a stop

Cause: with the line that forgives silences after a stop switched off, all tests of the membership passed, so nothing proved it. Ruled out: taking the mechanism out. A daemon that wakes with a suspicion from before its stop took the suspect for dead at its first look; the model hides that, because the same round reaches the dead one and revives it. Measured: with the mechanism the test passes; with its line taken out it fails (status dead instead of suspect). Conclusion: the mechanism stays and is proved.

--- a/internal/member/gossip/machine_test.go
+++ b/internal/member/gossip/machine_test.go
@@ -181,6 +181,21 @@
 	require.True(t, m.agreed())
 }
 
+// TestWokenDaemonTakesNoSuspicionForDeath: a suspicion from before the daemon
+// was stopped is old; the suspect may have refuted it since.
+func TestWokenDaemonTakesNoSuspicionForDeath(t *testing.T) {
+	m := newModel(9)
+	m.run(5 * time.Second)
+	stopped := m.machines["d00"]
+	suspect := stopped.Targets()[0]
+	m.paused[suspect] = true
+	for stopped.members[suspect].Status != Suspect {
+		m.round()
+	}
+	stopped.Tick(m.now.Add(30 * time.Second))
+	require.Equal(t, Suspect, stopped.members[suspect].Status)
+}
+
 // TestFaultsPass plays random kills, restarts, pauses and one-way cuts.
 // Daemons that no fault touches never take each other for dead, and once the
 // faults end all agree again.
