Share the set-up of tests that stood in several packages

Cause: the random tests of the catalogue and the limits drew, sharded and ran their schedules with the same code, each fleet started and stopped its loops by hand, and the tests of the API and of the front each had a stub of a home and the latter a view of its own. Ruled out: joining the in-memory networks of the membership and of fake/peers. The first breaks streams at a kill and pauses daemons, the second does not, so that one of them would have to change its faults. Change: fake/testbed runs schedules, loops and a log that is not kept; fake/homes is the stub of a home; the front's tests take their view from fake/peers. No assertion, seed or number of schedules changes. The tests of the eight packages pass with the race detector.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -11,13 +11,13 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/tmaxmax/go-sse"
 
 	"ibisline/internal/api"
+	"ibisline/internal/fake/homes"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/home"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -26,37 +26,6 @@
 // waitLimit bounds the wait for a condition; no test depends on its length.
 const waitLimit = 20 * time.Second
 
-// stubService is a home.Service of which a test sets the methods that it needs.
-type stubService struct {
-	turn   func(context.Context, structs.TurnRequest, structs.Sink) error
-	resume func(context.Context, structs.ResumeRequest, structs.Sink) error
-	call   func(context.Context, structs.CallRequest) (structs.CallReply, error)
-}
-
-var _ home.Service = (*stubService)(nil)
-
-func (s *stubService) Open(_ context.Context, r structs.OpenRequest) (structs.OpenReply, error) {
-	return structs.OpenReply{Program: "r.1." + r.Entry}, nil
-}
-
-func (s *stubService) Turn(ctx context.Context, r structs.TurnRequest, sink structs.Sink) error {
-	return s.turn(ctx, r, sink)
-}
-
-func (s *stubService) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
-	return s.resume(ctx, r, sink)
-}
-
-func (s *stubService) Call(ctx context.Context, r structs.CallRequest) (structs.CallReply, error) {
-	return s.call(ctx, r)
-}
-
-func (s *stubService) State(_ context.Context, program string) (structs.ProgramState, error) {
-	return structs.ProgramState{Program: program}, nil
-}
-
-func (s *stubService) End(context.Context, string) error { return nil }
-
 // rig is a served API.
 type rig struct {
 	t   *testing.T
@@ -69,8 +38,7 @@
 	t.Helper()
 	server, err := api.NewServer(api.Conf("test"))
 	require.NoError(t, err)
-	logger := &log.Logger{Handler: discard.New()}
-	a := api.Register(server.Rest(), service, config, metrics.NewSet(), logger)
+	a := api.Register(server.Rest(), service, config, metrics.NewSet(), testbed.NoLog())
 	require.NoError(t, server.Listen("127.0.0.1:0"))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -148,7 +116,7 @@
 }
 
 func TestTurnIsStreamedAsEvents(t *testing.T) {
-	g := serve(t, &stubService{turn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{OnTurn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
 		require.Equal(t, "r.1.p", r.Program)
 		return speak(sink)
 	}}, api.Config{})
@@ -167,9 +135,9 @@
 
 func TestResumeNamesThePosition(t *testing.T) {
 	var asked structs.ResumeRequest
-	g := serve(t, &stubService{
-		turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error { return speak(sink) },
-		resume: func(_ context.Context, r structs.ResumeRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{
+		OnTurn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error { return speak(sink) },
+		OnResume: func(_ context.Context, r structs.ResumeRequest, sink structs.Sink) error {
 			asked = r
 			return sink(structs.Event{Seq: 3, Done: true})
 		},
@@ -190,7 +158,7 @@
 }
 
 func TestFailureBeforeAndAfterTheFirstEvent(t *testing.T) {
-	g := serve(t, &stubService{turn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{OnTurn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
 		if r.Model == "full" {
 			return verdict.Refuse(verdict.QueueFull, "full").After(2500 * time.Millisecond)
 		}
@@ -214,7 +182,7 @@
 
 // TestBadRequestsAreNamed: each is refused with the field or cause in its message.
 func TestBadRequestsAreNamed(t *testing.T) {
-	g := serve(t, &stubService{}, api.Config{MaxBodyBytes: 300})
+	g := serve(t, &homes.Stub{}, api.Config{MaxBodyBytes: 300})
 	open, turns, calls := "/v1/programs", "/v1/programs/p/turns", "/v1/programs/p/calls"
 	cases := []struct {
 		method, path, body string
@@ -253,7 +221,7 @@
 
 func TestDisconnectEndsTheDelivery(t *testing.T) {
 	gone := make(chan error, 1)
-	g := serve(t, &stubService{turn: func(ctx context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{OnTurn: func(ctx context.Context, _ structs.TurnRequest, sink structs.Sink) error {
 		if err := sink(structs.Event{Seq: 1, Text: "x"}); err != nil {
 			return err
 		}
@@ -280,7 +248,7 @@
 // TestSlowCallerIsDropped: a caller that reads nothing ends its own delivery only.
 func TestSlowCallerIsDropped(t *testing.T) {
 	dropped := make(chan error, 1)
-	g := serve(t, &stubService{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{OnTurn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
 		text := strings.Repeat("x", 1<<20)
 		for seq := 1; ; seq++ {
 			if err := sink(structs.Event{Seq: seq, Text: text}); err != nil {
@@ -304,7 +272,7 @@
 func TestDrainLetsStreamsEndWhole(t *testing.T) {
 	release := make(chan struct{})
 	started := make(chan struct{})
-	g := serve(t, &stubService{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+	g := serve(t, &homes.Stub{OnTurn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
 		if err := sink(structs.Event{Seq: 1, Text: "a"}); err != nil {
 			return err
 		}
--- a/internal/catalogue/bench_test.go
+++ b/internal/catalogue/bench_test.go
@@ -10,13 +10,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
@@ -46,7 +45,7 @@
 // benchCatalogue returns a catalogue of one daemon over a store.
 func benchCatalogue(store platform.Store) *Catalogue {
 	node := peers.New(nil).Join(structs.Instance{Name: "d0", Region: "nav-a", DataCentre: "1"})
-	return New(Config{}, store, node, node, node, metrics.NewSet(), &log.Logger{Handler: discard.New()})
+	return New(Config{}, store, node, node, node, metrics.NewSet(), testbed.NoLog())
 }
 
 // heapInUse returns the bytes of live heap objects.
@@ -68,7 +67,7 @@
 			server := httptest.NewServer(objects.Handler(store))
 			defer server.Close()
 			config := platform.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
-			client := platform.NewClient(config, metrics.NewSet(), &log.Logger{Handler: discard.New()})
+			client := platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
 			before := heapInUse()
 			var c *Catalogue
 			for b.Loop() {
--- a/internal/catalogue/fleet_test.go
+++ b/internal/catalogue/fleet_test.go
@@ -10,13 +10,12 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/catalogue"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
@@ -139,8 +138,7 @@
 	name string
 	node *peers.Node
 	gate *gate
-	stop context.CancelFunc
-	done chan struct{}
+	loop *testbed.Loop
 }
 
 // fleet is a set of catalogues over one store and one network.
@@ -168,7 +166,7 @@
 		f.daemons = append(f.daemons, f.newDaemon(i))
 	}
 	for _, d := range f.daemons {
-		f.start(d)
+		d.loop = testbed.Start(d.Run)
 	}
 	return f
 }
@@ -189,29 +187,17 @@
 	region := regions[i%len(regions)]
 	instance := structs.Instance{Name: name, Region: region, DataCentre: region + "-1", State: structs.StateLive}
 	d := &daemon{name: name, node: f.network.Join(instance), gate: &gate{Store: f.store}}
-	logger := &log.Logger{Handler: discard.New()}
-	d.Catalogue = catalogue.New(catalogue.Config{}, d.gate, d.node, d.node, d.node, metrics.NewSet(), logger)
+	d.Catalogue = catalogue.New(catalogue.Config{}, d.gate, d.node, d.node, d.node, metrics.NewSet(), testbed.NoLog())
 	return d
 }
 
-// start runs a daemon.
-func (f *fleet) start(d *daemon) {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.stop = cancel
-	d.done = make(chan struct{})
-	go func() {
-		defer close(d.done)
-		_ = d.Run(ctx)
-	}()
-}
-
 // restart replaces daemon i by a new process of the same name.
 func (f *fleet) restart(i int) *daemon {
 	cut := f.daemons[i].gate.isCut()
 	f.halt(f.daemons[i])
 	f.daemons[i] = f.newDaemon(i)
 	f.daemons[i].gate.cut = cut
-	f.start(f.daemons[i])
+	f.daemons[i].loop = testbed.Start(f.daemons[i].Run)
 	return f.daemons[i]
 }
 
@@ -219,8 +205,7 @@
 func (f *fleet) halt(d *daemon) {
 	d.node.SetDown(true)
 	d.gate.resume()
-	d.stop()
-	<-d.done
+	d.loop.Stop()
 }
 
 // stop stops the whole fleet.
--- a/internal/catalogue/random_test.go
+++ b/internal/catalogue/random_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -16,29 +14,19 @@
 
 	"ibisline/internal/catalogue"
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/platform"
 )
 
-// Defaults of rapid's flags: CI runs the same schedules each time, ciSchedules in
-// each shard. More and fresh ones:
+// CI runs the same ciSchedules in each shard. More and fresh ones:
 // go test ./internal/catalogue -rapid.checks=1000 -rapid.seed=7
 const (
-	ciSchedules = "50"
-	ciSeed      = "1"
+	ciSchedules = 50
 	shards      = 6
+	maxSteps    = 12
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": ciSchedules, "rapid.seed": ciSeed} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testbed.Main(m, ciSchedules) }
 
 // kind is what a step of a schedule does.
 type kind string
@@ -395,29 +383,12 @@
 }
 
 func TestRandomSchedulesKeepThePromise(t *testing.T) {
-	for shard := range shards {
-		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
-			t.Parallel()
-			rapid.Check(t, func(rt *rapid.T) { checkSchedule(t, rt, shard) })
-		})
-	}
+	schedules := testbed.Schedules[step]{Shards: shards, Steps: stepGen, MaxSteps: maxSteps, Run: runSchedule}
+	schedules.Check(t)
 }
 
-// checkSchedule draws one schedule and runs it. Shards share rapid's seed; each
-// skips another number of draws, so that their schedules differ.
-func checkSchedule(t *testing.T, rt *rapid.T, shard int) {
-	for range shard {
-		rapid.Uint64().Draw(rt, "skipped")
-	}
-	steps := rapid.SliceOfN(stepGen, 1, 12).Draw(rt, "steps")
-	seed := rapid.Int64().Draw(rt, "latencies")
-	var failure string
-	synctest.Test(t, func(t *testing.T) {
-		tr := newTrial(t, seed)
-		defer tr.stop()
-		failure = tr.run(steps)
-	})
-	if failure != "" {
-		rt.Fatal(failure)
-	}
+func runSchedule(t *testing.T, steps []step, seed int64) string {
+	tr := newTrial(t, seed)
+	defer tr.stop()
+	return tr.run(steps)
 }
--- a/internal/fleetcheck/fleetcheck_test.go
+++ b/internal/fleetcheck/fleetcheck_test.go
@@ -6,19 +6,17 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/fleetcheck"
 )
 
 // start runs a check in the background; its outcome arrives on the channel.
 func start(ctx context.Context, store *objects.Store, shards int) <-chan error {
-	logger := &log.Logger{Handler: discard.New()}
 	done := make(chan error, 1)
-	check := fleetcheck.New(store, fleetcheck.Values{Shards: shards}, logger)
+	check := fleetcheck.New(store, fleetcheck.Values{Shards: shards}, testbed.NoLog())
 	go func() { done <- check.Run(ctx) }()
 	return done
 }
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -3,16 +3,16 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"ibisline/internal/fake/homes"
+	"ibisline/internal/fake/peers"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/front"
 	"ibisline/internal/home"
 	"ibisline/internal/member"
@@ -26,87 +26,17 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreCurrent())
 }
 
-// stubView is a member.View whose live daemons a test sets.
-type stubView struct {
-	mu      sync.Mutex
-	self    structs.Instance
-	live    []structs.Instance
-	changed chan struct{}
-}
-
-var _ member.View = (*stubView)(nil)
-
-func newStubView(self string, live ...string) *stubView {
-	v := &stubView{self: instance(self), changed: make(chan struct{})}
-	v.set(live...)
-	return v
-}
-
-func instance(name string) structs.Instance {
-	return structs.Instance{Name: name, Region: "r", State: structs.StateLive}
-}
-
-func (v *stubView) set(live ...string) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.live = nil
+// viewOf returns the view of a daemon that takes the given ones to be live.
+func viewOf(self string, live ...string) member.View {
+	network := peers.New(nil)
 	for _, name := range live {
-		v.live = append(v.live, instance(name))
+		network.Join(structs.Instance{Name: name, Region: "r", State: structs.StateLive})
 	}
-	close(v.changed)
-	v.changed = make(chan struct{})
-}
-
-func (v *stubView) Self() structs.Instance { return v.self }
-
-func (v *stubView) Live() []structs.Instance {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.live
-}
-
-func (v *stubView) Lookup(name string) (structs.Instance, bool) { return instance(name), true }
-func (v *stubView) Servers() []structs.Server                   { return nil }
-
-func (v *stubView) Changed() <-chan struct{} {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.changed
-}
-
-// stubHome is a home.Service of which a test sets the methods that it needs.
-type stubHome struct {
-	turn   func(context.Context, structs.TurnRequest, structs.Sink) error
-	resume func(context.Context, structs.ResumeRequest, structs.Sink) error
-	call   func(context.Context, structs.CallRequest) (structs.CallReply, error)
-}
-
-var _ home.Service = (*stubHome)(nil)
-
-func (h *stubHome) Open(_ context.Context, r structs.OpenRequest) (structs.OpenReply, error) {
-	return structs.OpenReply{Program: r.Program}, nil
-}
-
-func (h *stubHome) Turn(ctx context.Context, r structs.TurnRequest, sink structs.Sink) error {
-	return h.turn(ctx, r, sink)
-}
-
-func (h *stubHome) Resume(ctx context.Context, r structs.ResumeRequest, sink structs.Sink) error {
-	return h.resume(ctx, r, sink)
-}
-
-func (h *stubHome) Call(ctx context.Context, r structs.CallRequest) (structs.CallReply, error) {
-	return h.call(ctx, r)
+	node := network.Join(structs.Instance{Name: self, Region: "r", State: structs.StateLive})
+	node.SetLive(live...)
+	return node
 }
 
-func (h *stubHome) State(_ context.Context, program string) (structs.ProgramState, error) {
-	return structs.ProgramState{Program: program}, nil
-}
-
-func (h *stubHome) End(context.Context, string) error { return nil }
-
-func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
-
 // shortRetry keeps the tests of exhausted retries short.
 var shortRetry = front.Config{Shards: 4, RetryLimit: 200 * time.Millisecond, RetryMin: time.Millisecond, RetryMax: 5 * time.Millisecond}
 
@@ -115,7 +45,7 @@
 
 // newLocal returns a front whose only daemon is itself.
 func newLocal(config front.Config, local home.Service) *front.Front {
-	return front.New(config, newStubView("a", "a"), nil, local, metrics.NewSet(), quiet())
+	return front.New(config, viewOf("a", "a"), nil, local, metrics.NewSet(), testbed.NoLog())
 }
 
 const program = "r.1.p"
@@ -150,28 +80,19 @@
 // startPeer runs a transport that serves the given home until the test ends.
 func startPeer(t *testing.T, name string, local home.Service) *peer.Transport {
 	t.Helper()
-	tr := peer.NewTransport(peer.Config{Listen: "127.0.0.1:0"}, name, nil, metrics.NewSet(), quiet())
+	tr := peer.NewTransport(peer.Config{Listen: "127.0.0.1:0"}, name, nil, metrics.NewSet(), testbed.NoLog())
 	front.Serve(tr, local)
 	require.NoError(t, tr.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_ = tr.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-ended
-	})
+	t.Cleanup(testbed.Start(tr.Run).Stop)
 	return tr
 }
 
 func TestRequestsReachTheHomeOfAnotherDaemon(t *testing.T) {
-	remote := &stubHome{
-		turn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
+	remote := &homes.Stub{
+		OnTurn: func(_ context.Context, r structs.TurnRequest, sink structs.Sink) error {
 			return emit(sink, "turn ", fmt.Sprint(r.Turn), " of ", r.Program)
 		},
-		call: func(_ context.Context, r structs.CallRequest) (structs.CallReply, error) {
+		OnCall: func(_ context.Context, r structs.CallRequest) (structs.CallReply, error) {
 			if r.Service == "down" {
 				return structs.CallReply{}, verdict.Refuse(verdict.NoServer, "no server for %s", r.Service)
 			}
@@ -179,9 +100,9 @@
 		},
 	}
 	b := startPeer(t, "b", remote)
-	a := startPeer(t, "a", &stubHome{})
+	a := startPeer(t, "a", &homes.Stub{})
 	a.SetResolver(func(string) (string, bool) { return b.Addr(), true })
-	f := front.New(shortRetry, newStubView("a", "b"), a, &stubHome{}, metrics.NewSet(), quiet())
+	f := front.New(shortRetry, viewOf("a", "b"), a, &homes.Stub{}, metrics.NewSet(), testbed.NoLog())
 
 	opened, err := f.Open(t.Context(), structs.OpenRequest{Entry: "e"})
 	require.NoError(t, err)
@@ -210,7 +131,7 @@
 
 func TestAnswerGoesOnAfterTheHomeIsLost(t *testing.T) {
 	attempt := 0
-	f := newLocal(patient, &stubHome{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+	f := newLocal(patient, &homes.Stub{OnTurn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
 		attempt++
 		switch attempt {
 		case 1:
@@ -241,7 +162,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			attempt := 0
-			f := newLocal(patient, &stubHome{turn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
+			f := newLocal(patient, &homes.Stub{OnTurn: func(_ context.Context, _ structs.TurnRequest, sink structs.Sink) error {
 				attempt++
 				if attempt == 1 {
 					_ = sink(structs.Event{Seq: 1, Text: "one "})
@@ -262,7 +183,7 @@
 
 func TestResumeChecksTheTextBeforeThePosition(t *testing.T) {
 	text := []string{"one ", "two ", "three"}
-	f := newLocal(shortRetry, &stubHome{resume: func(_ context.Context, r structs.ResumeRequest, sink structs.Sink) error {
+	f := newLocal(shortRetry, &homes.Stub{OnResume: func(_ context.Context, r structs.ResumeRequest, sink structs.Sink) error {
 		require.Zero(t, r.After)
 		return emit(sink, text...)
 	}})
@@ -280,7 +201,7 @@
 
 func TestRepeatsKeepTurnAndKey(t *testing.T) {
 	var keys []string
-	f := newLocal(patient, &stubHome{call: func(_ context.Context, r structs.CallRequest) (structs.CallReply, error) {
+	f := newLocal(patient, &homes.Stub{OnCall: func(_ context.Context, r structs.CallRequest) (structs.CallReply, error) {
 		keys = append(keys, r.Key)
 		if len(keys) < 3 {
 			return structs.CallReply{}, verdict.Refuse(verdict.NotHome, "moved")
@@ -320,7 +241,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			attempt := 0
-			f := newLocal(shortRetry, &stubHome{call: func(context.Context, structs.CallRequest) (structs.CallReply, error) {
+			f := newLocal(shortRetry, &homes.Stub{OnCall: func(context.Context, structs.CallRequest) (structs.CallReply, error) {
 				err := c.failures[min(attempt, len(c.failures)-1)]
 				attempt++
 				return structs.CallReply{}, err
@@ -333,7 +254,7 @@
 }
 
 func TestSubAgentLiesInItsParentsShard(t *testing.T) {
-	f := newLocal(shortRetry, &stubHome{})
+	f := newLocal(shortRetry, &homes.Stub{})
 	first, err := f.Open(t.Context(), structs.OpenRequest{Entry: "e", Parent: "r.3.p", Key: "k"})
 	require.NoError(t, err)
 	shard, ok := structs.ShardOf(first.Program)
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -8,10 +8,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 
 	"ibisline/internal/fake/peers"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/limits"
 	"ibisline/internal/structs"
 )
@@ -38,11 +37,10 @@
 	var done sync.WaitGroup
 	network := peers.New(nil)
 	set := metrics.NewSet()
-	logger := &log.Logger{Handler: discard.New()}
 	var home *limits.Limits
 	for _, name := range []string{"d0", "d1"} {
 		node := network.Join(structs.Instance{Name: name, Region: "nav-a", DataCentre: "1"})
-		started := limits.New(limits.Config{}, anyEntry{}, node, node, node, set, logger)
+		started := limits.New(limits.Config{}, anyEntry{}, node, node, node, set, testbed.NoLog())
 		done.Go(func() { _ = started.Run(ctx) })
 		home = started
 	}
--- a/internal/limits/fleet_test.go
+++ b/internal/limits/fleet_test.go
@@ -11,11 +11,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/peers"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/limits"
 	"ibisline/internal/structs"
 )
@@ -60,8 +59,7 @@
 	name    string
 	node    *peers.Node
 	entries *reader
-	stop    context.CancelFunc
-	done    chan struct{}
+	loop    *testbed.Loop
 	// running are the requests under way here.
 	running map[*request]bool
 }
@@ -116,7 +114,7 @@
 		f.daemons = append(f.daemons, f.join(i))
 	}
 	for _, d := range f.daemons {
-		f.start(d)
+		d.loop = testbed.Start(d.Run)
 	}
 	return f
 }
@@ -133,27 +131,14 @@
 	name := fmt.Sprintf("d%d", i)
 	d := &daemon{name: name, entries: &reader{entry: f.entry}, running: map[*request]bool{}}
 	d.node = f.network.Join(structs.Instance{Name: name, Region: "nav-a", DataCentre: "1", State: structs.StateLive})
-	logger := &log.Logger{Handler: discard.New()}
-	d.Limits = limits.New(limits.Config{}, d.entries, d.node, d.node, d.node, metrics.NewSet(), logger)
+	d.Limits = limits.New(limits.Config{}, d.entries, d.node, d.node, d.node, metrics.NewSet(), testbed.NoLog())
 	return d
 }
 
-// start runs a daemon.
-func (f *fleet) start(d *daemon) {
-	ctx, cancel := context.WithCancel(context.Background())
-	d.stop = cancel
-	d.done = make(chan struct{})
-	go func() {
-		defer close(d.done)
-		_ = d.Run(ctx)
-	}()
-}
-
 // kill ends a daemon and the requests that it has under way.
 func (f *fleet) kill(d *daemon) {
 	d.node.SetDown(true)
-	d.stop()
-	<-d.done
+	d.loop.Stop()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.running -= len(d.running)
@@ -164,7 +149,7 @@
 func (f *fleet) restart(i int) {
 	f.kill(f.daemons[i])
 	d := f.join(i)
-	f.start(d)
+	d.loop = testbed.Start(d.Run)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.daemons[i] = d
@@ -231,7 +216,7 @@
 	f.began(d, r)
 	select {
 	case <-time.After(hold):
-	case <-d.done:
+	case <-d.loop.Done():
 	}
 	f.end(d, r)
 	return nil
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -10,6 +10,7 @@
 
 	"ibisline/internal/limits"
 	"ibisline/internal/member"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -186,7 +187,7 @@
 func (f *fleet) keepBusy(d *daemon) {
 	for {
 		select {
-		case <-d.done:
+		case <-d.loop.Done():
 			return
 		default:
 			_ = f.request(d, 200*time.Millisecond, 20*time.Millisecond)
@@ -224,7 +225,7 @@
 		owner, _ := member.Owner(d.node, "", "a")
 		if owner.Name == d.name {
 			d.node.SetLive("d0", "d1", "d2", d.name)
-			f.start(d)
+			d.loop = testbed.Start(d.Run)
 			f.daemons = append(f.daemons, d)
 			return d
 		}
--- a/internal/limits/random_test.go
+++ b/internal/limits/random_test.go
@@ -1,9 +1,7 @@
 package limits_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -12,28 +10,19 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/structs"
 )
 
-// Defaults of rapid's flags: CI runs the same schedules each time. More and
-// fresh ones: go test ./internal/limits -rapid.checks=5000 -rapid.seed=7
+// CI runs the same ciSchedules in each shard. More and fresh ones:
+// go test ./internal/limits -rapid.checks=5000 -rapid.seed=7
 const (
-	ciSchedules = "250"
-	ciSeed      = "1"
+	ciSchedules = 250
 	shards      = 4
+	maxSteps    = 15
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.checks": ciSchedules, "rapid.seed": ciSeed} {
-		if !given[name] {
-			_ = flag.Set(name, value)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { testbed.Main(m, ciSchedules) }
 
 // kind is what a step of a schedule does.
 type kind string
@@ -223,31 +212,14 @@
 }
 
 func TestRandomSchedulesKeepTheLimit(t *testing.T) {
-	for shard := range shards {
-		t.Run(fmt.Sprint("shard ", shard), func(t *testing.T) {
-			t.Parallel()
-			rapid.Check(t, func(rt *rapid.T) { checkSchedule(t, rt, shard) })
-		})
-	}
+	schedules := testbed.Schedules[step]{Shards: shards, Steps: stepGen, MaxSteps: maxSteps, Run: runSchedule}
+	schedules.Check(t)
 }
 
-// checkSchedule draws one schedule and runs it. Shards share rapid's seed; each
-// skips another number of draws, so that their schedules differ.
-func checkSchedule(t *testing.T, rt *rapid.T, shard int) {
-	for range shard {
-		rapid.Uint64().Draw(rt, "skipped")
-	}
-	steps := rapid.SliceOfN(stepGen, 1, 15).Draw(rt, "steps")
-	seed := rapid.Int64().Draw(rt, "latencies")
-	var failure string
-	synctest.Test(t, func(t *testing.T) {
-		tr := newTrial(t, seed)
-		defer tr.stopAll()
-		failure = tr.run(steps)
-	})
-	if failure != "" {
-		rt.Fatal(failure)
-	}
+func runSchedule(t *testing.T, steps []step, seed int64) string {
+	tr := newTrial(t, seed)
+	defer tr.stopAll()
+	return tr.run(steps)
 }
 
 // foundSchedules broke the limit before a mechanism was mended.
@@ -286,11 +258,7 @@
 	for name, steps := range foundSchedules {
 		t.Run(name, func(t *testing.T) {
 			for seed := range int64(50) {
-				synctest.Test(t, func(t *testing.T) {
-					tr := newTrial(t, seed)
-					defer tr.stopAll()
-					require.Empty(t, tr.run(steps))
-				})
+				synctest.Test(t, func(t *testing.T) { require.Empty(t, runSchedule(t, steps, seed)) })
 			}
 		})
 	}
--- a/internal/member/fleet_bench_test.go
+++ b/internal/member/fleet_bench_test.go
@@ -10,10 +10,9 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/member"
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
@@ -31,7 +30,7 @@
 }
 
 func startBenchNode(b *testing.B, ctx context.Context, done *sync.WaitGroup, store *objects.Store, name string) *benchNode {
-	logger := &log.Logger{Handler: discard.New()}
+	logger := testbed.NoLog()
 	set := metrics.NewSet()
 	transport := peer.NewTransport(peer.Config{Listen: "127.0.0.1:0"}, name, nil, set, logger)
 	if err := transport.Listen(); err != nil {
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -10,11 +10,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/member"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
@@ -35,8 +34,7 @@
 // node is one daemon.
 type node struct {
 	*member.Members
-	stop context.CancelFunc
-	done chan struct{}
+	loop *testbed.Loop
 }
 
 // inFleet runs test under virtual time with size daemons that have met.
@@ -55,32 +53,23 @@
 func (f *fleet) start(name string) {
 	host := f.net.host(name)
 	self := structs.Instance{Name: name, Region: "r", DataCentre: "r-a", PeerAddr: name, HTTPAddr: name}
-	logger := &log.Logger{Handler: discard.New()}
-	m := member.New(member.Config{}, self, f.store, host, host, metrics.NewSet(), logger)
-	ctx, stop := context.WithCancel(context.Background())
-	n := &node{Members: m, stop: stop, done: make(chan struct{})}
-	f.nodes[name] = n
-	go func() {
-		defer close(n.done)
-		_ = m.Run(ctx)
-	}()
+	m := member.New(member.Config{}, self, f.store, host, host, metrics.NewSet(), testbed.NoLog())
+	f.nodes[name] = &node{Members: m, loop: testbed.Start(m.Run)}
 }
 
 // kill ends a daemon as kill -9 does.
 func (f *fleet) kill(name string) {
 	f.net.kill(name)
-	f.nodes[name].stop()
-	<-f.nodes[name].done
+	f.nodes[name].loop.Stop()
 	delete(f.nodes, name)
 }
 
 func (f *fleet) stopAll() {
 	for name := range f.nodes {
 		f.net.kill(name)
-		f.nodes[name].stop()
 	}
 	for _, n := range f.nodes {
-		<-n.done
+		n.loop.Stop()
 	}
 	synctest.Wait()
 }
--- a/internal/peer/bench_test.go
+++ b/internal/peer/bench_test.go
@@ -11,13 +11,14 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/peer"
 )
 
 // benchTransport runs a transport until the benchmark ends.
 func benchTransport(b *testing.B, name string) (*peer.Transport, *metrics.Set) {
 	set := metrics.NewSet()
-	tr := peer.NewTransport(peer.Config{Listen: "127.0.0.1:0"}, name, nil, set, quiet())
+	tr := peer.NewTransport(peer.Config{Listen: "127.0.0.1:0"}, name, nil, set, testbed.NoLog())
 	serveEcho(tr)
 	if err := tr.Listen(); err != nil {
 		b.Fatal(err)
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -10,11 +10,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/peer"
 	"ibisline/internal/verdict"
 )
@@ -38,27 +37,16 @@
 	addr string // of b, as a sees it
 }
 
-func quiet() log.Interface { return &log.Logger{Handler: discard.New()} }
-
 // start runs a transport until the test ends.
 func start(t *testing.T, config peer.Config, name string, register func(peer.Mux)) *peer.Transport {
 	t.Helper()
 	config.Listen = "127.0.0.1:0"
-	tr := peer.NewTransport(config, name, nil, metrics.NewSet(), quiet())
+	tr := peer.NewTransport(config, name, nil, metrics.NewSet(), testbed.NoLog())
 	if register != nil {
 		register(tr)
 	}
 	require.NoError(t, tr.Listen())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = tr.Run(ctx)
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	t.Cleanup(testbed.Start(tr.Run).Stop)
 	return tr
 }
 
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -12,11 +12,10 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/discard"
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/platform"
 )
 
@@ -27,8 +26,7 @@
 		addrs = append(addrs, strings.TrimPrefix(u, "http://"))
 	}
 	config := platform.Config{Addrs: addrs, Timeout: 100 * time.Millisecond}
-	logger := &log.Logger{Handler: discard.New()}
-	return platform.NewClient(config, metrics.NewSet(), logger)
+	return platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
 }
 
 // serve starts a server for the test.
@@ -179,7 +177,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	config := platform.Config{Addrs: []string{strings.TrimPrefix(down.URL, "http://")}, RetryRate: 1e-9}
-	client := platform.NewClient(config, metrics.NewSet(), &log.Logger{Handler: discard.New()})
+	client := platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
 	for range reads {
 		_, err := client.Get(context.Background(), "k")
 		require.ErrorIs(t, err, platform.ErrUnavailable)
@@ -219,7 +217,7 @@
 	store := objects.New()
 	server := serve(t, objects.Handler(store))
 	config := platform.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
-	client := platform.NewClient(config, set, &log.Logger{Handler: discard.New()})
+	client := platform.NewClient(config, set, testbed.NoLog())
 	_, err := client.Put(context.Background(), "k", nil, 7)
 	require.ErrorIs(t, err, platform.ErrConflict)
 	counter := set.GetOrCreateCounter(`ibisline_platform_calls_total{kind="put",outcome="conflict"}`)
