Split files that did more than one job

Cause: the borrower of the limits, the fair queue, the platform's client, the order of non-repeatable calls, the membership's probes, the catalogue's spread and the world of the home's tests each held several concerns in 300 to 590 lines; a reader had to search for the part that decides. Change: declarations move to files named after their job (waiting, reporting, rank, owner, exchange, outcome, confirm, serve, backends, live, collect). The constants of the fair queue say what they mean.

--- a/internal/home/sim_test.go
+++ b/internal/home/sim_test.go
@@ -100,7 +100,8 @@
 	return tightTokens + int(uint64(p.seed)%8)*200
 }
 
-func runSchedule(plan schedule, total *tally) string {
+// newSim returns the world of a schedule, without homes.
+func newSim(plan schedule, total *tally) *sim {
 	w := newWorld()
 	w.cfg.CommitInterval = 10 * time.Millisecond
 	w.cfg.Tick = time.Second
@@ -129,6 +130,12 @@
 	w.backends.pickEngine = true
 	w.backends.onGenerate = s.faultGenerate
 	w.violate = s.violate
+	return s
+}
+
+// runSchedule runs a schedule and returns the first broken promise, or "".
+func runSchedule(plan schedule, total *tally) string {
+	s := newSim(plan, total)
 	for _, name := range homeNames[:2] {
 		s.launch(name)
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/limits"
 	"ibisline/internal/member"
-	"ibisline/internal/fake/testbed"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
--- a/internal/policy/fairshare/fairshare.go
+++ b/internal/policy/fairshare/fairshare.go
@@ -13,86 +13,18 @@
 // goes to the request that arrived first.
 package fairshare
 
-import (
-	"container/heap"
-	"time"
-)
+import "container/heap"
 
-// Classes of work. An unknown class counts as Standard.
 const (
-	// Interactive work has a person waiting for it, such as at a till.
-	Interactive = "interactive"
-	Standard    = "standard"
-	// Batch work has no one waiting for the single answer.
-	Batch = "batch"
-)
-
-const (
-	standardDelay = 60 * time.Second
-	batchDelay    = 90 * time.Second
-	// freeService is the attained service, in tokens, up to which a program
-	// counts as short. What it has beyond is converted to delay by serviceRate,
-	// in tokens a second.
-	freeService     = 16_000.0
-	serviceRate     = 8000.0
-	maxServiceDelay = 30 * time.Second
-	// maxAgeCredit bounds the time for which a short program is moved forward
-	// because it began earlier, so that those begun are finished first.
-	maxAgeCredit = 30 * time.Second
 	// oldestEvery is the number of an owner's grants of which one goes to the
 	// request that arrived first, whatever its rank.
-	oldestEvery  = 8
-	minCost      = 1.0
+	oldestEvery = 8
+	// minCost is the least cost of a request, in tokens.
+	minCost = 1.0
+	// defaultShare is the share of an owner that has none set.
 	defaultShare = 1.0
 )
 
-// MaxDelay bounds how much later than by arrival a request may be ranked.
-const MaxDelay = batchDelay + maxServiceDelay + maxAgeCredit
-
-// Item is one waiting request. Its fields are set before Push.
-type Item struct {
-	Owner string
-	Class string
-	// Cost is the estimated cost: uncached prompt tokens and generated tokens.
-	Cost float64
-	// Attained is the service that the whole program has had: the tokens of its
-	// prompts, cached or not, and of its answers.
-	Attained float64
-	// Age is the time since the whole program began.
-	Age     time.Duration
-	Arrived time.Time
-
-	rank  time.Time
-	seq   uint64
-	index int
-	queue *ownerQueue
-}
-
-// Queue is an order of waiting requests. It is not safe for concurrent use.
-type Queue interface {
-	// SetShares replaces the owners' shares; it holds from the next grant on.
-	// Owners that are missing have a share of 1.
-	SetShares(shares map[string]float64)
-	Push(item *Item)
-	// Peek returns the request that Pop would remove.
-	Peek() (*Item, bool)
-	// Pop removes the request to be granted next and charges its cost.
-	Pop() (*Item, bool)
-	// Remove takes a waiting request out; false if it does not wait.
-	Remove(item *Item) bool
-	// Settle corrects the charge of a granted request to its actual cost.
-	Settle(item *Item, actual float64)
-	// Ahead estimates the cost that is granted before a request, if it were
-	// pushed now.
-	Ahead(item *Item) float64
-	// Displace returns a waiting request that has to make room for the given one
-	// when the queue is full; false if the given one has to yield.
-	Displace(item *Item) (*Item, bool)
-	Len() int
-	// Cost is the sum of the estimated costs of the waiting requests.
-	Cost() float64
-}
-
 // Fair is the fair queue.
 type Fair struct {
 	shares  map[string]float64
@@ -103,16 +35,6 @@
 	cost    float64
 }
 
-// ownerQueue holds the waiting requests of one owner.
-type ownerQueue struct {
-	name   string
-	start  float64
-	items  itemHeap
-	grants int
-	// cost is the sum of the estimated costs of items.
-	cost float64
-}
-
 var _ Queue = (*Fair)(nil)
 
 // NewFair returns an empty fair queue.
@@ -201,28 +123,6 @@
 	return best
 }
 
-// first returns the request to be granted next: the one ranked first, and every
-// so often the one that arrived first.
-func (o *ownerQueue) first() *Item {
-	if o.grants%oldestEvery != oldestEvery-1 {
-		return o.items[0]
-	}
-	oldest := o.items[0]
-	for _, item := range o.items {
-		if item.Arrived.Before(oldest.Arrived) {
-			oldest = item
-		}
-	}
-	return oldest
-}
-
-func (o *ownerQueue) before(other *ownerQueue) bool {
-	if o.start != other.start {
-		return o.start < other.start
-	}
-	return o.name < other.name
-}
-
 // left updates the sums after an item has left its owner's heap.
 func (f *Fair) left(item *Item) {
 	item.queue.cost -= item.Cost
@@ -301,63 +201,8 @@
 	return last, last.rank.After(Rank(item))
 }
 
-// costBefore is the part of cost that is ranked before a time.
-func (o *ownerQueue) costBefore(rank time.Time) float64 {
-	total := 0.0
-	for _, item := range o.items {
-		if !item.rank.After(rank) {
-			total += item.Cost
-		}
-	}
-	return total
-}
-
-// last returns the request that is ranked last.
-func (o *ownerQueue) last() *Item {
-	last := o.items[0]
-	for _, item := range o.items {
-		if item.rank.After(last.rank) {
-			last = item
-		}
-	}
-	return last
-}
-
 // Len implements Queue.
 func (f *Fair) Len() int { return f.length }
 
 // Cost implements Queue.
 func (f *Fair) Cost() float64 { return f.cost }
-
-// Rank is the time by which an owner's requests are ordered: the arrival, put
-// back by class and by the service attained, and forward by a short program's
-// age.
-func Rank(item *Item) time.Time {
-	return item.Arrived.Add(classDelay(item.Class) + serviceDelay(item.Attained) - ageCredit(item))
-}
-
-func ageCredit(item *Item) time.Duration {
-	if item.Attained > freeService {
-		return 0
-	}
-	return min(max(item.Age, 0), maxAgeCredit)
-}
-
-func classDelay(class string) time.Duration {
-	switch class {
-	case Interactive:
-		return 0
-	case Batch:
-		return batchDelay
-	default:
-		return standardDelay
-	}
-}
-
-func serviceDelay(attained float64) time.Duration {
-	seconds := max(attained-freeService, 0) / serviceRate
-	if seconds >= maxServiceDelay.Seconds() {
-		return maxServiceDelay
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
