Let an idle home find out that its shard was taken over

Ruled out: confirming at changes of the membership only. A claim that lands late, after the change, would go unnoticed. Change: the upkeep asks the platform every 3 s whether a held shard is still held. The mutation of turns started while one is under way, which a full run of make mutations had not found, has a focused test now: the next turn starts only after the one before it is stored. Without the look the focused test fails (memory held), and without the check of the turn under way the other one fails. Conclusion: a takeover is noticed within 3 s also by a home that nobody asks.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 test:
 	go test -race -count=1 ./...
 	go test -count=1 -run TestPromises ./internal/home -seed 2
+	go test -count=1 -run TestPromises ./internal/home -schedules 1 -seed 49020779
 
 demo: build
 	go run ./tools/demo -bin bin
--- a/internal/home/confirm.go
+++ b/internal/home/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -39,6 +40,32 @@
 	}
 }
 
+// checkInterval is the time between two looks of an idle home whether a shard is
+// still held here.
+const checkInterval = 3 * time.Second
+
+// check finds out about a takeover that no request and no commit would show: the
+// home that took the shard over may have died since, and then nobody else ends
+// the programs and releases their engine memory.
+func (h *Home) check(sh *shard, now time.Time) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.checking || now.Sub(sh.checked) < checkInterval {
+		return
+	}
+	sh.checking = true
+	h.work.Go(func() {
+		err := sh.journal.Confirm(sh.ctx)
+		if errors.Is(err, journal.ErrLost) {
+			sh.cancel()
+		}
+		sh.mu.Lock()
+		defer sh.mu.Unlock()
+		sh.checking = false
+		sh.checked = now
+	})
+}
+
 // lostWith gives the failure of work that ended with its shard the reason
 // NotHome, so that the front goes on at the new home, and keeps its verdict.
 func (sh *shard) lostWith(err error) error {
--- a/internal/home/confirm_test.go
+++ b/internal/home/confirm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -44,6 +45,24 @@
 	})
 }
 
+// TestFormerHolderReleasesWhatEndedAtADeadHome: no request tells it that the
+// shard was taken over while the others held it for dead.
+func TestFormerHolderReleasesWhatEndedAtADeadHome(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		stale, holder := staleHolder(t, w)
+		runTurn(t, holder, turnRequest(programID("p"), 1))
+		require.NotEmpty(t, w.backends.heldPrograms())
+		w.backends.onForget = func() error { return errKilled }
+		require.NoError(t, holder.End(context.Background(), programID("p")))
+		w.crash("b")
+		w.backends.onForget = func() error { return nil }
+		w.live.add("a")
+		require.False(t, stale.held()[0].journal.Lost())
+		time.Sleep(2 * checkInterval)
+		require.Empty(t, w.backends.heldPrograms())
+	})
+}
+
 func TestTurnThatEndsWithItsShardGoesOnElsewhere(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		stale, holder := staleHolder(t, w)
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -85,6 +85,23 @@
 	})
 }
 
+func TestTurnStartsAfterTheOneBeforeItIsStored(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Slow: time.Second})
+		results := make(chan error, 2)
+		for turn := 1; turn <= 2; turn++ {
+			go func() { results <- d.Turn(context.Background(), turnRequest(id, turn), (&collect{}).sink) }()
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.Len(t, w.backends.prompts[turnID(id, 1)], 1)
+		require.Empty(t, w.backends.prompts[turnID(id, 2)])
+		require.NoError(t, <-results)
+		require.NoError(t, <-results)
+	})
+}
+
 func TestCallRunsOnceAndItsOutcomeSurvivesTheHome(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		d := w.start("a")
--- a/internal/home/shard.go
+++ b/internal/home/shard.go
@@ -34,6 +34,9 @@
 	// collected is when the journal last looked for unused segments.
 	collected  time.Time
 	collecting bool
+	// checked is when the platform was last asked whether the shard is held here.
+	checked  time.Time
+	checking bool
 }
 
 // program is the part of a program's state that need not last.
--- a/internal/home/upkeep.go
+++ b/internal/home/upkeep.go
@@ -9,8 +9,8 @@
 	"ibisline/internal/structs"
 )
 
-// upkeep claims shards, ends programs whose time is over, and sends release
-// orders to engines.
+// upkeep claims shards and notices lost ones, ends programs whose time is over,
+// and sends release orders to engines.
 func (h *Home) upkeep() {
 	h.claimOwn()
 	for _, sh := range h.held() {
@@ -19,6 +19,7 @@
 		h.release(sh)
 		h.purge(sh)
 		h.collect(sh)
+		h.check(sh, time.Now())
 		sh.trim(time.Now())
 	}
 }
