Let operators list servers and give orders by ibisctl

Cause: an engine could only be ordered to load a model or an adapter, or to change its role, by a hand-made HTTP request to a daemon; the verdict had to be read from its body, and nothing told an operator why it waited. Ruled out: writing the order as an object that the dispatcher picks up, because the operator would then have to poll for the verdict; asking a second daemon after a lost answer, because the first one may still be giving the order. Change: `server list` shows the platform's list; `order load-model`, `load-adapter` and `set-role` go through the first daemon that can be reached, show the verdict as a table or as JSON and end with 0, 2, 3, 5, 6 (in doubt) or 8 (refused). For an engine that ignores fencing numbers the command says that an earlier holder is waited out, and its time limit is two minutes.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -1,6 +1,6 @@
 // Package ctl is the operators' tool: it edits catalogue entries by conditional
 // updates of the platform's objects, waits until an edit is in force at all live
-// daemons, and shows their state.
+// daemons, shows their state, and gives orders to engines.
 package ctl
 
 import (
@@ -8,6 +8,14 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"ibisline/internal/backend"
+)
+
+// Limits of a whole command.
+const (
+	defaultTimeout = 30 * time.Second
+	orderTimeout   = 2 * time.Minute
 )
 
 // Args is the command line of ibisctl.
@@ -16,11 +24,13 @@
 	Author   string        `arg:"--author,env:IBISCTL_AUTHOR" help:"name recorded with an edit"`
 	JSON     bool          `arg:"--json" help:"write JSON instead of tables"`
 	Wait     bool          `arg:"--wait" help:"after an edit, wait until it is in force at all live daemons"`
-	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"limit of the whole command, waiting included"`
+	Timeout  time.Duration `arg:"--timeout" help:"limit of the whole command, waiting included [default: 30s, order: 2m]"`
 
 	Entry  *EntryArgs  `arg:"subcommand:entry" help:"show and edit catalogue entries"`
 	Dump   *DumpArgs   `arg:"subcommand:dump" help:"show the state of daemons as JSON"`
 	Status *StatusArgs `arg:"subcommand:status" help:"show which daemons live and which catalogue revision they have in force"`
+	Server *ServerArgs `arg:"subcommand:server" help:"show backend servers"`
+	Order  *OrderArgs  `arg:"subcommand:order" help:"give an engine an order"`
 }
 
 // EntryArgs selects an entry command.
@@ -34,9 +44,40 @@
 	Report *ReportArgs `arg:"subcommand:report" help:"show raised limits, and shares granted against shares received"`
 }
 
-// ListArgs are the arguments of entry list.
+// ListArgs are the arguments of entry list and server list.
 type ListArgs struct{}
 
+// ServerArgs selects a server command.
+type ServerArgs struct {
+	List *ListArgs `arg:"subcommand:list" help:"list the backend servers of the platform's list"`
+}
+
+// OrderArgs selects an order. Repeating an order that the engine has taken is
+// harmless.
+type OrderArgs struct {
+	LoadModel   *OrderTarget `arg:"subcommand:load-model" help:"let an engine load a model"`
+	LoadAdapter *OrderTarget `arg:"subcommand:load-adapter" help:"let an engine load an adapter"`
+	SetRole     *OrderTarget `arg:"subcommand:set-role" help:"change the role of an engine"`
+}
+
+// OrderTarget says which engine is ordered what.
+type OrderTarget struct {
+	Engine string `arg:"positional,required" help:"name of the engine in the platform's list"`
+	Name   string `arg:"positional,required" help:"model, adapter or role"`
+}
+
+// chosen returns the kind of the order and its target.
+func (a *OrderArgs) chosen() (backend.OrderKind, *OrderTarget) {
+	switch {
+	case a.LoadModel != nil:
+		return backend.LoadModel, a.LoadModel
+	case a.LoadAdapter != nil:
+		return backend.LoadAdapter, a.LoadAdapter
+	default:
+		return backend.SetRole, a.SetRole
+	}
+}
+
 // StatusArgs are the arguments of status.
 type StatusArgs struct{}
 
@@ -114,8 +155,35 @@
 	case parser.Subcommand() == nil:
 		return args, false, usageError("a command is needed; see ibisctl --help")
 	}
-	if entry := args.Entry; entry != nil && *entry == (EntryArgs{}) {
-		return args, false, usageError("an entry command is needed; see ibisctl entry --help")
+	if group := args.incomplete(); group != "" {
+		return args, false, usageError("%s needs a command; see ibisctl %s --help", group, group)
+	}
+	if args.Timeout == 0 {
+		args.Timeout = args.usualTimeout()
 	}
 	return args, false, nil
 }
+
+// incomplete returns the group of commands that was given without one of them,
+// or "".
+func (a Args) incomplete() string {
+	switch {
+	case a.Entry != nil && *a.Entry == (EntryArgs{}):
+		return "entry"
+	case a.Server != nil && *a.Server == (ServerArgs{}):
+		return "server"
+	case a.Order != nil && *a.Order == (OrderArgs{}):
+		return "order"
+	default:
+		return ""
+	}
+}
+
+// usualTimeout is the limit of a command without --timeout. An order may have to
+// wait until an earlier daemon can give none any more.
+func (a Args) usualTimeout() time.Duration {
+	if a.Order != nil {
+		return orderTimeout
+	}
+	return defaultTimeout
+}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -56,19 +56,31 @@
 
 // addDaemon lists a daemon that answers with the given replies by path.
 func (s *site) addDaemon(name string, replies map[string]func() any) {
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.addHandler(name, func(w http.ResponseWriter, r *http.Request) {
 		reply, ok := replies[r.URL.Path]
 		if !ok {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
 		_ = json.NewEncoder(w).Encode(reply())
-	}))
+	})
+}
+
+// addHandler lists a daemon that is served by a handler.
+func (s *site) addHandler(name string, handler http.HandlerFunc) {
+	server := httptest.NewServer(handler)
 	s.t.Cleanup(server.Close)
-	instance := structs.Instance{Name: name, HTTPAddr: strings.TrimPrefix(server.URL, "http://"), State: structs.StateLive}
-	value, err := json.Marshal(instance)
-	require.NoError(s.t, err)
-	_, err = s.store.Put(context.Background(), structs.InstancePrefix+name, value, platform.NoVersion)
+	s.addInstance(name, strings.TrimPrefix(server.URL, "http://"))
+}
+
+// addInstance lists a daemon at an address.
+func (s *site) addInstance(name, addr string) {
+	s.addObject(structs.InstancePrefix+name, structs.Instance{Name: name, HTTPAddr: addr, State: structs.StateLive})
+}
+
+// addObject writes a new object of the platform.
+func (s *site) addObject(key string, value any) {
+	_, err := s.store.Put(context.Background(), key, []byte(jsonOf(s.t, value)), platform.NoVersion)
 	require.NoError(s.t, err)
 }
 
--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -42,6 +42,8 @@
 type daemons struct {
 	store   platform.Store
 	service httpc.Service
+	// orders has no time limit of its own, because an order may have to wait.
+	orders httpc.Service
 }
 
 // answer is what one daemon replied, or why it did not.
@@ -55,28 +57,37 @@
 	breaker.NoBreakerFor(serviceName)
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
-	client := &http.Client{Transport: transport, Timeout: askTimeout}
-	return &daemons{store: store, service: httpc.NewServiceWithClient(serviceName, client)}
+	return &daemons{
+		store:   store,
+		service: httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport, Timeout: askTimeout}),
+		orders:  httpc.NewServiceWithClient(serviceName, &http.Client{Transport: transport}),
+	}
 }
 
 // list returns the daemons of the platform's list that are not leaving, by name.
 func (d *daemons) list(ctx context.Context) ([]structs.Instance, error) {
-	objects, _, err := d.store.List(ctx, structs.InstancePrefix)
+	live, err := listObjects[structs.Instance](ctx, d.store, structs.InstancePrefix)
+	if err != nil {
+		return nil, err
+	}
+	live = slices.DeleteFunc(live, func(i structs.Instance) bool { return i.State != structs.StateLive })
+	slices.SortFunc(live, func(a, b structs.Instance) int { return strings.Compare(a.Name, b.Name) })
+	return live, nil
+}
+
+// listObjects returns the decoded objects of the platform under a prefix.
+func listObjects[T any](ctx context.Context, store platform.Store, prefix string) ([]T, error) {
+	objects, _, err := store.List(ctx, prefix)
 	if err != nil {
-		return nil, errors.Wrap(err, "list daemons")
+		return nil, errors.Wrapf(err, "list %s", prefix)
 	}
-	var live []structs.Instance
-	for _, object := range objects {
-		var instance structs.Instance
-		if err := json.Unmarshal(object.Value, &instance); err != nil {
+	values := make([]T, len(objects))
+	for i, object := range objects {
+		if err := json.Unmarshal(object.Value, &values[i]); err != nil {
 			return nil, failed(ExitFailed, "object %s is malformed: %s", object.Key, err)
 		}
-		if instance.State == structs.StateLive {
-			live = append(live, instance)
-		}
 	}
-	slices.SortFunc(live, func(a, b structs.Instance) int { return strings.Compare(a.Name, b.Name) })
-	return live, nil
+	return values, nil
 }
 
 // get asks one daemon and decodes its reply.
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -18,6 +18,7 @@
 	ExitUnavailable = 5
 	ExitUnknown     = 6
 	ExitNotInForce  = 7
+	ExitRefused     = 8
 )
 
 // exitHelp describes the exit codes.
@@ -25,11 +26,13 @@
   0  done (and in force everywhere, with --wait)
   1  failed for another reason
   2  wrong arguments or a value that is not allowed; nothing was changed
-  3  no such entry or daemon; nothing was changed
+  3  no such entry, daemon or engine; nothing was changed
   4  another operator was first; nothing was changed
-  5  platform unavailable; nothing was changed
-  6  the platform's reply was lost: the edit may have been made, look before repeating it
-  7  the edit was accepted but is not in force at all live daemons`
+  5  platform or daemons unavailable; nothing was changed
+  6  a reply was lost: the edit may have been made, or the engine may have taken the order (may_have_run); look
+     before repeating it
+  7  the edit was accepted but is not in force at all live daemons
+  8  the order was refused; the engine did not get it (not_run)`
 
 // failure is an error with an exit code.
 type failure struct {
--- /dev/null
+++ b/internal/ctl/orders_test.go
@@ -0,0 +1,135 @@
+package ctl_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/ctl"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// addServer puts a backend server on the platform's list.
+func (s *site) addServer(server structs.Server) {
+	server.State = structs.StateLive
+	s.addObject(structs.ServerPrefix+server.Name, server)
+}
+
+// newOrderSite is a site with an engine that ignores fencing numbers, one that
+// checks them and a plain service.
+func newOrderSite(t *testing.T) *site {
+	s := newSite(t)
+	s.addServer(structs.Server{Name: "e2", Kind: structs.KindEngine, Models: []string{"m"}})
+	s.addServer(structs.Server{Name: "e1", Kind: structs.KindEngine, Models: []string{"m", "n"}, Fences: true})
+	s.addServer(structs.Server{Name: "till-1", Kind: structs.KindService, Service: "till"})
+	return s
+}
+
+// answerOrders lists a daemon that answers orders with a failure.
+func (s *site) answerOrders(failure *verdict.Error) {
+	s.addHandler("d2", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusBadGateway)
+		_ = json.NewEncoder(w).Encode(failure)
+	})
+}
+
+func TestServersAreListedWithWhatTheyServe(t *testing.T) {
+	s := newOrderSite(t)
+	shown := s.must("ana", "server", "list")
+	for _, text := range []string{"e1", "m, n", "checked", "e2", "ignored", "till"} {
+		require.Contains(t, shown, text)
+	}
+	var servers []structs.Server
+	require.NoError(t, json.Unmarshal([]byte(s.must("ana", "--json", "server", "list")), &servers))
+	require.Len(t, servers, 3)
+	require.Equal(t, "e1", servers[0].Name)
+}
+
+func TestOrderReachesTheEngineThroughADaemon(t *testing.T) {
+	s := newOrderSite(t)
+	// The first daemon is gone, so that nothing was sent to it.
+	s.addInstance("d1", "127.0.0.1:1")
+	sent := make(chan string, 1)
+	s.addHandler("d2", func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		sent <- r.Method + " " + r.URL.Path + " " + string(body)
+	})
+	for command, kind := range map[string]string{"load-model": "load_model", "load-adapter": "load_adapter", "set-role": "set_role"} {
+		code, out, errOut := s.run("", "--json", "order", command, "e1", "x")
+		require.Equal(t, ctl.ExitOK, code, errOut)
+		require.Empty(t, errOut)
+		require.JSONEq(t, `{"engine":"e1","kind":"`+kind+`","name":"x","verdict":"ran","daemon":"d2"}`, out)
+		require.Equal(t, `POST /v1/servers/e1/orders {"kind":"`+kind+`","name":"x"}`, <-sent)
+	}
+	code, out, errOut := s.run("", "order", "load-model", "e2", "x")
+	require.Equal(t, ctl.ExitOK, code)
+	require.Contains(t, errOut, "ignores fencing numbers")
+	require.Contains(t, out, "ran")
+}
+
+// TestFailedOrderShowsItsVerdict: a refused order and one in doubt differ in the
+// exit code and in what the operator reads.
+func TestFailedOrderShowsItsVerdict(t *testing.T) {
+	cases := map[string]struct {
+		failure *verdict.Error
+		code    int
+	}{
+		"no verdict":    {&verdict.Error{}, ctl.ExitUnknown},
+		"in doubt":      {verdict.New(verdict.MayHaveRun, verdict.BackendTimeout, "no answer"), ctl.ExitUnknown},
+		"not allowed":   {verdict.Refuse(verdict.BadRequest, "kind"), ctl.ExitUsage},
+		"unknown":       {verdict.Refuse(verdict.NoServer, "gone"), ctl.ExitNotFound},
+		"platform down": {verdict.Refuse(verdict.PlatformDown, "down"), ctl.ExitUnavailable},
+		"refused":       {verdict.Refuse(verdict.Canceled, "stop"), ctl.ExitRefused},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newOrderSite(t)
+			s.answerOrders(c.failure)
+			code, out, errOut := s.run("", "order", "set-role", "e1", "x")
+			require.Equal(t, c.code, code, errOut)
+			require.Contains(t, out, c.failure.Verdict.String())
+			require.Contains(t, errOut, c.failure.Verdict.String())
+			require.Contains(t, errOut, c.failure.Message)
+		})
+	}
+}
+
+func TestLostAnswerLeavesTheOrderInDoubt(t *testing.T) {
+	s := newOrderSite(t)
+	var asked atomic.Int64
+	cut := func(http.ResponseWriter, *http.Request) {
+		asked.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	s.addHandler("d1", cut)
+	s.addHandler("d2", cut)
+	code, out, _ := s.run("", "--json", "order", "load-model", "e1", "x")
+	require.Equal(t, ctl.ExitUnknown, code)
+	require.Contains(t, out, `"may_have_run"`)
+	require.EqualValues(t, 1, asked.Load(), "no other daemon is asked after the order was sent")
+}
+
+func TestOrderWithoutTargetIsNotSent(t *testing.T) {
+	s := newOrderSite(t)
+	s.addHandler("d1", func(http.ResponseWriter, *http.Request) { t.Error("an order was sent") })
+	for code, argv := range map[int][]string{
+		ctl.ExitNotFound: {"order", "load-model", "e9", "x"},
+		ctl.ExitUsage:    {"order", "load-model", "till-1", "x"},
+	} {
+		got, _, errOut := s.run("", argv...)
+		require.Equal(t, code, got, errOut)
+	}
+	for _, argv := range [][]string{{"order"}, {"server"}, {"order", "load-model", "e1"}} {
+		got, _, errOut := s.run("", argv...)
+		require.Equal(t, ctl.ExitUsage, got, errOut)
+	}
+	empty := newOrderSite(t)
+	got, out, _ := empty.run("", "order", "load-model", "e1", "x")
+	require.Equal(t, ctl.ExitUnavailable, got)
+	require.Contains(t, out, "not_run")
+}
--- a/internal/ctl/render.go
+++ b/internal/ctl/render.go
@@ -146,6 +146,50 @@
 	return structs.StateLive
 }
 
+// servers shows the backend servers.
+func (p printer) servers(servers []structs.Server) error {
+	if p.json {
+		return p.encode(servers)
+	}
+	t := p.table("server", "kind", "serves", "region", "data centre", "state", "fencing numbers")
+	for _, s := range servers {
+		t.AppendRow(table.Row{s.Name, s.Kind, serves(s), s.Region, s.DataCentre, s.State, fencing(s)})
+	}
+	t.Render()
+	return nil
+}
+
+// serves names the models of an engine, or a plain service.
+func serves(server structs.Server) string {
+	if server.Kind == structs.KindEngine {
+		return strings.Join(server.Models, ", ")
+	}
+	return server.Service
+}
+
+// fencing says what an engine does with the fencing number of an order.
+func fencing(server structs.Server) string {
+	switch {
+	case server.Kind != structs.KindEngine:
+		return ""
+	case server.Fences:
+		return "checked"
+	default:
+		return "ignored"
+	}
+}
+
+// order shows what became of an order.
+func (p printer) order(result orderResult) error {
+	if p.json {
+		return p.encode(result)
+	}
+	t := p.table("engine", "order", "name", "verdict", "through daemon", "reason")
+	t.AppendRow(table.Row{result.Engine, result.Kind, result.Name, result.Verdict, result.Daemon, result.Reason})
+	t.Render()
+	return nil
+}
+
 // dumps shows the state of daemons, always as JSON.
 func (p printer) dumps(answers []answer[json.RawMessage]) error {
 	lines := make([]dumpLine, len(answers))
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -77,6 +77,10 @@
 		return c.status(ctx)
 	case c.args.Dump != nil:
 		return c.dump(ctx, c.args.Dump.Daemons)
+	case c.args.Server != nil:
+		return c.listServers(ctx)
+	case c.args.Order != nil:
+		return c.order(ctx, c.args.Order)
 	default:
 		return c.entry(ctx, c.args.Entry)
 	}
--- a/test/scenarios/processes_test.go
+++ b/test/scenarios/processes_test.go
@@ -32,6 +32,7 @@
 	switch raw[0] {
 	case "platform":
 		_, err := w.fleet.StandIn(w.ctx, platform, "objects")
+		ts.Setenv("IBISCTL_PLATFORM", w.fleet.Addr(platform))
 		return err
 	case "engine", "service":
 		return w.startServer(raw[0], raw[1:])
