--- a/internal/budget/escrow.go
+++ b/internal/budget/escrow.go
@@ -21,12 +21,6 @@
 	return max(0, limit-e.Spent-reserved)
 }
 
-// Covers reports whether amount fits into the grant beside what is spent and
-// reserved.
-func (e Escrow) Covers(reserved, amount int) bool {
-	return e.Spent+reserved+amount <= e.Granted
-}
-
 // Extend raises the grant so that it covers amount and then headroom, as far as
 // limit allows. It never lowers the grant.
 func (e *Escrow) Extend(limit, reserved, amount, headroom int) {
--- a/internal/fake/testbed/schedules.go
+++ b/internal/fake/testbed/schedules.go
@@ -11,6 +11,9 @@
 	"pgregory.net/rapid"
 )
 
+// UsualSchedules is the number of draws of a test that needs no other one.
+const UsualSchedules = 100
+
 // fixedSeed makes a run without -rapid.seed draw the same schedules each time.
 const fixedSeed = "1"
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -11,10 +11,13 @@
 	"pgregory.net/rapid"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/journal"
 	"ibisline/internal/structs"
 )
 
+func TestMain(m *testing.M) { testbed.Main(m, testbed.UsualSchedules) }
+
 const shardID = structs.ShardID("nav-a.0")
 
 // claim takes the shard over and runs its journal until the test ends.
--- a/internal/policy/fairshare/fairshare_test.go
+++ b/internal/policy/fairshare/fairshare_test.go
@@ -7,9 +7,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/policy/fairshare"
 )
 
+func TestMain(m *testing.M) { testbed.Main(m, testbed.UsualSchedules) }
+
 var epoch = time.Unix(1_000_000, 0)
 
 func item(owner string, cost float64) *fairshare.Item {
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -8,9 +8,12 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"ibisline/internal/fake/testbed"
 	"ibisline/internal/policy/quarantine"
 )
 
+func TestMain(m *testing.M) { testbed.Main(m, testbed.UsualSchedules) }
+
 var epoch = time.Unix(1_000_000, 0)
 
 // Whatever runs beside it, a request that crashes every engine is refused after
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -38,6 +38,3 @@
 
 // Items returns the receiving side.
 func (r *Ring[T]) Items() <-chan T { return r.items }
-
-// Len returns the number of waiting items.
-func (r *Ring[T]) Len() int { return len(r.items) }
