--- a/internal/home/eager.go
+++ b/internal/home/claim_own.go
@@ -17,13 +17,13 @@
 // released. It looks at a bounded number of shards a round.
 func (h *Home) claimOwn() {
 	h.noticeChange()
-	budget := h.cfg.ClaimRate
-	for i := 0; i < h.cfg.Shards && budget > 0; i++ {
+	left := h.cfg.ClaimRate
+	for i := 0; i < h.cfg.Shards && left > 0; i++ {
 		id := structs.ShardID(fmt.Sprintf("%s.%d", h.cfg.Region, i))
 		if !h.claimable(id) {
 			continue
 		}
-		budget--
+		left--
 		h.work.Go(func() { h.claimStored(id) })
 	}
 }
