Let stand-in engines pull KV cache from each other

Cause: the interface led an exported cache through whoever asked, so that a daemon on a small instance would carry gigabytes. Ruled out: a stream through the dispatcher; a second copy pushed by the source, which would need memory at the target before it was granted. Change: an import names the engine to pull from. The source keeps its copy and evicts it first. A server's description says whether it transfers and how fast.

--- a/cmd/ibisfake/servers.go
+++ b/cmd/ibisfake/servers.go
@@ -65,6 +65,7 @@
 	EventLag      time.Duration `arg:"--event-lag" help:"age of cache events"`
 	EventGap      int           `arg:"--event-gap" help:"lose each so many-th cache event; 0 loses none"`
 	RestartAfter  time.Duration `arg:"--restart-after" help:"time that a crashed engine stays down"`
+	KVTransfer    float64       `arg:"--kv-transfer" help:"import and export KV cache at so many tokens a second; 0 offers neither"`
 	NoFences      bool          `arg:"--no-fences" help:"take orders with any fencing number"`
 	Scale         float64       `arg:"--scale" help:"multiplies all durations"`
 }
@@ -103,6 +104,7 @@
 	s.EventLag = a.EventLag
 	s.EventGap = a.EventGap
 	s.RestartAfter = a.RestartAfter
+	s.ImportRate = a.KVTransfer
 	s.Fences = !a.NoFences
 	s.Scale = a.Scale
 	return s
@@ -114,10 +116,12 @@
 		return err
 	}
 	described := structs.Server{
-		Kind:     structs.KindEngine,
-		Models:   a.Models,
-		KVTokens: a.KVTokens,
-		Fences:   !a.NoFences,
+		Kind:           structs.KindEngine,
+		Models:         a.Models,
+		KVTokens:       a.KVTokens,
+		Fences:         !a.NoFences,
+		KVTransfer:     a.KVTransfer > 0,
+		KVTransferRate: a.KVTransfer,
 	}
 	if err := a.register(ctx, listener, described); err != nil {
 		return err
--- a/internal/backend/engines.go
+++ b/internal/backend/engines.go
@@ -99,6 +99,31 @@
 	return e.call(ctx, http.MethodDelete, server, "/v1/kv/"+url.PathEscape(program), nil, nil)
 }
 
+// kvImported is the answer to an import.
+type kvImported struct {
+	Tokens int `json:"tokens"`
+}
+
+// ImportKV asks the engine to pull the KV cache of a program from the engine at
+// the address from, and returns the imported tokens. It is bounded by ctx alone.
+// The error is ErrNotHeld when that engine held none. Whatever the error, the
+// engine may hold a part.
+func (e *Engines) ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error) {
+	query := url.Values{"program": {program}, "from": {from}}
+	request, err := newRequest(ctx, http.MethodPost, server, "/v1/kv/import?"+query.Encode(), nil)
+	if err != nil {
+		return 0, err
+	}
+	var x exchange
+	response, err := x.do(e.control, request)
+	if err != nil {
+		return 0, err
+	}
+	var imported kvImported
+	err = finishCall(response, &imported)
+	return imported.Tokens, err
+}
+
 // KVEvents returns the cache events after a position.
 func (e *Engines) KVEvents(ctx context.Context, server structs.Server, after int64) (KVEvents, error) {
 	var events KVEvents
--- a/internal/fake/engine/cache.go
+++ b/internal/fake/engine/cache.go
@@ -160,30 +160,22 @@
 	return tokens, true
 }
 
-// put stores an imported cache. It returns false when memory is short.
-func (c *cache) put(program string, messages []structs.Message) bool {
-	if !c.makeRoom(PromptTokens(messages), program) {
-		return false
+// keep ends an import like finish, but spares a cache that is longer.
+func (c *cache) keep(program string, reserved int, messages []structs.Message) {
+	if h := c.programs[program]; h != nil && h.tokens >= PromptTokens(messages) {
+		messages = nil
 	}
-	h := c.programs[program]
-	if h == nil {
-		h = &held{}
-		c.programs[program] = h
-	}
-	if h.users == 0 {
-		h.store(messages)
-	}
-	c.tick++
-	h.used = c.tick
-	return true
+	c.finish(program, reserved, messages)
 }
 
-// messages returns a copy of a program's held messages.
-func (c *cache) messages(program string) []structs.Message {
+// export returns a copy of a program's held messages. The copy that stays is
+// evicted before all others, because the program has moved on.
+func (c *cache) export(program string) []structs.Message {
 	h, ok := c.programs[program]
 	if !ok {
 		return nil
 	}
+	h.used = 0
 	var found []structs.Message
 	for _, b := range h.blocks {
 		found = append(found, b.message)
--- a/internal/fake/engine/handler.go
+++ b/internal/fake/engine/handler.go
@@ -263,50 +263,6 @@
 	reply(w, http.StatusOK, kvEvents{Next: next, Events: found})
 }
 
-// exportRequest is the body of POST /v1/kv/export.
-type exportRequest struct {
-	Program string `json:"program"`
-}
-
-func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
-	var request exportRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		refuse(w, http.StatusBadRequest, "malformed request: %v", err)
-		return
-	}
-	e.mu.Lock()
-	messages := e.cache.messages(request.Program)
-	e.mu.Unlock()
-	if messages == nil {
-		refuse(w, http.StatusNotFound, "nothing held")
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	_ = json.NewEncoder(w).Encode(messages)
-}
-
-// kvImported is the answer to POST /v1/kv/import.
-type kvImported struct {
-	Tokens int `json:"tokens"`
-}
-
-func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
-	var messages []structs.Message
-	if err := json.NewDecoder(r.Body).Decode(&messages); err != nil {
-		refuse(w, http.StatusBadRequest, "malformed cache: %v", err)
-		return
-	}
-	tokens := PromptTokens(messages)
-	time.Sleep(e.settings.scaled(time.Duration(tokens) * e.settings.ImportPerToken))
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if !e.cache.put(r.URL.Query().Get("program"), messages) {
-		refuse(w, http.StatusInsufficientStorage, "memory is short")
-		return
-	}
-	reply(w, http.StatusOK, kvImported{Tokens: tokens})
-}
-
 // fenced is the answer to an order with an old fencing number.
 type fenced struct {
 	Fence int64 `json:"fence"`
--- a/internal/fake/engine/settings.go
+++ b/internal/fake/engine/settings.go
@@ -23,8 +23,9 @@
 	PrefillPerToken time.Duration
 	// PrefillChunk bounds the prompt tokens prefilled in one step.
 	PrefillChunk int
-	// ImportPerToken is the time that importing one token of KV cache takes.
-	ImportPerToken time.Duration
+	// ImportRate is the rate at which KV cache is imported, in tokens a second;
+	// 0 means that the engine neither imports nor exports.
+	ImportRate float64
 	// LoadLag is the age of load reports, EventLag the age of cache events.
 	LoadLag  time.Duration
 	EventLag time.Duration
@@ -53,7 +54,6 @@
 		StepPerSequence: 500 * time.Microsecond,
 		PrefillPerToken: 125 * time.Microsecond,
 		PrefillChunk:    512,
-		ImportPerToken:  10 * time.Microsecond,
 		LoadLag:         2 * time.Second,
 		EventLag:        time.Second,
 		EventGap:        7,
@@ -81,6 +81,8 @@
 	Hang bool `json:"hang"`
 	// RefuseRelease fails that many coming release orders.
 	RefuseRelease int `json:"refuse_release"`
+	// HangExport starts exports of KV cache and never ends them.
+	HangExport bool `json:"hang_export"`
 	// IgnoreFence makes the engine take orders with any fencing number.
 	IgnoreFence bool `json:"ignore_fence"`
 	// Crash crashes the engine once, at the time of the order.
@@ -106,11 +108,14 @@
 	CachedTokens   int `json:"cached_tokens"`
 	OutputTokens   int `json:"output_tokens"`
 	// TotalTokens are prompt and output tokens together.
-	TotalTokens   int `json:"total_tokens"`
-	Evictions     int `json:"evictions"`
-	Released      int `json:"released"`
-	OrdersTaken   int `json:"orders_taken"`
-	OrdersRefused int `json:"orders_refused"`
+	TotalTokens int `json:"total_tokens"`
+	Evictions   int `json:"evictions"`
+	Released    int `json:"released"`
+	// Imports and ImportedTokens count the caches pulled from other engines.
+	Imports        int `json:"imports"`
+	ImportedTokens int `json:"imported_tokens"`
+	OrdersTaken    int `json:"orders_taken"`
+	OrdersRefused  int `json:"orders_refused"`
 	// Steps is the number of steps and LateSteps of those that ended more than
 	// lateStep after their time, because the machine was busy with other work.
 	Steps     int `json:"steps"`
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -117,4 +117,10 @@
 	Fences bool `json:"fences,omitempty" msgpack:"f,omitempty"`
 	// Lookup says whether a plain service answers look-ups of a call by key.
 	Lookup bool `json:"lookup,omitempty" msgpack:"u,omitempty"`
+	// KVTransfer says whether an engine imports KV cache from other engines and
+	// exports it to them.
+	KVTransfer bool `json:"kv_transfer,omitempty" msgpack:"x,omitempty"`
+	// KVTransferRate is the rate of an import in tokens a second; 0 means that
+	// it is not known.
+	KVTransferRate float64 `json:"kv_transfer_rate,omitempty" msgpack:"y,omitempty"`
 }
--- a/internal/structs/work.go
+++ b/internal/structs/work.go
@@ -160,11 +160,25 @@
 	Age time.Duration `msgpack:"b"`
 	// LastEngine is the engine that ran the program's previous turn.
 	LastEngine string `msgpack:"l"`
+	// Source is where the engine is to import the program's KV cache from; the
+	// router sets it. Its zero value imports nothing.
+	Source KVSource `msgpack:"s"`
 	// Deadline is the latest time at which the request may get a slot.
 	Deadline  time.Time `msgpack:"d"`
 	RequestID string    `msgpack:"q"`
 }
 
+// KVSource is an engine that holds KV cache of a program.
+type KVSource struct {
+	Engine string `msgpack:"e,omitempty"`
+	// Addr is IP:port.
+	Addr string `msgpack:"a,omitempty"`
+	// Tokens is the part of the prompt believed to be held there.
+	Tokens int `msgpack:"t,omitempty"`
+	// Limit is the time after which the cache is computed instead.
+	Limit time.Duration `msgpack:"l,omitempty"`
+}
+
 // Generated is the result of a finished model call.
 type Generated struct {
 	Engine string `msgpack:"e"`
