Move a program's KV cache between engines when that is faster

Cause: a program whose engine is full or leaving went elsewhere without its cache, and the new engine computed the whole history again. Ruled out: to import while the request still waits for its slot: memory would be taken for a request that may be refused, and evicted again before it runs; and nothing would bound the imports under way at an engine, as its window does. To let the source drop its copy: a lost reply would lose the cache. Change: the router offers each candidate of the region the cache of the program's last engine; the estimate takes the cheaper way. The home records the engine as a holder before the order goes out. Once the slot is granted the engine pulls, for no longer than the computation would take; then, or after a failure, the call is sent. An engine that began to leave meanwhile gets no call. Rates and failed sources are told with the engine's status. dispatch.kv_transfer switches it off; measure has the variant no-kv-transfer.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -65,14 +65,15 @@
 	return p.kernel.Register(serviceStop, &leaver{members: v.members, api: callers})
 }
 
-// addOperator adds the operators' routes, and lets the dispatcher's sweep ask
-// for programs through the front.
+// addOperator adds the operators' routes, lets the dispatcher's sweep ask for
+// programs through the front, and its router record holders at the homes here.
 func (p *parts) addOperator(server *api.Server, v views, finder *front.Front, callers *api.API, homes *home.Home) error {
 	dispatcher, err := kernel.Lookup[*dispatch.Dispatcher](p.kernel, serviceDispatch)
 	if err != nil {
 		return err
 	}
 	dispatcher.SetPrograms(finder)
+	dispatcher.SetHolders(homes)
 	operator.Register(server.Rest(), operator.Sources{
 		Metrics: p.metrics,
 		Status: func() operator.Status {
--- a/internal/daemon/work.go
+++ b/internal/daemon/work.go
@@ -44,6 +44,7 @@
 		Placement:        s.Placement,
 		Window:           s.Window,
 		Stragglers:       s.Stragglers,
+		KVTransfer:       s.KVTransfer,
 		FixedWindow:      s.FixedWindow,
 		QueueLimit:       s.QueueLimit,
 		FirstTokenTarget: s.FirstToken.Std(),
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -36,6 +36,8 @@
 	Window string
 	// Stragglers turns the handling of slow engines on.
 	Stragglers bool
+	// KVTransfer lets engines import KV cache from each other.
+	KVTransfer bool
 	// FixedWindow is the number of requests under way at an engine with the
 	// fixed window, and the first limit of the adaptive one.
 	FixedWindow int
@@ -91,6 +93,7 @@
 	Generate(ctx context.Context, server structs.Server, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error)
 	Load(ctx context.Context, server structs.Server) (backend.Load, error)
 	ListKV(ctx context.Context, server structs.Server) (map[string]int, error)
+	ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error)
 	ReleaseKV(ctx context.Context, server structs.Server, program string) error
 	KVEvents(ctx context.Context, server structs.Server, after int64) (backend.KVEvents, error)
 	SendOrder(ctx context.Context, server structs.Server, order backend.Order) error
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,7 @@
 	measures    *measures
 	quarantined *quarantined
 	programs    ProgramStates
+	holders     HolderRecords
 	orders      *orderDesk
 	board       *statusBoard
 	slots       *slotTable
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -34,6 +34,7 @@
 	cache    *cacheMap
 	underWay *underWay
 	doubts   *doubts
+	imports  *imports
 	// suspects lets one suspect at a time run here.
 	suspects semaphore
 
@@ -54,6 +55,7 @@
 		cache:       newCacheMap(),
 		underWay:    newUnderWay(),
 		doubts:      newDoubts(),
+		imports:     newImports(),
 		suspects:    make(semaphore, 1),
 		server:      server,
 		kvFree:      server.KVTokens,
@@ -106,6 +108,10 @@
 
 // runGranted runs an admitted request.
 func (e *engine) runGranted(ctx context.Context, grant *grant, request structs.GenerateRequest, emit func(text string) error) (structs.Generated, error) {
+	if err := e.prepare(ctx, grant, &request); err != nil {
+		grant.release(0)
+		return structs.Generated{}, err
+	}
 	flight := e.underWay.begin(request)
 	generated, err := e.stream(ctx, grant, request, emit)
 	if errors.Is(err, backend.ErrCut) {
@@ -121,7 +127,7 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.cache.uncached(&request, e.name)
+	bound := e.uncachedAfterImport(&request)
 	uncached := e.lengths.prompt(&request, bound)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
@@ -207,13 +213,29 @@
 func (e *engine) applyState() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if refusal := e.stateRefusal(); refusal != nil {
+		e.queue.close(refusal)
+		return
+	}
+	e.queue.open()
+}
+
+// refusal is the answer to requests while the engine takes none, or nil.
+func (e *engine) refusal() *verdict.Error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.stateRefusal()
+}
+
+// stateRefusal does the work of refusal. The caller holds mu.
+func (e *engine) stateRefusal() *verdict.Error {
 	switch {
 	case e.leaving || e.server.State == structs.StateLeaving:
-		e.queue.close(verdict.Refuse(verdict.NoServer, "engine %s is leaving", e.server.Name))
+		return verdict.Refuse(verdict.NoServer, "engine %s is leaving", e.server.Name)
 	case e.down:
-		e.queue.close(verdict.Refuse(verdict.NoServer, "engine %s cannot be reached", e.server.Name))
+		return verdict.Refuse(verdict.NoServer, "engine %s cannot be reached", e.server.Name)
 	default:
-		e.queue.open()
+		return nil
 	}
 }
 
@@ -255,6 +277,9 @@
 		Leaving:     e.leaving || e.server.State == structs.StateLeaving,
 		Down:        e.down,
 		Slow:        e.slow.Slow(),
+
+		TransferRate:  e.imports.rate(),
+		TransferAvoid: e.imports.avoided(),
 	}
 }
 
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -276,6 +276,11 @@
 	loseEffect  bool
 	ordersTaken int
 	order       []string
+	// importing is the time that an import takes, hangExport keeps imports from
+	// this engine from ending.
+	importing  time.Duration
+	hangExport bool
+	imports    int
 }
 
 // fakeEngines implements dispatch.EngineClient in memory.
@@ -419,6 +424,28 @@
 	return nil
 }
 
+func (f *fakeEngines) ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error) {
+	source := f.get(from)
+	tokens, held := source.kv[program]
+	if !held {
+		return 0, backend.ErrNotHeld
+	}
+	f.set(server.Name, func(e *fakeEngine) {
+		e.imports++
+		e.kv[program] = tokens
+	})
+	wait := f.get(server.Name).importing
+	if source.hangExport {
+		wait = time.Hour
+	}
+	select {
+	case <-ctx.Done():
+		return 0, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.BackendTimeout, "no answer in time")
+	case <-time.After(wait):
+		return tokens, nil
+	}
+}
+
 func (f *fakeEngines) KVEvents(context.Context, structs.Server, int64) (backend.KVEvents, error) {
 	return backend.KVEvents{}, nil
 }
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -24,8 +24,11 @@
 	// uncachedBound is the uncached part of the prompt by the home's estimate.
 	uncachedBound int
 	begun         time.Time
-	started       bool
-	first         time.Duration
+	// sent is when the engine was given the request. An import of its KV cache
+	// comes before.
+	sent    time.Time
+	started bool
+	first   time.Duration
 	// ahead is the number of prompt tokens computed before this one's, streams
 	// the number of open streams when its first piece came.
 	ahead   int
@@ -42,7 +45,7 @@
 		return
 	}
 	g.started = true
-	g.first = now.Sub(g.begun)
+	g.first = now.Sub(g.sent)
 	g.streams = g.queue.window.Streams()
 	g.queue.window.FirstToken(g.need, now)
 	g.queue.fill()
@@ -71,7 +74,14 @@
 func (g *grant) late(tokens int) bool {
 	seconds := float64(g.ahead+tokens) / g.queue.window.PrefillRate()
 	expected := time.Duration(seconds * float64(time.Second))
-	return g.first > lateFactor*expected+lateSteps*g.queue.window.Gap(g.begun)
+	return g.first > lateFactor*expected+lateSteps*g.queue.window.Gap(g.sent)
+}
+
+// recompute adds prompt tokens that were to be imported and have to be computed.
+func (g *grant) recompute(tokens int) {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	g.need = g.queue.window.Add(g.need, tokens)
 }
 
 // finished records a request that ran to its end.
--- a/internal/dispatch/measures.go
+++ b/internal/dispatch/measures.go
@@ -24,6 +24,11 @@
 	output     *metrics.Counter
 	farPrompts *metrics.Counter
 	firstToken *metrics.Histogram
+	// transfers counts the caches moved, transferred their tokens.
+	transfers     *metrics.Counter
+	transferred   *metrics.Counter
+	transferFails *metrics.Counter
+	transferTime  *metrics.Histogram
 }
 
 func newMeasures(set *metrics.Set) *measures {
@@ -39,6 +44,11 @@
 		output:     set.GetOrCreateCounter("ibisline_dispatch_output_tokens_total"),
 		farPrompts: set.GetOrCreateCounter("ibisline_dispatch_far_prompt_tokens_total"),
 		firstToken: set.GetOrCreateHistogram("ibisline_dispatch_first_token_seconds"),
+
+		transfers:     set.GetOrCreateCounter("ibisline_dispatch_kv_transfers_total"),
+		transferred:   set.GetOrCreateCounter("ibisline_dispatch_kv_transferred_tokens_total"),
+		transferFails: set.GetOrCreateCounter("ibisline_dispatch_kv_transfer_failures_total"),
+		transferTime:  set.GetOrCreateHistogram("ibisline_dispatch_kv_transfer_seconds"),
 	}
 }
 
@@ -49,6 +59,13 @@
 	m.output.Add(usage.OutputTokens)
 }
 
+// imported counts a cache that was moved.
+func (m *measures) imported(tokens int, took time.Duration) {
+	m.transfers.Inc()
+	m.transferred.Add(tokens)
+	m.transferTime.Update(took.Seconds())
+}
+
 // waited records the time that a request of a class waited for its slot.
 func (m *measures) waited(class string, wait time.Duration) {
 	name := fmt.Sprintf("ibisline_dispatch_wait_seconds{class=%q}", knownClass(class))
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -91,6 +91,11 @@
 	// CacheAge is the mean time from the last use of a cached prefix to its
 	// eviction, 0 when none was evicted.
 	CacheAge time.Duration `msgpack:"a" json:"cache_age_ns"`
+	// TransferRate is the rate of its imports of KV cache in tokens a second, 0
+	// when there were none lately.
+	TransferRate float64 `msgpack:"x,omitempty" json:"transfer_rate,omitempty"`
+	// TransferAvoid are engines from which imports failed lately.
+	TransferAvoid []string `msgpack:"y,omitempty" json:"transfer_avoid,omitempty"`
 	// Leaving is set when the server takes no new work.
 	Leaving bool `msgpack:"l,omitempty" json:"leaving,omitempty"`
 	// Down is set when the server cannot be reached.
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -27,6 +27,9 @@
 	engine string
 	tokens int
 	at     time.Time
+	// source is the same place as a source of KV cache; it is found for each
+	// request anew.
+	source kvSource
 }
 
 // ageOf returns the time since a root program made its first call here. After a
@@ -176,6 +179,7 @@
 		Cached:      request.PromptTokens - d.uncachedAt(c, request, run),
 		KVFree:      status.KVFree,
 		Far:         c.server.Region != d.deps.Region,
+		Transfer:    run.source.offer(c),
 	}
 	if status.heard.IsZero() {
 		engine.Window = d.config.FixedWindow
@@ -187,6 +191,12 @@
 // lastRun returns where a program ran last as far as this daemon knows. Without
 // tokens it is only known from the request.
 func (d *Dispatcher) lastRun(request *structs.GenerateRequest) lastRun {
+	run := d.knownRun(request)
+	run.source = d.kvSource(request, run)
+	return run
+}
+
+func (d *Dispatcher) knownRun(request *structs.GenerateRequest) lastRun {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if run, ok := d.lastRuns.get(request.Program); ok {
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -45,7 +44,7 @@
 	Wait   time.Duration
 }
 
-var stepKinds = []string{"calls", "calls", "calls", "canceled", "crash", "cut", "hang", "heal", "leave", "stay", "slow", "poison", "lose"}
+var stepKinds = []string{"calls", "calls", "calls", "canceled", "crash", "cut", "hang", "heal", "leave", "stay", "slow", "poison", "lose", "moving", "hang_export"}
 
 func drawStep(t *rapid.T) step {
 	return step{
@@ -59,7 +58,7 @@
 
 func (r *scheduleRun) play(s step) {
 	switch s.Kind {
-	case "calls", "canceled", "poison":
+	case "calls", "canceled", "poison", "moving":
 		r.start(s)
 	case "crash":
 		r.f.engines.crash(s.Engine)
@@ -77,10 +76,12 @@
 	switch kind {
 	case "cut":
 		e.failAfter, e.failure = 1, cut()
+	case "hang_export":
+		e.hangExport = true
 	case "hang":
 		e.hang = true
 	case "heal":
-		e.failAfter, e.hang, e.gap = -1, false, 100*time.Millisecond
+		e.failAfter, e.hang, e.hangExport, e.gap = -1, false, false, 100*time.Millisecond
 	case "leave":
 		e.leaving = true
 	case "stay":
@@ -103,6 +104,10 @@
 		if s.Kind == "poison" {
 			request.Messages = []structs.Message{{Role: "user", Content: poison}}
 		}
+		if s.Kind == "moving" {
+			request.LastEngine, request.PromptTokens = s.Engine, movedTokens
+			r.f.engines.set(s.Engine, func(e *fakeEngine) { e.kv[request.Program] = movedTokens })
+		}
 		ctx, cancel := context.WithTimeout(d.ctx, time.Minute)
 		if s.Kind == "canceled" {
 			ctx, cancel = context.WithTimeout(d.ctx, s.Wait/2)
@@ -151,10 +156,16 @@
 }
 
 func TestPromisesHoldInRandomSchedules(t *testing.T) {
-	config := dispatch.Config{Stragglers: true, FixedWindow: 4}
+	config := dispatch.Config{Stragglers: true, FixedWindow: 4, KVTransfer: true}
+	servers := transferring(randomEngines...)
+	h := &holders{engines: map[string]bool{}}
+	imports := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 30).Draw(rt, "steps")
-		runFleet(t, config, slices.Clone(randomDaemons), engines(randomEngines...), func(_ *testing.T, f *fleet) {
+		runFleet(t, config, nil, servers, func(_ *testing.T, f *fleet) {
+			for _, name := range randomDaemons {
+				f.startWith(config, name, func(d *daemon) { d.SetHolders(h) })
+			}
 			r := &scheduleRun{f: f, results: map[string]outcome{}}
 			for _, s := range steps {
 				r.play(s)
@@ -163,6 +174,10 @@
 			synctest.Wait()
 			r.check(rt)
 			r.quiet(rt)
+			for _, name := range randomEngines {
+				imports += f.engines.get(name).imports
+			}
 		})
 	})
+	t.Logf("imports %d", imports)
 }
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -166,7 +166,9 @@
 	a := newAttempt(g, server, cancel)
 	stop := d.watchFirstToken(a)
 	defer stop()
-	generated, err := d.sendTo(ctx, server, g.request, a.emit)
+	request := g.request
+	request.Source = d.sourceFor(g, &server)
+	generated, err := d.sendTo(ctx, server, request, a.emit)
 	if a.isMoved() {
 		return structs.Generated{}, verdict.Wrap(errMoved, verdict.MayHaveRun, verdict.BackendTimeout, "no first token in time")
 	}
@@ -179,7 +181,8 @@
 	if !ok {
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
-	d.board.sent(server.Name, d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request)))
+	uncached := d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request))
+	d.board.sent(server.Name, min(uncached, request.PromptTokens-request.Source.Tokens))
 	if server.Region != d.deps.Region {
 		d.measures.farPrompts.Add(request.PromptTokens)
 	}
--- /dev/null
+++ b/internal/dispatch/transfer_test.go
@@ -0,0 +1,135 @@
+package dispatch_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// holders implements dispatch.HolderRecords.
+type holders struct {
+	mu      sync.Mutex
+	engines map[string]bool
+	fail    error
+}
+
+func (h *holders) MayHold(_, engine string) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.engines[engine] = true
+	return h.fail
+}
+
+const movedTokens = 20_000
+
+// transferring returns engines that transfer KV cache. Their address is their
+// name.
+func transferring(names ...string) []structs.Server {
+	servers := engines(names...)
+	for i := range servers {
+		servers[i].Addr, servers[i].KVTransfer, servers[i].KVTransferRate = servers[i].Name, true, 100_000
+	}
+	return servers
+}
+
+// moveFleet runs two engines that transfer KV cache. Program p ran on e1, which
+// is full then, so that the next call of p goes to e2.
+func moveFleet(t *testing.T, transfer bool, test func(f *fleet, h *holders, next structs.GenerateRequest)) {
+	servers := transferring("e1", "e2")
+	config := dispatch.Config{Window: dispatch.WindowFixed, FixedWindow: 1, KVTransfer: transfer}
+	runFleet(t, config, nil, servers, func(t *testing.T, f *fleet) {
+		h := &holders{engines: map[string]bool{}}
+		f.startWith(config, "d1", func(d *daemon) { d.SetHolders(h) })
+		f.engines.set("e2", func(e *fakeEngine) {
+			e.importing = 200 * time.Millisecond
+			e.usage = structs.Usage{PromptTokens: movedTokens, CachedTokens: movedTokens, OutputTokens: 3}
+		})
+		f.engines.set("e1", func(e *fakeEngine) { e.gap, e.kv["p"] = time.Minute, movedTokens })
+		busy := modelCall("busy")
+		busy.LastEngine, busy.PromptTokens = "e1", 60_000
+		f.daemons["d1"].generateLater(t.Context(), busy)
+		time.Sleep(time.Second)
+		next := modelCall("p")
+		next.PromptTokens, next.LastEngine = movedTokens, "e1"
+		test(f, h, next)
+	})
+}
+
+func TestProgramLeavesAFullEngineWithItsCache(t *testing.T) {
+	moveFleet(t, true, func(f *fleet, h *holders, next structs.GenerateRequest) {
+		begun := time.Now()
+		got := f.daemons["d1"].generate(context.Background(), next)
+		require.NoError(t, got.err)
+		require.Equal(t, "e2", got.result.Engine)
+		require.Equal(t, 230*time.Millisecond, time.Since(begun))
+		require.Equal(t, 1, f.engines.get("e2").imports)
+		require.True(t, h.engines["e2"])
+		for _, engine := range []string{"e1", "e2"} {
+			require.Contains(t, f.engines.get(engine).kv, "p")
+			require.NoError(t, f.daemons["d1"].Forget(context.Background(), engine, "p"))
+			require.NotContains(t, f.engines.get(engine).kv, "p")
+		}
+	})
+}
+
+func TestHangingExportCostsItsLimitAndIsNotTriedAgainAtOnce(t *testing.T) {
+	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
+		f.engines.set("e1", func(e *fakeEngine) { e.hangExport = true })
+		begun := time.Now()
+		got := f.daemons["d1"].generate(context.Background(), next)
+		require.NoError(t, got.err)
+		require.Equal(t, "xxx", got.text)
+		require.Equal(t, "e2", got.result.Engine)
+		const recompute = movedTokens * 4 / 5 * time.Second / 8000
+		require.Equal(t, recompute+30*time.Millisecond, time.Since(begun))
+
+		other := next
+		other.Program, other.Root = "q", "q"
+		f.engines.set("e1", func(e *fakeEngine) { e.kv["q"] = movedTokens })
+		require.NoError(t, f.daemons["d1"].generate(context.Background(), other).err)
+		require.Equal(t, 1, f.engines.get("e2").imports)
+	})
+}
+
+func TestNothingIsImportedWithoutARecordOrWhenSwitchedOff(t *testing.T) {
+	moveFleet(t, true, func(f *fleet, h *holders, next structs.GenerateRequest) {
+		h.fail = verdict.Refuse(verdict.NotHome, "lost")
+		require.NoError(t, f.daemons["d1"].generate(context.Background(), next).err)
+		require.Zero(t, f.engines.get("e2").imports)
+	})
+	moveFleet(t, false, func(f *fleet, _ *holders, next structs.GenerateRequest) {
+		require.NoError(t, f.daemons["d1"].generate(context.Background(), next).err)
+		require.Zero(t, f.engines.get("e2").imports)
+	})
+}
+
+func TestEngineThatLeavesDuringTheImportGetsNoCall(t *testing.T) {
+	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
+		f.engines.set("e2", func(e *fakeEngine) { e.importing = 1900 * time.Millisecond })
+		next.Deadline = time.Now().Add(4 * time.Second)
+		call := f.daemons["d1"].generateLater(context.Background(), next)
+		time.Sleep(100 * time.Millisecond)
+		f.engines.set("e2", func(e *fakeEngine) { e.leaving = true })
+		got := <-call
+		require.True(t, verdict.Is(got.err, verdict.NotRun), got.err)
+		require.Zero(t, f.engines.get("e2").offered)
+	})
+}
+
+func TestCallersCancelStopsTheImport(t *testing.T) {
+	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
+		f.engines.set("e1", func(e *fakeEngine) { e.hangExport = true })
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		begun := time.Now()
+		require.Error(t, f.daemons["d1"].generate(ctx, next).err)
+		require.Equal(t, 100*time.Millisecond, time.Since(begun))
+	})
+}
--- a/internal/home/backends_test.go
+++ b/internal/home/backends_test.go
@@ -28,6 +28,8 @@
 	// onSend and onGenerate play failures, before and after the execution.
 	onSend     func(r structs.CallRequest, executed bool) error
 	onGenerate func(r structs.GenerateRequest, begun bool) error
+	// onImport is told of each import of KV cache.
+	onImport func(program string)
 	// check is given each prompt.
 	check func(r structs.GenerateRequest, prompt string)
 	// onForget plays failures of release orders.
@@ -54,6 +56,7 @@
 		seen:       map[string]bool{},
 		settled:    map[string]structs.CallReply{},
 		onGenerate: func(structs.GenerateRequest, bool) error { return nil },
+		onImport:   func(string) {},
 		before:     func(string, string) {},
 		onSend:     func(structs.CallRequest, bool) error { return nil },
 		onForget:   func() error { return nil },
--- a/internal/home/faulty_test.go
+++ b/internal/home/faulty_test.go
@@ -185,6 +185,7 @@
 	if !b.process.pass(atGenerate) {
 		return structs.Generated{}, errKilled
 	}
+	b.importCache(r)
 	b.process.count(r.Program, 1)
 	defer b.process.count(r.Program, -1)
 	g, err := b.backends.Generate(ctx, r, emit)
@@ -194,6 +195,23 @@
 	return g, err
 }
 
+// importCache plays an import at another engine than the one that will run the
+// turn, once the home has recorded it. What happens to the turn then is left to
+// the other faults.
+func (b *faultyBackends) importCache(r structs.GenerateRequest) {
+	d := b.process.world.daemon(b.process.name)
+	b.mu.Lock()
+	target := engines[(b.runs+2)%len(engines)].Name
+	b.mu.Unlock()
+	if d == nil || d.MayHold(r.Program, target) != nil {
+		return
+	}
+	b.mu.Lock()
+	b.held[target+"/"+r.Program] = true
+	b.mu.Unlock()
+	b.onImport(r.Program)
+}
+
 // Send implements dispatch.Sender.
 func (b *faultyBackends) Send(ctx context.Context, server structs.Server, r structs.CallRequest) (structs.CallReply, error) {
 	if !b.process.pass(atSend) {
--- a/internal/home/release.go
+++ b/internal/home/release.go
@@ -3,6 +3,7 @@
 import (
 	"ibisline/internal/journal"
 	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
 )
 
 // release sends a release order to each engine that may hold KV memory of an
@@ -19,6 +20,28 @@
 	}
 }
 
+// MayHold implements dispatch.HolderRecords for a program whose turn is under
+// way here. The record need not be stored before the engine is asked: a home that
+// takes the shard over without a proper release owes one to every engine.
+func (h *Home) MayHold(program, engine string) error {
+	id, _ := structs.ShardOf(program)
+	h.mu.Lock()
+	sh := h.shards[id]
+	h.mu.Unlock()
+	if sh == nil {
+		return notHome("shard %s is not held here", id)
+	}
+	_, err := sh.journal.Update(func(s *journal.State) error {
+		record := s.Edit(program)
+		if record == nil || record.Ended {
+			return verdict.Refuse(verdict.ProgramEnded, "program %s has ended", program)
+		}
+		record.AddEngine(engine)
+		return nil
+	})
+	return err
+}
+
 // owed lists the engines that have not confirmed a release, by ended program.
 // A program that may have run at an unknown engine owes one to every engine.
 func (h *Home) owed(sh *shard) map[string][]string {
--- a/internal/home/sim_test.go
+++ b/internal/home/sim_test.go
@@ -54,7 +54,7 @@
 // tally counts what the schedules reached, to show that they are not idle. A
 // step is an event of a schedule or a request of a caller to a home.
 type tally struct {
-	Turns, Calls, Sends, MayHaveRun, NotRun, Gaps, Claims, Ended, Adopted, Steps int
+	Turns, Calls, Sends, MayHaveRun, NotRun, Gaps, Claims, Ended, Adopted, Imports, Steps int
 }
 
 // sim is one run of a schedule.
@@ -129,6 +129,7 @@
 	w.backends.onForget = s.faultForget
 	w.backends.pickEngine = true
 	w.backends.onGenerate = s.faultGenerate
+	w.backends.onImport = s.noteImport
 	w.violate = s.violate
 	return s
 }
@@ -403,6 +404,14 @@
 	return nil
 }
 
+// noteImport notes that an engine took memory for a program.
+func (s *sim) noteImport(program string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.generated[program] = time.Now()
+	s.total.Imports++
+}
+
 // faultSend plays failures of a plain service.
 func (s *sim) faultSend(_ structs.CallRequest, executed bool) error {
 	s.mu.Lock()
--- a/internal/load/profile.go
+++ b/internal/load/profile.go
@@ -70,6 +70,9 @@
 	Step            Duration `toml:"step"`
 	StepPerSequence Duration `toml:"step_per_sequence"`
 	PrefillPerToken Duration `toml:"prefill_per_token"`
+	// KVTransfer is the rate at which engines import KV cache from each other,
+	// in tokens a second; 0 means that they do not offer it.
+	KVTransfer float64 `toml:"kv_transfer"`
 }
 
 // Slowness slows one engine, counted over all regions, during a part of the run.
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -144,6 +144,13 @@
 	w.prefilling += need.PrefillTokens
 }
 
+// Add raises the prompt tokens of a request under way and returns its new need.
+func (w *Window) Add(need Need, prefillTokens int) Need {
+	w.prefilling += prefillTokens
+	need.PrefillTokens += prefillTokens
+	return need
+}
+
 // FirstToken records that a request's prompt was computed.
 func (w *Window) FirstToken(need Need, now time.Time) {
 	w.prefilling -= need.PrefillTokens
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -75,6 +75,7 @@
 	Placement  string `toml:"placement" validate:"oneof=estimate round_robin" allowed:"estimate or round_robin"`
 	Window     string `toml:"window" validate:"oneof=adaptive fixed" allowed:"adaptive or fixed"`
 	Stragglers bool   `toml:"stragglers"`
+	KVTransfer bool   `toml:"kv_transfer"`
 	// FixedWindow is the number of requests under way at an engine when Window
 	// is fixed.
 	FixedWindow int `toml:"fixed_window" validate:"min=1,max=4096" allowed:"1 to 4096"`
@@ -118,6 +119,7 @@
 			Placement:     "estimate",
 			Window:        "adaptive",
 			Stragglers:    true,
+			KVTransfer:    true,
 			FixedWindow:   16,
 			QueueLimit:    1000,
 			FirstToken:    Duration(1100 * time.Millisecond),
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -25,7 +25,7 @@
 	Profiles []string `arg:"--profile,separate" help:"profile file; may be repeated"`
 	Seeds    int      `arg:"--seeds" default:"5" help:"seeds 1 to so many"`
 	First    int      `arg:"--first-seed" default:"1" help:"first seed"`
-	Variants []string `arg:"--variant,separate" help:"policy; may be repeated: baseline, new, fifo, round-robin, fixed-window, no-stragglers"`
+	Variants []string `arg:"--variant,separate" help:"policy; may be repeated: baseline, new, fifo, round-robin, fixed-window, no-stragglers, no-kv-transfer"`
 	Slow     bool     `arg:"--slow" help:"slow the engines down that the profile names"`
 }
 
--- a/tools/measure/run.go
+++ b/tools/measure/run.go
@@ -23,12 +23,15 @@
 window = "fixed"
 fixed_window = 64
 stragglers = false
+kv_transfer = false
 `,
 	"new":           "",
 	"fifo":          "queue = \"fifo\"\n",
 	"round-robin":   "placement = \"round_robin\"\n",
 	"fixed-window":  "window = \"fixed\"\nfixed_window = 64\n",
 	"no-stragglers": "stragglers = false\n",
+	// Without engines that offer it, this is the same as "new".
+	"no-kv-transfer": "kv_transfer = false\n",
 }
 
 // common are the settings of all daemons.
@@ -142,7 +145,8 @@
 		"--max-batch", fmt.Sprint(shape.MaxBatch),
 		"--step", shape.Step.Std().String(),
 		"--step-per-sequence", shape.StepPerSequence.Std().String(),
-		"--prefill-per-token", shape.PrefillPerToken.Std().String())
+		"--prefill-per-token", shape.PrefillPerToken.Std().String(),
+		"--kv-transfer", fmt.Sprint(shape.KVTransfer))
 	return err
 }
 
