Let a program leave a leaving engine with its cache

Cause: a call that a leaving engine refused went on without its cache, because any try without proof that it did not run switched the import off. Ruled out: to import after every failed try; an engine that broke or stalled may be the source, and its export would hang as well. Change: only a try that an engine failed or left unanswered switches the import off. The stand-in counts the exports asked for.

--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -36,6 +36,8 @@
 	// full the refusals by a full queue.
 	tries int
 	full  int
+	// broke is set when an engine failed a try.
+	broke bool
 
 	mu      sync.Mutex
 	emitted bool
@@ -133,6 +135,9 @@
 	if failed.Verdict != verdict.NotRun {
 		g.tries++
 	}
+	if failed.Reason == verdict.BackendFailed || failed.Reason == verdict.BackendTimeout {
+		g.broke = true
+	}
 	if ctx.Err() != nil || g.emitted || g.tries >= maxTries {
 		return false
 	}
--- a/internal/dispatch/transfer.go
+++ b/internal/dispatch/transfer.go
@@ -68,11 +68,11 @@
 }
 
 // sourceFor returns where the chosen engine is to import the cache from, if that
-// is expected to be faster. The engine is recorded as a holder first. After a try
-// that may have run the cache is computed: its source may be what failed.
+// is expected to be faster. The engine is recorded as a holder first. After an
+// engine failed a try of the call the cache is computed: it may be the source.
 func (d *Dispatcher) sourceFor(g *generation, server *structs.Server) structs.KVSource {
 	request := &g.request
-	if g.tries > 0 {
+	if g.broke {
 		return structs.KVSource{}
 	}
 	run := d.lastRun(request)
--- a/internal/fake/engine/settings.go
+++ b/internal/fake/engine/settings.go
@@ -111,6 +111,8 @@
 	TotalTokens int `json:"total_tokens"`
 	Evictions   int `json:"evictions"`
 	Released    int `json:"released"`
+	// Exports counts the exports asked for.
+	Exports int `json:"exports"`
 	// Imports and ImportedTokens count the caches pulled from other engines.
 	Imports        int `json:"imports"`
 	ImportedTokens int `json:"imported_tokens"`
--- a/internal/fake/engine/transfer.go
+++ b/internal/fake/engine/transfer.go
@@ -34,7 +34,7 @@
 		refuse(w, http.StatusBadRequest, "malformed request: %v", err)
 		return
 	}
-	if e.Faults().HangExport {
+	if e.hangsExport() {
 		<-r.Context().Done()
 		return
 	}
@@ -49,6 +49,14 @@
 	_ = json.NewEncoder(w).Encode(messages)
 }
 
+// hangsExport counts an export that is asked for and tells whether it hangs.
+func (e *Engine) hangsExport() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Exports++
+	return e.faults.HangExport
+}
+
 // importKV pulls the cache of a program from another engine.
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
 	if e.settings.ImportRate <= 0 {
