--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -36,6 +36,8 @@
 	// full the refusals by a full queue.
 	tries int
 	full  int
+	// broke is set when an engine failed a try.
+	broke bool
 
 	mu      sync.Mutex
 	emitted bool
@@ -133,6 +135,9 @@
 	if failed.Verdict != verdict.NotRun {
 		g.tries++
 	}
+	if failed.Reason == verdict.BackendFailed || failed.Reason == verdict.BackendTimeout {
+		g.broke = true
+	}
 	if ctx.Err() != nil || g.emitted || g.tries >= maxTries {
 		return false
 	}
@@ -166,7 +171,9 @@
 	a := newAttempt(g, server, cancel)
 	stop := d.watchFirstToken(a)
 	defer stop()
-	generated, err := d.sendTo(ctx, server, g.request, a.emit)
+	request := g.request
+	request.Source = d.sourceFor(g, &server)
+	generated, err := d.sendTo(ctx, server, request, a.emit)
 	if a.isMoved() {
 		return structs.Generated{}, verdict.Wrap(errMoved, verdict.MayHaveRun, verdict.BackendTimeout, "no first token in time")
 	}
@@ -179,7 +186,8 @@
 	if !ok {
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
-	d.board.sent(server.Name, d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request)))
+	uncached := d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request))
+	d.board.sent(server.Name, min(uncached, request.PromptTokens-request.Source.Tokens))
 	if server.Region != d.deps.Region {
 		d.measures.farPrompts.Add(request.PromptTokens)
 	}
