Report the latency floor of a profile and a servable demand

The index of fairness also counted a turn that was asked for just before the end of the compared time as demand that its share had to meet in full, so that owners below their share looked starved although nothing waited. Ruled out: comparing only owners that wait; it hides an owner whose few turns were slow. Change: the floor is each planned program alone, with its prompts at the engines' rate, its answers at their gap, its pauses and its slowest sub-agent, at a batch of one and at capacity. The index takes the demand that engines at capacity could serve in the time without waiting; work that waited counts as before, and the old index stays beside it. The new index is not measured yet.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -53,10 +53,17 @@
 	// token.
 	Short      Quantiles `json:"short"`
 	ShortFirst Quantiles `json:"short_first"`
+	// FloorAlone is the floor on engines that run one request, FloorCapacity the
+	// one on engines at their capacity.
+	FloorAlone    Floor `json:"floor_alone"`
+	FloorCapacity Floor `json:"floor_capacity"`
 	// Jain is the fairness index of what owners received over what their shares
-	// granted them.
+	// granted them, up to the demand that engines could serve in the time.
 	Jain     float64            `json:"jain"`
 	Received map[string]float64 `json:"received_over_granted"`
+	// JainAllDemand is the index over the whole demand, with what was asked for
+	// too late to be served in the time.
+	JainAllDemand float64 `json:"jain_all_demand"`
 	// HistoryTokens are the prompt tokens that programs had before; Recomputed
 	// those of them that no cache held.
 	HistoryTokens int `json:"history_tokens"`
@@ -103,6 +110,8 @@
 		Reasons:  map[string]int{},
 	}
 	result.OfferedCrest = p.crestLoad(schedule)
+	result.FloorAlone = NewFloor(p, schedule, 1)
+	result.FloorCapacity = NewFloor(p, schedule, p.Engine.CapacityBatch)
 	all := newHistogram()
 	for _, sample := range samples {
 		result.count(sample)
@@ -219,33 +228,43 @@
 	for _, entry := range p.Entry {
 		shares[entry.Owner] += entry.Share
 	}
-	demand, received := p.demand(samples, from, to), p.received(samples, from, to)
+	received := p.received(samples, from, to)
+	r.Received = overGranted(received, shares, p.servable(samples, from, to))
+	r.Jain = jain(r.Received)
+	r.JainAllDemand = jain(overGranted(received, shares, p.demand(samples, from, to)))
+}
+
+// overGranted is what each owner received over what its share of the total
+// granted it, up to its demand.
+func overGranted(received, shares, demand map[string]float64) map[string]float64 {
 	total := 0.0
-	for _, cost := range received {
-		total += cost
+	for _, amount := range received {
+		total += amount
 	}
-	granted := waterFill(total, shares, demand)
-	r.Received = map[string]float64{}
-	var ratios []float64
-	for owner, amount := range granted {
-		if amount <= 0 {
-			continue
+	ratios := map[string]float64{}
+	for owner, amount := range waterFill(total, shares, demand) {
+		if amount > 0 {
+			ratios[owner] = received[owner] / amount
 		}
-		ratio := received[owner] / amount
-		r.Received[owner] = ratio
-		ratios = append(ratios, ratio)
 	}
-	r.Jain = jain(ratios)
+	return ratios
 }
 
 // demand is the engine time that each owner's turns asked for in the time from
 // one point to another, with what was still to be done at its begin.
 func (p Profile) demand(samples []Sample, from, to time.Duration) map[string]float64 {
+	return p.sum(samples, func(turn TurnSample) float64 { return turn.openWithin(from, to) })
+}
+
+// servable is the part of the demand that engines at their capacity could have
+// served in the time without any waiting: a long turn that was asked for just
+// before the end is no demand that a share could have met.
+func (p Profile) servable(samples []Sample, from, to time.Duration) map[string]float64 {
 	return p.sum(samples, func(turn TurnSample) float64 {
-		if turn.Asked >= to || (turn.At > 0 && turn.At <= from) {
-			return 0
-		}
-		return 1 - turn.doneWithin(0, from)
+		needed := p.aloneTurn(turn.New, turn.Output, p.Engine.CapacityBatch)
+		left := to - max(turn.Asked, from)
+		most := float64(left) / float64(max(needed, 1))
+		return min(turn.openWithin(from, to), max(most, turn.doneWithin(from, to)))
 	})
 }
 
@@ -266,6 +285,15 @@
 	return total
 }
 
+// openWithin is the part of a turn that was asked for before the end of a time
+// and was not done at its begin.
+func (t TurnSample) openWithin(from, to time.Duration) float64 {
+	if t.Asked >= to || (t.At > 0 && t.At <= from) {
+		return 0
+	}
+	return 1 - t.doneWithin(0, from)
+}
+
 // doneWithin is the part of a turn that was done between two times. Its work is
 // spread over the time from its first token to its end.
 func (t TurnSample) doneWithin(from, to time.Duration) float64 {
@@ -316,7 +344,7 @@
 
 // jain is the fairness index of n ratios: 1 when all are equal, 1/n when one
 // has all.
-func jain(ratios []float64) float64 {
+func jain(ratios map[string]float64) float64 {
 	sum, squares := 0.0, 0.0
 	for _, ratio := range ratios {
 		sum += ratio
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -158,7 +158,7 @@
 // engineTime is the time that one engine at its capacity takes for tokens.
 func (p Profile) engineTime(prompt, output int) time.Duration {
 	batch := time.Duration(p.Engine.CapacityBatch)
-	perToken := (p.Engine.Step.Std() + batch*p.Engine.StepPerSequence.Std()) / batch
+	perToken := p.gap(p.Engine.CapacityBatch) / batch
 	return time.Duration(prompt)*p.Engine.PrefillPerToken.Std() + time.Duration(output)*perToken
 }
 
