Lower a window for a late first token only beside a reported queue

Cause: a first token that came late by the estimate of the prompts ahead was taken for a queue inside the engine, and the window fell to the few streams that had begun. Prompts that were longer than expected did the same: a dump of an engine at the crest showed windows of 2 to 9 with 8 to 25 requests waiting and 24 to 45 ms between tokens, far under the target. Ruled out: the step down by the gap, which stayed under its target, and a short KV memory, of which 85 in 100 were free. Change: the window falls only if the last load report shows more than an eighth as many waiting inside the engine as running, and not below what the engine runs. The report is late, but such a queue lasts. Prompts are still expected too long.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -294,6 +294,7 @@
 	e.down = false
 	e.kvFree = cmp.Or(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
 	e.mu.Unlock()
+	e.queue.reported(load.Running, load.Waiting)
 	if changed {
 		e.applyState()
 	}
--- a/internal/dispatch/server_queue.go
+++ b/internal/dispatch/server_queue.go
@@ -238,6 +238,13 @@
 	q.window.Shrink(fraction, now)
 }
 
+// reported hands the engine's load report to the window.
+func (q *serverQueue) reported(running, waiting int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window.Reported(running, waiting)
+}
+
 // forget drops what the window observed too long ago.
 func (q *serverQueue) forget(now time.Time) {
 	q.mu.Lock()
--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -40,6 +40,9 @@
 	// searchFraction is the step up until the bound of the engine is known.
 	searchFraction = 0.5
 	growInterval   = time.Second
+	// queuedFraction is the part of the running sequences beyond which those that
+	// wait inside an engine are more than the arrivals of one step.
+	queuedFraction = 0.125
 	// staleAfter is the time without tokens after which a gap says nothing.
 	staleAfter = 10 * time.Second
 	// holdAfterShrink is the time without growth after a step down.
@@ -81,6 +84,9 @@
 	lastToken   time.Time
 	shrunk      time.Time
 	grown       time.Time
+	// reportedRunning and reportedWaiting are of the last load report.
+	reportedRunning int
+	reportedWaiting int
 }
 
 // New returns an open window.
@@ -254,15 +260,27 @@
 	return growFraction
 }
 
+// Reported takes over the sequences that run and wait inside the engine by its
+// last load report.
+func (w *Window) Reported(running, waiting int) {
+	w.reportedRunning = running
+	w.reportedWaiting = waiting
+}
+
 // Queued records that a request's first token came much later than its prompt
-// and those ahead take to compute, while so many streams were open: the engine
-// keeps a queue of its own, in which no order of ours holds. The limit falls to
-// what the engine really runs.
+// and those ahead take to compute, while so many streams were open. If the load
+// report, which is late, shows a queue inside the engine too, in which no order
+// of ours holds, the limit falls to what the engine really runs. Without it the
+// prompts were only longer than expected.
 func (w *Window) Queued(streams int, now time.Time) {
 	if w.config.Fixed || now.Sub(w.shrunk) < holdAfterShrink {
 		return
 	}
-	w.limit = max(min(w.limit, float64(streams)), minLimit)
+	if float64(w.reportedWaiting) <= queuedFraction*float64(w.reportedRunning) {
+		return
+	}
+	target := float64(max(streams, w.reportedRunning))
+	w.limit = max(min(w.limit, target), minLimit)
 	w.shrunk = now
 }
 
--- a/internal/policy/window/window_test.go
+++ b/internal/policy/window/window_test.go
@@ -141,6 +141,10 @@
 	for range 8 {
 		w.FirstToken(window.Need{}, now)
 	}
+	w.Reported(8, 1)
+	w.Queued(w.Streams(), now)
+	require.Equal(t, 16, w.Limit(), "long prompts alone do not show a queue")
+	w.Reported(6, 8)
 	w.Queued(w.Streams(), now)
 	require.Equal(t, 8, w.Limit())
 	w.Queued(2, now.Add(time.Second))
@@ -162,6 +166,7 @@
 		return w.Limit() - before
 	}
 	require.GreaterOrEqual(t, grow(3), 32)
+	w.Reported(32, 16)
 	w.Queued(32, now)
 	require.LessOrEqual(t, grow(6), 6)
 }
