Expect prompts by their length, not by their bytes, where calls are placed

Cause: the home bounds a new message by its bytes, four times its tokens here. The window's estimate corrected that for an entry with finished requests only, and scaled the counted history down with it when a program moved; placement and the status board used the bound itself. A dump showed an engine with 81,000 to 112,000 prompt tokens "to be computed" that were a quarter of it, and admitted nothing else for 5 s. Ruled out: the window and KV memory, which had room all the time. Change: the messages since the last answer are scaled by the ratio that the entry's finished requests had, or all entries' while none has finished; the counted history is taken as it is. The queue, placement, board and the watch of the first token use the same figure. KV memory keeps the bound.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -93,7 +93,7 @@
 
 // patience is the time after which a missing first token is looked into.
 func (d *Dispatcher) patience(a *attempt) time.Duration {
-	request := &a.generation.request
+	request := d.lengths.expected(&a.generation.request)
 	here := d.placementEngine(d.candidateOf(&a.server), request, d.lastRun(request))
 	expected := placement.FirstToken(d.placementRequest(request), here)
 	return max(patienceFactor*expected, d.config.FirstTokenTarget)
@@ -103,15 +103,16 @@
 // sooner by more than the target for a first token. A first token that is late
 // by the estimate is taken to be as long away as it was waited for already.
 func (d *Dispatcher) fasterElsewhere(a *attempt) bool {
-	request := &a.generation.request
-	others := d.candidates(request.Model, a.excluded)
+	others := d.candidates(a.generation.request.Model, a.excluded)
 	if len(others) == 0 {
 		return false
 	}
+	best := d.choose(&a.generation.request, others)
+	request := d.lengths.expected(&a.generation.request)
 	run := d.lastRun(request)
 	call := d.placementRequest(request)
 	here := d.placementEngine(d.candidateOf(&a.server), request, run)
-	there := d.placementEngine(d.choose(request, others), request, run)
+	there := d.placementEngine(best, request, run)
 	expected := max(placement.FirstToken(call, here), time.Since(a.begun)) + placement.Generation(call, here)
 	return expected > placement.Estimate(call, there)+d.config.FirstTokenTarget
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -121,8 +121,7 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.cache.uncached(&request, e.name)
-	uncached := e.lengths.prompt(&request, bound)
+	uncached := e.cache.uncached(e.lengths.expected(&request), e.name)
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
@@ -141,7 +140,6 @@
 	if err != nil {
 		return nil, err
 	}
-	grant.uncachedBound = bound
 	e.measures.waited(request.Class, time.Since(item.Arrived))
 	return grant, nil
 }
@@ -163,7 +161,7 @@
 	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.lengths.observePrompt(&request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observePrompt(&request, usage.PromptTokens)
 	e.lengths.observeOutput(&request, usage.OutputTokens)
 	return generated, nil
 }
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -18,14 +18,12 @@
 // the progress of the request's stream to the window. It is used by one
 // goroutine.
 type grant struct {
-	queue *serverQueue
-	item  *fairshare.Item
-	need  window.Need
-	// uncachedBound is the uncached part of the prompt by the home's estimate.
-	uncachedBound int
-	begun         time.Time
-	started       bool
-	first         time.Duration
+	queue   *serverQueue
+	item    *fairshare.Item
+	need    window.Need
+	begun   time.Time
+	started bool
+	first   time.Duration
 	// ahead is the number of prompt tokens computed before this one's, streams
 	// the number of open streams when its first piece came.
 	ahead   int
--- a/internal/dispatch/lengths.go
+++ b/internal/dispatch/lengths.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"ibisline/internal/budget"
 	"ibisline/internal/structs"
 )
 
@@ -11,6 +12,8 @@
 	lengthWeight = 0.1
 	// minPromptRatio bounds how far below its bound a prompt is expected.
 	minPromptRatio = 0.05
+	// roleAssistant is the role of an answer among a prompt's messages.
+	roleAssistant = "assistant"
 )
 
 // lengths predicts the lengths of prompts and answers from the finished
@@ -19,12 +22,14 @@
 type lengths struct {
 	mu      sync.Mutex
 	entries map[string]*entryLengths
+	// promptRatio is the one of all entries, for those of which none finished.
+	promptRatio mean
 }
 
 // entryLengths are the means of one entry.
 type entryLengths struct {
 	outputs mean
-	// promptRatio is the uncached part of a prompt over its bound.
+	// promptRatio is the length of the new messages of a prompt over their bound.
 	promptRatio mean
 }
 
@@ -65,15 +70,38 @@
 	return min(int(outputs.value)+1, request.MaxTokens)
 }
 
-// prompt returns the expected uncached part of a prompt for its bound.
-func (l *lengths) prompt(request *structs.GenerateRequest, bound int) int {
+// expected returns the request with the expected length of its prompt in place
+// of the home's bound.
+func (l *lengths) expected(request *structs.GenerateRequest) *structs.GenerateRequest {
+	added := addedBound(request)
+	result := *request
+	result.PromptTokens += int(float64(added)*l.promptRatioOf(request.Entry)) - added
+	return &result
+}
+
+// addedBound is the home's bound of the messages since the last answer. The
+// length of all before them was counted by an engine.
+func addedBound(request *structs.GenerateRequest) int {
+	begin := len(request.Messages)
+	for begin > 0 && request.Messages[begin-1].Role != roleAssistant {
+		begin--
+	}
+	return min(budget.PromptBound(0, request.Messages[begin:]), request.PromptTokens)
+}
+
+// promptRatioOf returns the mean length of an entry's new messages over their
+// bound, that of all entries while none of this one has finished.
+func (l *lengths) promptRatioOf(entry string) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ratio := l.entry(request.Entry).promptRatio
+	ratio := l.entry(entry).promptRatio
+	if !ratio.known {
+		ratio = l.promptRatio
+	}
 	if !ratio.known {
-		return bound
+		return 1
 	}
-	return int(float64(bound) * max(ratio.value, minPromptRatio))
+	return max(ratio.value, minPromptRatio)
 }
 
 // observeOutput records the length of a finished answer.
@@ -83,14 +111,16 @@
 	l.entry(request.Entry).outputs.add(float64(tokens))
 }
 
-// observePrompt records the length of a prompt whose uncached part was bounded.
-// What the engine had evicted meanwhile does not count as a wrong bound.
-func (l *lengths) observePrompt(request *structs.GenerateRequest, bound, tokens int) {
-	if bound <= 0 {
+// observePrompt records the length of a finished prompt.
+func (l *lengths) observePrompt(request *structs.GenerateRequest, tokens int) {
+	added := addedBound(request)
+	if added <= 0 {
 		return
 	}
-	believedCached := request.PromptTokens - bound
+	counted := request.PromptTokens - added
+	ratio := min(float64(tokens-counted)/float64(added), 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.entry(request.Entry).promptRatio.add(min(float64(tokens-believedCached)/float64(bound), 1))
+	l.entry(request.Entry).promptRatio.add(ratio)
+	l.promptRatio.add(ratio)
 }
--- a/internal/dispatch/lengths_test.go
+++ b/internal/dispatch/lengths_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,14 +11,17 @@
 
 func TestLengthsFollowWhatTheEntryUsed(t *testing.T) {
 	l := newLengths()
-	request := &structs.GenerateRequest{Entry: "e", PromptTokens: 5_000, MaxTokens: 400}
+	messages := []structs.Message{{Role: "assistant"}, {Role: "user", Content: strings.Repeat("x", 2_000)}}
+	request := &structs.GenerateRequest{Entry: "e", PromptTokens: 5_000, MaxTokens: 400, Messages: messages}
 	require.Equal(t, 400, l.output(request))
-	require.Equal(t, 2_000, l.prompt(request, 2_000))
+	require.Equal(t, 5_000, l.expected(request).PromptTokens)
+	counted := 5_000 - addedBound(request)
 	for range 10 {
 		l.observeOutput(request, 90)
-		l.observePrompt(request, 2_000, 3_500)
+		l.observePrompt(request, counted+500)
 	}
 	require.Equal(t, 91, l.output(request))
-	require.InDelta(t, 500, l.prompt(request, 2_000), 1)
-	require.Equal(t, 2_000, l.prompt(&structs.GenerateRequest{Entry: "other"}, 2_000))
+	require.InDelta(t, counted+500, l.expected(request).PromptTokens, 1)
+	other := &structs.GenerateRequest{Entry: "other", PromptTokens: 2_100, Messages: messages[1:]}
+	require.InDelta(t, 500, l.expected(other).PromptTokens, 50, "an entry of which none finished follows the others")
 }
--- a/internal/dispatch/pick.go
+++ b/internal/dispatch/pick.go
@@ -44,6 +44,7 @@
 
 // learn remembers where a program ran.
 func (d *Dispatcher) learn(request structs.GenerateRequest, generated structs.Generated) {
+	d.lengths.observePrompt(&request, generated.Usage.PromptTokens)
 	d.lengths.observeOutput(&request, generated.Usage.OutputTokens)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -127,6 +128,7 @@
 // is current.
 func (d *Dispatcher) choose(request *structs.GenerateRequest, candidates []candidate) candidate {
 	considered := d.current(request, candidates)
+	request = d.lengths.expected(request)
 	run := d.lastRun(request)
 	engines := make([]placement.Engine, len(considered))
 	for i, c := range considered {
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -179,7 +179,7 @@
 	if !ok {
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
-	d.board.sent(server.Name, d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request)))
+	d.board.sent(server.Name, d.uncachedAt(d.candidateOf(&server), d.lengths.expected(&request), d.lastRun(&request)))
 	if server.Region != d.deps.Region {
 		d.measures.farPrompts.Add(request.PromptTokens)
 	}
