Count the computation of a prompt before its first token

Cause: the work of a turn was spread over the time from its first token to its end, although most of the work of a long prompt is done before the first token. An owner with long prompts seemed to receive its work seconds late, beyond the compared time. Ruled out: leaving it to the servable demand, which already grants the computation of the prompt to the time in which it can take place. Change: the work is spread from the first token less the engine's time for the new prompt tokens, never before the turn was asked for.

--- a/internal/load/floor.go
+++ b/internal/load/floor.go
@@ -40,7 +40,12 @@
 // aloneTurn is the time that a turn takes without waiting: the computation of
 // its new prompt tokens, then one step for each token of the answer.
 func (p Profile) aloneTurn(prompt, output, batch int) time.Duration {
-	return time.Duration(prompt)*p.Engine.PrefillPerToken.Std() + time.Duration(output)*p.gap(batch)
+	return p.prefillTime(prompt) + time.Duration(output)*p.gap(batch)
+}
+
+// prefillTime is the time that an engine takes to compute prompt tokens.
+func (p Profile) prefillTime(tokens int) time.Duration {
+	return time.Duration(tokens) * p.Engine.PrefillPerToken.Std()
 }
 
 // gap is the time between the tokens of a stream in a batch of a size.
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -100,6 +100,8 @@
 	require.InDelta(t, 0.5, turn.doneWithin(0, 3*time.Second), 1e-9)
 	require.InDelta(t, 1, turn.doneWithin(0, time.Minute), 1e-9)
 	require.Zero(t, turn.doneWithin(4*time.Second, time.Minute))
+	long := TurnSample{First: 4 * time.Second, Prefill: 3 * time.Second, At: 5 * time.Second}
+	require.InDelta(t, 0.75, long.doneWithin(0, 4*time.Second), 1e-9, "the prompt is computed before the first token")
 	require.Zero(t, TurnSample{Asked: time.Second}.doneWithin(0, time.Minute), "a turn that was cut off did nothing")
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -295,12 +295,13 @@
 }
 
 // doneWithin is the part of a turn that was done between two times. Its work is
-// spread over the time from its first token to its end.
+// spread over the computation of its prompt, before the first token, and the
+// time from there to its end.
 func (t TurnSample) doneWithin(from, to time.Duration) float64 {
 	if t.At == 0 {
 		return 0
 	}
-	begin := t.Asked + t.First
+	begin := t.Asked + max(t.First-t.Prefill, 0)
 	if begin >= t.At {
 		begin = t.At - 1
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -50,6 +50,8 @@
 	// New and Output are the tokens that it had to compute with a whole cache.
 	New    int
 	Output int
+	// Prefill is the time that an engine takes to compute New.
+	Prefill time.Duration
 	// First is the wait for the first token, refusals included.
 	First time.Duration
 	// History are the tokens of the prompt that the program had before.
@@ -229,7 +231,13 @@
 		first = sent + answer.FirstEvent
 		return err
 	})
-	sample := TurnSample{Asked: wanted.Sub(p.r.begin), First: first, New: planned.Tokens, Output: planned.Output}
+	sample := TurnSample{
+		Asked:   wanted.Sub(p.r.begin),
+		First:   first,
+		New:     planned.Tokens,
+		Prefill: p.r.profile.prefillTime(planned.Tokens),
+		Output:  planned.Output,
+	}
 	if err != nil {
 		p.turns = append(p.turns, sample)
 		return err
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -159,7 +159,7 @@
 func (p Profile) engineTime(prompt, output int) time.Duration {
 	batch := time.Duration(p.Engine.CapacityBatch)
 	perToken := p.gap(p.Engine.CapacityBatch) / batch
-	return time.Duration(prompt)*p.Engine.PrefillPerToken.Std() + time.Duration(output)*perToken
+	return p.prefillTime(prompt) + time.Duration(output)*perToken
 }
 
 // tokens are the new prompt and output tokens of a program and its sub-agents.
