--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -127,8 +127,7 @@
 
 // admit waits for a slot.
 func (e *engine) admit(ctx context.Context, request structs.GenerateRequest) (*grant, error) {
-	bound := e.uncachedAfterImport(&request)
-	uncached := e.lengths.prompt(&request, bound)
+	uncached := e.uncachedAfterImport(e.lengths.expected(&request))
 	item := &fairshare.Item{
 		Owner:    request.Owner,
 		Class:    request.Class,
@@ -147,7 +146,6 @@
 	if err != nil {
 		return nil, err
 	}
-	grant.uncachedBound = bound
 	e.measures.waited(request.Class, time.Since(item.Arrived))
 	return grant, nil
 }
@@ -169,7 +167,7 @@
 	grant.prefilled(usage.PromptTokens-usage.CachedTokens, time.Now())
 	grant.finished(actualCost(grant.item, generated, nil), time.Now())
 	e.cache.stored(request.Program, usage.PromptTokens+usage.OutputTokens, time.Now())
-	e.lengths.observePrompt(&request, grant.uncachedBound, usage.PromptTokens)
+	e.lengths.observePrompt(&request, usage.PromptTokens)
 	e.lengths.observeOutput(&request, usage.OutputTokens)
 	return generated, nil
 }
@@ -319,6 +317,7 @@
 	e.down = false
 	e.kvFree = cmp.Or(load.KVTotalTokens, e.server.KVTokens) - load.KVUsedTokens
 	e.mu.Unlock()
+	e.queue.reported(load.Running, load.Waiting)
 	if changed {
 		e.applyState()
 	}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -424,19 +424,29 @@
 	return nil
 }
 
-func (f *fakeEngines) ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error) {
-	source := f.get(from)
+// beginImport takes over the memory and returns its tokens and how long the
+// import takes.
+func (f *fakeEngines) beginImport(server structs.Server, program, from string) (int, time.Duration, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	source := f.engine(from)
 	tokens, held := source.kv[program]
 	if !held {
-		return 0, backend.ErrNotHeld
+		return 0, 0, backend.ErrNotHeld
 	}
-	f.set(server.Name, func(e *fakeEngine) {
-		e.imports++
-		e.kv[program] = tokens
-	})
-	wait := f.get(server.Name).importing
+	e := f.engine(server.Name)
+	e.imports++
+	e.kv[program] = tokens
 	if source.hangExport {
-		wait = time.Hour
+		return tokens, time.Hour, nil
+	}
+	return tokens, e.importing, nil
+}
+
+func (f *fakeEngines) ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error) {
+	tokens, wait, err := f.beginImport(server, program, from)
+	if err != nil {
+		return 0, err
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -21,9 +21,7 @@
 	queue *serverQueue
 	item  *fairshare.Item
 	need  window.Need
-	// uncachedBound is the uncached part of the prompt by the home's estimate.
-	uncachedBound int
-	begun         time.Time
+	begun time.Time
 	// sent is when the engine was given the request. An import of its KV cache
 	// comes before.
 	sent    time.Time
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -186,8 +186,9 @@
 	if !ok {
 		return structs.Generated{}, verdict.Refuse(verdict.NoServer, "no daemon is live to dispatch to %s", server.Name)
 	}
-	uncached := d.uncachedAt(d.candidateOf(&server), &request, d.lastRun(&request))
-	d.board.sent(server.Name, min(uncached, request.PromptTokens-request.Source.Tokens))
+	expected := d.lengths.expected(&request)
+	uncached := d.uncachedAt(d.candidateOf(&server), expected, d.lastRun(expected))
+	d.board.sent(server.Name, min(uncached, expected.PromptTokens-expected.Source.Tokens))
 	if server.Region != d.deps.Region {
 		d.measures.farPrompts.Add(request.PromptTokens)
 	}
--- a/internal/dispatch/transfer.go
+++ b/internal/dispatch/transfer.go
@@ -71,10 +71,10 @@
 // is expected to be faster. The engine is recorded as a holder first. After an
 // engine failed a try of the call the cache is computed: it may be the source.
 func (d *Dispatcher) sourceFor(g *generation, server *structs.Server) structs.KVSource {
-	request := &g.request
 	if g.broke {
 		return structs.KVSource{}
 	}
+	request := d.lengths.expected(&g.request)
 	run := d.lastRun(request)
 	chosen := d.placementEngine(d.candidateOf(server), request, run)
 	if !placement.Transfers(d.placementRequest(request), chosen) {
@@ -134,12 +134,13 @@
 // is NotRun then.
 func (e *engine) prepare(ctx context.Context, grant *grant, request *structs.GenerateRequest) error {
 	grant.sent = time.Now()
-	planned := e.uncachedAfterImport(request)
-	if e.cache.uncached(request, e.name) <= planned {
+	expected := e.lengths.expected(request)
+	planned := e.uncachedAfterImport(expected)
+	if e.cache.uncached(expected, e.name) <= planned {
 		return nil
 	}
 	e.importCache(ctx, request)
-	grant.recompute(max(e.cache.uncached(request, e.name)-planned, 0))
+	grant.recompute(max(e.cache.uncached(expected, e.name)-planned, 0))
 	grant.sent = time.Now()
 	if refusal := e.refusal(); refusal != nil {
 		return refusal
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -158,8 +158,8 @@
 // engineTime is the time that one engine at its capacity takes for tokens.
 func (p Profile) engineTime(prompt, output int) time.Duration {
 	batch := time.Duration(p.Engine.CapacityBatch)
-	perToken := (p.Engine.Step.Std() + batch*p.Engine.StepPerSequence.Std()) / batch
-	return time.Duration(prompt)*p.Engine.PrefillPerToken.Std() + time.Duration(output)*perToken
+	perToken := p.gap(p.Engine.CapacityBatch) / batch
+	return p.prefillTime(prompt) + time.Duration(output)*perToken
 }
 
 // tokens are the new prompt and output tokens of a program and its sub-agents.
