Read the prompts of the model's backends under their lock

Ruled out: a race in the home itself; both sides of the report are the test's map. Change: all tests read prompts through a method that takes the lock. No assertion changes. Conclusion: a fault of the scaffolding.

--- a/internal/home/backends_test.go
+++ b/internal/home/backends_test.go
@@ -227,6 +227,13 @@
 	return reply, ok, nil
 }
 
+// promptsOf returns the prompts of a turn's finished generations.
+func (b *backends) promptsOf(program string, turn int) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Clone(b.prompts[turnID(program, turn)])
+}
+
 func (b *backends) heldPrograms() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -58,13 +58,13 @@
 		require.Equal(t, 2, verdict.From(err).Turn)
 
 		runTurn(t, b, resendRequest(id, answers))
-		prompt := w.backends.prompts[turnID(id, 4)][0]
+		prompt := w.backends.promptsOf(id, 4)[0]
 		for _, answer := range answers {
 			require.Contains(t, prompt, answer.text())
 		}
 		require.Equal(t, 7, strings.Count(prompt, "|"))
 		runTurn(t, b, resendRequest(id, answers))
-		require.Len(t, w.backends.prompts[turnID(id, 4)], 1)
+		require.Len(t, w.backends.promptsOf(id, 4), 1)
 	})
 }
 
@@ -104,7 +104,7 @@
 		before := w.objects.Counts().Gets
 		b := w.start("b")
 		runTurn(t, b, turnRequest(id, turns+1))
-		require.Equal(t, 2*turns+1, strings.Count(w.backends.prompts[turnID(id, turns+1)][0], "|"))
+		require.Equal(t, 2*turns+1, strings.Count(w.backends.promptsOf(id, turns+1)[0], "|"))
 		require.Less(t, w.objects.Counts().Gets-before, 12)
 	})
 }
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -38,7 +38,7 @@
 		runTurn(t, d, turnRequest(id, 2))
 		require.Equal(t, []string{
 			"user:question 1 of " + id + "|assistant:" + first.text() + "|user:question 2 of " + id + "|",
-		}, w.backends.prompts[turnID(id, 2)])
+		}, w.backends.promptsOf(id, 2))
 	})
 }
 
@@ -53,7 +53,7 @@
 		require.Equal(t, first.text(), again.text())
 		require.Len(t, again.events, len(first.events))
 		require.Equal(t, first.events[0].Run, again.events[0].Run)
-		require.Len(t, w.backends.prompts[turnID(id, 1)], 1)
+		require.Len(t, w.backends.promptsOf(id, 1), 1)
 	})
 }
 
@@ -95,8 +95,8 @@
 			go func() { results <- d.Turn(context.Background(), turnRequest(id, turn), (&collect{}).sink) }()
 			time.Sleep(300 * time.Millisecond)
 		}
-		require.Len(t, w.backends.prompts[turnID(id, 1)], 1)
-		require.Empty(t, w.backends.prompts[turnID(id, 2)])
+		require.Len(t, w.backends.promptsOf(id, 1), 1)
+		require.Empty(t, w.backends.promptsOf(id, 2))
 		require.NoError(t, <-results)
 		require.NoError(t, <-results)
 	})
