Start the move tests after the poll that shows the full engine

Cause: the tests of moves between engines failed now and then under the race detector: the call under test was placed at the full engine. It came at the very instant of the second poll, and the status of the first may have been taken before the engine got its call. Ruled out: a fault of the placement: until the next poll a status can be older than a call, and the board says so; the estimate followed what it was told. Change: the tests begin half an interval after the second poll, in virtual time. Conclusion: a fault of the set-up only; no check was eased.

--- a/internal/dispatch/transfer_test.go
+++ b/internal/dispatch/transfer_test.go
@@ -55,7 +55,8 @@
 		busy := modelCall("busy")
 		busy.LastEngine, busy.PromptTokens = "e1", 60_000
 		f.daemons["d1"].generateLater(t.Context(), busy)
-		time.Sleep(time.Second)
+		// The first poll may cross with the call; the second one shows it.
+		time.Sleep(1500 * time.Millisecond)
 		next := modelCall("p")
 		next.PromptTokens, next.LastEngine = movedTokens, "e1"
 		test(f, h, next)
