Count no negative prompt when an import is larger than expected

Cause: since prompts are planned by their expected length, two daemons may expect different lengths of one prompt. An import planned by the router could then be larger than the prompt that the engine's dispatcher expects, and the rest to compute be negative: in the request's cost, and in the window's and the board's count of prompt tokens under way. Ruled out: to send the router's expectation along; the dispatcher's own is the one that its window counts with. Change: the rest is at least 0 in both places.

--- a/internal/dispatch/cache_map_test.go
+++ b/internal/dispatch/cache_map_test.go
@@ -59,3 +59,9 @@
 	require.False(t, c.lost(map[string]int{"p": 10}))
 	require.True(t, c.lost(map[string]int{"new": 10}))
 }
+
+func TestImportLargerThanTheExpectedPromptLeavesNothingToCompute(t *testing.T) {
+	e := &engine{name: "e2", cache: newCacheMap()}
+	request := &structs.GenerateRequest{PromptTokens: 900, Source: structs.KVSource{Tokens: 1000}}
+	require.Zero(t, e.uncachedAfterImport(request))
+}
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -188,7 +188,7 @@
 	}
 	expected := d.lengths.expected(&request)
 	uncached := d.uncachedAt(d.candidateOf(&server), expected, d.lastRun(expected))
-	d.board.sent(server.Name, min(uncached, expected.PromptTokens-expected.Source.Tokens))
+	d.board.sent(server.Name, min(uncached, max(expected.PromptTokens-expected.Source.Tokens, 0)))
 	if server.Region != d.deps.Region {
 		d.measures.farPrompts.Add(request.PromptTokens)
 	}
--- a/internal/dispatch/transfer.go
+++ b/internal/dispatch/transfer.go
@@ -126,7 +126,7 @@
 // uncachedAfterImport is the part of the prompt to be computed when the import
 // that the router ordered succeeds.
 func (e *engine) uncachedAfterImport(request *structs.GenerateRequest) int {
-	return min(e.cache.uncached(request, e.name), request.PromptTokens-request.Source.Tokens)
+	return min(e.cache.uncached(request, e.name), max(request.PromptTokens-request.Source.Tokens, 0))
 }
 
 // prepare imports the KV cache when the router ordered it. The import itself
