--- a/tools/capacity/main.go
+++ b/tools/capacity/main.go
@@ -6,15 +6,14 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
-	"os/signal"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/core/logx"
+
+	"ibisline/internal/fake/fleet"
 )
 
 // options are the command line.
@@ -33,18 +32,12 @@
 	flag.StringVar(&o.bin, "bin", "bin", "directory of the programs")
 	flag.DurationVar(&o.span, "span", 20*time.Second, "time over which an idle fleet is watched")
 	flag.IntVar(&o.edits, "edits", 20, "edits made in each fleet")
-	flag.Parse()
-	logx.Disable()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	err := errors.Join(parseList(*fleets, &o.fleets), parseList(*entries, &o.entries))
-	if err == nil {
-		err = run(ctx, o)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "capacity:", err)
-		os.Exit(1)
-	}
+	fleet.Main("capacity", func(ctx context.Context) error {
+		if err := errors.Join(parseList(*fleets, &o.fleets), parseList(*entries, &o.entries)); err != nil {
+			return err
+		}
+		return run(ctx, o)
+	})
 }
 
 // parseList reads numbers separated by commas.
--- a/tools/capacity/site.go
+++ b/tools/capacity/site.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"os"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -37,19 +36,12 @@
 
 // inSite calls measure with a fleet that has only the platform, and ends it.
 func inSite(ctx context.Context, bin string, measure func(s *site) error) error {
-	dir, err := os.MkdirTemp("", "ibisline-capacity-")
-	if err != nil {
-		return errors.Wrap(err, "make directory")
-	}
-	s := &site{Fleet: fleet.New(dir, bin)}
-	defer s.KillAll()
-	if _, err := s.StandIn(ctx, "platform", "objects"); err != nil {
-		return err
-	}
-	if err := measure(s); err != nil {
-		return errors.Wrapf(err, "logs in %s", dir)
-	}
-	return os.RemoveAll(dir)
+	return fleet.Within("capacity", bin, func(f *fleet.Fleet) error {
+		if _, err := f.StandIn(ctx, "platform", "objects"); err != nil {
+			return err
+		}
+		return measure(&site{Fleet: f})
+	})
 }
 
 // addDaemons starts daemons over all data centres and waits until they know
--- a/tools/demo/main.go
+++ b/tools/demo/main.go
@@ -7,12 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/core/logx"
-
 	"ibisline/internal/fake/fleet"
 	"ibisline/internal/job"
 	"ibisline/internal/structs"
@@ -28,30 +24,11 @@
 
 func main() {
 	bin := flag.String("bin", "bin", "directory of the programs")
-	flag.Parse()
-	logx.Disable()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	if err := run(ctx, *bin); err != nil {
-		fmt.Fprintln(os.Stderr, "demo:", err)
-		os.Exit(1)
-	}
-}
-
-// run runs the demo in a directory of its own, which is kept when it fails.
-func run(ctx context.Context, bin string) error {
-	dir, err := os.MkdirTemp("", "ibisline-demo-")
-	if err != nil {
-		return errors.Wrap(err, "make directory")
-	}
-	f := fleet.New(dir, bin)
-	defer f.KillAll()
-	if err := play(ctx, f); err != nil {
-		return errors.Wrapf(err, "logs in %s", dir)
-	}
-	return os.RemoveAll(dir)
+	fleet.Main("demo", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, limit)
+		defer cancel()
+		return fleet.Within("demo", *bin, func(f *fleet.Fleet) error { return play(ctx, f) })
+	})
 }
 
 // play starts everything, runs the job and stops everything.
--- a/tools/overhead/main.go
+++ b/tools/overhead/main.go
@@ -6,13 +6,10 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
-	"os/signal"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/core/logx"
 
 	"ibisline/internal/fake/fleet"
 )
@@ -35,33 +32,20 @@
 	flag.IntVar(&o.workers, "workers", 64, "programs at once of the closed loop")
 	flag.IntVar(&o.turns, "turns", 50, "turns of each program of the closed loop")
 	flag.IntVar(&o.programs, "programs", 3000, "programs held open")
-	flag.Parse()
-	logx.Disable()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "overhead:", err)
-		os.Exit(1)
-	}
+	fleet.Main("overhead", func(ctx context.Context) error {
+		return fleet.Within("overhead", o.bin, func(f *fleet.Fleet) error { return run(ctx, f, o) })
+	})
 }
 
-// run starts the fleet in a directory of its own, which is kept on a failure.
-func run(ctx context.Context, o options) error {
-	dir, err := os.MkdirTemp("", "ibisline-overhead-")
-	if err != nil {
-		return errors.Wrap(err, "make directory")
-	}
-	s := &site{Fleet: fleet.New(dir, o.bin)}
-	defer s.KillAll()
+// run takes and prints the figures, and stops the fleet as planned.
+func run(ctx context.Context, f *fleet.Fleet, o options) error {
+	s := &site{Fleet: f}
 	figures, err := s.measure(ctx, o)
 	if err != nil {
-		return errors.Wrapf(err, "logs in %s", dir)
+		return err
 	}
 	figures.print(os.Stdout)
-	if err := s.Stop(ctx); err != nil {
-		return errors.Wrapf(err, "logs in %s", dir)
-	}
-	return os.RemoveAll(dir)
+	return s.Stop(ctx)
 }
 
 // measure takes all figures. Memory is taken before the load and after it, so
--- a/tools/recovery/main.go
+++ b/tools/recovery/main.go
@@ -6,13 +6,10 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"os"
-	"os/signal"
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/core/logx"
 
 	"ibisline/internal/fake/fleet"
 )
@@ -35,28 +32,12 @@
 	flag.IntVar(&o.outages, "outages", 3, "outages of the platform")
 	flag.DurationVar(&o.outage, "outage", 20*time.Second, "length of an outage")
 	flag.IntVar(&o.edits, "edits", 50, "catalogue edits")
-	flag.Parse()
-	logx.Disable()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	defer stop()
-	if err := run(ctx, o); err != nil {
-		fmt.Fprintln(os.Stderr, "recovery:", err)
-		os.Exit(1)
-	}
-}
-
-// run starts the fleet in a directory of its own, which is kept on a failure.
-func run(ctx context.Context, o options) error {
-	dir, err := os.MkdirTemp("", "ibisline-recovery-")
-	if err != nil {
-		return errors.Wrap(err, "make directory")
-	}
-	s := &site{fleet: fleet.New(dir, o.bin)}
-	defer s.fleet.KillAll()
-	if err := s.measure(ctx, o); err != nil {
-		return errors.Wrapf(err, "logs in %s", dir)
-	}
-	return os.RemoveAll(dir)
+	fleet.Main("recovery", func(ctx context.Context) error {
+		return fleet.Within("recovery", o.bin, func(f *fleet.Fleet) error {
+			s := &site{fleet: f}
+			return s.measure(ctx, o)
+		})
+	})
 }
 
 // measure runs the three measurements and prints their figures.
