Split the random tests of home and catalogue by job

Ruled out: sharing more between them; their faults and promises differ. Change: faults of the home's simulation, calls of its callers and the promises of the catalogue have files of their own; methods of a process stand beside its type. Declarations are moved as they are. Tests of catalogue and home were run with the race detector: catalogue passed; in home one test failed, TestTurnStartsAfterTheOneBeforeItIsStored, which read the backends' prompts without their lock.

--- a/internal/home/faulty_test.go
+++ b/internal/home/faulty_test.go
@@ -231,3 +231,18 @@
 	}
 	return b.backends.Forget(ctx, engine, program)
 }
+
+func (p *process) isDead() bool {
+	select {
+	case <-p.dead:
+		return true
+	default:
+		return false
+	}
+}
+
+func (p *process) isPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused != nil
+}
