--- a/internal/fake/objects/objects.go
+++ b/internal/fake/objects/objects.go
@@ -99,12 +99,6 @@
 	s.log = nil
 }
 
-// wake ends the wait of all watches. The caller holds mu.
-func (s *Store) wake() {
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // enter counts a call, plays outage and slowness, and returns with mu held
 // unless it returns an error.
 func (s *Store) enter(ctx context.Context, counter *int) error {
@@ -250,70 +244,3 @@
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
 	return found, s.revision, nil
 }
-
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64) ([]platform.Event, int64, error) {
-	if err := s.enter(ctx, &s.counts.Watches); err != nil {
-		return nil, 0, err
-	}
-	defer s.mu.Unlock()
-	s.counts.Waiting++
-	defer func() { s.counts.Waiting-- }()
-	timeout := time.NewTimer(watchWait)
-	defer timeout.Stop()
-	for {
-		if s.faults.Outage {
-			return nil, 0, platform.ErrUnavailable
-		}
-		if after < s.kept {
-			return nil, 0, platform.ErrCompacted
-		}
-		if events := s.eventsAfter(prefix, after); len(events) > 0 {
-			return events, s.revision, nil
-		}
-		after = s.revisionSeen(after)
-		if !s.wait(ctx, timeout.C) {
-			return nil, after, nil
-		}
-	}
-}
-
-// revisionSeen is the revision that an empty watch reports. A stuck watch stays
-// where it was. The caller holds mu.
-func (s *Store) revisionSeen(after int64) int64 {
-	if s.faults.StuckWatches {
-		return after
-	}
-	return s.revision
-}
-
-// eventsAfter returns the changes under prefix. The caller holds mu.
-func (s *Store) eventsAfter(prefix string, after int64) []platform.Event {
-	if s.faults.StuckWatches {
-		return nil
-	}
-	start := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
-	var found []platform.Event
-	for _, event := range s.log[start:] {
-		if strings.HasPrefix(event.Key, prefix) {
-			found = append(found, event)
-		}
-	}
-	return found
-}
-
-// wait releases mu until something changes. It returns false when the watch
-// has to end.
-func (s *Store) wait(ctx context.Context, timeout <-chan time.Time) bool {
-	changed := s.changed
-	s.mu.Unlock()
-	defer s.mu.Lock()
-	select {
-	case <-changed:
-		return true
-	case <-ctx.Done():
-		return false
-	case <-timeout:
-		return false
-	}
-}
