--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -155,6 +155,22 @@
 	})
 }
 
+// TestCallsAreRefusedAtOnceWhileThePlatformHangs: the first one has to find out.
+func TestCallsAreRefusedAtOnceWhileThePlatformHangs(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Slow: time.Minute})
+		go func() { _, _ = d.Call(context.Background(), callRequest(id, "first")) }()
+		time.Sleep(1500 * time.Millisecond)
+		begun := time.Now()
+		_, err := d.Call(context.Background(), callRequest(id, "k"))
+		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+		require.True(t, verdict.HasReason(err, verdict.PlatformDown), "%v", err)
+		require.Less(t, time.Since(begun), 100*time.Millisecond)
+	})
+}
+
 func TestTurnsGoOnWhileThePlatformIsDown(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		d := w.start("a")
