Test the places where the home refuses

Ruled out: counting the random run as the proof of all of them. It checks each not_run against what ran, but it never opens a program wrongly, resends badly, or ends one while its call waits for a slot. Change: a table of requests that a home refuses, each at a fresh home, with reason, verdict and the fact that nothing reached an engine or a service; a test of one key with other content and of the budget of calls. Measured: go test ./internal/home -run 'RefusalsOfTheHome|SameKey' passes, 19 cases and one test.

--- /dev/null
+++ b/internal/home/refusals_test.go
@@ -0,0 +1,157 @@
+package home
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/dispatch"
+	"ibisline/internal/journal"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// refusal is a request that a home with the open program "p" refuses.
+type refusal struct {
+	name   string
+	reason verdict.Reason
+	ask    func(ctx context.Context, w *world, d *daemon) error
+}
+
+// turnWith asks for turn 1 of "p" after a change of the request.
+func turnWith(change func(r *structs.TurnRequest)) func(context.Context, *world, *daemon) error {
+	return func(ctx context.Context, _ *world, d *daemon) error {
+		r := turnRequest(programID("p"), 1)
+		change(&r)
+		return d.Turn(ctx, r, (&collect{}).sink)
+	}
+}
+
+// openWith opens a program.
+func openWith(entry, program, parent string) func(context.Context, *world, *daemon) error {
+	return func(ctx context.Context, _ *world, d *daemon) error {
+		_, err := d.Open(ctx, structs.OpenRequest{Entry: entry, Program: program, Parent: parent})
+		return err
+	}
+}
+
+// afterEnd ends "p" before it asks.
+func afterEnd(ask func(context.Context, *world, *daemon) error) func(context.Context, *world, *daemon) error {
+	return func(ctx context.Context, w *world, d *daemon) error {
+		if err := d.End(ctx, programID("p")); err != nil {
+			return err
+		}
+		return ask(ctx, w, d)
+	}
+}
+
+// openNested opens sub-agents of sub-agents until one is refused.
+func openNested(ctx context.Context, w *world, d *daemon) error {
+	parent := programID("p")
+	for i := 0; ; i++ {
+		child := programID(fmt.Sprintf("c%d", i))
+		if err := openWith("desk", child, parent)(ctx, w, d); err != nil {
+			return err
+		}
+		parent = child
+	}
+}
+
+// endWhileWaiting ends a program while its call waits for a slot.
+func endWhileWaiting(ctx context.Context, w *world, d *daemon) error {
+	d.deps.Router = slotHook{Router: w.backends, before: func() { _ = d.End(ctx, programID("p")) }}
+	_, err := d.Call(ctx, callRequest(programID("p"), "k"))
+	return err
+}
+
+var refusals = []refusal{
+	{"program identifier", verdict.BadRequest, func(ctx context.Context, _ *world, d *daemon) error { return d.End(ctx, "x") }},
+	{"unknown program", verdict.UnknownProgram, func(ctx context.Context, _ *world, d *daemon) error { return d.End(ctx, programID("x")) }},
+	{"identifier to open", verdict.BadRequest, openWith("desk", "x", "")},
+	{"unknown entry", verdict.UnknownEntry, openWith("shelf", programID("q"), "")},
+	{"opened under another entry", verdict.BadRequest, openWith("other", programID("p"), "")},
+	{"opened after its end", verdict.ProgramEnded, afterEnd(openWith("desk", programID("p"), ""))},
+	{"unknown parent", verdict.UnknownProgram, openWith("desk", programID("q"), programID("x"))},
+	{"ended parent", verdict.ProgramEnded, afterEnd(openWith("desk", programID("q"), programID("p")))},
+	{"nested too deep", verdict.BadRequest, openNested},
+	{"turn without number", verdict.BadRequest, turnWith(func(r *structs.TurnRequest) { r.Turn = 0 })},
+	{"turn too large", verdict.BadRequest, turnWith(func(r *structs.TurnRequest) {
+		r.Messages[0].Content = strings.Repeat("x", maxTurnBytes)
+	})},
+	{"resend from later", verdict.BadRequest, turnWith(func(r *structs.TurnRequest) { r.ResendFrom = 1 })},
+	{"resend without answers", verdict.BadRequest, turnWith(func(r *structs.TurnRequest) {
+		r.Turn, r.ResendFrom, r.Digest = 2, 1, "00"
+	})},
+	{"turn of an ended program", verdict.ProgramEnded, afterEnd(turnWith(func(*structs.TurnRequest) {}))},
+	{"unknown turn resumed", verdict.TurnOutOfOrder, func(ctx context.Context, _ *world, d *daemon) error {
+		return d.Resume(ctx, structs.ResumeRequest{Program: programID("p"), Turn: 7}, (&collect{}).sink)
+	}},
+	{"caller left early", verdict.Canceled, func(ctx context.Context, _ *world, d *daemon) error {
+		ctx, cancel := context.WithCancel(ctx)
+		cancel()
+		return d.Turn(ctx, turnRequest(programID("p"), 2), (&collect{}).sink)
+	}},
+	{"call without service", verdict.BadRequest, func(ctx context.Context, _ *world, d *daemon) error {
+		_, err := d.Call(ctx, structs.CallRequest{Program: programID("p"), Key: "k"})
+		return err
+	}},
+	{"ended while the call waited", verdict.ProgramEnded, endWhileWaiting},
+	{"shard object malformed", verdict.Internal, func(ctx context.Context, w *world, d *daemon) error {
+		key := journal.Key(structs.ShardID(testRegion + ".1"))
+		if _, err := w.objects.Put(ctx, key, []byte("x"), platform.NoVersion); err != nil {
+			return err
+		}
+		return openWith("desk", testRegion+".1.q", "")(ctx, w, d)
+	}},
+}
+
+// slotHook runs before each slot is given.
+type slotHook struct {
+	dispatch.Router
+	before func()
+}
+
+func (h slotHook) AcquireSlot(ctx context.Context, r structs.SlotRequest) (structs.Slot, error) {
+	h.before()
+	return h.Router.AcquireSlot(ctx, r)
+}
+
+// TestRefusalsOfTheHomeRunNothing asks each time at a new home.
+func TestRefusalsOfTheHomeRunNothing(t *testing.T) {
+	for _, r := range refusals {
+		t.Run(r.name, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.entries.put(structs.Entry{Name: "other", Owner: "weavers", Share: 1})
+				d := w.start("a")
+				w.open(t, d, "p")
+				err := r.ask(context.Background(), w, d)
+				require.True(t, verdict.HasReason(err, r.reason), "%v", err)
+				require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+				require.Zero(t, w.backends.runs)
+				require.Empty(t, w.backends.sent)
+			})
+		})
+	}
+}
+
+func TestOtherContentUnderTheSameKeyIsAConflict(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetCalls: 1, Share: 1})
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		_, err := d.Call(context.Background(), callRequest(id, "k"))
+		require.NoError(t, err)
+		other := callRequest(id, "k")
+		other.Body = []byte("other")
+		_, err = d.Call(context.Background(), other)
+		require.True(t, verdict.HasReason(err, verdict.TurnConflict), "%v", err)
+		_, err = d.Call(context.Background(), callRequest(id, "second"))
+		require.True(t, verdict.HasReason(err, verdict.BudgetSpent), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+		require.Zero(t, w.backends.sends(id+"/second"))
+	})
+}
