--- a/internal/backend/sender_test.go
+++ b/internal/backend/sender_test.go
@@ -83,6 +83,14 @@
 	require.True(t, verdict.Is(err, verdict.NotRun))
 }
 
+func TestRequestToNoAddressDidNotRun(t *testing.T) {
+	nowhere := structs.Server{Name: "e", Addr: "no address"}
+	_, _, err := generate(nowhere, backend.EngineOptions{})
+	require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+	engines := backend.NewEngines(backend.EngineOptions{})
+	require.True(t, verdict.Is(engines.SendOrder(t.Context(), nowhere, backend.Order{}), verdict.NotRun))
+}
+
 func TestCutReplyOfACallMayHaveRun(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "100")
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -40,6 +40,7 @@
 	fleet    *fleet
 	ctx      context.Context
 	kill     context.CancelFunc
+	blind    bool // sees no servers; guarded by fleet.mu
 }
 
 // runFleet runs test in a bubble of virtual time with the named daemons.
@@ -130,6 +131,13 @@
 	f.entries = entries
 }
 
+// blind makes one daemon see no servers.
+func (f *fleet) blind(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.daemons[name].blind = true
+}
+
 // view implements member.View.
 type view struct{ d *daemon }
 
@@ -155,6 +163,9 @@
 func (v view) Servers() []structs.Server {
 	v.d.fleet.mu.Lock()
 	defer v.d.fleet.mu.Unlock()
+	if v.d.blind {
+		return nil
+	}
 	return v.d.fleet.servers
 }
 
--- /dev/null
+++ b/internal/dispatch/refusals_test.go
@@ -0,0 +1,93 @@
+package dispatch_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/backend"
+	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/objects"
+	"ibisline/internal/member"
+	"ibisline/internal/platform"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// requests are the three kinds of work that a dispatcher takes.
+var requests = map[string]func(ctx context.Context, d *daemon) error{
+	"generate": func(ctx context.Context, d *daemon) error {
+		call := modelCall("p")
+		call.Deadline = time.Now().Add(5 * time.Second)
+		_, err := d.Generate(ctx, call, func(string) error { return nil })
+		return err
+	},
+	"slot": func(ctx context.Context, d *daemon) error {
+		_, err := d.AcquireSlot(ctx, slotRequest(5*time.Second))
+		return err
+	},
+	"order": func(ctx context.Context, d *daemon) error { return d.Order(ctx, "e1", loadModel) },
+}
+
+// TestRefusalsOfTheDispatcherRunNothing spoils a fleet of an engine, a service and
+// two daemons, and asks through each daemon.
+func TestRefusalsOfTheDispatcherRunNothing(t *testing.T) {
+	spoil := map[string]func(f *fleet){
+		"no server is known":    func(f *fleet) { f.setServers(nil) },
+		"no daemon is live":     func(f *fleet) { f.leave("d1"); f.leave("d2") },
+		"one daemon knows none": func(f *fleet) { f.blind("d1") },
+		"the other knows none":  func(f *fleet) { f.blind("d2") },
+		"both daemons are leaving": func(f *fleet) {
+			for _, d := range f.daemons {
+				_ = d.Drain(context.Background())
+			}
+		},
+	}
+	for name, change := range spoil {
+		for kind, ask := range requests {
+			t.Run(name+"/"+kind, func(t *testing.T) {
+				servers := append(engines("e1"), service("s1", 1))
+				runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, servers, func(t *testing.T, f *fleet) {
+					time.Sleep(5 * time.Second)
+					change(f)
+					for _, d := range f.daemons {
+						err := ask(context.Background(), d)
+						// A daemon may still serve what was asked of itself.
+						if err != nil || strings.HasPrefix(name, "no ") {
+							require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+func TestOrderWithoutItsLeaseIsNotRun(t *testing.T) {
+	orderFleet(t, false, func(f *fleet, holder, other *daemon) {
+		f.leave(holder.name)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		taken := f.engines.get("e1").ordersTaken
+		err := other.Order(ctx, "e1", loadModel)
+		require.True(t, verdict.HasReason(err, verdict.Canceled), "%v", err)
+		f.store.SetFaults(objects.Faults{LateWrites: 1, LateBy: time.Hour})
+		f.leave(other.name)
+		third := f.start(dispatch.Config{}, "d3")
+		err = third.Order(context.Background(), "e1", loadModel)
+		require.True(t, verdict.HasReason(err, verdict.PlatformDown), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+		f.setServers(append(f.servers, structs.Server{Name: "e2", Kind: structs.KindEngine, Region: "r1"}))
+		_, err = f.store.Put(context.Background(), structs.OrderPrefix+"e2", []byte("x"), platform.NoVersion)
+		require.NoError(t, err)
+		owner, _ := member.Owner(view{third}, "r1", "e2")
+		require.Equal(t, third.name, owner.Name)
+		err = third.Order(context.Background(), "e2", backend.Order{Kind: backend.LoadModel})
+		require.True(t, verdict.HasReason(err, verdict.Internal), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun))
+		require.Equal(t, taken, f.engines.get("e1").ordersTaken)
+	})
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -271,3 +271,12 @@
 	_, err = f.Open(t.Context(), structs.OpenRequest{Entry: "e", Parent: "nonsense"})
 	require.True(t, verdict.HasReason(err, verdict.BadRequest))
 }
+
+func TestRequestWithoutAHomeIsNotRun(t *testing.T) {
+	f := front.New(shortRetry, newStubView("a"), nil, &stubHome{}, metrics.NewSet(), quiet())
+	for program, reason := range map[string]verdict.Reason{"nonsense": verdict.BadRequest, program: verdict.NotHome} {
+		_, err := f.Call(t.Context(), structs.CallRequest{Program: program})
+		require.True(t, verdict.HasReason(err, reason), "%v", err)
+		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+	}
+}
--- a/internal/home/refusals_test.go
+++ b/internal/home/refusals_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/objects"
 	"ibisline/internal/journal"
 	"ibisline/internal/platform"
 	"ibisline/internal/structs"
@@ -87,6 +89,9 @@
 		r.Turn, r.ResendFrom, r.Digest = 2, 1, "00"
 	})},
 	{"turn of an ended program", verdict.ProgramEnded, afterEnd(turnWith(func(*structs.TurnRequest) {}))},
+	{"copy for an ended program", verdict.ProgramEnded, afterEnd(func(_ context.Context, _ *world, d *daemon) error {
+		return d.MayHold(programID("p"), engines[0].Name)
+	})},
 	{"unknown turn resumed", verdict.TurnOutOfOrder, func(ctx context.Context, _ *world, d *daemon) error {
 		return d.Resume(ctx, structs.ResumeRequest{Program: programID("p"), Turn: 7}, (&collect{}).sink)
 	}},
@@ -138,6 +143,29 @@
 	}
 }
 
+func TestFullShardTakesNoMorePrograms(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		const programs = 2000
+		d := w.start("a")
+		w.open(t, d, "p")
+		w.objects.SetFaults(objects.Faults{Slow: 100 * time.Millisecond})
+		results := make(chan error, programs)
+		for i := range programs {
+			go func() { results <- openWith("desk", programID(fmt.Sprint("q", i)), "")(context.Background(), w, d) }()
+		}
+		refused := 0
+		for range programs {
+			if err := <-results; err != nil {
+				require.True(t, verdict.HasReason(err, verdict.QueueFull), "%v", err)
+				require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+				refused++
+			}
+		}
+		require.NotZero(t, refused)
+		require.Less(t, refused, programs)
+	})
+}
+
 func TestOtherContentUnderTheSameKeyIsAConflict(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		w.entries.put(structs.Entry{Name: "desk", Owner: "weavers", BudgetCalls: 1, Share: 1})
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -99,6 +100,22 @@
 	})
 }
 
+// TestTooManyNewEntriesAreNotRun: the daemon does not run, so nothing takes the
+// new entries up.
+func TestTooManyNewEntriesAreNotRun(t *testing.T) {
+	run(t, 1, limited(1), func(t *testing.T, f *fleet) {
+		idle := f.join(1)
+		var err error
+		for i := 0; !verdict.HasReason(err, verdict.LimitReached); i++ {
+			require.Less(t, i, 2000)
+			entry := limited(1)
+			entry.Name = fmt.Sprint("e", i)
+			_, err = idle.Acquire(context.Background(), entry, time.Now().Add(time.Millisecond))
+			require.True(t, verdict.Is(err, verdict.NotRun))
+		}
+	})
+}
+
 func TestRateIsHeldAcrossDaemons(t *testing.T) {
 	entry := limited(0)
 	entry.RatePerSecond = 10
--- a/internal/operator/order_test.go
+++ b/internal/operator/order_test.go
@@ -32,6 +32,9 @@
 	require.Equal(t, http.StatusBadRequest, w.Code)
 	require.Contains(t, w.Body.String(), "load_model")
 	require.Empty(t, given)
+	w, given = postOrder(t, `{`, nil)
+	require.Contains(t, w.Body.String(), `"not_run"`)
+	require.Empty(t, given)
 }
 
 func TestOrderInDoubtSaysSo(t *testing.T) {
