--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -273,7 +273,7 @@
 }
 
 func TestRequestWithoutAHomeIsNotRun(t *testing.T) {
-	f := front.New(shortRetry, newStubView("a"), nil, &stubHome{}, metrics.NewSet(), quiet())
+	f := front.New(shortRetry, viewOf("a"), nil, &homes.Stub{}, metrics.NewSet(), testbed.NoLog())
 	for program, reason := range map[string]verdict.Reason{"nonsense": verdict.BadRequest, program: verdict.NotHome} {
 		_, err := f.Call(t.Context(), structs.CallRequest{Program: program})
 		require.True(t, verdict.HasReason(err, reason), "%v", err)
