Admit small turns beside the prompt that is being computed

Cause: half of the target for a first token, 0.55 s or about 2,800 tokens at the rates seen, is less than one specification. While one was computed no turn of 100 tokens was let in; each then waited for a further step, and the engine ran a step without any prompt until the next one arrived. Change: prompts may take up three quarters of that target.

--- a/internal/policy/window/window.go
+++ b/internal/policy/window/window.go
@@ -49,7 +49,7 @@
 	holdAfterShrink = 3 * time.Second
 	// prefillFraction is the part of FirstTokenTarget that admitted prompts may
 	// take to compute.
-	prefillFraction = 0.5
+	prefillFraction = 0.75
 	// DefaultPrefillRate is the rate assumed before one was observed, in tokens
 	// a second.
 	DefaultPrefillRate = 8000.0
