Call an order that never reached its engine not run

Cause: the dispatcher read back every failed order. With a dead engine the read-back failed too and hid that the connection for the order itself had been refused, so that the operator was told may_have_run. Ruled out: a fault of the engines' client, whose verdict was NotRun. Change: the first try's NotRun is the answer at once; once a try is in doubt the order stays MayHaveRun to the end, also if a later try finds no connection. Measured: TestOrderToADeadEngineDidNotRun fails before and passes after; the tests of orders pass with the race detector. Conclusion: the verdict of an order is true in both directions.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -475,6 +475,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engine(server.Name)
+	if e.down {
+		return unreachable()
+	}
 	lost := e.loseOrders > 0
 	if lost {
 		e.loseOrders--
@@ -497,5 +500,9 @@
 }
 
 func (f *fakeEngines) OrderState(_ context.Context, server structs.Server) (backend.OrderState, error) {
-	return f.get(server.Name).orders, nil
+	e := f.get(server.Name)
+	if e.down {
+		return backend.OrderState{}, unreachable()
+	}
+	return e.orders, nil
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -86,7 +86,7 @@
 }
 
 // give gives one order under the lease of the engine. An order in doubt is read
-// back before it is given again.
+// back before it is given again. One that never reached the engine is NotRun.
 func (o *orderDesk) give(ctx context.Context, server structs.Server, order backend.Order) error {
 	turn := o.turn(server.Name)
 	if err := turn.acquire(ctx, time.Time{}); err != nil {
@@ -94,6 +94,7 @@
 	}
 	defer turn.release()
 	var last error
+	inDoubt := false
 	for range orderTries {
 		fence, err := o.lease.hold(ctx, server)
 		if err != nil {
@@ -108,11 +109,15 @@
 			o.lease.lost(server.Name)
 			return verdict.Wrap(last, verdict.MayHaveRun, verdict.NotHome, "another daemon gives the orders of "+server.Name)
 		}
+		if verdict.Is(last, verdict.NotRun) && !inDoubt {
+			return last
+		}
+		inDoubt = true
 		if taken, err := o.readBack(ctx, server, order); err != nil || taken {
 			return err
 		}
 	}
-	return verdict.From(last)
+	return verdict.Wrap(last, verdict.MayHaveRun, verdict.BackendFailed, "order to "+server.Name+" stays in doubt")
 }
 
 // readBack reports whether the engine shows the effect of an order in doubt.
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -69,6 +69,22 @@
 	}
 }
 
+func TestOrderToADeadEngineDidNotRun(t *testing.T) {
+	orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
+		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		err := holder.Order(context.Background(), "e1", loadModel)
+		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
+	})
+}
+
+func TestOrderThatWasLostOnceStaysInDoubt(t *testing.T) {
+	orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
+		f.engines.set("e1", func(e *fakeEngine) { e.loseOrders, e.loseEffect = 100, true })
+		err := holder.Order(context.Background(), "e1", loadModel)
+		require.True(t, verdict.Is(err, verdict.MayHaveRun), "%v", err)
+	})
+}
+
 func TestNoOrderWithoutThePlatform(t *testing.T) {
 	orderFleet(t, true, func(f *fleet, holder, _ *daemon) {
 		f.store.SetFaults(objects.Faults{Outage: true})
