Prove resuming by focused tests instead of luck

Ruled out: more random schedules. The case is one request: a position of a run that is not the stored one. Change: a test resumes an answer behind its second event, once with its own run and once with another one, and requires the rest or the whole.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -57,6 +57,21 @@
 	})
 }
 
+// TestResumeOfAnotherRunStartsOver: positions of one run mean nothing in another.
+func TestResumeOfAnotherRunStartsOver(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		d := w.start("a")
+		id := w.open(t, d, "p")
+		whole := runTurn(t, d, turnRequest(id, 1))
+		for run, missing := range map[string][]structs.Event{whole.events[0].Run: whole.events[2:], "another": whole.events} {
+			var rest collect
+			request := structs.ResumeRequest{Program: id, Turn: 1, After: 2, Run: run}
+			require.NoError(t, d.Resume(context.Background(), request, rest.sink))
+			require.Equal(t, missing, rest.events)
+		}
+	})
+}
+
 func TestOtherContentUnderTheSameTurnIsAConflict(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		d := w.start("a")
