Share the scripted engines of the dispatcher's tests

Cause: the scripted engines were private to the tests of the dispatcher, 248 of the 508 lines of one file, out of reach of other packages. Ruled out: sharing them with the stubs of the home's tests, which stand for a whole dispatcher and not for engines; no other test has an engine client of its own.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -6,15 +6,14 @@
 	"sync"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"ibisline/internal/backend"
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
@@ -28,7 +27,7 @@
 	servers []structs.Server
 	entries []structs.Entry
 	daemons map[string]*daemon
-	engines *fakeEngines
+	engines *engines.Set
 	store   *objects.Store
 	changed chan struct{}
 }
@@ -64,7 +63,7 @@
 	return &fleet{
 		servers: servers,
 		daemons: map[string]*daemon{},
-		engines: newFakeEngines(),
+		engines: engines.New(),
 		store:   objects.New(),
 		changed: make(chan struct{}),
 	}
@@ -258,251 +257,3 @@
 
 func (s *memoryStream) CloseSend() error { return nil }
 func (s *memoryStream) Close() error     { s.cancel(); return nil }
-
-// fakeEngine is one scripted engine.
-type fakeEngine struct {
-	// tokens is the number of pieces of an answer, one each gap.
-	tokens int
-	gap    time.Duration
-	// failAfter ends an answer with failure after so many pieces; -1 never.
-	failAfter int
-	failure   error
-	// hang holds each request before its first piece until its context ends.
-	hang     bool
-	leaving  bool
-	down     bool
-	usage    structs.Usage
-	kv       map[string]int
-	offered  int
-	started  int
-	running  int
-	peak     int
-	crashes  int
-	crashed  chan struct{}
-	released []string
-	orders   backend.OrderState
-	// loseOrders is the number of coming orders whose reply is lost; loseEffect
-	// loses the order itself.
-	loseOrders  int
-	loseEffect  bool
-	ordersTaken int
-	order       []string
-	// importing is the time that an import takes, hangExport keeps imports from
-	// this engine from ending.
-	importing  time.Duration
-	hangExport bool
-	imports    int
-}
-
-// fakeEngines implements dispatch.EngineClient in memory.
-type fakeEngines struct {
-	mu      sync.Mutex
-	engines map[string]*fakeEngine
-}
-
-func newFakeEngines() *fakeEngines { return &fakeEngines{engines: map[string]*fakeEngine{}} }
-
-// set changes an engine under the lock.
-func (f *fakeEngines) set(name string, change func(e *fakeEngine)) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	change(f.engine(name))
-}
-
-// get returns a copy of an engine's state.
-func (f *fakeEngines) get(name string) fakeEngine {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return *f.engine(name)
-}
-
-func (f *fakeEngines) engine(name string) *fakeEngine {
-	e := f.engines[name]
-	if e == nil {
-		e = &fakeEngine{tokens: 3, gap: 10 * time.Millisecond, failAfter: -1, kv: map[string]int{}, crashed: make(chan struct{})}
-		f.engines[name] = e
-	}
-	return e
-}
-
-func unreachable() error {
-	return verdict.Wrap(backend.ErrUnreachable, verdict.NotRun, verdict.BackendFailed, "no connection")
-}
-
-func cut() error {
-	return verdict.Wrap(backend.ErrCut, verdict.MayHaveRun, verdict.BackendFailed, "cut")
-}
-
-func (f *fakeEngines) Generate(ctx context.Context, server structs.Server, request structs.GenerateRequest, emit func(string) error) (structs.Generated, error) {
-	script, err := f.begin(server.Name, request)
-	if err != nil {
-		return structs.Generated{}, err
-	}
-	defer f.set(server.Name, func(e *fakeEngine) { e.running-- })
-	if script.hang {
-		<-ctx.Done()
-	}
-	if request.Messages[0].Content == poison {
-		f.crash(server.Name)
-	}
-	for i := range script.tokens {
-		if i == script.failAfter {
-			return structs.Generated{}, script.failure
-		}
-		select {
-		case <-ctx.Done():
-			return structs.Generated{}, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.Canceled, "canceled")
-		case <-script.crashed:
-			return structs.Generated{}, cut()
-		case <-time.After(script.gap):
-		}
-		if err := emit("x"); err != nil {
-			return structs.Generated{}, verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "reader gone")
-		}
-	}
-	usage := script.usage
-	if usage == (structs.Usage{}) {
-		usage = structs.Usage{PromptTokens: request.PromptTokens, OutputTokens: script.tokens}
-	}
-	return structs.Generated{Engine: server.Name, Usage: usage, Finish: "stop"}, nil
-}
-
-// crash ends all requests of an engine, which stays down for a second.
-func (f *fakeEngines) crash(name string) {
-	f.set(name, func(e *fakeEngine) {
-		e.crashes++
-		e.down = true
-		e.kv = map[string]int{}
-		close(e.crashed)
-		e.crashed = make(chan struct{})
-	})
-	time.AfterFunc(time.Second, func() { f.set(name, func(e *fakeEngine) { e.down = false }) })
-}
-
-func (f *fakeEngines) begin(name string, request structs.GenerateRequest) (fakeEngine, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.engine(name)
-	e.offered++
-	if e.down {
-		return fakeEngine{}, unreachable()
-	}
-	if e.leaving {
-		return fakeEngine{}, verdict.Wrap(backend.ErrLeaving, verdict.MayHaveRun, verdict.NoServer, "leaving")
-	}
-	e.started++
-	e.running++
-	e.peak = max(e.peak, e.running)
-	e.order = append(e.order, request.Program)
-	e.kv[request.Program] = request.PromptTokens
-	return *e, nil
-}
-
-func (f *fakeEngines) Load(_ context.Context, server structs.Server) (backend.Load, error) {
-	e := f.get(server.Name)
-	if e.down {
-		return backend.Load{}, unreachable()
-	}
-	return backend.Load{Leaving: e.leaving}, nil
-}
-
-func (f *fakeEngines) ListKV(_ context.Context, server structs.Server) (map[string]int, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.engine(server.Name)
-	if e.down {
-		return nil, unreachable()
-	}
-	held := map[string]int{}
-	for program, tokens := range e.kv {
-		held[program] = tokens
-	}
-	return held, nil
-}
-
-func (f *fakeEngines) ReleaseKV(_ context.Context, server structs.Server, program string) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.engine(server.Name)
-	if e.down {
-		return unreachable()
-	}
-	if _, ok := e.kv[program]; !ok {
-		return backend.ErrNotHeld
-	}
-	delete(e.kv, program)
-	e.released = append(e.released, program)
-	return nil
-}
-
-// beginImport takes over the memory and returns its tokens and how long the
-// import takes.
-func (f *fakeEngines) beginImport(server structs.Server, program, from string) (int, time.Duration, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	source := f.engine(from)
-	tokens, held := source.kv[program]
-	if !held {
-		return 0, 0, backend.ErrNotHeld
-	}
-	e := f.engine(server.Name)
-	e.imports++
-	e.kv[program] = tokens
-	if source.hangExport {
-		return tokens, time.Hour, nil
-	}
-	return tokens, e.importing, nil
-}
-
-func (f *fakeEngines) ImportKV(ctx context.Context, server structs.Server, program, from string) (int, error) {
-	tokens, wait, err := f.beginImport(server, program, from)
-	if err != nil {
-		return 0, err
-	}
-	select {
-	case <-ctx.Done():
-		return 0, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.BackendTimeout, "no answer in time")
-	case <-time.After(wait):
-		return tokens, nil
-	}
-}
-
-func (f *fakeEngines) KVEvents(context.Context, structs.Server, int64) (backend.KVEvents, error) {
-	return backend.KVEvents{}, nil
-}
-
-func (f *fakeEngines) SendOrder(_ context.Context, server structs.Server, order backend.Order) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	e := f.engine(server.Name)
-	if e.down {
-		return unreachable()
-	}
-	lost := e.loseOrders > 0
-	if lost {
-		e.loseOrders--
-		if e.loseEffect {
-			return cut()
-		}
-	}
-	if server.Fences && order.Fence < e.orders.Fence {
-		return backend.ErrFenced
-	}
-	e.ordersTaken++
-	e.orders.Fence = order.Fence
-	if order.Kind == backend.LoadModel {
-		e.orders.Models = append(e.orders.Models, order.Name)
-	}
-	if lost {
-		return cut()
-	}
-	return nil
-}
-
-func (f *fakeEngines) OrderState(_ context.Context, server structs.Server) (backend.OrderState, error) {
-	e := f.get(server.Name)
-	if e.down {
-		return backend.OrderState{}, unreachable()
-	}
-	return e.orders, nil
-}
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 )
 
@@ -18,23 +19,23 @@
 // leavingLooks are the ways in which a daemon can learn that e1 is leaving.
 var leavingLooks = map[string]func(f *fleet){
 	"load report": func(f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.leaving = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Leaving = true })
 	},
 	"platform's list": func(f *fleet) {
-		servers := engines("e1", "e2")
+		servers := engineServers("e1", "e2")
 		servers[0].State = structs.StateLeaving
 		f.setServers(servers)
 	},
-	"off the list": func(f *fleet) { f.setServers(engines("e2")) },
+	"off the list": func(f *fleet) { f.setServers(engineServers("e2")) },
 }
 
 func TestLeavingEngineGetsNoNewWorkAndEndsItsStreams(t *testing.T) {
 	for name, leave := range leavingLooks {
 		t.Run(name, func(t *testing.T) {
 			config := dispatch.Config{FixedWindow: 2, Window: dispatch.WindowFixed}
-			runFleet(t, config, []string{"d1", "d2", "d3"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+			runFleet(t, config, []string{"d1", "d2", "d3"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
 				for _, engine := range []string{"e1", "e2"} {
-					f.engines.set(engine, func(e *fakeEngine) { e.gap = 2 * time.Second })
+					f.engines.Change(engine, func(e *engines.Engine) { e.Gap = 2 * time.Second })
 				}
 				var calls []<-chan outcome
 				for _, d := range f.daemons {
@@ -43,10 +44,10 @@
 					}
 				}
 				synctest.Wait()
-				require.Equal(t, 2, f.engines.get("e1").running)
+				require.Equal(t, 2, f.engines.Get("e1").Running)
 				leave(f)
 				time.Sleep(leavingGrace)
-				offered := f.engines.get("e1").offered
+				offered := f.engines.Get("e1").Offered
 				for _, d := range f.daemons {
 					calls = append(calls, d.generateLater(context.Background(), modelCall("q")))
 				}
@@ -55,27 +56,27 @@
 					require.NoError(t, got.err)
 					require.Equal(t, "xxx", got.text)
 				}
-				require.Equal(t, offered, f.engines.get("e1").offered)
-				require.Equal(t, 2, f.engines.get("e1").started)
+				require.Equal(t, offered, f.engines.Get("e1").Offered)
+				require.Equal(t, 2, f.engines.Get("e1").Started)
 			})
 		})
 	}
 }
 
 func TestEngineThatStaysIsUsedAgain(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.leaving, e.down = true, true })
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.Leaving, e.Down = true, true })
 		time.Sleep(leavingGrace)
-		f.engines.set("e1", func(e *fakeEngine) { e.leaving, e.down = false, false })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Leaving, e.Down = false, false })
 		require.NoError(t, f.daemons["d1"].generate(context.Background(), modelCall("p")).err)
 	})
 }
 
 func TestDrainEndsStreamsAndMovesWaitingWork(t *testing.T) {
 	config := dispatch.Config{FixedWindow: 1, Window: dispatch.WindowFixed}
-	runFleet(t, config, []string{"d1", "d2"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+	runFleet(t, config, []string{"d1", "d2"}, engineServers("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
 		for _, engine := range []string{"e1", "e2", "e3"} {
-			f.engines.set(engine, func(e *fakeEngine) { e.gap = time.Second })
+			f.engines.Change(engine, func(e *engines.Engine) { e.Gap = time.Second })
 		}
 		var calls []<-chan outcome
 		for range 9 {
@@ -89,7 +90,7 @@
 		}
 		started := 0
 		for _, engine := range []string{"e1", "e2", "e3"} {
-			started += f.engines.get(engine).started
+			started += f.engines.Get(engine).Started
 		}
 		require.Equal(t, 9, started)
 	})
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/member"
 	"ibisline/internal/verdict"
@@ -20,7 +21,7 @@
 
 // orderFleet has one engine; the daemon that gives its orders is returned.
 func orderFleet(t *testing.T, fences bool, test func(f *fleet, holder, other *daemon)) {
-	servers := engines("e1")
+	servers := engineServers("e1")
 	servers[0].Fences = fences
 	config := dispatch.Config{PauseAllowance: pauseAllowance}
 	runFleet(t, config, []string{"d1", "d2"}, servers, func(t *testing.T, f *fleet) {
@@ -36,12 +37,12 @@
 
 func TestTakeoverRaisesTheFenceAndTheOldHolderIsRefused(t *testing.T) {
 	orderFleet(t, true, func(f *fleet, holder, other *daemon) {
-		before := f.engines.get("e1").orders.Fence
+		before := f.engines.Get("e1").Orders.Fence
 		f.leave(holder.name)
 		start := time.Now()
 		require.NoError(t, other.Order(context.Background(), "e1", loadModel))
 		require.Zero(t, time.Since(start))
-		require.Greater(t, f.engines.get("e1").orders.Fence, before)
+		require.Greater(t, f.engines.Get("e1").Orders.Fence, before)
 		require.ErrorIs(t, f.engines.SendOrder(context.Background(), f.servers[0], backend.Order{Kind: backend.LoadModel, Name: "old", Fence: before}), backend.ErrFenced)
 	})
 }
@@ -61,17 +62,17 @@
 func TestOrderInDoubtIsReadBackBeforeItIsRepeated(t *testing.T) {
 	for _, effect := range []bool{true, false} {
 		orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
-			f.engines.set("e1", func(e *fakeEngine) { e.loseOrders, e.loseEffect = 1, !effect; e.ordersTaken = 0 })
+			f.engines.Change("e1", func(e *engines.Engine) { e.LoseOrders, e.LoseEffect = 1, !effect; e.OrdersTaken = 0 })
 			require.NoError(t, holder.Order(context.Background(), "e1", loadModel))
-			require.Equal(t, 1, f.engines.get("e1").ordersTaken)
-			require.Contains(t, f.engines.get("e1").orders.Models, "new")
+			require.Equal(t, 1, f.engines.Get("e1").OrdersTaken)
+			require.Contains(t, f.engines.Get("e1").Orders.Models, "new")
 		})
 	}
 }
 
 func TestOrderToADeadEngineDidNotRun(t *testing.T) {
 	orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
-		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Down = true })
 		err := holder.Order(context.Background(), "e1", loadModel)
 		require.True(t, verdict.Is(err, verdict.NotRun), "%v", err)
 	})
@@ -79,7 +80,7 @@
 
 func TestOrderThatWasLostOnceStaysInDoubt(t *testing.T) {
 	orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
-		f.engines.set("e1", func(e *fakeEngine) { e.loseOrders, e.loseEffect = 100, true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.LoseOrders, e.LoseEffect = 100, true })
 		err := holder.Order(context.Background(), "e1", loadModel)
 		require.True(t, verdict.Is(err, verdict.MayHaveRun), "%v", err)
 	})
@@ -88,10 +89,10 @@
 func TestNoOrderWithoutThePlatform(t *testing.T) {
 	orderFleet(t, true, func(f *fleet, holder, _ *daemon) {
 		f.store.SetFaults(objects.Faults{Outage: true})
-		taken := f.engines.get("e1").ordersTaken
+		taken := f.engines.Get("e1").OrdersTaken
 		err := holder.Order(context.Background(), "e1", loadModel)
 		require.True(t, verdict.Is(err, verdict.NotRun))
-		require.Equal(t, taken, f.engines.get("e1").ordersTaken)
+		require.Equal(t, taken, f.engines.Get("e1").OrdersTaken)
 	})
 }
 
--- a/internal/dispatch/placement_test.go
+++ b/internal/dispatch/placement_test.go
@@ -10,11 +10,12 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/verdict"
 )
 
 func TestProgramStaysWithItsCacheOnlyWhileItPays(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engineServers("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
 		d := f.daemons["d1"]
 		request := modelCall("p")
 		request.PromptTokens = 20_000
@@ -24,7 +25,7 @@
 			require.Equal(t, first.result.Engine, d.generate(context.Background(), request).result.Engine)
 		}
 		time.Sleep(2 * time.Second)
-		f.engines.set(first.result.Engine, func(e *fakeEngine) { e.gap = 3 * time.Second })
+		f.engines.Change(first.result.Engine, func(e *engines.Engine) { e.Gap = 3 * time.Second })
 		var slow []<-chan outcome
 		for i := range 12 {
 			call := modelCall(fmt.Sprint("other-", i))
@@ -44,9 +45,9 @@
 	for _, policy := range []string{dispatch.PlacementEstimate, dispatch.PlacementRoundRobin} {
 		t.Run(policy, func(t *testing.T) {
 			config := dispatch.Config{Placement: policy, Window: dispatch.WindowFixed}
-			runFleet(t, config, []string{"d1", "d2"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+			runFleet(t, config, []string{"d1", "d2"}, engineServers("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
 				for _, name := range []string{"e1", "e2", "e3"} {
-					f.engines.set(name, func(e *fakeEngine) { e.gap = time.Second })
+					f.engines.Change(name, func(e *engines.Engine) { e.Gap = time.Second })
 				}
 				var calls []<-chan outcome
 				for i := range 30 {
@@ -54,7 +55,7 @@
 					synctest.Wait()
 				}
 				for _, name := range []string{"e1", "e2", "e3"} {
-					require.InDelta(t, 10, f.engines.get(name).started, 2, name)
+					require.InDelta(t, 10, f.engines.Get(name).Started, 2, name)
 				}
 				for _, call := range calls {
 					require.NoError(t, (<-call).err)
@@ -65,13 +66,13 @@
 }
 
 func TestEngineOfAnotherRegionIsUsedOnlyWithoutOneHere(t *testing.T) {
-	servers := engines("e1", "e2")
+	servers := engineServers("e1", "e2")
 	servers[1].Region = "r2"
 	runFleet(t, dispatch.Config{}, []string{"d1"}, servers, func(t *testing.T, f *fleet) {
 		for i := range 20 {
 			require.Equal(t, "e1", f.daemons["d1"].generate(context.Background(), modelCall(fmt.Sprint(i))).result.Engine)
 		}
-		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Down = true })
 		require.Equal(t, "e2", f.daemons["d1"].generate(context.Background(), modelCall("p")).result.Engine)
 	})
 }
@@ -79,8 +80,8 @@
 // onHungEngine starts calls on e1, which gives no first token, and tells how
 // many of them ended elsewhere within a minute.
 func onHungEngine(t *testing.T, config dispatch.Config, calls int) (moved int) {
-	runFleet(t, config, []string{"d1", "d2", "d3"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.hang = true })
+	runFleet(t, config, []string{"d1", "d2", "d3"}, engineServers("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.Hang = true })
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		results := make(chan outcome, calls)
@@ -109,15 +110,15 @@
 }
 
 func TestMovesAndRetriesStayInOneBudget(t *testing.T) {
-	runFleet(t, dispatch.Config{Stragglers: true}, []string{"d1"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{Stragglers: true}, []string{"d1"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
 		for _, name := range []string{"e1", "e2"} {
-			f.engines.set(name, func(e *fakeEngine) { e.failAfter, e.failure = 0, cut() })
+			f.engines.Change(name, func(e *engines.Engine) { e.FailAfter, e.Failure = 0, engines.Cut() })
 		}
 		const calls = 200
 		for i := range calls {
 			require.Error(t, f.daemons["d1"].generate(context.Background(), modelCall(fmt.Sprint(i))).err)
 		}
-		sent := f.engines.get("e1").started + f.engines.get("e2").started
+		sent := f.engines.Get("e1").Started + f.engines.Get("e2").Started
 		require.Greater(t, sent, calls)
 		require.LessOrEqual(t, sent, calls*11/10+32)
 	})
@@ -125,9 +126,9 @@
 
 func TestSlowEngineIsFoundFromItsStreams(t *testing.T) {
 	config := dispatch.Config{Stragglers: true}
-	runFleet(t, config, []string{"d1", "d2"}, engines("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
+	runFleet(t, config, []string{"d1", "d2"}, engineServers("e1", "e2", "e3"), func(t *testing.T, f *fleet) {
 		for name, gap := range map[string]time.Duration{"e1": 100, "e2": 20, "e3": 20} {
-			f.engines.set(name, func(e *fakeEngine) { e.tokens, e.gap = 100, gap*time.Millisecond })
+			f.engines.Change(name, func(e *engines.Engine) { e.Tokens, e.Gap = 100, gap*time.Millisecond })
 		}
 		var calls []<-chan outcome
 		for i := range 30 {
@@ -136,12 +137,12 @@
 		}
 		time.Sleep(3 * time.Second)
 		require.Equal(t, []string{"e1"}, f.slow())
-		before := f.engines.get("e1").started
+		before := f.engines.Get("e1").Started
 		for i := range 10 {
 			calls = append(calls, f.daemons["d2"].generateLater(context.Background(), modelCall(fmt.Sprint("late-", i))))
 			synctest.Wait()
 		}
-		require.Equal(t, before, f.engines.get("e1").started)
+		require.Equal(t, before, f.engines.Get("e1").Started)
 		for _, call := range calls {
 			require.NoError(t, (<-call).err)
 		}
@@ -162,11 +163,11 @@
 }
 
 func TestFullRegionDoesNotSendItsLoadToAnother(t *testing.T) {
-	servers := engines("e1", "e2")
+	servers := engineServers("e1", "e2")
 	servers[1].Region = "r2"
 	config := dispatch.Config{FixedWindow: 1, Window: dispatch.WindowFixed, QueueLimit: 1}
 	runFleet(t, config, []string{"d1"}, servers, func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.gap = time.Second })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Gap = time.Second })
 		var calls []<-chan outcome
 		for i := range 5 {
 			calls = append(calls, f.daemons["d1"].generateLater(context.Background(), modelCall(fmt.Sprint(i))))
@@ -180,6 +181,6 @@
 			}
 		}
 		require.Equal(t, 3, refused)
-		require.Zero(t, f.engines.get("e2").started)
+		require.Zero(t, f.engines.Get("e2").Started)
 	})
 }
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -10,27 +10,25 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/policy/quarantine"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
 
-// poison is the content of a message that crashes each engine that runs it.
-const poison = "poison"
-
 func poisonCall(program string) structs.GenerateRequest {
 	request := modelCall(program)
-	request.Messages = []structs.Message{{Role: "user", Content: poison}}
+	request.Messages = []structs.Message{{Role: "user", Content: engines.Poison}}
 	return request
 }
 
 // crashFleet has engines that crash on poison and restart after a second.
 func crashFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
 	names := []string{"e1", "e2", "e3", "e4", "e5"}
-	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engines(names...), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engineServers(names...), func(t *testing.T, f *fleet) {
 		for _, name := range names {
-			f.engines.set(name, func(e *fakeEngine) { e.gap = time.Second })
+			f.engines.Change(name, func(e *engines.Engine) { e.Gap = time.Second })
 		}
 		test(t, f)
 	})
@@ -38,8 +36,8 @@
 
 func (f *fleet) crashes() int {
 	total := 0
-	for _, server := range engines("e1", "e2", "e3", "e4", "e5") {
-		total += f.engines.get(server.Name).crashes
+	for _, server := range engineServers("e1", "e2", "e3", "e4", "e5") {
+		total += f.engines.Get(server.Name).Crashes
 	}
 	return total
 }
@@ -104,8 +102,8 @@
 }
 
 func TestCutConnectionIsNoCrash(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.failAfter, e.failure = 0, cut() })
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.FailAfter, e.Failure = 0, engines.Cut() })
 		for i := range 4 {
 			require.NoError(t, f.daemons["d1"].generate(context.Background(), modelCall(fmt.Sprint(i))).err)
 		}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -61,33 +62,33 @@
 	case "calls", "canceled", "poison", "moving":
 		r.start(s)
 	case "crash":
-		r.f.engines.crash(s.Engine)
+		r.f.engines.Crash(s.Engine)
 	case "lose":
 		if s.Daemon != "d1" {
 			r.f.lose(s.Daemon)
 		}
 	default:
-		r.f.engines.set(s.Engine, func(e *fakeEngine) { changeEngine(e, s.Kind) })
+		r.f.engines.Change(s.Engine, func(e *engines.Engine) { changeEngine(e, s.Kind) })
 	}
 	time.Sleep(s.Wait)
 }
 
-func changeEngine(e *fakeEngine, kind string) {
+func changeEngine(e *engines.Engine, kind string) {
 	switch kind {
 	case "cut":
-		e.failAfter, e.failure = 1, cut()
+		e.FailAfter, e.Failure = 1, engines.Cut()
 	case "hang_export":
-		e.hangExport = true
+		e.HangExport = true
 	case "hang":
-		e.hang = true
+		e.Hang = true
 	case "heal":
-		e.failAfter, e.hang, e.hangExport, e.gap = -1, false, false, 100*time.Millisecond
+		e.FailAfter, e.Hang, e.HangExport, e.Gap = -1, false, false, 100*time.Millisecond
 	case "leave":
-		e.leaving = true
+		e.Leaving = true
 	case "stay":
-		e.leaving = false
+		e.Leaving = false
 	case "slow":
-		e.gap = time.Second
+		e.Gap = time.Second
 	}
 }
 
@@ -102,11 +103,11 @@
 		r.count++
 		request.Deadline = time.Now().Add(20 * time.Second)
 		if s.Kind == "poison" {
-			request.Messages = []structs.Message{{Role: "user", Content: poison}}
+			request.Messages = []structs.Message{{Role: "user", Content: engines.Poison}}
 		}
 		if s.Kind == "moving" {
 			request.LastEngine, request.PromptTokens = s.Engine, movedTokens
-			r.f.engines.set(s.Engine, func(e *fakeEngine) { e.kv[request.Program] = movedTokens })
+			r.f.engines.Change(s.Engine, func(e *engines.Engine) { e.KV[request.Program] = movedTokens })
 		}
 		ctx, cancel := context.WithTimeout(d.ctx, time.Minute)
 		if s.Kind == "canceled" {
@@ -126,9 +127,9 @@
 func (r *scheduleRun) check(t require.TestingT) {
 	started := map[string]int{}
 	for _, name := range randomEngines {
-		e := r.f.engines.get(name)
-		require.Zero(t, e.running, "requests left at %s", name)
-		for _, program := range e.order {
+		e := r.f.engines.Get(name)
+		require.Zero(t, e.Running, "requests left at %s", name)
+		for _, program := range e.Order {
 			started[program]++
 		}
 	}
@@ -175,7 +176,7 @@
 			r.check(rt)
 			r.quiet(rt)
 			for _, name := range randomEngines {
-				imports += f.engines.get(name).imports
+				imports += f.engines.Get(name).Imports
 			}
 		})
 	})
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -49,7 +49,7 @@
 	for name, change := range spoil {
 		for kind, ask := range requests {
 			t.Run(name+"/"+kind, func(t *testing.T) {
-				servers := append(engines("e1"), service("s1", 1))
+				servers := append(engineServers("e1"), service("s1", 1))
 				runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, servers, func(t *testing.T, f *fleet) {
 					time.Sleep(5 * time.Second)
 					change(f)
@@ -71,7 +71,7 @@
 		f.leave(holder.name)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		taken := f.engines.get("e1").ordersTaken
+		taken := f.engines.Get("e1").OrdersTaken
 		err := other.Order(ctx, "e1", loadModel)
 		require.True(t, verdict.HasReason(err, verdict.Canceled), "%v", err)
 		f.store.SetFaults(objects.Faults{LateWrites: 1, LateBy: time.Hour})
@@ -88,6 +88,6 @@
 		err = third.Order(context.Background(), "e2", backend.Order{Kind: backend.LoadModel})
 		require.True(t, verdict.HasReason(err, verdict.Internal), "%v", err)
 		require.True(t, verdict.Is(err, verdict.NotRun))
-		require.Equal(t, taken, f.engines.get("e1").ordersTaken)
+		require.Equal(t, taken, f.engines.Get("e1").OrdersTaken)
 	})
 }
--- a/internal/dispatch/router_test.go
+++ b/internal/dispatch/router_test.go
@@ -11,11 +11,12 @@
 
 	"ibisline/internal/backend"
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
 
-func engines(names ...string) []structs.Server {
+func engineServers(names ...string) []structs.Server {
 	var servers []structs.Server
 	for _, name := range names {
 		servers = append(servers, structs.Server{
@@ -58,7 +59,7 @@
 }
 
 func TestGenerateStreamsFromAnEngineOfEachDaemon(t *testing.T) {
-	servers := engines("e1", "e2", "e3", "e4")
+	servers := engineServers("e1", "e2", "e3", "e4")
 	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, servers, func(t *testing.T, f *fleet) {
 		for _, d := range f.daemons {
 			got := d.generate(context.Background(), modelCall("p-"+d.name))
@@ -69,16 +70,16 @@
 }
 
 func TestCallMovesFromADeadEngine(t *testing.T) {
-	for name, fail := range map[string]func(e *fakeEngine){
-		"unreachable": func(e *fakeEngine) { e.down = true },
-		"leaving":     func(e *fakeEngine) { e.leaving = true },
-		"cut before the first token": func(e *fakeEngine) {
-			e.failAfter, e.failure = 0, cut()
+	for name, fail := range map[string]func(e *engines.Engine){
+		"unreachable": func(e *engines.Engine) { e.Down = true },
+		"leaving":     func(e *engines.Engine) { e.Leaving = true },
+		"cut before the first token": func(e *engines.Engine) {
+			e.FailAfter, e.Failure = 0, engines.Cut()
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
-				f.engines.set("e1", fail)
+			runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
+				f.engines.Change("e1", fail)
 				for range 4 {
 					got := f.daemons["d1"].generate(context.Background(), modelCall("p"))
 					require.NoError(t, got.err)
@@ -91,20 +92,20 @@
 }
 
 func TestCallDoesNotMoveOnceTextWasPassedOn(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
 		for _, name := range []string{"e1", "e2"} {
-			f.engines.set(name, func(e *fakeEngine) { e.failAfter, e.failure = 2, cut() })
+			f.engines.Change(name, func(e *engines.Engine) { e.FailAfter, e.Failure = 2, engines.Cut() })
 		}
 		got := f.daemons["d1"].generate(context.Background(), modelCall("p"))
 		require.True(t, verdict.Is(got.err, verdict.MayHaveRun))
 		require.True(t, verdict.HasReason(got.err, verdict.BackendFailed))
 		require.Equal(t, "xx", got.text)
-		require.Equal(t, 1, f.engines.get("e1").started+f.engines.get("e2").started)
+		require.Equal(t, 1, f.engines.Get("e1").Started+f.engines.Get("e2").Started)
 	})
 }
 
 func TestNoEngineForTheModelIsNotRun(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
 		request := modelCall("p")
 		request.Model = "other"
 		got := f.daemons["d1"].generate(context.Background(), request)
@@ -114,8 +115,8 @@
 }
 
 func TestRefusalByEveryEngineIsNotCalledNotRun(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.failAfter, e.failure = 0, cut() })
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.FailAfter, e.Failure = 0, engines.Cut() })
 		request := modelCall("p")
 		request.Deadline = time.Now().Add(time.Second)
 		got := f.daemons["d1"].generate(context.Background(), request)
@@ -124,9 +125,9 @@
 }
 
 func TestLossOfTheDispatcherMovesTheCall(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engines("e1", "e2", "e3", "e4"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2", "d3"}, engineServers("e1", "e2", "e3", "e4"), func(t *testing.T, f *fleet) {
 		for _, name := range []string{"e1", "e2", "e3", "e4"} {
-			f.engines.set(name, func(e *fakeEngine) { e.gap = time.Second })
+			f.engines.Change(name, func(e *engines.Engine) { e.Gap = time.Second })
 		}
 		var calls []<-chan outcome
 		for i := range 8 {
@@ -144,32 +145,32 @@
 }
 
 func TestCancelReachesTheEngine(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engines("e1", "e2"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1", "d2"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
 		for _, name := range []string{"e1", "e2"} {
-			f.engines.set(name, func(e *fakeEngine) { e.hang = true })
+			f.engines.Change(name, func(e *engines.Engine) { e.Hang = true })
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		first := f.daemons["d1"].generateLater(ctx, modelCall("p"))
 		second := f.daemons["d2"].generateLater(ctx, modelCall("q"))
 		synctest.Wait()
-		require.Equal(t, 2, f.engines.get("e1").running+f.engines.get("e2").running)
+		require.Equal(t, 2, f.engines.Get("e1").Running+f.engines.Get("e2").Running)
 		cancel()
 		require.True(t, verdict.HasReason((<-first).err, verdict.Canceled))
 		require.True(t, verdict.HasReason((<-second).err, verdict.Canceled))
 		synctest.Wait()
-		require.Zero(t, f.engines.get("e1").running+f.engines.get("e2").running)
+		require.Zero(t, f.engines.Get("e1").Running+f.engines.Get("e2").Running)
 	})
 }
 
 func TestForgetIsConfirmedOnlyByTheEngine(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
 		d := f.daemons["d1"]
 		require.NoError(t, d.generate(context.Background(), modelCall("p")).err)
-		f.engines.set("e1", func(e *fakeEngine) { e.down = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Down = true })
 		require.ErrorIs(t, d.Forget(context.Background(), "e1", "p"), backend.ErrUnreachable)
-		f.engines.set("e1", func(e *fakeEngine) { e.down = false })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Down = false })
 		require.NoError(t, d.Forget(context.Background(), "e1", "p"))
-		require.Equal(t, []string{"p"}, f.engines.get("e1").released)
+		require.Equal(t, []string{"p"}, f.engines.Get("e1").Released)
 		require.NoError(t, d.Forget(context.Background(), "e1", "p"))
 		require.NoError(t, d.Forget(context.Background(), "gone", "p"))
 		f.setServers(nil)
--- a/internal/dispatch/server_queue_test.go
+++ b/internal/dispatch/server_queue_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -18,8 +19,8 @@
 func oneSlot(t *testing.T, config dispatch.Config, test func(t *testing.T, f *fleet, d *daemon)) {
 	config.FixedWindow = 1
 	config.Window = dispatch.WindowFixed
-	runFleet(t, config, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.tokens, e.gap = 1, time.Second })
+	runFleet(t, config, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.Tokens, e.Gap = 1, time.Second })
 		test(t, f, f.daemons["d1"])
 	})
 }
@@ -38,7 +39,7 @@
 		}
 		synctest.Wait()
 		require.NoError(t, d.generate(context.Background(), ownedCall("light", 0)).err)
-		require.LessOrEqual(t, f.engines.get("e1").started, 4)
+		require.LessOrEqual(t, f.engines.Get("e1").Started, 4)
 		for _, call := range flood {
 			require.NoError(t, (<-call).err)
 		}
@@ -56,7 +57,7 @@
 		require.True(t, verdict.HasReason(got.err, verdict.DeadlinePassed))
 		require.NoError(t, (<-running).err)
 		time.Sleep(5 * time.Second)
-		require.Equal(t, []string{"a-0"}, f.engines.get("e1").order)
+		require.Equal(t, []string{"a-0"}, f.engines.Get("e1").Order)
 	})
 }
 
@@ -102,8 +103,8 @@
 }
 
 func TestAdaptiveWindowKeepsToTheKVMemory(t *testing.T) {
-	runFleet(t, dispatch.Config{}, []string{"d1"}, engines("e1"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) { e.gap = time.Second })
+	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.Gap = time.Second })
 		var calls []<-chan outcome
 		for i := range 10 {
 			request := ownedCall("a", i)
@@ -114,7 +115,7 @@
 		for _, call := range calls {
 			require.NoError(t, (<-call).err)
 		}
-		require.LessOrEqual(t, f.engines.get("e1").peak, 4)
+		require.LessOrEqual(t, f.engines.Get("e1").Peak, 4)
 	})
 }
 
--- a/internal/dispatch/sweep_test.go
+++ b/internal/dispatch/sweep_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -37,11 +38,11 @@
 func sweepFleet(t *testing.T, programs []string, down bool, test func(f *fleet, h *homes)) {
 	h := &homes{state: map[string]structs.ProgramState{}, fail: map[string]error{}}
 	config := dispatch.Config{SweepInterval: 10 * time.Second}
-	runFleet(t, config, nil, engines("e1"), func(t *testing.T, f *fleet) {
-		f.engines.set("e1", func(e *fakeEngine) {
-			e.down = down
+	runFleet(t, config, nil, engineServers("e1"), func(t *testing.T, f *fleet) {
+		f.engines.Change("e1", func(e *engines.Engine) {
+			e.Down = down
 			for _, program := range programs {
-				e.kv[program] = 100
+				e.KV[program] = 100
 			}
 		})
 		for _, name := range []string{"d1", "d2"} {
@@ -60,10 +61,10 @@
 		h.set("returns", structs.ProgramState{}, unknown)
 		h.set("unreachable", structs.ProgramState{Ended: true}, verdict.Refuse(verdict.PeerLost, "home is down"))
 		time.Sleep(5 * time.Second)
-		require.NotContains(t, f.engines.get("e1").released, "gone")
+		require.NotContains(t, f.engines.Get("e1").Released, "gone")
 		h.set("returns", structs.ProgramState{}, nil)
 		time.Sleep(30 * time.Second)
-		require.ElementsMatch(t, []string{"ended", "gone"}, f.engines.get("e1").released)
+		require.ElementsMatch(t, []string{"ended", "gone"}, f.engines.Get("e1").Released)
 	})
 }
 
@@ -71,22 +72,22 @@
 	sweepFleet(t, []string{"ended"}, true, func(f *fleet, h *homes) {
 		h.set("ended", structs.ProgramState{Ended: true}, nil)
 		time.Sleep(25 * time.Second)
-		require.Empty(t, f.engines.get("e1").released)
-		f.engines.set("e1", func(e *fakeEngine) { e.down = false })
+		require.Empty(t, f.engines.Get("e1").Released)
+		f.engines.Change("e1", func(e *engines.Engine) { e.Down = false })
 		time.Sleep(15 * time.Second)
-		require.Equal(t, []string{"ended"}, f.engines.get("e1").released)
+		require.Equal(t, []string{"ended"}, f.engines.Get("e1").Released)
 	})
 }
 
 func TestSweepLeavesARequestUnderWayAlone(t *testing.T) {
 	sweepFleet(t, nil, false, func(f *fleet, h *homes) {
 		h.set("p", structs.ProgramState{Ended: true}, nil)
-		f.engines.set("e1", func(e *fakeEngine) { e.gap = 10 * time.Second })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Gap = 10 * time.Second })
 		call := f.daemons["d1"].generateLater(context.Background(), modelCall("p"))
 		time.Sleep(25 * time.Second)
-		require.Empty(t, f.engines.get("e1").released)
+		require.Empty(t, f.engines.Get("e1").Released)
 		require.NoError(t, (<-call).err)
 		time.Sleep(25 * time.Second)
-		require.Equal(t, []string{"p"}, f.engines.get("e1").released)
+		require.Equal(t, []string{"p"}, f.engines.Get("e1").Released)
 	})
 }
--- a/internal/dispatch/transfer_test.go
+++ b/internal/dispatch/transfer_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/dispatch"
+	"ibisline/internal/fake/engines"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -32,7 +33,7 @@
 // transferring returns engines that transfer KV cache. Their address is their
 // name.
 func transferring(names ...string) []structs.Server {
-	servers := engines(names...)
+	servers := engineServers(names...)
 	for i := range servers {
 		servers[i].Addr, servers[i].KVTransfer, servers[i].KVTransferRate = servers[i].Name, true, 100_000
 	}
@@ -47,11 +48,11 @@
 	runFleet(t, config, nil, servers, func(t *testing.T, f *fleet) {
 		h := &holders{engines: map[string]bool{}}
 		f.startWith(config, "d1", func(d *daemon) { d.SetHolders(h) })
-		f.engines.set("e2", func(e *fakeEngine) {
-			e.importing = 200 * time.Millisecond
-			e.usage = structs.Usage{PromptTokens: movedTokens, CachedTokens: movedTokens, OutputTokens: 3}
+		f.engines.Change("e2", func(e *engines.Engine) {
+			e.Importing = 200 * time.Millisecond
+			e.Usage = structs.Usage{PromptTokens: movedTokens, CachedTokens: movedTokens, OutputTokens: 3}
 		})
-		f.engines.set("e1", func(e *fakeEngine) { e.gap, e.kv["p"] = time.Minute, movedTokens })
+		f.engines.Change("e1", func(e *engines.Engine) { e.Gap, e.KV["p"] = time.Minute, movedTokens })
 		busy := modelCall("busy")
 		busy.LastEngine, busy.PromptTokens = "e1", 60_000
 		f.daemons["d1"].generateLater(t.Context(), busy)
@@ -70,19 +71,19 @@
 		require.NoError(t, got.err)
 		require.Equal(t, "e2", got.result.Engine)
 		require.Equal(t, 230*time.Millisecond, time.Since(begun))
-		require.Equal(t, 1, f.engines.get("e2").imports)
+		require.Equal(t, 1, f.engines.Get("e2").Imports)
 		require.True(t, h.engines["e2"])
 		for _, engine := range []string{"e1", "e2"} {
-			require.Contains(t, f.engines.get(engine).kv, "p")
+			require.Contains(t, f.engines.Get(engine).KV, "p")
 			require.NoError(t, f.daemons["d1"].Forget(context.Background(), engine, "p"))
-			require.NotContains(t, f.engines.get(engine).kv, "p")
+			require.NotContains(t, f.engines.Get(engine).KV, "p")
 		}
 	})
 }
 
 func TestHangingExportCostsItsLimitAndIsNotTriedAgainAtOnce(t *testing.T) {
 	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
-		f.engines.set("e1", func(e *fakeEngine) { e.hangExport = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.HangExport = true })
 		begun := time.Now()
 		got := f.daemons["d1"].generate(context.Background(), next)
 		require.NoError(t, got.err)
@@ -93,9 +94,9 @@
 
 		other := next
 		other.Program, other.Root = "q", "q"
-		f.engines.set("e1", func(e *fakeEngine) { e.kv["q"] = movedTokens })
+		f.engines.Change("e1", func(e *engines.Engine) { e.KV["q"] = movedTokens })
 		require.NoError(t, f.daemons["d1"].generate(context.Background(), other).err)
-		require.Equal(t, 1, f.engines.get("e2").imports)
+		require.Equal(t, 1, f.engines.Get("e2").Imports)
 	})
 }
 
@@ -103,30 +104,30 @@
 	moveFleet(t, true, func(f *fleet, h *holders, next structs.GenerateRequest) {
 		h.fail = verdict.Refuse(verdict.NotHome, "lost")
 		require.NoError(t, f.daemons["d1"].generate(context.Background(), next).err)
-		require.Zero(t, f.engines.get("e2").imports)
+		require.Zero(t, f.engines.Get("e2").Imports)
 	})
 	moveFleet(t, false, func(f *fleet, _ *holders, next structs.GenerateRequest) {
 		require.NoError(t, f.daemons["d1"].generate(context.Background(), next).err)
-		require.Zero(t, f.engines.get("e2").imports)
+		require.Zero(t, f.engines.Get("e2").Imports)
 	})
 }
 
 func TestEngineThatLeavesDuringTheImportGetsNoCall(t *testing.T) {
 	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
-		f.engines.set("e2", func(e *fakeEngine) { e.importing = 1900 * time.Millisecond })
+		f.engines.Change("e2", func(e *engines.Engine) { e.Importing = 1900 * time.Millisecond })
 		next.Deadline = time.Now().Add(4 * time.Second)
 		call := f.daemons["d1"].generateLater(context.Background(), next)
 		time.Sleep(100 * time.Millisecond)
-		f.engines.set("e2", func(e *fakeEngine) { e.leaving = true })
+		f.engines.Change("e2", func(e *engines.Engine) { e.Leaving = true })
 		got := <-call
 		require.True(t, verdict.Is(got.err, verdict.NotRun), got.err)
-		require.Zero(t, f.engines.get("e2").offered)
+		require.Zero(t, f.engines.Get("e2").Offered)
 	})
 }
 
 func TestCallersCancelStopsTheImport(t *testing.T) {
 	moveFleet(t, true, func(f *fleet, _ *holders, next structs.GenerateRequest) {
-		f.engines.set("e1", func(e *fakeEngine) { e.hangExport = true })
+		f.engines.Change("e1", func(e *engines.Engine) { e.HangExport = true })
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 		defer cancel()
 		begun := time.Now()
