Join the dispatchers of a test by the shared network

Cause: the tests of the dispatcher had streams and a dialer of their own, 70 lines that do what internal/fake/peers does. Ruled out: taking the lists of live daemons from the network too; Join puts every daemon back on them, and these tests take a daemon off the list before others start. Keeping the streams of a dead daemon open, as the network did, would not show its loss. Change: fleet_test.go uses a Node for each daemon; only the lists of daemons and servers stay with the fleet. SetDown of a Node now also breaks the streams that it serves. A frame that has arrived is read without a timer.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -10,14 +9,12 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/dispatch"
 	"ibisline/internal/fake/engines"
 	"ibisline/internal/fake/objects"
-	"ibisline/internal/peer"
+	"ibisline/internal/fake/peers"
 	"ibisline/internal/structs"
-	"ibisline/internal/verdict"
 )
 
 // fleet is a set of dispatchers in one process, joined by streams in memory.
@@ -29,17 +26,23 @@
 	daemons map[string]*daemon
 	engines *engines.Set
 	store   *objects.Store
-	changed chan struct{}
+	network *peers.Network
 }
 
 type daemon struct {
 	*dispatch.Dispatcher
-	name     string
-	handlers map[string]peer.Handler
-	fleet    *fleet
-	ctx      context.Context
-	kill     context.CancelFunc
-	blind    bool // sees no servers; guarded by fleet.mu
+	name  string
+	node  *peers.Node
+	fleet *fleet
+	ctx   context.Context
+	stop  context.CancelFunc
+	blind bool // sees no servers; guarded by fleet.mu
+}
+
+// kill ends the daemon and the streams that it serves.
+func (d *daemon) kill() {
+	d.node.SetDown(true)
+	d.stop()
 }
 
 // runFleet runs test in a bubble of virtual time with the named daemons.
@@ -65,7 +68,7 @@
 		daemons: map[string]*daemon{},
 		engines: engines.New(),
 		store:   objects.New(),
-		changed: make(chan struct{}),
+		network: peers.New(nil),
 	}
 }
 
@@ -75,15 +78,16 @@
 
 // startWith starts a daemon after prepare was called with it.
 func (f *fleet) startWith(config dispatch.Config, name string, prepare func(d *daemon)) *daemon {
-	ctx, kill := context.WithCancel(context.Background())
-	d := &daemon{name: name, handlers: map[string]peer.Handler{}, fleet: f, ctx: ctx, kill: kill}
+	ctx, stop := context.WithCancel(context.Background())
+	self := structs.Instance{Name: name, Region: "r1", State: structs.StateLive}
+	d := &daemon{name: name, node: f.network.Join(self), fleet: f, ctx: ctx, stop: stop}
 	d.Dispatcher = dispatch.New(config, dispatch.Deps{
 		Self:      name,
 		Region:    "r1",
-		View:      view{d},
+		View:      d.view(),
 		Catalogue: f,
-		Dialer:    d,
-		Mux:       d,
+		Dialer:    d.node,
+		Mux:       d.node,
 		Engines:   f.engines,
 		Store:     f.store,
 		Metrics:   metrics.NewSet(),
@@ -92,7 +96,7 @@
 	prepare(d)
 	f.mu.Lock()
 	f.daemons[name] = d
-	f.live = append(f.live, structs.Instance{Name: name, Region: "r1", State: structs.StateLive})
+	f.live = append(f.live, self)
 	f.mu.Unlock()
 	go func() { _ = d.Run(ctx) }()
 	return d
@@ -137,28 +141,20 @@
 	f.daemons[name].blind = true
 }
 
-// view implements member.View.
-type view struct{ d *daemon }
-
-func (v view) Self() structs.Instance {
-	return structs.Instance{Name: v.d.name, Region: "r1", State: structs.StateLive}
+// view is what a daemon sees: the fleet's lists instead of the network's.
+type view struct {
+	*peers.Node
+	d *daemon
 }
 
+func (d *daemon) view() view { return view{d.node, d} }
+
 func (v view) Live() []structs.Instance {
 	v.d.fleet.mu.Lock()
 	defer v.d.fleet.mu.Unlock()
 	return v.d.fleet.live
 }
 
-func (v view) Lookup(name string) (structs.Instance, bool) {
-	for _, instance := range v.Live() {
-		if instance.Name == name {
-			return instance, true
-		}
-	}
-	return structs.Instance{}, false
-}
-
 func (v view) Servers() []structs.Server {
 	v.d.fleet.mu.Lock()
 	defer v.d.fleet.mu.Unlock()
@@ -168,8 +164,6 @@
 	return v.d.fleet.servers
 }
 
-func (v view) Changed() <-chan struct{} { return v.d.fleet.changed }
-
 // The fleet implements catalogue.Reader.
 
 func (f *fleet) Entry(name string) (structs.Entry, bool) {
@@ -189,71 +183,3 @@
 
 func (f *fleet) Revision() int64 { return int64(len(f.Entries())) }
 func (f *fleet) Admit() error    { return nil }
-
-// The daemon implements peer.Mux and peer.Dialer.
-
-func (d *daemon) Handle(method string, h peer.Handler) { d.handlers[method] = h }
-
-func (d *daemon) Open(opened context.Context, name, method string) (peer.Stream, error) {
-	target := d.fleet.daemons[name]
-	if target == nil || target.ctx.Err() != nil {
-		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is down", name)
-	}
-	ctx, cancel := context.WithCancel(target.ctx)
-	context.AfterFunc(opened, cancel)
-	up, down := make(chan []byte, 4096), make(chan []byte, 4096)
-	end := &streamEnd{}
-	caller := &memoryStream{ctx: ctx, cancel: cancel, out: up, in: down, end: end}
-	callee := &memoryStream{ctx: ctx, cancel: cancel, out: down, in: up}
-	go func() {
-		end.err = target.handlers[method](ctx, callee)
-		if end.err == nil {
-			end.err = io.EOF
-		}
-		close(down)
-	}()
-	return caller, nil
-}
-
-// streamEnd carries the result of a handler; it is set before its channel is
-// closed.
-type streamEnd struct{ err error }
-
-// memoryStream implements peer.Stream over channels of encoded frames.
-type memoryStream struct {
-	ctx    context.Context
-	cancel context.CancelFunc
-	out    chan<- []byte
-	in     <-chan []byte
-	end    *streamEnd
-}
-
-func (s *memoryStream) Send(message any) error {
-	frame, err := msgpack.Marshal(message)
-	if err != nil {
-		return err
-	}
-	select {
-	case s.out <- frame:
-		return nil
-	case <-s.ctx.Done():
-		return lost()
-	}
-}
-
-func (s *memoryStream) Recv(message any) error {
-	select {
-	case frame, ok := <-s.in:
-		if !ok {
-			return s.end.err
-		}
-		return msgpack.Unmarshal(frame, message)
-	case <-s.ctx.Done():
-		return lost()
-	}
-}
-
-func lost() error { return verdict.New(verdict.MayHaveRun, verdict.PeerLost, "stream broke") }
-
-func (s *memoryStream) CloseSend() error { return nil }
-func (s *memoryStream) Close() error     { s.cancel(); return nil }
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -26,7 +26,7 @@
 	config := dispatch.Config{PauseAllowance: pauseAllowance}
 	runFleet(t, config, []string{"d1", "d2"}, servers, func(t *testing.T, f *fleet) {
 		require.NoError(t, f.daemons["d1"].Order(context.Background(), "e1", backend.Order{Kind: backend.SetRole, Name: "serve"}))
-		owner, _ := member.Owner(view{f.daemons["d1"]}, "r1", "e1")
+		owner, _ := member.Owner(f.daemons["d1"].view(), "r1", "e1")
 		holder, other := f.daemons["d1"], f.daemons["d2"]
 		if owner.Name == "d2" {
 			holder, other = other, holder
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -83,7 +83,7 @@
 		f.setServers(append(f.servers, structs.Server{Name: "e2", Kind: structs.KindEngine, Region: "r1"}))
 		_, err = f.store.Put(context.Background(), structs.OrderPrefix+"e2", []byte("x"), platform.NoVersion)
 		require.NoError(t, err)
-		owner, _ := member.Owner(view{third}, "r1", "e2")
+		owner, _ := member.Owner(third.view(), "r1", "e2")
 		require.Equal(t, third.name, owner.Name)
 		err = third.Order(context.Background(), "e2", backend.Order{Kind: backend.LoadModel})
 		require.True(t, verdict.HasReason(err, verdict.Internal), "%v", err)
--- a/internal/dispatch/slots_test.go
+++ b/internal/dispatch/slots_test.go
@@ -89,7 +89,7 @@
 func TestSlotOutlivesItsDispatcher(t *testing.T) {
 	names := []string{"d1", "d2", "d3"}
 	runFleet(t, dispatch.Config{}, names, []structs.Server{service("s1", 2)}, func(t *testing.T, f *fleet) {
-		owner, ok := member.Owner(view{f.daemons["d1"]}, "r1", "s1")
+		owner, ok := member.Owner(f.daemons["d1"].view(), "r1", "s1")
 		require.True(t, ok)
 		f.daemons[owner.Name].kill()
 		asker := names[0]
--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -3,6 +3,7 @@
 package peers
 
 import (
+	"context"
 	"sort"
 	"sync"
 	"time"
@@ -39,6 +40,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	node := &Node{network: n, self: instance, handlers: map[string]peer.Handler{}}
+	node.up, node.fall = context.WithCancel(context.Background())
 	n.nodes[instance.Name] = node
 	node.live = n.instances()
 	for _, other := range n.nodes {
@@ -102,7 +104,9 @@
 	handlers map[string]peer.Handler
 	live     []structs.Instance
 	changed  chan struct{}
-	down     bool
+	// up ends when the daemon goes down, by fall.
+	up   context.Context
+	fall context.CancelFunc
 }
 
 var (
@@ -111,11 +115,15 @@
 	_ member.View = (*Node)(nil)
 )
 
-// SetDown stops or restores the daemon: others can open no stream to it.
+// SetDown stops or restores the daemon: the streams that it serves break, and
+// others can open none to it.
 func (n *Node) SetDown(down bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.down = down
+	n.fall()
+	if !down {
+		n.up, n.fall = context.WithCancel(context.Background())
+	}
 }
 
 // SetLive replaces the daemons that this one takes to be live.
@@ -179,10 +187,11 @@
 	return n.changed
 }
 
-// handler returns a method's handler unless the daemon is down.
-func (n *Node) handler(method string) (peer.Handler, bool) {
+// handler returns a method's handler and a context that ends when the daemon goes
+// down, unless it is down.
+func (n *Node) handler(method string) (peer.Handler, context.Context, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	h, ok := n.handlers[method]
-	return h, ok && !n.down
+	return h, n.up, ok && n.up.Err() == nil
 }
--- a/internal/fake/peers/stream.go
+++ b/internal/fake/peers/stream.go
@@ -22,16 +22,18 @@
 	if other == nil {
 		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is unknown", daemon)
 	}
-	handle, ok := other.handler(method)
+	handle, up, ok := other.handler(method)
 	if !ok {
 		return nil, verdict.Refuse(verdict.PeerLost, "daemon %s is not reachable", daemon)
 	}
 	serveCtx, cancel := context.WithCancel(ctx)
+	served := context.AfterFunc(up, cancel)
 	there := make(chan frame, frameBuffer)
 	back := make(chan frame, frameBuffer)
 	local := &stream{ctx: serveCtx, cancel: cancel, network: n.network, from: n.self, to: other.self, out: there, in: back}
 	remote := &stream{ctx: serveCtx, cancel: func() {}, network: n.network, from: other.self, to: n.self, out: back, in: there}
 	go func() {
+		defer served()
 		remote.finish(handle(serveCtx, remote))
 	}()
 	return local, nil
@@ -99,12 +101,8 @@
 
 // open waits until a frame has arrived and decodes it.
 func (s *stream) open(f frame, message any) error {
-	timer := time.NewTimer(time.Until(f.ready))
-	defer timer.Stop()
-	select {
-	case <-s.ctx.Done():
+	if !s.await(f.ready) {
 		return s.lost()
-	case <-timer.C:
 	}
 	if f.err != nil {
 		return f.err
@@ -112,6 +110,24 @@
 	return msgpack.Unmarshal(f.body, message)
 }
 
+// await waits until a time and returns false when the stream broke before. It
+// starts no timer for a time that is past: under the race detector, timers that
+// fire at once in a synctest bubble can crash the runtime.
+func (s *stream) await(ready time.Time) bool {
+	delay := time.Until(ready)
+	if delay <= 0 {
+		return true
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-s.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
 // finish ends the handler's side with its error, if any.
 func (s *stream) finish(err error) {
 	if err != nil {
