Keep an order in doubt when the platform goes down

Cause: an order whose first try had lost its reply asks for its lease again before the next try; when the platform was down by then, that refusal was handed on as it stood, so that the operator read not_run for an order that may have run. Ruled out: the client's verdicts and the lease itself, which rightly says that nothing was sent in this try. Change: once a try is in doubt, a failure of the lease is MayHaveRun too. Measured: TestOrderInDoubtStaysSoWhenThePlatformGoesDown fails before with platform_down (not_run) and passes after, three times with the race detector. Conclusion: found by reading; every way out of the loop after a doubtful try says may_have_run now.

--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -97,6 +97,9 @@
 	inDoubt := false
 	for range orderTries {
 		fence, err := o.lease.hold(ctx, server)
+		if err != nil && inDoubt {
+			return staysInDoubt(err, server)
+		}
 		if err != nil {
 			return err
 		}
@@ -117,7 +120,12 @@
 			return err
 		}
 	}
-	return verdict.Wrap(last, verdict.MayHaveRun, verdict.BackendFailed, "order to "+server.Name+" stays in doubt")
+	return staysInDoubt(last, server)
+}
+
+// staysInDoubt is the error of an order of which an earlier try may have run.
+func staysInDoubt(err error, server structs.Server) *verdict.Error {
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.BackendFailed, "order to "+server.Name+" stays in doubt")
 }
 
 // readBack reports whether the engine shows the effect of an order in doubt.
--- a/internal/dispatch/orders_test.go
+++ b/internal/dispatch/orders_test.go
@@ -86,6 +86,19 @@
 	})
 }
 
+func TestOrderInDoubtStaysSoWhenThePlatformGoesDown(t *testing.T) {
+	orderFleet(t, false, func(f *fleet, holder, _ *daemon) {
+		f.engines.Change("e1", func(e *engines.Engine) { e.LoseOrders, e.LoseEffect = 100, true })
+		f.store.SetFaults(objects.Faults{Slow: time.Second})
+		outcome := make(chan error, 1)
+		go func() { outcome <- holder.Order(context.Background(), "e1", loadModel) }()
+		time.Sleep(1500 * time.Millisecond)
+		f.store.SetFaults(objects.Faults{Outage: true})
+		err := <-outcome
+		require.True(t, verdict.Is(err, verdict.MayHaveRun), "%v", err)
+	})
+}
+
 func TestNoOrderWithoutThePlatform(t *testing.T) {
 	orderFleet(t, true, func(f *fleet, holder, _ *daemon) {
 		f.store.SetFaults(objects.Faults{Outage: true})
