--- a/internal/catalogue/bench_test.go
+++ b/internal/catalogue/bench_test.go
@@ -16,7 +16,7 @@
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
 	"ibisline/internal/fake/testbed"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -37,13 +37,13 @@
 	for i := range n {
 		value, err := Encode(benchEntry(i))
 		require.NoError(b, err)
-		_, err = store.Put(context.Background(), Key(benchEntry(i).Name), value, platform.NoVersion)
+		_, err = store.Put(context.Background(), Key(benchEntry(i).Name), value, objectapi.NoVersion)
 		require.NoError(b, err)
 	}
 }
 
 // benchCatalogue returns a catalogue of one daemon over a store.
-func benchCatalogue(store platform.Store) *Catalogue {
+func benchCatalogue(store objectapi.Store) *Catalogue {
 	node := peers.New(nil).Join(structs.Instance{Name: "d0", Region: "nav-a", DataCentre: "1"})
 	return New(Config{}, store, node, node, node, metrics.NewSet(), testbed.NoLog())
 }
@@ -66,8 +66,8 @@
 			fill(b, store, n)
 			server := httptest.NewServer(objects.Handler(store))
 			defer server.Close()
-			config := platform.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
-			client := platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
+			config := objectapi.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
+			client := objectapi.NewClient(config, metrics.NewSet(), testbed.NoLog())
 			before := heapInUse()
 			var c *Catalogue
 			for b.Loop() {
@@ -93,8 +93,8 @@
 			value, err := Encode(edited)
 			require.NoError(b, err)
 			for b.Loop() {
-				object := platform.Object{Key: Key(edited.Name), Value: value, Version: version + 1}
-				c.applyEvents(version, version+1, []platform.Event{{Object: object}})
+				object := objectapi.Object{Key: Key(edited.Name), Value: value, Version: version + 1}
+				c.applyEvents(version, version+1, []objectapi.Event{{Object: object}})
 				version++
 			}
 		})
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -9,7 +9,7 @@
 
 	"ibisline/internal/catalogue"
 	"ibisline/internal/fake/objects"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -170,7 +170,7 @@
 		require.ErrorContains(t, err, field+" is ")
 	}
 	require.NotContains(t, err.Error(), "class is")
-	_, err = catalogue.Decode(platform.Object{Key: catalogue.Key("a"), Value: []byte(`{"name":"a","owner":"o","class":"c","share":1}`), Version: 4})
+	_, err = catalogue.Decode(objectapi.Object{Key: catalogue.Key("a"), Value: []byte(`{"name":"a","owner":"o","class":"c","share":1}`), Version: 4})
 	require.NoError(t, err)
 }
 
--- a/internal/catalogue/check.go
+++ b/internal/catalogue/check.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -44,7 +44,7 @@
 
 // Decode reads an entry from its platform object and checks it. The name in the
 // entry must be the one in the key.
-func Decode(object platform.Object) (structs.Entry, error) {
+func Decode(object objectapi.Object) (structs.Entry, error) {
 	var entry structs.Entry
 	if err := json.Unmarshal(object.Value, &entry); err != nil {
 		return structs.Entry{}, errors.Wrap(err, "entry is not valid JSON")
--- a/internal/catalogue/fleet_test.go
+++ b/internal/catalogue/fleet_test.go
@@ -16,13 +16,13 @@
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
 	"ibisline/internal/fake/testbed"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
 // gate is one daemon's way to the platform, with faults of its own.
 type gate struct {
-	platform.Store
+	objectapi.Store
 	mu    sync.Mutex
 	cut   bool
 	stuck bool
@@ -83,38 +83,38 @@
 	return g.stuck
 }
 
-func (g *gate) Get(ctx context.Context, key string) (platform.Object, error) {
+func (g *gate) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if g.closed(ctx) {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	object, err := g.Store.Get(ctx, key)
 	if g.closed(ctx) {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return object, err
 }
 
-func (g *gate) List(ctx context.Context, prefix string) ([]platform.Object, int64, error) {
+func (g *gate) List(ctx context.Context, prefix string) ([]objectapi.Object, int64, error) {
 	if g.closed(ctx) {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	found, revision, err := g.Store.List(ctx, prefix)
 	if g.closed(ctx) {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	return found, revision, err
 }
 
-func (g *gate) Watch(ctx context.Context, prefix string, after int64) ([]platform.Event, int64, error) {
+func (g *gate) Watch(ctx context.Context, prefix string, after int64) ([]objectapi.Event, int64, error) {
 	if g.closed(ctx) {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	if g.isStuck() {
 		return g.hang(ctx, after)
 	}
 	events, revision, err := g.Store.Watch(ctx, prefix, after)
 	if g.closed(ctx) {
-		return nil, 0, platform.ErrUnavailable
+		return nil, 0, objectapi.ErrUnavailable
 	}
 	if g.isStuck() {
 		return g.hang(ctx, after)
@@ -123,12 +123,12 @@
 }
 
 // hang waits as a watch does whose connection was lost unseen.
-func (g *gate) hang(ctx context.Context, after int64) ([]platform.Event, int64, error) {
+func (g *gate) hang(ctx context.Context, after int64) ([]objectapi.Event, int64, error) {
 	select {
 	case <-ctx.Done():
 		return nil, after, nil
-	case <-time.After(platform.DefaultWatchTimeout):
-		return nil, 0, platform.ErrUnavailable
+	case <-time.After(objectapi.DefaultWatchTimeout):
+		return nil, 0, objectapi.ErrUnavailable
 	}
 }
 
@@ -238,7 +238,7 @@
 func (f *fleet) put(e structs.Entry) int64 {
 	object, err := f.store.Get(context.Background(), catalogue.Key(e.Name))
 	if err != nil {
-		require.ErrorIs(f.t, err, platform.ErrNotFound)
+		require.ErrorIs(f.t, err, objectapi.ErrNotFound)
 	}
 	value, err := catalogue.Encode(e)
 	require.NoError(f.t, err)
--- a/internal/catalogue/probe.go
+++ b/internal/catalogue/probe.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -82,7 +82,7 @@
 	switch {
 	case err == nil:
 		return true
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectapi.ErrUnavailable):
 		return false
 	case c.table.size() <= c.config.ListLimit:
 		return c.list(ctx) == nil
@@ -105,7 +105,7 @@
 	defer cancel()
 	asked := time.Now()
 	events, revision, err := c.store.Watch(ctx, structs.CataloguePrefix, newest-1)
-	if errors.Is(err, platform.ErrCompacted) {
+	if errors.Is(err, objectapi.ErrCompacted) {
 		c.tail.lose(newest)
 		return errNoTail
 	}
@@ -128,7 +128,7 @@
 		return false
 	}
 	_, err := c.store.Get(ctx, probeKey)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return false
 	}
 	c.contact.reached(asked)
--- a/internal/catalogue/random_test.go
+++ b/internal/catalogue/random_test.go
@@ -15,7 +15,7 @@
 	"ibisline/internal/catalogue"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/testbed"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // CI runs the same ciSchedules in each shard. More and fresh ones:
@@ -259,7 +259,7 @@
 // during an outage.
 func (tr *trial) version(name string) (int64, bool) {
 	object, err := tr.store.Get(context.Background(), catalogue.Key(name))
-	return object.Version, err == nil || errors.Is(err, platform.ErrNotFound)
+	return object.Version, err == nil || errors.Is(err, objectapi.ErrNotFound)
 }
 
 func (tr *trial) edit(name string) {
@@ -278,7 +278,7 @@
 
 func (tr *trial) remove(name string) {
 	expected, ok := tr.version(name)
-	if !ok || expected == platform.NoVersion {
+	if !ok || expected == objectapi.NoVersion {
 		return
 	}
 	require.NoError(tr.t, tr.store.Delete(context.Background(), catalogue.Key(name), expected))
@@ -291,7 +291,7 @@
 // once: a listing in between must not lose the entry.
 func (tr *trial) spoil(name string) {
 	expected, ok := tr.version(name)
-	if !ok || expected == platform.NoVersion {
+	if !ok || expected == objectapi.NoVersion {
 		return
 	}
 	version, err := tr.store.Put(context.Background(), catalogue.Key(name), []byte("{"), expected)
--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -11,8 +11,8 @@
 
 	"ibisline/internal/defaults"
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/ring"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -81,7 +81,7 @@
 // Catalogue is the daemon's copy of the catalogue. It implements Reader.
 type Catalogue struct {
 	config     Config
-	store      platform.Store
+	store      objectapi.Store
 	view       member.View
 	dialer     peer.Dialer
 	table      *table
@@ -100,7 +100,7 @@
 var _ Reader = (*Catalogue)(nil)
 
 // New returns an empty catalogue and registers its handlers in mux.
-func New(config Config, store platform.Store, view member.View, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Catalogue {
+func New(config Config, store objectapi.Store, view member.View, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Catalogue {
 	config = config.withDefaults()
 	c := &Catalogue{
 		config:     config,
--- a/internal/catalogue/watch.go
+++ b/internal/catalogue/watch.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -62,7 +62,7 @@
 	list := true
 	for ctx.Err() == nil {
 		err := c.step(ctx, list)
-		list = errors.Is(err, platform.ErrCompacted) || (list && err != nil)
+		list = errors.Is(err, objectapi.ErrCompacted) || (list && err != nil)
 		if err == nil {
 			waits.Reset()
 			continue
@@ -151,7 +151,7 @@
 }
 
 // applyEvents applies what a watch returned and tells the neighbours.
-func (c *Catalogue) applyEvents(after, revision int64, events []platform.Event) {
+func (c *Catalogue) applyEvents(after, revision int64, events []objectapi.Event) {
 	b := batch{After: after, Revision: revision, Complete: true}
 	for _, event := range events {
 		c.tail.saw(event.Version)
@@ -168,7 +168,7 @@
 }
 
 // changeOf reads a platform event.
-func changeOf(event platform.Event) (change, error) {
+func changeOf(event objectapi.Event) (change, error) {
 	c := change{Name: nameOf(event.Key), Version: event.Version}
 	if event.Deleted {
 		return c, nil
@@ -182,7 +182,7 @@
 }
 
 // reject reports a malformed object, which replaces nothing.
-func (c *Catalogue) reject(object platform.Object, err error) {
+func (c *Catalogue) reject(object objectapi.Object, err error) {
 	c.metrics.malformed.Inc()
 	c.logger.WithError(err).WithField("key", object.Key).WithField("version", object.Version).
 		Error("malformed catalogue entry ignored")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,8 +16,8 @@
 	"ibisline/internal/catalogue"
 	"ibisline/internal/ctl"
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/operator"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
 
@@ -80,7 +80,7 @@
 
 // addObject writes a new object of the platform.
 func (s *site) addObject(key string, value any) {
-	_, err := s.store.Put(context.Background(), key, []byte(jsonOf(s.t, value)), platform.NoVersion)
+	_, err := s.store.Put(context.Background(), key, []byte(jsonOf(s.t, value)), objectapi.NoVersion)
 	require.NoError(s.t, err)
 }
 
--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -14,8 +14,8 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"golang.org/x/sync/errgroup"
 
+	"ibisline/internal/objectapi"
 	"ibisline/internal/operator"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
 
@@ -40,7 +40,7 @@
 
 // daemons asks the daemons of the platform's list over HTTP.
 type daemons struct {
-	store   platform.Store
+	store   objectapi.Store
 	service httpc.Service
 	// orders has no time limit of its own, because an order may have to wait.
 	orders httpc.Service
@@ -53,7 +53,7 @@
 	err    error
 }
 
-func newDaemons(store platform.Store) *daemons {
+func newDaemons(store objectapi.Store) *daemons {
 	breaker.NoBreakerFor(serviceName)
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.Proxy = nil
@@ -76,7 +76,7 @@
 }
 
 // listObjects returns the decoded objects of the platform under a prefix.
-func listObjects[T any](ctx context.Context, store platform.Store, prefix string) ([]T, error) {
+func listObjects[T any](ctx context.Context, store objectapi.Store, prefix string) ([]T, error) {
 	objects, _, err := store.List(ctx, prefix)
 	if err != nil {
 		return nil, errors.Wrapf(err, "list %s", prefix)
--- a/internal/ctl/entries.go
+++ b/internal/ctl/entries.go
@@ -12,7 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/catalogue"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -58,7 +58,7 @@
 // load reads one entry from the platform.
 func (c *command) load(ctx context.Context, name string) (structs.Entry, error) {
 	object, err := c.store.Get(ctx, catalogue.Key(name))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return structs.Entry{}, failed(ExitNotFound, "there is no entry %q", name)
 	}
 	if err != nil {
@@ -75,13 +75,13 @@
 // as a whole, from a file.
 func (c *command) put(ctx context.Context, args *PutArgs) error {
 	object, err := c.store.Get(ctx, catalogue.Key(args.Name))
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return errors.Wrapf(err, "read entry %q", args.Name)
 	}
 	var held *structs.Entry
 	if decoded, err := catalogue.Decode(object); err == nil {
 		held = &decoded
-	} else if object.Version != platform.NoVersion && args.File == "" {
+	} else if object.Version != objectapi.NoVersion && args.File == "" {
 		return failed(ExitFailed, "entry %q is malformed (%s); replace it with --file", args.Name, err)
 	}
 	edited := structs.Entry{Name: args.Name}
@@ -211,9 +211,9 @@
 	}
 	version, err := c.store.Put(ctx, catalogue.Key(entry.Name), value, replaced)
 	switch {
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return 0, c.conflict(ctx, entry.Name)
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, objectapi.ErrUnknown):
 		return c.settle(ctx, entry.Name, value)
 	case err != nil:
 		return 0, errors.Wrapf(err, "write entry %q", entry.Name)
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -5,7 +5,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // Exit codes of ibisctl.
@@ -61,13 +61,13 @@
 		return ExitOK
 	case errors.As(err, &f):
 		return f.code
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		return ExitNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return ExitConflict
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectapi.ErrUnavailable):
 		return ExitUnavailable
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, objectapi.ErrUnknown):
 		return ExitUnknown
 	default:
 		return ExitFailed
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -11,7 +11,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/zeromicro/go-zero/core/logx"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // Streams are the standard streams of the command.
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, args.Timeout)
 	defer cancel()
 	logger := &log.Logger{Handler: discard.New()}
-	store := platform.NewClient(platform.Config{Addrs: args.Platform}, metrics.NewSet(), logger)
+	store := objectapi.NewClient(objectapi.Config{Addrs: args.Platform}, metrics.NewSet(), logger)
 	c := &command{
 		args:    args,
 		store:   store,
@@ -62,7 +62,7 @@
 // command is one command under way.
 type command struct {
 	args    Args
-	store   platform.Store
+	store   objectapi.Store
 	daemons *daemons
 	in      io.Reader
 	err     io.Writer
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -8,8 +8,8 @@
 	"ibisline/internal/fleetcheck"
 	"ibisline/internal/kernel"
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/settings"
 	"ibisline/internal/structs"
 )
@@ -34,7 +34,7 @@
 	kernel   *kernel.Kernel
 	metrics  *metrics.Set
 	log      log.Interface
-	store    platform.Store
+	store    objectapi.Store
 	self     structs.Instance
 }
 
@@ -46,7 +46,7 @@
 		kernel:   k,
 		metrics:  set,
 		log:      logger.WithField("instance", s.Instance.Name),
-		store:    platform.NewClient(platform.Config{Addrs: s.Platform.Addrs, Timeout: s.Platform.Timeout.Std()}, set, logger),
+		store:    objectapi.NewClient(objectapi.Config{Addrs: s.Platform.Addrs, Timeout: s.Platform.Timeout.Std()}, set, logger),
 		self:     selfOf(s.Instance),
 	}
 	steps := []func() error{
--- a/internal/dispatch/config.go
+++ b/internal/dispatch/config.go
@@ -11,8 +11,8 @@
 	"ibisline/internal/catalogue"
 	"ibisline/internal/defaults"
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
 
@@ -115,7 +115,7 @@
 	Dialer    peer.Dialer
 	Mux       peer.Mux
 	Engines   EngineClient
-	Store     platform.Store
+	Store     objectapi.Store
 	Metrics   *metrics.Set
 	Log       log.Interface
 }
--- a/internal/dispatch/order_lease.go
+++ b/internal/dispatch/order_lease.go
@@ -8,7 +8,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -87,12 +87,12 @@
 	return nil
 }
 
-// read returns the holder, or none with version platform.NoVersion.
+// read returns the holder, or none with version objectapi.NoVersion.
 func (l *orderLease) read(ctx context.Context, key string) (orderHolder, int64, error) {
 	var held orderHolder
 	object, err := l.deps.Store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return held, platform.NoVersion, nil
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return held, objectapi.NoVersion, nil
 	}
 	if err != nil {
 		return held, 0, verdict.Wrap(err, verdict.NotRun, verdict.PlatformDown, "holder of the orders cannot be read")
@@ -114,7 +114,7 @@
 	if err == nil {
 		return nil
 	}
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objectapi.ErrUnknown) {
 		if held, _, readErr := l.read(ctx, key); readErr == nil && held == next {
 			return nil
 		}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/policy/quarantine"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
@@ -140,7 +140,7 @@
 		return err
 	}
 	key := fmt.Sprintf("%s%s-%d", structs.QuarantinePrefix, engine, time.Now().UnixNano())
-	_, err = q.deps.Store.Put(ctx, key, value, platform.NoVersion)
+	_, err = q.deps.Store.Put(ctx, key, value, objectapi.NoVersion)
 	return err
 }
 
@@ -188,7 +188,7 @@
 			return
 		}
 		for _, event := range events {
-			q.mergeObjects([]platform.Object{event.Object})
+			q.mergeObjects([]objectapi.Object{event.Object})
 		}
 		revision = next
 	}
@@ -196,7 +196,7 @@
 
 // mergeObjects takes over notices that the platform kept. One that cannot be
 // read is skipped: it must not hide the others.
-func (q *quarantined) mergeObjects(objects []platform.Object) {
+func (q *quarantined) mergeObjects(objects []objectapi.Object) {
 	for _, object := range objects {
 		var notice quarantineNotice
 		if json.Unmarshal(object.Value, &notice) == nil {
@@ -224,7 +224,7 @@
 }
 
 // noticeExpired reports whether no entry of a kept notice is in force.
-func noticeExpired(object platform.Object, now time.Time) bool {
+func noticeExpired(object objectapi.Object, now time.Time) bool {
 	var notice quarantineNotice
 	if json.Unmarshal(object.Value, &notice) != nil {
 		return true
--- a/internal/dispatch/refusals_test.go
+++ b/internal/dispatch/refusals_test.go
@@ -12,7 +12,7 @@
 	"ibisline/internal/dispatch"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/member"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -81,7 +81,7 @@
 		require.True(t, verdict.HasReason(err, verdict.PlatformDown), "%v", err)
 		require.True(t, verdict.Is(err, verdict.NotRun))
 		f.setServers(append(f.servers, structs.Server{Name: "e2", Kind: structs.KindEngine, Region: "r1"}))
-		_, err = f.store.Put(context.Background(), structs.OrderPrefix+"e2", []byte("x"), platform.NoVersion)
+		_, err = f.store.Put(context.Background(), structs.OrderPrefix+"e2", []byte("x"), objectapi.NoVersion)
 		require.NoError(t, err)
 		owner, _ := member.Owner(third.view(), "r1", "e2")
 		require.Equal(t, third.name, owner.Name)
--- a/internal/fake/fleet/fleet.go
+++ b/internal/fake/fleet/fleet.go
@@ -14,7 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/fake/standin"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -150,10 +150,10 @@
 }
 
 // Store returns a client of the object API stand-in called name.
-func (f *Fleet) Store(name string) platform.Store { return standin.NewStore(f.Addr(name)) }
+func (f *Fleet) Store(name string) objectapi.Store { return standin.NewStore(f.Addr(name)) }
 
 // PutEntry creates or replaces a catalogue entry.
-func PutEntry(ctx context.Context, store platform.Store, entry structs.Entry) error {
+func PutEntry(ctx context.Context, store objectapi.Store, entry structs.Entry) error {
 	value, err := json.Marshal(entry)
 	if err != nil {
 		return errors.Wrap(err, "encode entry")
--- a/internal/fake/objects/handler.go
+++ b/internal/fake/objects/handler.go
@@ -8,12 +8,12 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // maxRequestBytes leaves room for a value that is over the platform's limit, so
 // that it is answered with 413 and not cut off.
-const maxRequestBytes = 2 * platform.MaxValueBytes
+const maxRequestBytes = 2 * objectapi.MaxValueBytes
 
 // handler serves a Store over HTTP.
 type handler struct {
@@ -62,7 +62,7 @@
 		fail(w, err)
 		return
 	}
-	reply(w, platform.PutReply{Version: version})
+	reply(w, objectapi.PutReply{Version: version})
 }
 
 func (h handler) remove(w http.ResponseWriter, r *http.Request) {
@@ -84,7 +84,7 @@
 		fail(w, err)
 		return
 	}
-	reply(w, platform.ListReply{Objects: objects, Revision: revision})
+	reply(w, objectapi.ListReply{Objects: objects, Revision: revision})
 }
 
 func (h handler) watch(w http.ResponseWriter, r *http.Request) {
@@ -98,7 +98,7 @@
 		fail(w, err)
 		return
 	}
-	reply(w, platform.WatchReply{Events: events, Revision: revision})
+	reply(w, objectapi.WatchReply{Events: events, Revision: revision})
 }
 
 func (h handler) faults(w http.ResponseWriter, _ *http.Request) {
@@ -128,24 +128,24 @@
 // fail writes the status of a store error. An unknown outcome closes the
 // connection without a reply.
 func fail(w http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objectapi.ErrUnknown) {
 		panic(http.ErrAbortHandler)
 	}
 	http.Error(w, err.Error(), statusOf(err))
 }
 
-// statusOf maps the errors of platform.Store to HTTP.
+// statusOf maps the errors of objectapi.Store to HTTP.
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, objectapi.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, objectapi.ErrConflict):
 		return http.StatusConflict
-	case errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrTooLarge):
 		return http.StatusRequestEntityTooLarge
-	case errors.Is(err, platform.ErrCompacted):
+	case errors.Is(err, objectapi.ErrCompacted):
 		return http.StatusGone
-	case errors.Is(err, platform.ErrUnavailable):
+	case errors.Is(err, objectapi.ErrUnavailable):
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusInternalServerError
--- a/internal/fake/objects/objects.go
+++ b/internal/fake/objects/objects.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // Faults are the failures that the store plays. The zero value plays none.
@@ -50,11 +50,11 @@
 	keptSlack  = 1024
 )
 
-// Store implements platform.Store in memory.
+// Store implements objectapi.Store in memory.
 type Store struct {
 	mu       sync.Mutex
-	objects  map[string]platform.Object
-	log      []platform.Event
+	objects  map[string]objectapi.Object
+	log      []objectapi.Event
 	kept     int64 // events up to this revision were compacted
 	revision int64
 	faults   Faults
@@ -62,11 +62,11 @@
 	changed  chan struct{}
 }
 
-var _ platform.Store = (*Store)(nil)
+var _ objectapi.Store = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{objects: map[string]platform.Object{}, changed: make(chan struct{})}
+	return &Store{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
 }
 
 // SetFaults replaces the faults.
@@ -114,7 +114,7 @@
 	}
 	if s.faults.Outage {
 		s.mu.Unlock()
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	}
 	return nil
 }
@@ -123,29 +123,29 @@
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
-		return platform.ErrUnavailable
+		return objectapi.ErrUnavailable
 	case <-time.After(d):
 		return nil
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *Store) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if err := s.enter(ctx, &s.counts.Gets); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	defer s.mu.Unlock()
 	object, ok := s.objects[key]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objectapi.Object{}, objectapi.ErrNotFound
 	}
 	return object, nil
 }
 
-// Put implements platform.Store.
+// Put implements objectapi.Store.
 func (s *Store) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
-	if len(value) > platform.MaxValueBytes {
-		return 0, platform.ErrTooLarge
+	if len(value) > objectapi.MaxValueBytes {
+		return 0, objectapi.ErrTooLarge
 	}
 	if err := s.enter(ctx, &s.counts.Puts); err != nil {
 		return 0, err
@@ -160,7 +160,7 @@
 	return version, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (s *Store) Delete(ctx context.Context, key string, expected int64) error {
 	if err := s.enter(ctx, &s.counts.Deletes); err != nil {
 		return err
@@ -179,12 +179,12 @@
 			defer s.mu.Unlock()
 			_ = apply()
 		})
-		return platform.ErrUnknown
+		return objectapi.ErrUnknown
 	}
 	err := apply()
 	if s.faults.LoseReplies > 0 {
 		s.faults.LoseReplies--
-		return platform.ErrUnknown
+		return objectapi.ErrUnknown
 	}
 	return err
 }
@@ -192,12 +192,12 @@
 // put changes the object. The caller holds mu.
 func (s *Store) put(key string, value []byte, expected int64) (int64, error) {
 	if s.objects[key].Version != expected {
-		return 0, platform.ErrConflict
+		return 0, objectapi.ErrConflict
 	}
 	s.revision++
-	object := platform.Object{Key: key, Value: append([]byte(nil), value...), Version: s.revision}
+	object := objectapi.Object{Key: key, Value: append([]byte(nil), value...), Version: s.revision}
 	s.objects[key] = object
-	s.record(platform.Event{Object: object})
+	s.record(objectapi.Event{Object: object})
 	return s.revision, nil
 }
 
@@ -205,37 +205,37 @@
 func (s *Store) remove(key string, expected int64) error {
 	object, ok := s.objects[key]
 	if !ok {
-		return platform.ErrNotFound
+		return objectapi.ErrNotFound
 	}
 	if object.Version != expected {
-		return platform.ErrConflict
+		return objectapi.ErrConflict
 	}
 	s.revision++
 	delete(s.objects, key)
-	gone := platform.Object{Key: key, Version: s.revision}
-	s.record(platform.Event{Object: gone, Deleted: true})
+	gone := objectapi.Object{Key: key, Version: s.revision}
+	s.record(objectapi.Event{Object: gone, Deleted: true})
 	return nil
 }
 
 // record appends an event, drops the oldest ones beyond the limit and wakes the
 // watches. The caller holds mu.
-func (s *Store) record(event platform.Event) {
+func (s *Store) record(event objectapi.Event) {
 	s.log = append(s.log, event)
 	if len(s.log) > keptEvents+keptSlack {
 		dropped := s.log[:len(s.log)-keptEvents]
 		s.kept = dropped[len(dropped)-1].Version
-		s.log = append([]platform.Event(nil), s.log[len(dropped):]...)
+		s.log = append([]objectapi.Event(nil), s.log[len(dropped):]...)
 	}
 	s.wake()
 }
 
-// List implements platform.Store.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, int64, error) {
+// List implements objectapi.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]objectapi.Object, int64, error) {
 	if err := s.enter(ctx, &s.counts.Lists); err != nil {
 		return nil, 0, err
 	}
 	defer s.mu.Unlock()
-	var found []platform.Object
+	var found []objectapi.Object
 	for key, object := range s.objects {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, object)
--- a/internal/fake/objects/watch.go
+++ b/internal/fake/objects/watch.go
@@ -6,11 +6,11 @@
 	"strings"
 	"time"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, after int64) ([]platform.Event, int64, error) {
+// Watch implements objectapi.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, after int64) ([]objectapi.Event, int64, error) {
 	if err := s.enter(ctx, &s.counts.Watches); err != nil {
 		return nil, 0, err
 	}
@@ -21,10 +21,10 @@
 	defer timeout.Stop()
 	for {
 		if s.faults.Outage {
-			return nil, 0, platform.ErrUnavailable
+			return nil, 0, objectapi.ErrUnavailable
 		}
 		if after < s.kept {
-			return nil, 0, platform.ErrCompacted
+			return nil, 0, objectapi.ErrCompacted
 		}
 		if events := s.eventsAfter(prefix, after); len(events) > 0 {
 			return events, s.revision, nil
@@ -46,12 +46,12 @@
 }
 
 // eventsAfter returns the changes under prefix. The caller holds mu.
-func (s *Store) eventsAfter(prefix string, after int64) []platform.Event {
+func (s *Store) eventsAfter(prefix string, after int64) []objectapi.Event {
 	if s.faults.StuckWatches {
 		return nil
 	}
 	start := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > after })
-	var found []platform.Event
+	var found []objectapi.Event
 	for _, event := range s.log[start:] {
 		if strings.HasPrefix(event.Key, prefix) {
 			found = append(found, event)
--- a/internal/fake/standin/standin.go
+++ b/internal/fake/standin/standin.go
@@ -15,7 +15,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/core/logx"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -68,13 +68,13 @@
 
 // NewStore returns a client of the object API at addr, IP:port. It turns the
 // request log of go-zero off for the whole process.
-func NewStore(addr string) platform.Store {
+func NewStore(addr string) objectapi.Store {
 	logx.Disable()
-	return platform.NewClient(platform.Config{Addrs: []string{addr}}, metrics.NewSet(), log.Log)
+	return objectapi.NewClient(objectapi.Config{Addrs: []string{addr}}, metrics.NewSet(), log.Log)
 }
 
 // Register creates or replaces the platform's description of a server.
-func Register(ctx context.Context, store platform.Store, server structs.Server) error {
+func Register(ctx context.Context, store objectapi.Store, server structs.Server) error {
 	value, err := json.Marshal(server)
 	if err != nil {
 		return errors.Wrap(err, "encode server")
@@ -84,7 +84,7 @@
 
 // Replace writes an object whatever its version, and tries again when another
 // writer was first or the platform failed.
-func Replace(ctx context.Context, store platform.Store, key string, value []byte) error {
+func Replace(ctx context.Context, store objectapi.Store, key string, value []byte) error {
 	var err error
 	for range registerTries {
 		err = replaceOnce(ctx, store, key, value)
@@ -100,13 +100,13 @@
 	return errors.Wrapf(err, "write %s", key)
 }
 
-func replaceOnce(ctx context.Context, store platform.Store, key string, value []byte) error {
-	expected := platform.NoVersion
+func replaceOnce(ctx context.Context, store objectapi.Store, key string, value []byte) error {
+	expected := objectapi.NoVersion
 	object, err := store.Get(ctx, key)
 	switch {
 	case err == nil:
 		expected = object.Version
-	case !errors.Is(err, platform.ErrNotFound):
+	case !errors.Is(err, objectapi.ErrNotFound):
 		return err
 	}
 	_, err = store.Put(ctx, key, value, expected)
--- a/internal/fleetcheck/fleetcheck.go
+++ b/internal/fleetcheck/fleetcheck.go
@@ -11,7 +11,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // Key is the object that holds the values of the fleet.
@@ -34,13 +34,13 @@
 // Check compares the daemon's values with the fleet's. The first daemon stores
 // its own.
 type Check struct {
-	store  platform.Store
+	store  objectapi.Store
 	values Values
 	log    log.Interface
 }
 
 // New returns a check of values.
-func New(store platform.Store, values Values, logger log.Interface) *Check {
+func New(store objectapi.Store, values Values, logger log.Interface) *Check {
 	return &Check{store: store, values: values, log: logger}
 }
 
@@ -73,7 +73,7 @@
 // race for the first write is settled by reading again.
 func (c *Check) once(ctx context.Context) error {
 	object, err := c.store.Get(ctx, Key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return c.create(ctx)
 	}
 	if err != nil {
@@ -88,7 +88,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode fleet settings")
 	}
-	if _, err := c.store.Put(ctx, Key, value, platform.NoVersion); err != nil {
+	if _, err := c.store.Put(ctx, Key, value, objectapi.NoVersion); err != nil {
 		return errors.Wrap(err, "store fleet settings")
 	}
 	return nil
--- a/internal/home/claim.go
+++ b/internal/home/claim.go
@@ -7,7 +7,7 @@
 
 	"ibisline/internal/journal"
 	"ibisline/internal/member"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -106,7 +106,7 @@
 
 // refuseClaim is the refusal after a failed claim; nothing was sent anywhere.
 func refuseClaim(err error) error {
-	if errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrUnknown) {
+	if errors.Is(err, objectapi.ErrUnavailable) || errors.Is(err, objectapi.ErrUnknown) {
 		return verdict.Wrap(err, verdict.NotRun, verdict.PlatformDown, "shard cannot be claimed").After(retrySoon)
 	}
 	if errors.Is(err, journal.ErrLost) {
--- a/internal/home/config.go
+++ b/internal/home/config.go
@@ -12,8 +12,8 @@
 	"ibisline/internal/dispatch"
 	"ibisline/internal/journal"
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
 
@@ -112,7 +112,7 @@
 // Deps are the services that a home uses. Limits and Dialer may be nil.
 type Deps struct {
 	Self      string
-	Store     platform.Store
+	Store     objectapi.Store
 	View      member.View
 	Catalogue catalogue.Reader
 	Router    dispatch.Router
--- a/internal/home/faulty_test.go
+++ b/internal/home/faulty_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -94,7 +94,7 @@
 	if p.failing.IsZero() && err != nil {
 		p.failing = time.Now()
 	}
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		p.failing = time.Time{}
 	}
 }
@@ -135,39 +135,39 @@
 
 // faultyStore is the store as one process sees it.
 type faultyStore struct {
-	platform.Store
+	objectapi.Store
 	process *process
 }
 
-// Put implements platform.Store.
+// Put implements objectapi.Store.
 func (s *faultyStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
 	if !s.process.pass(atPut) {
-		return 0, platform.ErrUnknown
+		return 0, objectapi.ErrUnknown
 	}
 	version, err := s.Store.Put(ctx, key, value, expected)
 	if !s.process.pass(afterPut) {
-		return 0, platform.ErrUnknown
+		return 0, objectapi.ErrUnknown
 	}
 	s.process.noteWrite(err)
 	return version, err
 }
 
-// Get implements platform.Store.
-func (s *faultyStore) Get(ctx context.Context, key string) (platform.Object, error) {
+// Get implements objectapi.Store.
+func (s *faultyStore) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if !s.process.pass(-1) {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	object, err := s.Store.Get(ctx, key)
 	if !s.process.pass(-1) {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return object, err
 }
 
-// Delete implements platform.Store.
+// Delete implements objectapi.Store.
 func (s *faultyStore) Delete(ctx context.Context, key string, expected int64) error {
 	if !s.process.pass(-1) {
-		return platform.ErrUnknown
+		return objectapi.ErrUnknown
 	}
 	return s.Store.Delete(ctx, key, expected)
 }
--- a/internal/home/history_test.go
+++ b/internal/home/history_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -126,7 +126,7 @@
 	})
 }
 
-func (w *world) segments(t require.TestingT) []platform.Object {
+func (w *world) segments(t require.TestingT) []objectapi.Object {
 	list, _, err := w.objects.List(context.Background(), structs.SegmentPrefix)
 	require.NoError(t, err)
 	return list
--- a/internal/home/order_test.go
+++ b/internal/home/order_test.go
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/objects"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -17,21 +17,21 @@
 // blindStore is a platform whose writes take effect while nothing can be known
 // of them, as long as it is blind.
 type blindStore struct {
-	platform.Store
+	objectapi.Store
 	blind atomic.Bool
 }
 
 func (s *blindStore) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
 	version, err := s.Store.Put(ctx, key, value, expected)
 	if s.blind.Load() {
-		return 0, platform.ErrUnknown
+		return 0, objectapi.ErrUnknown
 	}
 	return version, err
 }
 
-func (s *blindStore) Get(ctx context.Context, key string) (platform.Object, error) {
+func (s *blindStore) Get(ctx context.Context, key string) (objectapi.Object, error) {
 	if s.blind.Load() {
-		return platform.Object{}, platform.ErrUnavailable
+		return objectapi.Object{}, objectapi.ErrUnavailable
 	}
 	return s.Store.Get(ctx, key)
 }
@@ -149,7 +149,7 @@
 	inWorld(t, func(t *testing.T, w *world) {
 		d := w.start("a")
 		id := w.open(t, d, "p")
-		w.backends.body = make([]byte, platform.MaxValueBytes+1)
+		w.backends.body = make([]byte, objectapi.MaxValueBytes+1)
 		_, err := d.Call(context.Background(), callRequest(id, "k"))
 		require.NoError(t, err)
 		_, err = d.Call(context.Background(), callRequest(id, "k"))
--- a/internal/home/refusals_test.go
+++ b/internal/home/refusals_test.go
@@ -12,7 +12,7 @@
 	"ibisline/internal/dispatch"
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/journal"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 	"ibisline/internal/verdict"
 )
@@ -107,7 +107,7 @@
 	{"ended while the call waited", verdict.ProgramEnded, endWhileWaiting},
 	{"shard object malformed", verdict.Internal, func(ctx context.Context, w *world, d *daemon) error {
 		key := journal.Key(structs.ShardID(testRegion + ".1"))
-		if _, err := w.objects.Put(ctx, key, []byte("x"), platform.NoVersion); err != nil {
+		if _, err := w.objects.Put(ctx, key, []byte("x"), objectapi.NoVersion); err != nil {
 			return err
 		}
 		return openWith("desk", testRegion+".1.q", "")(ctx, w, d)
--- a/internal/journal/claim.go
+++ b/internal/journal/claim.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -18,9 +18,9 @@
 }
 
 // Read returns the shard object, or a fresh state when there is none.
-func Read(ctx context.Context, store platform.Store, id structs.ShardID) (Head, error) {
+func Read(ctx context.Context, store objectapi.Store, id structs.ShardID) (Head, error) {
 	object, err := store.Get(ctx, Key(id))
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return Head{State: NewState(id)}, nil
 	}
 	if err != nil {
@@ -37,7 +37,7 @@
 // read that raises its epoch. It returns ErrLost when another home was first.
 // Nothing that the caller does afterwards can be undone by a late write of a
 // former holder, because such a write expects an older version.
-func Claim(ctx context.Context, store platform.Store, head Head, self string, cfg Config) (*Shard, error) {
+func Claim(ctx context.Context, store objectapi.Store, head Head, self string, cfg Config) (*Shard, error) {
 	cfg = cfg.withDefaults()
 	former := segments{epoch: head.State.Epoch, count: head.State.NextSegment}
 	head.State.Claim(self)
@@ -60,7 +60,7 @@
 			return nil, err
 		}
 		if err := sleep(ctx, cfg.RetryMin); err != nil {
-			return nil, errors.Wrap(platform.ErrUnknown, "claim shard")
+			return nil, errors.Wrap(objectapi.ErrUnknown, "claim shard")
 		}
 	}
 }
--- a/internal/journal/collect.go
+++ b/internal/journal/collect.go
@@ -7,7 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // maxBlock bounds the estimated size in bytes of the segments that compaction
@@ -45,7 +45,7 @@
 	for ; s.former.epoch > 0; s.former.count++ {
 		key := segmentKey(s.state.Shard, s.former.epoch, s.former.count+1)
 		_, err := s.store.Get(ctx, key)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, objectapi.ErrNotFound) {
 			s.former.epoch = 0
 			return nil
 		}
@@ -83,14 +83,14 @@
 // remove deletes a segment object, whatever its version.
 func (s *Shard) remove(ctx context.Context, key string) error {
 	object, err := s.store.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
 		return errors.Wrap(err, "read segment")
 	}
 	err = s.store.Delete(ctx, key, object.Version)
-	if err == nil || errors.Is(err, platform.ErrNotFound) {
+	if err == nil || errors.Is(err, objectapi.ErrNotFound) {
 		return nil
 	}
 	return errors.Wrap(err, "delete segment")
--- a/internal/journal/segment.go
+++ b/internal/journal/segment.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -124,7 +124,7 @@
 func (s *Shard) create(ctx context.Context, key string, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.WriteTimeout)
 	defer cancel()
-	_, err := s.store.Put(ctx, key, value, platform.NoVersion)
+	_, err := s.store.Put(ctx, key, value, objectapi.NoVersion)
 	s.writer.silence.note(err)
 	if err != nil {
 		return errors.Wrap(err, "write segment")
@@ -162,7 +162,7 @@
 // readBlock returns the turns of one block.
 func (s *Shard) readBlock(ctx context.Context, program string, block Block) ([]Turn, error) {
 	object, err := s.store.Get(ctx, block.Segment)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objectapi.ErrNotFound) {
 		return nil, errors.Wrapf(ErrGap, "segment %s is missing", block.Segment)
 	}
 	if err != nil {
--- a/internal/journal/shard.go
+++ b/internal/journal/shard.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // Errors of a held shard.
@@ -30,7 +30,7 @@
 // while the shard is held; when it is lost, all of it is dropped.
 type Shard struct {
 	cfg    Config
-	store  platform.Store
+	store  objectapi.Store
 	writer *writer
 	dirty  chan struct{}
 	// former is where the segments of the former holder end. Collect uses it.
@@ -57,7 +57,7 @@
 	count int64
 }
 
-func newShard(store platform.Store, state *State, former segments, w *writer, cfg Config) *Shard {
+func newShard(store objectapi.Store, state *State, former segments, w *writer, cfg Config) *Shard {
 	return &Shard{
 		cfg:      cfg,
 		store:    store,
@@ -119,7 +119,7 @@
 func (s *Shard) Reserve(n int, share float64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if float64(s.size+n) > share*platform.MaxValueBytes {
+	if float64(s.size+n) > share*objectapi.MaxValueBytes {
 		return ErrFull
 	}
 	s.size += n
--- a/internal/journal/silence.go
+++ b/internal/journal/silence.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // silence tells for how long the platform has answered no write. A conflict is
@@ -20,7 +20,7 @@
 func (s *silence) note(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil || errors.Is(err, platform.ErrConflict) {
+	if err == nil || errors.Is(err, objectapi.ErrConflict) {
 		s.since = time.Time{}
 		return
 	}
--- a/internal/journal/silence_test.go
+++ b/internal/journal/silence_test.go
@@ -7,17 +7,17 @@
 
 	"github.com/stretchr/testify/require"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 func TestConflictEndsTheSilenceOfThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var s silence
-		s.note(platform.ErrUnknown)
+		s.note(objectapi.ErrUnknown)
 		time.Sleep(time.Second)
-		s.note(platform.ErrUnavailable)
+		s.note(objectapi.ErrUnavailable)
 		require.Equal(t, time.Second, s.length())
-		s.note(platform.ErrConflict)
+		s.note(objectapi.ErrConflict)
 		require.Zero(t, s.length())
 	})
 }
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -6,7 +6,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // errDoubt means that a write may have taken effect or may still do so.
@@ -31,7 +31,7 @@
 // one of them ever takes effect, however late. Once any does, the nonce in the
 // object tells which one, and the others can only fail.
 type writer struct {
-	store   platform.Store
+	store   objectapi.Store
 	key     string
 	version int64
 	limit   time.Duration // of one call of the platform
@@ -40,7 +40,7 @@
 }
 
 // write tries once. It returns the attempt that took effect, which may be an
-// earlier one. Errors: platform.ErrUnavailable and platform.ErrTooLarge prove
+// earlier one. Errors: objectapi.ErrUnavailable and objectapi.ErrTooLarge prove
 // that this attempt did nothing; errDoubt asks for another call; *lostError.
 func (w *writer) write(ctx context.Context, value []byte, try attempt) (attempt, error) {
 	version, err := w.put(ctx, value)
@@ -48,7 +48,7 @@
 	case err == nil:
 		w.settle(version)
 		return try, nil
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrTooLarge):
+	case errors.Is(err, objectapi.ErrUnavailable), errors.Is(err, objectapi.ErrTooLarge):
 		return attempt{}, err
 	default:
 		// A conflict is doubtful too: the client may have repeated a write whose
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, w.limit)
 	defer cancel()
 	object, err := w.store.Get(ctx, w.key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return attempt{}, errDoubt
 	}
 	if object.Version == w.version {
--- a/internal/member/lists.go
+++ b/internal/member/lists.go
@@ -11,12 +11,12 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/member/gossip"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
 // objects are the values under a prefix of the platform, by key.
-type objects map[string]platform.Object
+type objects map[string]objectapi.Object
 
 // follow keeps a copy of the objects under prefix and hands it to apply after
 // every change. While the platform is down the last copy stays in force.
@@ -70,7 +70,7 @@
 	for m.ctx.Err() == nil && time.Now().Before(relist) {
 		asked := time.Now()
 		events, seen, err := m.store.Watch(m.ctx, prefix, revision)
-		if errors.Is(err, platform.ErrCompacted) {
+		if errors.Is(err, objectapi.ErrCompacted) {
 			return
 		}
 		if err != nil {
@@ -92,7 +92,7 @@
 }
 
 // change applies events in their order.
-func (o objects) change(events []platform.Event) {
+func (o objects) change(events []objectapi.Event) {
 	for _, event := range events {
 		if event.Version < o[event.Key].Version {
 			continue
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -11,8 +11,8 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/member/gossip"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
-	"ibisline/internal/platform"
 	"ibisline/internal/structs"
 )
 
@@ -22,7 +22,7 @@
 type Members struct {
 	config Config
 	self   structs.Instance
-	store  platform.Store
+	store  objectapi.Store
 	dialer peer.Dialer
 	logger log.Interface
 
@@ -58,7 +58,7 @@
 
 // New returns the membership of the daemon self and registers its methods with
 // mux. Until Run it knows only self.
-func New(config Config, self structs.Instance, store platform.Store, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Members {
+func New(config Config, self structs.Instance, store objectapi.Store, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Members {
 	now := time.Now()
 	incarnation := uint64(now.UnixMilli())
 	self.State = structs.StateLive
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -15,7 +15,7 @@
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/testbed"
 	"ibisline/internal/member"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -268,7 +268,7 @@
 		require.Equal(t, structs.StateLeaving, instance.State)
 		f.kill("d01")
 		_, err := f.store.Get(context.Background(), structs.InstancePrefix+"d01")
-		require.ErrorIs(t, err, platform.ErrNotFound)
+		require.ErrorIs(t, err, objectapi.ErrNotFound)
 		f.start("d01")
 		f.await(deathLimit, func() bool { return f.agreed(all...) })
 	})
--- a/internal/member/register.go
+++ b/internal/member/register.go
@@ -7,7 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -36,7 +36,7 @@
 	}
 	key := structs.InstancePrefix + m.self.Name
 	current, err := m.store.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
 		return err
 	}
 	if string(current.Value) == string(wanted) {
--- a/internal/platform/client_test.go
+++ b/internal/objectapi/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -16,17 +16,17 @@
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/testbed"
-	"ibisline/internal/platform"
+	"ibisline/internal/objectapi"
 )
 
 // newClient returns a client of the servers at urls, with short time limits.
-func newClient(urls ...string) *platform.Client {
+func newClient(urls ...string) *objectapi.Client {
 	var addrs []string
 	for _, u := range urls {
 		addrs = append(addrs, strings.TrimPrefix(u, "http://"))
 	}
-	config := platform.Config{Addrs: addrs, Timeout: 100 * time.Millisecond}
-	return platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
+	config := objectapi.Config{Addrs: addrs, Timeout: 100 * time.Millisecond}
+	return objectapi.NewClient(config, metrics.NewSet(), testbed.NoLog())
 }
 
 // serve starts a server for the test.
@@ -55,19 +55,19 @@
 	store := objects.New()
 	client := newClient(serve(t, objects.Handler(store)).URL)
 
-	version, err := client.Put(ctx, "catalogue/a b/ä%", []byte("one"), platform.NoVersion)
+	version, err := client.Put(ctx, "catalogue/a b/ä%", []byte("one"), objectapi.NoVersion)
 	require.NoError(t, err)
 	object, err := client.Get(ctx, "catalogue/a b/ä%")
 	require.NoError(t, err)
-	require.Equal(t, platform.Object{Key: "catalogue/a b/ä%", Value: []byte("one"), Version: version}, object)
+	require.Equal(t, objectapi.Object{Key: "catalogue/a b/ä%", Value: []byte("one"), Version: version}, object)
 
-	_, err = client.Put(ctx, "catalogue/a b/ä%", []byte("two"), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	_, err = client.Put(ctx, "catalogue/a b/ä%", []byte("two"), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrConflict)
 	_, err = client.Get(ctx, "missing")
-	require.ErrorIs(t, err, platform.ErrNotFound)
-	require.ErrorIs(t, client.Delete(ctx, "missing", 1), platform.ErrNotFound)
-	_, err = client.Put(ctx, "big", make([]byte, platform.MaxValueBytes+1), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrTooLarge)
+	require.ErrorIs(t, err, objectapi.ErrNotFound)
+	require.ErrorIs(t, client.Delete(ctx, "missing", 1), objectapi.ErrNotFound)
+	_, err = client.Put(ctx, "big", make([]byte, objectapi.MaxValueBytes+1), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrTooLarge)
 
 	events, revision, err := client.Watch(ctx, "catalogue/", 0)
 	require.NoError(t, err)
@@ -79,7 +79,7 @@
 	require.True(t, events[0].Deleted)
 	store.Compact()
 	_, _, err = client.Watch(ctx, "catalogue/", revision)
-	require.ErrorIs(t, err, platform.ErrCompacted)
+	require.ErrorIs(t, err, objectapi.ErrCompacted)
 	listed, _, err := client.List(ctx, "catalogue/")
 	require.NoError(t, err)
 	require.Empty(t, listed)
@@ -90,12 +90,12 @@
 	store := objects.New()
 	client := newClient(serve(t, objects.Handler(store)).URL)
 	_, err := client.Get(ctx, "warm")
-	require.ErrorIs(t, err, platform.ErrNotFound)
+	require.ErrorIs(t, err, objectapi.ErrNotFound)
 
 	store.SetFaults(objects.Faults{LoseReplies: 1})
-	_, err = client.Put(ctx, "k", []byte("v"), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnknown)
-	require.NotErrorIs(t, err, platform.ErrConflict)
+	_, err = client.Put(ctx, "k", []byte("v"), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnknown)
+	require.NotErrorIs(t, err, objectapi.ErrConflict)
 	require.Equal(t, 1, store.Counts().Puts)
 	_, err = client.Get(ctx, "k")
 	require.NoError(t, err)
@@ -107,12 +107,12 @@
 	client := newClient(serve(t, dropAfterRead(&handled)).URL)
 	_, err := client.Get(ctx, "warm")
 	require.NoError(t, err)
-	_, err = client.Put(ctx, "k", []byte("v"), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err = client.Put(ctx, "k", []byte("v"), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnknown)
 	require.EqualValues(t, 1, handled.Load())
 	_, err = client.Get(ctx, "warm")
 	require.NoError(t, err)
-	require.ErrorIs(t, client.Delete(ctx, "k", 1), platform.ErrUnknown)
+	require.ErrorIs(t, client.Delete(ctx, "k", 1), objectapi.ErrUnknown)
 	require.EqualValues(t, 2, handled.Load())
 }
 
@@ -120,8 +120,8 @@
 	var handled atomic.Int64
 	target := serve(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) }))
 	source := serve(t, http.RedirectHandler(target.URL, http.StatusTemporaryRedirect))
-	_, err := newClient(source.URL).Put(context.Background(), "k", []byte("v"), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err := newClient(source.URL).Put(context.Background(), "k", []byte("v"), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnknown)
 	require.Zero(t, handled.Load())
 }
 
@@ -131,10 +131,10 @@
 	addr := listener.Addr().String()
 	require.NoError(t, listener.Close())
 	client := newClient(addr)
-	_, err = client.Put(context.Background(), "k", nil, platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = client.Put(context.Background(), "k", nil, objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	_, _, err = client.Watch(context.Background(), "k", 0)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 }
 
 func TestSilentServerLeavesWriteUnknownAndReadUnavailable(t *testing.T) {
@@ -143,11 +143,11 @@
 		<-r.Context().Done()
 	}))
 	client := newClient(silent.URL)
-	_, err := client.Put(context.Background(), "k", []byte("v"), platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnknown)
+	_, err := client.Put(context.Background(), "k", []byte("v"), objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnknown)
 	_, err = client.Get(context.Background(), "k")
-	require.ErrorIs(t, err, platform.ErrUnavailable)
-	require.NotErrorIs(t, err, platform.ErrUnknown)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
+	require.NotErrorIs(t, err, objectapi.ErrUnknown)
 }
 
 func TestReadsAreRepeatedAndWritesAreNot(t *testing.T) {
@@ -164,8 +164,8 @@
 	_, err := client.Get(ctx, "k")
 	require.NoError(t, err)
 	require.EqualValues(t, 2, calls.Load())
-	_, err = client.Put(ctx, "k", nil, platform.NoVersion)
-	require.ErrorIs(t, err, platform.ErrUnavailable)
+	_, err = client.Put(ctx, "k", nil, objectapi.NoVersion)
+	require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	require.EqualValues(t, 3, calls.Load())
 }
 
@@ -176,11 +176,11 @@
 		calls.Add(1)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
-	config := platform.Config{Addrs: []string{strings.TrimPrefix(down.URL, "http://")}, RetryRate: 1e-9}
-	client := platform.NewClient(config, metrics.NewSet(), testbed.NoLog())
+	config := objectapi.Config{Addrs: []string{strings.TrimPrefix(down.URL, "http://")}, RetryRate: 1e-9}
+	client := objectapi.NewClient(config, metrics.NewSet(), testbed.NoLog())
 	for range reads {
 		_, err := client.Get(context.Background(), "k")
-		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.ErrorIs(t, err, objectapi.ErrUnavailable)
 	}
 	require.EqualValues(t, reads+10, calls.Load(), "the burst of the budget is 10 retries")
 }
@@ -216,10 +216,10 @@
 	set := metrics.NewSet()
 	store := objects.New()
 	server := serve(t, objects.Handler(store))
-	config := platform.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
-	client := platform.NewClient(config, set, testbed.NoLog())
+	config := objectapi.Config{Addrs: []string{strings.TrimPrefix(server.URL, "http://")}}
+	client := objectapi.NewClient(config, set, testbed.NoLog())
 	_, err := client.Put(context.Background(), "k", nil, 7)
-	require.ErrorIs(t, err, platform.ErrConflict)
+	require.ErrorIs(t, err, objectapi.ErrConflict)
 	counter := set.GetOrCreateCounter(`ibisline_platform_calls_total{kind="put",outcome="conflict"}`)
 	require.EqualValues(t, 1, counter.Get())
 }
--- a/internal/platform/exchange.go
+++ b/internal/objectapi/exchange.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"bytes"
--- a/internal/platform/platform.go
+++ b/internal/objectapi/objectapi.go
@@ -1,6 +1,6 @@
-// Package platform is the client side of the platform's versioned object API,
+// Package objectapi is the client side of the platform's versioned object API,
 // which holds configuration, status and the system's own durable objects.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/internal/platform/wire.go
+++ b/internal/objectapi/wire.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 // PutReply answers a PUT of the object API.
 type PutReply struct {
