Make the catalogue's table usable for any object

Cause: routes and backend servers of the users' platform need the same copy of objects, with the same rule by which newer states replace older ones, as the catalogue has for its entries. Ruled out: a second table beside it. Change: the table moves to internal/replica with the value as a type parameter; the catalogue keeps two short conversions. Conclusion: no change of behaviour; what crosses the wire between daemons is the same.

--- a/internal/catalogue/bench_test.go
+++ b/internal/catalogue/bench_test.go
@@ -75,7 +75,7 @@
 				require.NoError(b, c.list(context.Background()))
 			}
 			b.ReportMetric((heapInUse()-before)/float64(n), "heap-B/entry")
-			require.Equal(b, n, c.table.size())
+			require.Equal(b, n, c.table.Size())
 		})
 	}
 }
@@ -115,7 +115,7 @@
 			}
 			var size int
 			for b.Loop() {
-				reply := exchangeReply{Batch: c.table.since(c.Revision())}
+				reply := exchangeReply{Batch: c.table.Since(c.Revision())}
 				reply.ContactAge, reply.Heard = c.contact.ages(time.Now())
 				body, err := msgpack.Marshal(reply)
 				require.NoError(b, err)
--- a/internal/catalogue/counters.go
+++ b/internal/catalogue/counters.go
@@ -17,7 +17,7 @@
 // newCounters registers the metrics of c in set.
 func newCounters(set *metrics.Set, c *Catalogue) counters {
 	set.GetOrCreateGauge("ibisline_catalogue_revision", func() float64 { return float64(c.Revision()) })
-	set.GetOrCreateGauge("ibisline_catalogue_entries", func() float64 { return float64(c.table.size()) })
+	set.GetOrCreateGauge("ibisline_catalogue_entries", func() float64 { return float64(c.table.Size()) })
 	return counters{
 		malformed:      set.GetOrCreateCounter("ibisline_catalogue_malformed_total"),
 		refused:        set.GetOrCreateCounter("ibisline_catalogue_stale_refusals_total"),
--- a/internal/catalogue/probe.go
+++ b/internal/catalogue/probe.go
@@ -73,7 +73,7 @@
 // probeOnce asks the platform for news in the cheapest way that proves that no
 // edit is missing here, and reports whether it got the proof.
 func (c *Catalogue) probeOnce(ctx context.Context) bool {
-	if _, loaded := c.table.position(); !loaded {
+	if _, loaded := c.table.Position(); !loaded {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.config.ProbeTimeout)
@@ -84,7 +84,7 @@
 		return true
 	case errors.Is(err, objectapi.ErrUnavailable):
 		return false
-	case c.table.size() <= c.config.ListLimit:
+	case c.table.Size() <= c.config.ListLimit:
 		return c.list(ctx) == nil
 	default:
 		return c.probeWatch(ctx)
--- a/internal/catalogue/serve.go
+++ b/internal/catalogue/serve.go
@@ -54,7 +54,7 @@
 	if err := s.Recv(&StatusRequest{}); err != nil {
 		return err
 	}
-	revision, loaded := c.table.position()
+	revision, loaded := c.table.Position()
 	return s.Send(Status{
 		Revision: revision,
 		Loaded:   loaded,
@@ -68,7 +68,7 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	reply := exchangeReply{Batch: c.table.since(request.After)}
+	reply := exchangeReply{Batch: c.table.Since(request.After)}
 	reply.ContactAge, reply.Heard = c.contact.ages(time.Now())
 	reply.Heard = append(reply.Heard, heard{DataCentre: dataCentreOf(c.view.Self())})
 	return s.Send(reply)
@@ -89,11 +89,11 @@
 	if err := s.Recv(&snapshotRequest{}); err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
-	entries, revision, ok := c.table.snapshot()
+	held, revision, ok := c.table.Snapshot()
 	if !ok {
 		return verdict.Refuse(verdict.CatalogueStale, "the catalogue is not loaded yet")
 	}
-	for part := range slices.Chunk(entries, snapshotPart) {
+	for part := range slices.Chunk(entriesOf(held), snapshotPart) {
 		if err := s.Send(snapshotFrame{Revision: revision, Entries: part}); err != nil {
 			return err
 		}
--- a/internal/catalogue/service.go
+++ b/internal/catalogue/service.go
@@ -133,13 +133,19 @@
 }
 
 // Entry implements Reader.
-func (c *Catalogue) Entry(name string) (structs.Entry, bool) { return c.table.entry(name) }
+func (c *Catalogue) Entry(name string) (structs.Entry, bool) {
+	held, ok := c.table.Get(name)
+	if !ok {
+		return structs.Entry{}, false
+	}
+	return *held.Value, true
+}
 
 // Entries implements Reader.
 func (c *Catalogue) Entries() []structs.Entry {
-	held, _, _ := c.table.snapshot()
+	held, _, _ := c.table.Snapshot()
 	entries := make([]structs.Entry, len(held))
-	for i, entry := range held {
+	for i, entry := range entriesOf(held) {
 		entries[i] = *entry
 	}
 	return entries
@@ -147,17 +153,17 @@
 
 // Revision implements Reader.
 func (c *Catalogue) Revision() int64 {
-	revision, _ := c.table.position()
+	revision, _ := c.table.Position()
 	return revision
 }
 
 // Generation counts the changes of the entries here. It rises with every change,
 // also with one that is in force before the revision covers it.
-func (c *Catalogue) Generation() int64 { return c.table.changes() }
+func (c *Catalogue) Generation() int64 { return c.table.Generation() }
 
 // Admit implements Reader.
 func (c *Catalogue) Admit() error {
-	revision, loaded := c.table.position()
+	revision, loaded := c.table.Position()
 	if !loaded {
 		return verdict.Refuse(verdict.CatalogueStale, "the catalogue is not loaded yet").After(c.config.StaleAfter)
 	}
@@ -189,7 +195,7 @@
 
 // Dump returns a Snapshot.
 func (c *Catalogue) Dump() any {
-	held, revision, loaded := c.table.snapshot()
+	held, revision, loaded := c.table.Snapshot()
 	now := time.Now()
 	age, _ := c.contact.ages(now)
 	s := Snapshot{
@@ -200,12 +206,12 @@
 		Silent:       c.contact.silentNow(now),
 		Neighbours:   c.neighbours.all(),
 		Entries:      make([]SnapshotEntry, 0, len(held)),
-		Unconfirmed:  c.table.unconfirmed(),
+		Unconfirmed:  c.table.Unconfirmed(),
 	}
 	if age < 0 {
 		s.ContactAgeMS = -1
 	}
-	for _, entry := range held {
+	for _, entry := range entriesOf(held) {
 		s.Entries = append(s.Entries, SnapshotEntry{Entry: *entry, Version: entry.Version})
 	}
 	return s
--- a/internal/catalogue/spread.go
+++ b/internal/catalogue/spread.go
@@ -38,7 +38,7 @@
 func (c *Catalogue) spread(b batch, accepted []change) {
 	for _, change := range accepted {
 		c.logger.WithField("entry", change.Name).WithField("version", change.Version).
-			WithField("deleted", change.Entry == nil).Info("catalogue edit in force")
+			WithField("deleted", change.Value == nil).Info("catalogue edit in force")
 	}
 	if len(accepted) > 0 {
 		c.pushes.Offer(b)
@@ -146,14 +146,14 @@
 
 // take applies a batch of a peer and passes on what was new.
 func (c *Catalogue) take(b batch) {
-	accepted := c.table.apply(b)
+	accepted := c.table.Apply(b)
 	c.metrics.fromPeers.Add(len(accepted))
 	c.spread(b, accepted)
 }
 
 // behind reports whether edits up to a revision may be missing here.
 func (c *Catalogue) behind(revision int64) bool {
-	own, loaded := c.table.position()
+	own, loaded := c.table.Position()
 	return !loaded || own < revision
 }
 
@@ -187,7 +187,7 @@
 		c.logger.WithError(err).WithField("peer", name).Debug("catalogue snapshot failed")
 		return
 	}
-	accepted := c.table.replace(revision, entries, nil)
+	accepted := c.table.Replace(revision, changesOf(entries), nil)
 	c.metrics.fromPeers.Add(len(accepted))
 	c.logger.WithField("peer", name).WithField("revision", revision).Info("catalogue taken from a peer")
 }
--- a/internal/catalogue/watch.go
+++ b/internal/catalogue/watch.go
@@ -118,8 +118,8 @@
 		}
 		entries = append(entries, &entry)
 	}
-	_, loaded := c.table.position()
-	accepted := c.table.replace(revision, entries, malformed)
+	_, loaded := c.table.Position()
+	accepted := c.table.Replace(revision, changesOf(entries), malformed)
 	c.metrics.fromPlatform.Add(len(accepted))
 	c.contact.reached(asked)
 	if !loaded {
@@ -162,7 +162,7 @@
 		}
 		b.Changes = append(b.Changes, change)
 	}
-	accepted := c.table.apply(b)
+	accepted := c.table.Apply(b)
 	c.metrics.fromPlatform.Add(len(accepted))
 	c.spread(b, accepted)
 }
@@ -177,7 +177,7 @@
 	if err != nil {
 		return change{}, err
 	}
-	c.Entry = &entry
+	c.Value = &entry
 	return c, nil
 }
 
