--- a/cmd/ibislined/main.go
+++ b/cmd/ibislined/main.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/daemon"
 	"ibisline/internal/settings"
+	"ibisline/platform"
 )
 
 // Exit codes.
@@ -65,7 +66,16 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	if err := daemon.Run(loaded); err != nil {
+	adapter := platform.Adapter{Regions: loaded.Gateway.Regions}
+	if err := daemon.Run(loaded, daemon.Adapter{
+		Protocol:      platform.Objects{},
+		WatchTimeout:  platform.WatchTimeout,
+		Dialect:       adapter,
+		RoutesPrefix:  platform.RoutesPrefix,
+		Routes:        adapter.RouteTable,
+		ServersPrefix: platform.ServersPrefix,
+		Servers:       adapter.Server,
+	}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,35 +5,77 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/zeromicro/go-zero/core/proc"
 
+	"ibisline/internal/gateway"
 	"ibisline/internal/kernel"
 	"ibisline/internal/logging"
+	"ibisline/internal/objectapi"
+	"ibisline/internal/routes"
+	"ibisline/internal/servers"
 	"ibisline/internal/settings"
 )
 
+// Adapter translates between a platform and the daemon. Its zero value serves the
+// product's own object API.
+type Adapter struct {
+	// Protocol is that of the platform's object API, WatchTimeout the longest
+	// wait of one of its watches.
+	Protocol     objectapi.Protocol
+	WatchTimeout time.Duration
+	Dialect      gateway.Dialect
+	// RoutesPrefix and ServersPrefix are the prefixes of the objects that the
+	// decoders read.
+	RoutesPrefix  string
+	Routes        routes.Decoder
+	ServersPrefix string
+	Servers       servers.Decoder
+}
+
+// memoryShare is the part of the memory limit that the Go heap may fill before
+// the collector runs without pause; the rest is for stacks and buffers.
+const memoryShare = 0.7
+
+// limitMemory keeps the heap below the process's limit.
+func limitMemory(megabytes int) {
+	if megabytes > 0 {
+		debug.SetMemoryLimit(int64(float64(megabytes) * memoryShare * (1 << 20)))
+	}
+}
+
+// logOutput is standard output for daemons on a platform, whose operators collect
+// it, and standard error for the others.
+func logOutput(s settings.Settings) *os.File {
+	if s.Instance.Duty == settings.DutyPrograms {
+		return os.Stderr
+	}
+	return os.Stdout
+}
+
 // forceQuitMargin keeps go-zero's own signal handler from ending the process
 // before a planned stop has used its whole limit.
 const forceQuitMargin = time.Minute
 
 // Run runs a daemon until SIGTERM or SIGINT, which starts a planned stop, or
 // until a service fails.
-func Run(s settings.Settings) error {
-	logger, err := logging.New(os.Stderr, s.Log.Level, s.Log.Format)
+func Run(s settings.Settings, adapter Adapter) error {
+	logger, err := logging.New(logOutput(s), s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
 	}
 	logging.CaptureLogx(logger)
 	limit := s.Stop.DrainLimit.Std()
+	limitMemory(s.Instance.MemoryMB)
 	proc.Setup(proc.ShutdownConf{WrapUpTime: limit + forceQuitMargin, WaitTime: limit + 2*forceQuitMargin})
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	k := kernel.New(logger.WithField("instance", s.Instance.Name))
-	if err := register(k, s, logger); err != nil {
+	if err := register(k, s, adapter, logger); err != nil {
 		return err
 	}
 	return k.Run(ctx, func() (context.Context, context.CancelFunc) {
--- /dev/null
+++ b/internal/daemon/platform.go
@@ -0,0 +1,197 @@
+package daemon
+
+import (
+	"context"
+	"maps"
+	"net/http"
+
+	"ibisline/internal/api"
+	"ibisline/internal/feed"
+	"ibisline/internal/gateway"
+	"ibisline/internal/kernel"
+	"ibisline/internal/logging"
+	"ibisline/internal/member"
+	"ibisline/internal/operator"
+	"ibisline/internal/peer"
+	"ibisline/internal/routes"
+	"ibisline/internal/servers"
+	"ibisline/internal/settings"
+	"ibisline/internal/upstream"
+
+	"github.com/zeromicro/go-zero/rest"
+)
+
+// Names of the services of a daemon on a platform.
+const (
+	serviceRouteFeed  = "route-feed"
+	serviceServerFeed = "server-feed"
+	serviceRoutes     = "routes"
+	serviceServers    = "servers"
+	serviceGateway    = "gateway"
+)
+
+// platformSteps builds the services of a gateway or keeper.
+func (p *parts) platformSteps() []func() error {
+	steps := []func() error{p.addPeers, p.addMembers, p.addFeeds}
+	if p.settings.Instance.Duty == settings.DutyGateway {
+		steps = append(steps, p.addRoutes, p.addGateway)
+	}
+	return append(steps, p.addOperations)
+}
+
+// addFeeds adds the copies of the platform's routes and backend servers, and lets
+// the daemons tell each other how new theirs are.
+func (p *parts) addFeeds() error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	news := &feedNews{feeds: map[string]*feed.Feed{}}
+	for name, prefix := range map[string]string{
+		serviceRouteFeed:  p.adapter.RoutesPrefix,
+		serviceServerFeed: p.adapter.ServersPrefix,
+	} {
+		f := feed.New(feed.Config{}, prefix, p.store, transport, transport, p.metrics, p.log)
+		news.feeds[prefix] = f
+		if err := p.kernel.Register(name, f); err != nil {
+			return err
+		}
+	}
+	members.SetNews(news)
+	return nil
+}
+
+// feedNews lets probes carry the marks of the feeds.
+type feedNews struct{ feeds map[string]*feed.Feed }
+
+// Marks implements member.News.
+func (n *feedNews) Marks() member.Marks {
+	marks := make(member.Marks, len(n.feeds))
+	for prefix, f := range n.feeds {
+		marks[prefix] = f.Mark()
+	}
+	return marks
+}
+
+// Learn implements member.News.
+func (n *feedNews) Learn(daemon string, marks member.Marks) {
+	for prefix, mark := range maps.All(marks) {
+		if f, ok := n.feeds[prefix]; ok {
+			f.Learn(context.Background(), daemon, mark)
+		}
+	}
+}
+
+// addRoutes adds the configuration in force and the directory of backend servers.
+func (p *parts) addRoutes() error {
+	routeFeed, err := kernel.Lookup[*feed.Feed](p.kernel, serviceRouteFeed)
+	if err != nil {
+		return err
+	}
+	serverFeed, err := kernel.Lookup[*feed.Feed](p.kernel, serviceServerFeed)
+	if err != nil {
+		return err
+	}
+	book := routes.NewBook(routeFeed, p.adapter.RoutesPrefix, p.adapter.Routes, p.log)
+	if err := p.kernel.Register(serviceRoutes, book); err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceServers, servers.NewDirectory(serverFeed, p.adapter.ServersPrefix, p.adapter.Servers, p.log))
+}
+
+// addGateway adds the service of callers' requests.
+func (p *parts) addGateway() error {
+	book, err := kernel.Lookup[*routes.Book](p.kernel, serviceRoutes)
+	if err != nil {
+		return err
+	}
+	directory, err := kernel.Lookup[*servers.Directory](p.kernel, serviceServers)
+	if err != nil {
+		return err
+	}
+	config := gateway.Config{Region: p.self.Region, DataCentre: p.self.DataCentre}
+	handler := gateway.New(config, gateway.Deps{
+		Dialect: p.adapter.Dialect,
+		Routes:  book,
+		Servers: directory,
+		Client:  upstream.NewClient(upstream.Config{RequestOf: p.adapter.Dialect.RequestOf}, p.metrics),
+		Metrics: p.metrics,
+		Log:     p.log,
+	})
+	server, err := gateway.Listen(p.settings.Gateway.Listen, handler, gateway.StopConfig{
+		BalancerDelay: p.settings.Stop.BalancerDelay.Std(),
+	})
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceGateway, server)
+}
+
+// addOperations adds the operators' HTTP calls and the answer to the balancer.
+func (p *parts) addOperations() error {
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	server, err := api.NewServer(api.Conf(p.self.Name))
+	if err != nil {
+		return err
+	}
+	// The rest server has set go-zero's log up anew.
+	logging.CaptureLogx(p.log)
+	front, _ := kernel.Lookup[*gateway.Server](p.kernel, serviceGateway)
+	server.Rest().AddRoute(rest.Route{
+		Method:  http.MethodGet,
+		Path:    p.settings.Gateway.ReadyPath,
+		Handler: readyHandler(func() bool { return front == nil || front.Ready() }),
+	})
+	operator.RegisterReads(server.Rest(), operator.Sources{
+		Metrics: p.metrics,
+		Dump:    p.kernel.Dump,
+		Status: func() operator.Status {
+			return operator.Status{Instance: members.Self(), Live: len(members.Live()), Leaving: front != nil && front.Leaving()}
+		},
+	})
+	if err := server.Listen(p.settings.Instance.HTTPAddr); err != nil {
+		return err
+	}
+	if err := p.kernel.Register(serviceAPI, server); err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceStop, &departure{members: members, front: front})
+}
+
+// readyHandler answers the balancer.
+func readyHandler(ready func() bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}
+}
+
+// departure is drained before all other services: it tells the balancer and the
+// other daemons that this one leaves, while its services still finish their work.
+type departure struct {
+	members *member.Members
+	front   *gateway.Server
+}
+
+// Run does nothing until the stop.
+func (d *departure) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+// Drain announces the stop.
+func (d *departure) Drain(context.Context) error {
+	if d.front != nil {
+		d.front.Leave()
+	}
+	d.members.Leave()
+	return nil
+}
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -36,22 +36,27 @@
 	log      log.Interface
 	store    objectapi.Store
 	self     structs.Instance
+	adapter  Adapter
 }
 
 // register builds the services and registers them with k.
-func register(k *kernel.Kernel, s settings.Settings, logger log.Interface) error {
+func register(k *kernel.Kernel, s settings.Settings, adapter Adapter, logger log.Interface) error {
 	set := metrics.NewSet()
 	p := &parts{
+		adapter:  adapter,
 		settings: s,
 		kernel:   k,
 		metrics:  set,
 		log:      logger.WithField("instance", s.Instance.Name),
-		store:    objectapi.NewClient(objectapi.Config{Addrs: s.Platform.Addrs, Timeout: s.Platform.Timeout.Std()}, set, logger),
+		store:    newStore(s.Platform, adapter, set, logger),
 		self:     selfOf(s.Instance),
 	}
 	steps := []func() error{
 		p.addCheck, p.addPeers, p.addMembers, p.addCatalogue, p.addDispatch, p.addLimits, p.addHome, p.addAPI,
 	}
+	if s.Instance.Duty != settings.DutyPrograms {
+		steps = p.platformSteps()
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -60,6 +65,19 @@
 	return nil
 }
 
+// newStore returns the client of the platform's object API.
+func newStore(s settings.Platform, adapter Adapter, set *metrics.Set, logger log.Interface) objectapi.Store {
+	config := objectapi.Config{Addrs: s.Addrs, Timeout: s.Timeout.Std()}
+	if s.Protocol == settings.ProtocolObjects {
+		config.Protocol = adapter.Protocol
+		// Feeds and members repeat their reads themselves, at their own pace.
+		config.ReadTries = 1
+		config.ListTimeout = s.Timeout.Std()
+		config.WatchTimeout = adapter.WatchTimeout
+	}
+	return objectapi.NewClient(config, set, logger)
+}
+
 // selfOf describes this daemon to the others.
 func selfOf(s settings.Instance) structs.Instance {
 	advertised := s.PeerAdvertise
@@ -101,6 +119,8 @@
 	config := member.Config{
 		HeartbeatInterval: p.settings.Peers.HeartbeatInterval.Std(),
 		SuspectAfter:      p.settings.Peers.SuspectAfter.Std(),
+		Sparse:            p.settings.Instance.Duty != settings.DutyPrograms,
+		Seeds:             p.settings.Peers.Seeds,
 	}
 	members := member.New(config, p.self, p.store, transport, transport, p.metrics, p.log)
 	transport.SetResolver(members.Address)
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,194 @@
+// Package feed keeps a daemon's copy of the platform objects under one prefix.
+// Each daemon holds a watch of its own; daemons also tell each other the version
+// of the newest change that they have seen, and one that is behind takes the
+// change from a peer. A daemon that the platform does not serve therefore learns
+// as fast as the others. An older state never replaces a newer one.
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"ibisline/internal/defaults"
+	"ibisline/internal/objectapi"
+	"ibisline/internal/peer"
+	"ibisline/internal/replica"
+)
+
+// Defaults of Config.
+const (
+	// DefaultRetryWait and DefaultRetryMaxWait bound the waits between calls
+	// that fail. The longest still lets a daemon see a change within a second
+	// of the platform's return.
+	DefaultRetryWait    = 100 * time.Millisecond
+	DefaultRetryMaxWait = 800 * time.Millisecond
+	// DefaultPullAfter is how long a daemon that learns of a newer change waits
+	// for its own watch before it asks the peer.
+	DefaultPullAfter = 150 * time.Millisecond
+	// DefaultPullTimeout bounds one question to a peer.
+	DefaultPullTimeout = 500 * time.Millisecond
+	// DefaultCoalesce is the shortest time between two watches that brought
+	// changes, so that a series of changes costs one call.
+	DefaultCoalesce = 100 * time.Millisecond
+)
+
+// Config sets the pace of a feed. Zero fields take their default.
+type Config struct {
+	RetryWait    time.Duration
+	RetryMaxWait time.Duration
+	PullAfter    time.Duration
+	PullTimeout  time.Duration
+	Coalesce     time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	defaults.Set(&c.RetryWait, DefaultRetryWait)
+	defaults.Set(&c.RetryMaxWait, DefaultRetryMaxWait)
+	defaults.Set(&c.PullAfter, DefaultPullAfter)
+	defaults.Set(&c.PullTimeout, DefaultPullTimeout)
+	defaults.Set(&c.Coalesce, DefaultCoalesce)
+	return c
+}
+
+// Objects is the copy: undecoded objects by their name under the prefix.
+type (
+	Change  = replica.Change[[]byte]
+	objects = replica.Table[[]byte]
+	batch   = replica.Batch[[]byte]
+)
+
+// Feed follows the objects under one prefix. It is safe for concurrent use.
+type Feed struct {
+	config Config
+	prefix string
+	store  objectapi.Store
+	dialer peer.Dialer
+	logger log.Interface
+	table  *objects
+
+	mu      sync.Mutex
+	newest  int64 // version of the newest change seen
+	changed chan struct{}
+	// rewatch ends a watch that waits, when a peer knew of a change first.
+	rewatch context.CancelFunc
+	pulling bool
+	// answered is the last time at which the platform answered a call, lost is
+	// set since it failed to, and regained is the end of the last outage.
+	answered time.Time
+	lost     bool
+	regained time.Time
+
+	fromPlatform *metrics.Counter
+	fromPeers    *metrics.Counter
+}
+
+// New returns the feed of the objects under prefix, such as "routes/", and
+// registers its method in mux.
+func New(config Config, prefix string, store objectapi.Store, dialer peer.Dialer, mux peer.Mux, set *metrics.Set, logger log.Interface) *Feed {
+	f := &Feed{
+		config:       config.withDefaults(),
+		prefix:       prefix,
+		store:        store,
+		dialer:       dialer,
+		logger:       logger.WithField("feed", prefix),
+		table:        replica.NewTable[[]byte](),
+		changed:      make(chan struct{}),
+		fromPlatform: set.GetOrCreateCounter(`ibisline_feed_changes_total{feed="` + prefix + `",from="platform"}`),
+		fromPeers:    set.GetOrCreateCounter(`ibisline_feed_changes_total{feed="` + prefix + `",from="peer"}`),
+	}
+	mux.Handle(f.method(), f.serveSince)
+	return f
+}
+
+// Run follows the platform until ctx ends.
+func (f *Feed) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return f.follow(ctx) })
+	return group.Wait()
+}
+
+// Snapshot returns all objects, sorted by name. ok is false until the first
+// listing, the platform's or a peer's.
+func (f *Feed) Snapshot() (held []Change, ok bool) {
+	held, _, ok = f.table.Snapshot()
+	return held, ok
+}
+
+// Changed returns a channel that is closed at the next change.
+func (f *Feed) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Mark returns the version of the newest change seen here, for peers; 0 before
+// the first listing.
+func (f *Feed) Mark() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newest
+}
+
+// Answered returns the last time at which the platform answered; zero if never.
+func (f *Feed) Answered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.answered
+}
+
+// SinceOutage returns the time since the end of the last outage of the platform as
+// seen here: 0 during one, and a very long time before the first.
+func (f *Feed) SinceOutage(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lost {
+		return 0
+	}
+	return now.Sub(f.regained)
+}
+
+// note records what was accepted and wakes those that wait for changes.
+func (f *Feed) note(accepted []Change, from string, counter *metrics.Counter) {
+	if len(accepted) == 0 {
+		return
+	}
+	counter.Add(len(accepted))
+	for _, c := range accepted {
+		f.logger.WithField("object", c.Name).WithField("version", c.Version).
+			WithField("removed", c.Value == nil).WithField("from", from).Info("object changed")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range accepted {
+		f.newest = max(f.newest, c.Version)
+	}
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// State is the dump of a feed.
+type State struct {
+	Prefix   string           `json:"prefix"`
+	Revision int64            `json:"revision"`
+	Loaded   bool             `json:"loaded"`
+	Newest   int64            `json:"newest_change"`
+	Answered time.Time        `json:"platform_answered"`
+	Versions map[string]int64 `json:"versions"`
+}
+
+// Dump returns a State.
+func (f *Feed) Dump() any {
+	held, revision, loaded := f.table.Snapshot()
+	versions := make(map[string]int64, len(held))
+	for _, c := range held {
+		versions[c.Name] = c.Version
+	}
+	return State{
+		Prefix: f.prefix, Revision: revision, Loaded: loaded, Newest: f.Mark(), Answered: f.Answered(), Versions: versions,
+	}
+}
--- /dev/null
+++ b/internal/feed/follow.go
@@ -0,0 +1,138 @@
+package feed
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/objectapi"
+)
+
+// fromPlatform names the source of a change in logs.
+const sourcePlatform = "platform"
+
+// follow lists and watches until ctx ends.
+func (f *Feed) follow(ctx context.Context) error {
+	waits := f.newWaits()
+	list := true
+	for ctx.Err() == nil {
+		err := f.step(ctx, list)
+		switch {
+		case err == nil:
+			list = false
+			waits.Reset()
+			continue
+		case errors.Is(err, objectapi.ErrCompacted):
+			list = true
+			f.logger.Info("history is gone, listing again")
+			continue
+		}
+		if ctx.Err() == nil {
+			f.markLost(err)
+		}
+		pause(ctx, waits.NextBackOff())
+	}
+	return nil
+}
+
+// newWaits returns the waits between failed calls, with jitter.
+func (f *Feed) newWaits() *backoff.ExponentialBackOff {
+	waits := backoff.NewExponentialBackOff()
+	waits.InitialInterval = f.config.RetryWait
+	waits.MaxInterval = f.config.RetryMaxWait
+	return waits
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// step does one listing or one watch.
+func (f *Feed) step(ctx context.Context, list bool) error {
+	if list {
+		return f.list(ctx)
+	}
+	return f.poll(ctx)
+}
+
+// list takes all objects from the platform.
+func (f *Feed) list(ctx context.Context) error {
+	found, revision, err := f.store.List(ctx, f.prefix)
+	if err != nil {
+		return err
+	}
+	f.markAnswered()
+	listed := make([]Change, 0, len(found))
+	for _, object := range found {
+		listed = append(listed, f.changeOf(object, false))
+	}
+	f.note(f.table.Replace(revision, listed, nil), sourcePlatform, f.fromPlatform)
+	return nil
+}
+
+// poll waits for the next changes.
+func (f *Feed) poll(ctx context.Context) error {
+	after, _ := f.table.Position()
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setRewatch(cancel)
+	events, revision, err := f.store.Watch(watchCtx, f.prefix, after)
+	f.setRewatch(nil)
+	if err != nil {
+		return err
+	}
+	if watchCtx.Err() != nil {
+		return nil
+	}
+	f.markAnswered()
+	b := batch{After: after, Revision: revision, Complete: true}
+	for _, event := range events {
+		b.Changes = append(b.Changes, f.changeOf(event.Object, event.Deleted))
+	}
+	f.note(f.table.Apply(b), sourcePlatform, f.fromPlatform)
+	pause(ctx, f.config.Coalesce)
+	return nil
+}
+
+func (f *Feed) changeOf(object objectapi.Object, removed bool) Change {
+	c := Change{Name: strings.TrimPrefix(object.Key, f.prefix), Version: object.Version}
+	if !removed {
+		value := object.Value
+		c.Value = &value
+	}
+	return c
+}
+
+func (f *Feed) markAnswered() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered = time.Now()
+	if f.lost {
+		f.lost = false
+		f.regained = f.answered
+		f.logger.Info("platform regained")
+	}
+}
+
+func (f *Feed) markLost(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.lost {
+		f.lost = true
+		f.logger.WithError(err).Warn("platform lost")
+	}
+}
+
+func (f *Feed) setRewatch(cancel context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rewatch = cancel
+}
--- /dev/null
+++ b/internal/gateway/gateway_test.go
@@ -0,0 +1,251 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/platform/platformtest"
+)
+
+// inWorld runs a test under virtual time.
+func inWorld(t *testing.T, test func(t *testing.T, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stop()
+		test(t, w)
+	})
+}
+
+func TestCallIsPassedOnUnchanged(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		till.Always(platformtest.Reply{Status: http.StatusCreated, Body: "done", Header: http.Header{"X-Till": {"7"}}})
+		got := w.call(http.MethodPost, "/redeem/a%2Fb?x=1&y=%20", "r1", with("X-Own", "kept"), with("Hold", "h"), with("Connection", "X-Hop"),
+			with("X-Hop", "dropped"))
+		require.Equal(t, http.StatusCreated, got.status)
+		require.Equal(t, "done", got.body)
+		require.Equal(t, "stamp-till-1", got.header.Get("Server-Stamp"))
+		require.Equal(t, "7", got.header.Get("X-Till"))
+		require.Empty(t, got.header.Get("Date"), "the gateway adds no field")
+		run := till.Runs()[0]
+		require.Equal(t, "/redeem/a%2Fb?x=1&y=%20", run.Target)
+		require.Equal(t, "body of r1", run.Body)
+		require.Equal(t, "kept", run.Header.Get("X-Own"))
+		require.Equal(t, "till-1", run.Header.Get("Expect-Instance"))
+		require.Empty(t, run.Header.Get("Hold"), "set by the system alone")
+		require.Empty(t, run.Header.Get("X-Hop"), "concerns one connection")
+	})
+}
+
+func TestServerIsToldTheTimeThatIsLeft(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		w.call(http.MethodPost, "/redeem/1", "r1")
+		require.Equal(t, "1500", till.Runs()[0].Header.Get("Deadline-Ms"), "the route's timeout is shorter than the caller's patience")
+		w.call(http.MethodPost, "/redeem/1", "r2", with("Deadline-Ms", "700"))
+		require.Equal(t, "700", till.Runs()[1].Header.Get("Deadline-Ms"))
+	})
+}
+
+func TestRequestWithoutConfigurationIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.table = nil
+		got := w.call(http.MethodGet, "/look/1", "r1")
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.False(t, w.server.Ready())
+	})
+}
+
+func TestUnknownRouteIsNotFound(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		require.Equal(t, http.StatusNotFound, w.call(http.MethodGet, "/other/1", "r1").status)
+	})
+}
+
+func TestMalformedRequestsAreRefusedWithoutHarmToTheConnection(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "").status)
+		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Deadline-Ms", "soon")).status)
+		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Token-Usage", "x,y")).status)
+		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Prompt-Prefix", "abc")).status)
+		require.Empty(t, till.Runs())
+		require.Equal(t, http.StatusOK, w.call(http.MethodGet, "/look/1", "r2").status)
+	})
+}
+
+func TestBodyBeyondTheLimitIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		long := func(r *http.Request) {
+			replacement, err := http.NewRequest(r.Method, r.URL.String(), strings.NewReader(strings.Repeat("x", 2<<10)))
+			require.NoError(t, err)
+			r.Body, r.ContentLength = replacement.Body, replacement.ContentLength
+		}
+		require.Equal(t, http.StatusRequestEntityTooLarge, w.call(http.MethodPost, "/redeem/1", "r1", long).status)
+		chunked := func(r *http.Request) {
+			long(r)
+			r.ContentLength = -1
+		}
+		require.Equal(t, http.StatusRequestEntityTooLarge, w.call(http.MethodPost, "/redeem/1", "r2", chunked).status)
+		require.Empty(t, till.Runs())
+	})
+}
+
+func TestBodyThatEndsEarlyRunsNothing(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		conn, err := w.client.Transport.(*http.Transport).DialContext(context.Background(), "", "")
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\nContent-Length: 50\r\n\r\nhalf"))
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+		synctest.Wait()
+		conn, err = w.client.Transport.(*http.Transport).DialContext(context.Background(), "", "")
+		require.NoError(t, err)
+		_, err = conn.Write([]byte("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"))
+		require.NoError(t, err)
+		head := make([]byte, 12)
+		_, err = conn.Read(head)
+		require.NoError(t, err)
+		require.Equal(t, "HTTP/1.1 400", string(head))
+		require.NoError(t, conn.Close())
+		require.Empty(t, till.Runs())
+	})
+}
+
+func TestRequestThatNoServerTookIsRefused(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		got := w.call(http.MethodPost, "/redeem/1", "r1")
+		require.Equal(t, http.StatusServiceUnavailable, got.status, "no server is listed")
+		full := w.add(tills, "till-1")
+		full.Always(platformtest.Reply{NotExecuted: true})
+		gone := w.add(tills, "till-2")
+		gone.Crash()
+		got = w.call(http.MethodPost, "/redeem/1", "r2")
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.NotEmpty(t, got.header.Get("Retry-After"))
+		require.Empty(t, full.Runs())
+	})
+}
+
+func TestRequestGoesOnAfterAProofThatItDidNotRun(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		full := w.add(tills, "till-1")
+		full.Always(platformtest.Reply{NotExecuted: true})
+		gone := w.add(tills, "till-2")
+		gone.Crash()
+		free := w.add(tills, "till-3")
+		for _, id := range numbered(5) {
+			require.Equal(t, http.StatusOK, w.call(http.MethodPost, "/redeem/1", id).status)
+		}
+		require.Len(t, free.Runs(), 5)
+		require.Empty(t, full.Runs())
+	})
+}
+
+func TestRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		first := w.add(tills, "till-1")
+		second := w.add(tills, "till-2")
+		for _, runner := range []*platformtest.Runner{first, second} {
+			runner.Always(platformtest.Reply{Reset: true})
+		}
+		got := w.call(http.MethodPost, "/redeem/1", "r1")
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Len(t, append(first.Runs(), second.Runs()...), 1)
+	})
+}
+
+func TestRepeatableRequestIsSentAgainWithinItsLimit(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		var runners []*platformtest.Runner
+		for _, name := range []string{"till-1", "till-2", "till-3"} {
+			runner := w.add(tills, name)
+			runner.Always(platformtest.Reply{Reset: true})
+			runners = append(runners, runner)
+		}
+		require.Equal(t, http.StatusBadGateway, w.call(http.MethodGet, "/look/1", "r1").status)
+		runs := 0
+		for _, runner := range runners {
+			runs += len(runner.Runs())
+		}
+		require.Equal(t, 2, runs, "the route allows two servers")
+	})
+}
+
+func TestAnswerThatIsCutOffIsNotPassedOnAsWhole(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		till.Always(platformtest.Reply{Body: "a long answer", CutAfter: 4})
+		require.Equal(t, http.StatusBadGateway, w.call(http.MethodPost, "/redeem/1", "r1").status)
+	})
+}
+
+func TestAnswersOfOtherRequestsAreSkipped(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		till.Always(platformtest.Reply{Body: "own", Late: true})
+		for _, id := range numbered(3) {
+			require.Equal(t, "own", w.call(http.MethodPost, "/redeem/1", id).body)
+		}
+		till.Always(platformtest.Reply{Body: "own", Extra: true})
+		for _, id := range numbered(3) {
+			require.Equal(t, "own", w.call(http.MethodPost, "/redeem/1", id).body)
+		}
+	})
+}
+
+func TestStreamIsPassedOnAsItArrives(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a", "b", "c"}, EventGap: 50 * time.Millisecond})
+		got := w.call(http.MethodPost, "/turn/1", "r1")
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.body)
+		require.Equal(t, "text/event-stream", got.header.Get("Content-Type"))
+		require.Equal(t, 150*time.Millisecond, got.took)
+	})
+}
+
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a", "b", "c"}, CutAfter: 20})
+		got := w.call(http.MethodPost, "/turn/1", "r1")
+		require.Zero(t, got.status)
+		require.Error(t, got.err)
+	})
+}
+
+func TestServerStopsWhenTheCallerLeaves(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Body: "late", Delay: 2 * time.Second})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		w.call(http.MethodPost, "/turn/1", "r1", func(r *http.Request) { *r = *r.WithContext(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		select {
+		case <-engine.Runs()[0].Left:
+		default:
+			require.Fail(t, "the server still works for a caller that left")
+		}
+	})
+}
+
+func TestRequestIsAnsweredAtItsRoutesTimeout(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		till := w.add(tills, "till-1")
+		till.Always(platformtest.Reply{Silent: true})
+		got := w.call(http.MethodPost, "/redeem/1", "r1", with("Deadline-Ms", "5000"))
+		require.Equal(t, http.StatusGatewayTimeout, got.status)
+		require.Equal(t, 1500*time.Millisecond, got.took)
+	})
+}
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -19,6 +19,12 @@
 	// RelistInterval is the time after which the platform's lists are read
 	// whole, in case a watch missed a change.
 	RelistInterval time.Duration
+	// Sparse keeps calls to the platform few: the list of daemons is read only
+	// to find the first peers, and the list of backend servers not at all.
+	Sparse bool
+	// Seeds are peer addresses, IP:port, to try while the platform's list of
+	// daemons cannot be read. They may be out of date.
+	Seeds []string
 }
 
 const (
@@ -41,6 +47,11 @@
 	helperCount = 3
 	// confirmLimit bounds the requests for confirmation served at once.
 	confirmLimit = 8
+	// joinInterval is the time between two attempts of a daemon that knows no
+	// live peer to find one.
+	joinInterval = time.Second
+	// meetTimeout bounds the greeting of a seed.
+	meetTimeout = 500 * time.Millisecond
 	// platformTimeout bounds one call to the platform.
 	platformTimeout = 2 * time.Second
 	// platformRetryMin and platformRetryMax bound the wait after a failed call.
--- /dev/null
+++ b/internal/member/join.go
@@ -0,0 +1,113 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"ibisline/internal/objectapi"
+	"ibisline/internal/structs"
+)
+
+// greeter is a dialer that can ask an address for the name of its daemon.
+type greeter interface {
+	Meet(ctx context.Context, addr string) (string, error)
+}
+
+// join finds the first peers, and again whenever no other daemon is known to
+// live: in the platform's list, in which it also enters this daemon, and at the
+// seeds. It ends with the membership.
+func (m *Members) join() {
+	registered := false
+	for {
+		if !registered || m.alone() {
+			if err := m.readList(&registered); err != nil {
+				m.logger.WithError(err).Info("list of daemons not read, trying the seeds")
+				m.meetSeeds()
+			}
+		}
+		if !m.pause(jittered(joinInterval)) {
+			return
+		}
+	}
+}
+
+// alone is true while no other daemon is known to live.
+func (m *Members) alone() bool {
+	for _, instance := range m.Live() {
+		if instance.Name != m.self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// readList takes the platform's list and adds this daemon to it.
+func (m *Members) readList(registered *bool) error {
+	found, _, err := m.list(structs.InstancePrefix)
+	if err != nil {
+		return err
+	}
+	m.applyInstances(found)
+	if m.listed.Load() == 0 {
+		m.listed.Store(listCount)
+	}
+	if *registered {
+		return nil
+	}
+	key := structs.InstancePrefix + m.self.Name
+	if err := m.enter(key, found[key]); err != nil {
+		m.logger.WithError(err).Info("own entry not written yet")
+		return nil
+	}
+	*registered = true
+	return nil
+}
+
+// enter writes the daemon's entry unless it stands there already. The entry holds
+// no incarnation, so that a restart at the same address writes nothing.
+func (m *Members) enter(key string, current objectapi.Object) error {
+	entry := m.self
+	entry.Incarnation = 0
+	wanted, err := json.Marshal(entry)
+	if err != nil {
+		return err
+	}
+	var held structs.Instance
+	if json.Unmarshal(current.Value, &held) == nil && held == entry {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, platformTimeout)
+	defer cancel()
+	_, err = m.store.Put(ctx, key, wanted, current.Version)
+	return err
+}
+
+// meetSeeds asks the seeds for their names and takes what they know.
+func (m *Members) meetSeeds() {
+	transport, ok := m.dialer.(greeter)
+	if !ok {
+		return
+	}
+	for _, addr := range m.config.Seeds {
+		if addr == m.self.PeerAddr {
+			continue
+		}
+		m.spawn(func() { m.meet(transport, addr) })
+	}
+}
+
+func (m *Members) meet(transport greeter, addr string) {
+	ctx, cancel := context.WithTimeout(m.ctx, meetTimeout)
+	defer cancel()
+	name, err := transport.Meet(ctx, addr)
+	if err != nil || name == "" || name == m.self.Name {
+		return
+	}
+	m.mu.Lock()
+	m.met[name] = addr
+	m.mu.Unlock()
+	started := time.Now()
+	m.sync(name)
+	m.logger.WithField("peer", name).WithField("took", time.Since(started)).Info("joined through a seed")
+}
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -35,7 +35,9 @@
 	synced   bool
 	ended    bool
 
-	evidence chan struct{} // holds one wake-up
+	evidence chan struct{}     // holds one wake-up
+	met      map[string]string // addresses of daemons met at a seed, by name
+	news     News
 
 	snapshot atomic.Pointer[snapshot]
 	ctx      context.Context // bounds all goroutines
@@ -74,6 +76,8 @@
 		machine:  gossip.New(config.machine(), self, incarnation, rand.New(rand.NewPCG(incarnation, 0)), now),
 		probers:  map[string]*prober{},
 		reaching: map[string]bool{},
+		met:      map[string]string{},
+		news:     noNews{},
 		evidence: make(chan struct{}, 1),
 		ctx:      ctx,
 		stop:     stop,
@@ -95,12 +99,16 @@
 func (m *Members) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, m.stop)
 	defer release()
-	m.spawn(m.registerSelf)
-	m.spawn(func() { m.follow(structs.InstancePrefix, m.applyInstances) })
-	m.spawn(func() { m.follow(structs.ServerPrefix, m.applyServers) })
+	if m.config.Sparse {
+		m.spawn(m.join)
+	} else {
+		m.spawn(m.registerSelf)
+		m.spawn(func() { m.follow(structs.InstancePrefix, m.applyInstances) })
+		m.spawn(func() { m.follow(structs.ServerPrefix, m.applyServers) })
+	}
 	m.tick()
 	m.shutdown()
-	if m.left.Load() {
+	if m.left.Load() && !m.config.Sparse {
 		m.unregister()
 	}
 	return nil
@@ -185,9 +193,13 @@
 	defer m.mu.Unlock()
 	change(m.machine)
 	m.publishLocked()
-	if !m.machine.News() {
-		return
+	if m.machine.News() {
+		m.hurryLocked()
 	}
+}
+
+// hurryLocked probes all targets at once. The caller holds mu.
+func (m *Members) hurryLocked() {
 	for _, p := range m.probers {
 		p.hurry()
 	}
@@ -245,7 +257,9 @@
 	m.leave.Do(func() {
 		m.left.Store(true)
 		m.update(func(machine *gossip.Machine) { machine.Leave(time.Now()) })
-		m.spawn(m.registerSelf)
+		if !m.config.Sparse {
+			m.spawn(m.registerSelf)
+		}
 	})
 }
 
@@ -260,8 +274,11 @@
 func (m *Members) Address(name string) (string, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	known, ok := m.machine.Member(name)
-	return known.Instance.PeerAddr, ok
+	if known, ok := m.machine.Member(name); ok {
+		return known.Instance.PeerAddr, true
+	}
+	addr, ok := m.met[name]
+	return addr, ok
 }
 
 // pause waits for d and returns false when the membership ends first.
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -26,6 +26,7 @@
 	Incarnation uint64         `msgpack:"i"`
 	Digest      uint64         `msgpack:"d"`
 	Rumors      []gossip.Rumor `msgpack:"r,omitempty"`
+	Marks       Marks          `msgpack:"m,omitempty"`
 }
 
 // prober probes one daemon over a stream that lasts.
@@ -149,6 +150,7 @@
 		machine.Absorb(answer.Rumors, false, now)
 		machine.Answered(target, answer.Incarnation, now)
 	})
+	m.learn(target, answer.Marks)
 	return answer, nil
 }
 
@@ -160,6 +162,7 @@
 		Incarnation: m.machine.Incarnation(),
 		Digest:      m.machine.Digest(),
 		Rumors:      m.machine.Outgoing(target),
+		Marks:       m.news.Marks(),
 	}
 	if introduce {
 		out.From = m.self.Name
@@ -210,6 +213,7 @@
 	if dead {
 		m.reach(from)
 	}
+	m.learn(from, in.Marks)
 }
 
 // reach probes a daemon once, unless that is under way already.
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +31,9 @@
 	retryInitialWait    = 50 * time.Millisecond
 	retryMaxWait        = 500 * time.Millisecond
 	idleConnections     = 64
+	// watchMargin is how much earlier than the client the server is to end the
+	// wait of a watch.
+	watchMargin = 5 * time.Second
 )
 
 // Config says how the platform is reached. Zero fields take their default.
@@ -50,6 +51,8 @@
 	ReadTries uint
 	// RetryRate is the budget of repeated reads, in retries a second.
 	RetryRate float64
+	// Protocol is what the object API speaks; Native when nil.
+	Protocol Protocol
 }
 
 // withDefaults returns c with its zero fields filled in.
@@ -59,6 +62,9 @@
 	defaults.Set(&c.WatchTimeout, DefaultWatchTimeout)
 	defaults.Set(&c.ReadTries, DefaultReadTries)
 	defaults.Set(&c.RetryRate, DefaultRetryRate)
+	if c.Protocol == nil {
+		c.Protocol = Native{}
+	}
 	return c
 }
 
@@ -105,12 +111,11 @@
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	var object Object
-	err := c.read(ctx, call{
-		kind:    "get",
-		method:  http.MethodGet,
-		path:    objectPath(key),
-		timeout: c.config.Timeout,
-	}, &object)
+	sent := call{kind: "get", request: c.config.Protocol.Get(key), timeout: c.config.Timeout}
+	err := c.read(ctx, sent, func(body []byte) (err error) {
+		object, err = c.config.Protocol.DecodeObject(body)
+		return err
+	})
 	return object, err
 }
 
@@ -119,78 +124,84 @@
 	if len(value) > MaxValueBytes {
 		return 0, ErrTooLarge
 	}
-	var reply PutReply
-	err := c.write(ctx, call{
-		kind:    "put",
-		method:  http.MethodPut,
-		path:    objectPath(key),
-		query:   expectedQuery(expected),
-		body:    value,
-		timeout: c.config.Timeout,
-	}, &reply)
-	return reply.Version, err
+	var version int64
+	sent := call{kind: "put", request: c.config.Protocol.Put(key, value, expected), timeout: c.config.Timeout}
+	err := c.attempt(ctx, sent, func(body []byte) (err error) {
+		version, err = c.config.Protocol.DecodePut(body)
+		return err
+	})
+	return version, err
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, key string, expected int64) error {
-	return c.write(ctx, call{
-		kind:    "delete",
-		method:  http.MethodDelete,
-		path:    objectPath(key),
-		query:   expectedQuery(expected),
-		timeout: c.config.Timeout,
-	}, &struct{}{})
+	sent := call{kind: "delete", request: c.config.Protocol.Delete(key, expected), timeout: c.config.Timeout}
+	return c.attempt(ctx, sent, func([]byte) error { return nil })
 }
 
-// List implements Store.
+// List implements Store. The revision is that of the first page, so that a watch
+// from there misses no change that came between two pages.
 func (c *Client) List(ctx context.Context, prefix string) ([]Object, int64, error) {
-	var reply ListReply
-	err := c.read(ctx, call{
-		kind:    "list",
-		method:  http.MethodGet,
-		path:    "/v1/objects",
-		query:   url.Values{"prefix": {prefix}},
-		timeout: c.config.ListTimeout,
-	}, &reply)
-	return reply.Objects, reply.Revision, err
+	first, err := c.page(ctx, prefix, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	objects := first.Objects
+	for next := first.Next; next != ""; {
+		page, err := c.page(ctx, prefix, next)
+		if err != nil {
+			return nil, 0, err
+		}
+		objects = append(objects, page.Objects...)
+		next = page.Next
+	}
+	return objects, first.Revision, nil
+}
+
+// page reads one page of a listing.
+func (c *Client) page(ctx context.Context, prefix, after string) (Page, error) {
+	var page Page
+	sent := call{kind: "list", request: c.config.Protocol.List(prefix, after), timeout: c.config.ListTimeout}
+	err := c.read(ctx, sent, func(body []byte) (err error) {
+		page, err = c.config.Protocol.DecodePage(prefix, body)
+		return err
+	})
+	return page, err
 }
 
 // Watch implements Store. It is one call that waits; it is not repeated here. It
 // returns promptly without events when ctx ends.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64) ([]Event, int64, error) {
-	request := call{
+	sent := call{
 		kind:    "watch",
-		method:  http.MethodGet,
-		path:    "/v1/watch",
-		query:   url.Values{"prefix": {prefix}, "after": {strconv.FormatInt(after, 10)}},
+		request: c.config.Protocol.Watch(prefix, after, c.config.WatchTimeout-watchMargin),
 		timeout: c.config.WatchTimeout,
 	}
-	var reply WatchReply
-	err := asRead(c.attempt(ctx, request, &reply))
+	var events []Event
+	var revision int64
+	err := asRead(c.attempt(ctx, sent, func(body []byte) (err error) {
+		events, revision, err = c.config.Protocol.DecodeEvents(prefix, body)
+		return err
+	}))
 	if err != nil && ctx.Err() != nil {
 		return nil, after, nil
 	}
 	if err != nil {
 		return nil, 0, err
 	}
-	return reply.Events, reply.Revision, nil
-}
-
-// write sends a call once.
-func (c *Client) write(ctx context.Context, request call, reply any) error {
-	return c.attempt(ctx, request, reply)
+	return events, revision, nil
 }
 
 // read sends a call until it is answered, the tries are used up or the budget of
 // retries is spent.
-func (c *Client) read(ctx context.Context, request call, reply any) error {
+func (c *Client) read(ctx context.Context, sent call, decode func(body []byte) error) error {
 	waits := backoff.NewExponentialBackOff()
 	waits.InitialInterval = retryInitialWait
 	waits.MaxInterval = retryMaxWait
 	left := c.config.ReadTries
 	operation := func() (struct{}, error) {
 		left--
-		err := asRead(c.attempt(ctx, request, reply))
+		err := asRead(c.attempt(ctx, sent, decode))
 		if errors.Is(err, ErrUnavailable) && left > 0 && c.retries.Allow() {
 			return struct{}{}, err
 		}
--- a/internal/objectapi/exchange.go
+++ b/internal/objectapi/exchange.go
@@ -3,14 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -20,50 +16,51 @@
 // call is one request to the object API.
 type call struct {
 	kind    string
-	method  string
-	path    string
-	query   url.Values
-	body    []byte
+	request Request
 	timeout time.Duration
 }
 
-// attempt sends a call once, counts it and decodes a reply of status 200.
-func (c *Client) attempt(ctx context.Context, request call, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, request.timeout)
+// attempt sends a call once, counts it and decodes the body of a success.
+func (c *Client) attempt(ctx context.Context, sent call, decode func(body []byte) error) error {
+	ctx, cancel := context.WithTimeout(ctx, sent.timeout)
 	defer cancel()
-	err := c.exchange(ctx, request, reply)
-	c.count(request.kind, err)
+	err := c.exchange(ctx, sent, decode)
+	c.count(sent.kind, err)
 	if errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown) {
 		c.next.Add(1)
-		c.logger.WithError(err).WithField("call", request.kind).Debug("platform call failed")
+		c.logger.WithError(err).WithField("call", sent.kind).Debug("platform call failed")
 	}
 	return err
 }
 
 // exchange sends the request and maps its outcome to an error of Store. An error
 // before a connection was taken proves that nothing was sent.
-func (c *Client) exchange(ctx context.Context, request call, reply any) error {
-	var sent atomic.Bool
+func (c *Client) exchange(ctx context.Context, sent call, decode func(body []byte) error) error {
+	var left atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { left.Store(true) },
 	})
-	r, err := c.newRequest(ctx, request)
+	r, err := c.newRequest(ctx, sent.request)
 	if err != nil {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	response, err := c.service.DoRequest(r)
-	if err != nil && !sent.Load() {
+	if err != nil && !left.Load() {
 		return errors.Wrap(ErrUnavailable, err.Error())
 	}
 	if err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
 	defer response.Body.Close()
-	if err := statusError(response.StatusCode); err != nil {
+	if err := c.config.Protocol.Outcome(response.StatusCode); err != nil {
 		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, 4096))
 		return err
 	}
-	if err := json.NewDecoder(response.Body).Decode(reply); err != nil {
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	if err := decode(body); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
 	return nil
@@ -71,59 +68,28 @@
 
 // newRequest builds the HTTP request. A body cannot be read twice, so that
 // net/http has no means to send it again.
-func (c *Client) newRequest(ctx context.Context, request call) (*http.Request, error) {
+func (c *Client) newRequest(ctx context.Context, request Request) (*http.Request, error) {
 	if len(c.config.Addrs) == 0 {
 		return nil, errors.New("no platform address is set")
 	}
 	addr := c.config.Addrs[c.next.Load()%uint64(len(c.config.Addrs))]
-	target := "http://" + addr + request.path
-	if len(request.query) > 0 {
-		target += "?" + request.query.Encode()
+	target := "http://" + addr + request.Path
+	if len(request.Query) > 0 {
+		target += "?" + request.Query.Encode()
 	}
-	r, err := http.NewRequestWithContext(ctx, request.method, target, bytes.NewReader(request.body))
+	r, err := http.NewRequestWithContext(ctx, request.Method, target, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, err
 	}
-	if request.method != http.MethodGet {
+	if request.ContentType != "" {
+		r.Header.Set("Content-Type", request.ContentType)
+	}
+	if request.Method != http.MethodGet {
 		r.GetBody = nil
 	}
 	return r, nil
 }
 
-// objectPath returns the escaped path of a key; slashes stay.
-func objectPath(key string) string {
-	parts := strings.Split(key, "/")
-	for i, part := range parts {
-		parts[i] = url.PathEscape(part)
-	}
-	return "/v1/objects/" + strings.Join(parts, "/")
-}
-
-// expectedQuery is the condition of a write.
-func expectedQuery(expected int64) url.Values {
-	return url.Values{"expected": {strconv.FormatInt(expected, 10)}}
-}
-
-// statusError maps a status of the object API to an error of Store.
-func statusError(status int) error {
-	switch status {
-	case http.StatusOK:
-		return nil
-	case http.StatusNotFound:
-		return ErrNotFound
-	case http.StatusConflict:
-		return ErrConflict
-	case http.StatusRequestEntityTooLarge:
-		return ErrTooLarge
-	case http.StatusGone:
-		return ErrCompacted
-	case http.StatusServiceUnavailable:
-		return ErrUnavailable
-	default:
-		return errors.Wrapf(ErrUnknown, "status %d", status)
-	}
-}
-
 // count adds one call to the metrics.
 func (c *Client) count(kind string, err error) {
 	name := fmt.Sprintf("ibisline_platform_calls_total{kind=%q,outcome=%q}", kind, outcomeOf(err))
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,12 +38,19 @@
 	Order func(ctx context.Context, engine string, order backend.Order) error
 }
 
-// Register adds the operators' routes to server.
-func Register(server *rest.Server, s Sources) {
+// RegisterReads adds the routes of every daemon: metrics, status and dump.
+func RegisterReads(server *rest.Server, s Sources) {
 	server.AddRoutes([]rest.Route{
 		{Method: http.MethodGet, Path: "/metrics", Handler: metricsHandler(s.Metrics)},
 		{Method: http.MethodGet, Path: "/v1/status", Handler: jsonHandler(func() any { return s.Status() })},
 		{Method: http.MethodGet, Path: "/v1/dump", Handler: jsonHandler(func() any { return s.Dump() })},
+	})
+}
+
+// Register adds all routes to server, with those of a daemon that serves programs.
+func Register(server *rest.Server, s Sources) {
+	RegisterReads(server, s)
+	server.AddRoutes([]rest.Route{
 		{Method: http.MethodGet, Path: "/v1/shares", Handler: jsonHandler(s.Shares)},
 		{Method: http.MethodPost, Path: "/v1/servers/:name/orders", Handler: orderHandler(s.Order)},
 	})
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -83,6 +83,24 @@
 	return nil
 }
 
+// Meet returns the name of the daemon that listens at addr, IP:port. No stream is
+// opened to it.
+func (t *Transport) Meet(ctx context.Context, addr string) (string, error) {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	release := context.AfterFunc(ctx, func() { conn.Close() })
+	defer release()
+	if err := t.sendHello(conn, hello{Version: protocolVersion, From: t.self}); err != nil {
+		return "", err
+	}
+	theirs, err := t.recvHello(conn)
+	return theirs.From, err
+}
+
 // welcome checks the hello of an accepted connection and answers it.
 func (t *Transport) welcome(conn net.Conn) (string, error) {
 	theirs, err := t.recvHello(conn)
--- /dev/null
+++ b/internal/routes/routes.go
@@ -0,0 +1,56 @@
+// Package routes holds the version of the routes that is in force on a daemon and
+// finds the route of a request.
+package routes
+
+import (
+	"strings"
+
+	"ibisline/internal/structs"
+)
+
+// Table finds routes in one version of the configuration. It is immutable.
+type Table struct {
+	structs.RouteTable
+	byHost map[string][]*structs.Route
+}
+
+// NewTable prepares a version of the configuration.
+func NewTable(config structs.RouteTable) *Table {
+	t := &Table{RouteTable: config, byHost: map[string][]*structs.Route{}}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		t.byHost[route.Host] = append(t.byHost[route.Host], route)
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path among those of host.
+func (t *Table) Match(host, path string) (*structs.Route, bool) {
+	var best *structs.Route
+	for _, route := range t.byHost[host] {
+		if strings.HasPrefix(path, route.PathPrefix) && (best == nil || len(route.PathPrefix) > len(best.PathPrefix)) {
+			best = route
+		}
+	}
+	return best, best != nil
+}
+
+// PickService chooses a service of a route by weight. Draw is a number from 0 up
+// to, but without, 1; the same draw chooses the same service.
+func PickService(route *structs.Route, draw float64) string {
+	total := 0
+	for _, target := range route.Targets {
+		total += max(target.Weight, 0)
+	}
+	point := draw * float64(total)
+	for _, target := range route.Targets {
+		point -= float64(max(target.Weight, 0))
+		if point < 0 {
+			return target.Service
+		}
+	}
+	if len(route.Targets) > 0 {
+		return route.Targets[0].Service
+	}
+	return ""
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -36,6 +36,9 @@
 	if err := check(loaded); err != nil {
 		return Settings{}, err
 	}
+	if loaded.Instance.Duty == DutyGateway && loaded.Gateway.Listen == "" {
+		return Settings{}, errors.New("gateway.listen is nothing; allowed: IP:port, with the duty gateway")
+	}
 	return loaded, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	Peers    Peers    `toml:"peers"`
 	Home     Home     `toml:"home"`
 	Dispatch Dispatch `toml:"dispatch"`
+	Gateway  Gateway  `toml:"gateway"`
 	Stop     Stop     `toml:"stop"`
 }
 
@@ -27,15 +28,36 @@
 	// PeerAdvertise is the address at which the other daemons reach PeerAddr;
 	// empty means PeerAddr itself.
 	PeerAdvertise string `toml:"peer_advertise" validate:"omitempty,tcp_addr" allowed:"IP:port"`
+	// Duty says what the daemon does: serve programs by the product's own
+	// interface, serve a platform's requests, or only keep what the others rely on.
+	Duty string `toml:"duty" validate:"oneof=programs gateway keeper" allowed:"programs, gateway or keeper"`
+	// MemoryMB is the memory that the process may use; 0 for no limit.
+	MemoryMB int `toml:"memory_mb" validate:"min=0,max=1048576" allowed:"0 to 1048576"`
 }
 
+// Duties of a daemon.
+const (
+	DutyPrograms = "programs"
+	DutyGateway  = "gateway"
+	DutyKeeper   = "keeper"
+)
+
 // Platform says how the object API is reached.
 type Platform struct {
 	// Addrs are its addresses. After a failure the next one is asked.
 	Addrs   []string `toml:"addrs" validate:"required,min=1,dive,tcp_addr" allowed:"a list of IP:port"`
 	Timeout Duration `toml:"timeout" validate:"min=10ms,max=1m" allowed:"10ms to 1m"`
+	// Protocol is what the object API speaks: that of docs/BACKENDS.md, or that
+	// of the platform of the package of this name.
+	Protocol string `toml:"protocol" validate:"oneof=native objects" allowed:"native or objects"`
 }
 
+// Protocols of the object API.
+const (
+	ProtocolNative  = "native"
+	ProtocolObjects = "objects"
+)
+
 // Log says what is logged.
 type Log struct {
 	Level  string `toml:"level" validate:"oneof=debug info warn error" allowed:"debug, info, warn or error"`
@@ -56,6 +78,9 @@
 	// CatalogueStaleAfter ends admission when neither the platform nor a daemon
 	// that reaches it was heard for so long.
 	CatalogueStaleAfter Duration `toml:"catalogue_stale_after" validate:"min=500ms,max=1m" allowed:"500ms to 1m"`
+	// Seeds are peer addresses to try while the platform's list of daemons cannot
+	// be read.
+	Seeds []string `toml:"seeds" validate:"dive,tcp_addr" allowed:"a list of IP:port"`
 }
 
 // Home sets the programs' side.
@@ -88,6 +113,17 @@
 	SweepInterval Duration `toml:"sweep_interval" validate:"min=100ms,max=1h" allowed:"100ms to 1h"`
 }
 
+// Gateway sets the service of a platform's requests.
+type Gateway struct {
+	// Listen is where callers connect.
+	Listen string `toml:"listen" validate:"omitempty,tcp_addr" allowed:"IP:port"`
+	// ReadyPath is the path on instance.http_addr at which the balancer asks
+	// whether the daemon takes new connections.
+	ReadyPath string `toml:"ready_path" validate:"startswith=/" allowed:"a path"`
+	// Regions maps the platform's data centres to regions.
+	Regions map[string]string `toml:"regions"`
+}
+
 // Stop sets the planned stop.
 type Stop struct {
 	// DrainLimit bounds the whole planned stop.
@@ -101,7 +137,8 @@
 // Platform.Addrs have no default.
 func Default() Settings {
 	return Settings{
-		Platform: Platform{Timeout: Duration(2 * time.Second)},
+		Instance: Instance{Duty: DutyPrograms},
+		Platform: Platform{Timeout: Duration(2 * time.Second), Protocol: ProtocolNative},
 		Log:      Log{Level: "info", Format: "json"},
 		API:      API{MaxBodyBytes: 8 << 20, RetryFor: Duration(10 * time.Second)},
 		Peers: Peers{
@@ -126,6 +163,7 @@
 			TokenGap:      Duration(47 * time.Millisecond),
 			SweepInterval: Duration(10 * time.Second),
 		},
+		Gateway: Gateway{ReadyPath: "/readyz"},
 		Stop: Stop{
 			DrainLimit:    Duration(10 * time.Minute),
 			BalancerDelay: Duration(5 * time.Second),
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -113,6 +113,9 @@
 	KVTokens int `json:"kv_tokens,omitempty" msgpack:"t,omitempty"`
 	// Slots bounds calls under way at a plain service; 0 means unlimited.
 	Slots int `json:"slots,omitempty" msgpack:"l,omitempty"`
+	// Started is the time of the server's start in Unix milliseconds; 0 when it
+	// is not known. A server that starts again has nothing of before.
+	Started int64 `json:"started,omitempty" msgpack:"b,omitempty"`
 	// Fences says whether the server refuses orders with an old fencing number.
 	Fences bool `json:"fences,omitempty" msgpack:"f,omitempty"`
 	// Lookup says whether a plain service answers look-ups of a call by key.
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	key     poolKey
+	reader  *bufio.Reader
+	used    bool
+	expires time.Time
+}
+
+// readBufferBytes holds the head of an answer, or a few events of a stream.
+const readBufferBytes = 4 << 10
+
+func newConn(raw net.Conn, key poolKey) *conn {
+	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+}
+
+// usable reports whether a kept connection may carry another request: it has not
+// expired, and nothing has arrived on it, neither its end nor bytes that nobody
+// asked for.
+func (c *conn) usable(now time.Time) bool {
+	if !now.Before(c.expires) || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	control, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = control.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// close ends the connection; what the server still sends is lost.
+func (c *conn) close() { _ = c.Conn.Close() }
+
+// interrupt ends reads and writes under way.
+func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
