Keep the budgets of programs at homes with journals and records

Cause: programs that loop without end generated eight times their budget; nothing on the platform path kept one.

A new home fences the journals. Settings are read again after SIGHUP or a change of the file.

--- a/cmd/ibislined/main.go
+++ b/cmd/ibislined/main.go
@@ -67,7 +67,7 @@
 		return exitSettings
 	}
 	adapter := platform.Adapter{Regions: loaded.Gateway.Regions}
-	if err := daemon.Run(loaded, daemon.Adapter{
+	if err := daemon.Run(file, loaded, daemon.Adapter{
 		Protocol:      platform.Objects{},
 		WatchTimeout:  platform.WatchTimeout,
 		Dialect:       adapter,
--- /dev/null
+++ b/internal/allowance/journal/journal.go
@@ -0,0 +1,411 @@
+// Package journal keeps on the disk of one instance what homes of budgets wrote
+// down, by shard. A home first fences a shard with a number higher than any
+// before; from then on writes with a lower number are refused. So a home that
+// reads a journal knows that nothing is added behind its back.
+//
+// The file is a sequence of records, each with its length and checksum. Reading
+// ends at the first record that is torn: what follows was never acknowledged.
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"io"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"ibisline/internal/allowance/ledger"
+)
+
+// Errors of the journal.
+var (
+	// ErrFenced: another home has fenced the shard with a higher number.
+	ErrFenced = errors.New("shard was fenced by another home")
+	// ErrDisk: the disk refused a write; nothing is promised about it.
+	ErrDisk = errors.New("journal cannot be written")
+)
+
+const (
+	fileName = "budgets.journal"
+	// compactBytes is the size at which the file is written anew.
+	compactBytes = 4 << 20
+	// headerBytes are length and checksum of a record.
+	headerBytes = 4 + 8
+	// maxRecordBytes bounds a record; a longer one is a torn length.
+	maxRecordBytes = 8 << 20
+)
+
+// Fence is the right of a home to write about a shard.
+type Fence struct {
+	Shard  int    `msgpack:"s"`
+	Number int64  `msgpack:"n"`
+	Home   string `msgpack:"h"`
+}
+
+// record is one entry of the file. Exactly one field is set.
+type record struct {
+	Born   int64        `msgpack:"b,omitempty"`
+	Fence  *Fence       `msgpack:"f,omitempty"`
+	Covers *shardCovers `msgpack:"c,omitempty"`
+}
+
+type shardCovers struct {
+	Shard  int            `msgpack:"s"`
+	Covers []ledger.Cover `msgpack:"c"`
+}
+
+// shard is the state of one shard.
+type shard struct {
+	fence  Fence
+	covers map[string]ledger.Cover
+}
+
+// Journal is safe for concurrent use.
+type Journal struct {
+	dir string
+
+	mu     sync.Mutex
+	file   *os.File
+	size   int64
+	shards map[int]*shard
+	born   int64
+	failed error
+	// pending are encoded records that the next sync makes durable, waiters
+	// those that wait for it.
+	pending bytes.Buffer
+	waiters []chan error
+	syncing bool
+}
+
+// Open reads the journal in dir, or begins one. Fresh says that no journal can
+// have been here before: only then is an empty one known to lack nothing.
+func Open(dir string, fresh bool, now time.Time) (*Journal, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, errors.Wrap(err, "folder of the journal")
+	}
+	j := &Journal{dir: dir, shards: map[int]*shard{}}
+	content, err := os.ReadFile(j.path())
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, errors.Wrap(err, "read the journal")
+	}
+	j.replay(content)
+	if j.born == 0 && !fresh {
+		j.born = now.UnixMilli()
+	}
+	if err := j.rewrite(); err != nil {
+		return nil, err
+	}
+	return j, nil
+}
+
+func (j *Journal) path() string { return filepath.Join(j.dir, fileName) }
+
+// Born returns the time from which on the journal lacks nothing, in Unix
+// milliseconds; 0 when it never lost anything.
+func (j *Journal) Born() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return max(j.born, 0)
+}
+
+// replay applies all whole records.
+func (j *Journal) replay(content []byte) {
+	for len(content) >= headerBytes {
+		size := binary.BigEndian.Uint32(content)
+		sum := binary.BigEndian.Uint64(content[4:])
+		if size > maxRecordBytes || int(size) > len(content)-headerBytes {
+			return
+		}
+		body := content[headerBytes : headerBytes+int(size)]
+		var r record
+		if xxhash.Sum64(body) != sum || msgpack.Unmarshal(body, &r) != nil {
+			return
+		}
+		j.apply(r)
+		content = content[headerBytes+int(size):]
+	}
+}
+
+// apply changes the state as a record says.
+func (j *Journal) apply(r record) {
+	switch {
+	case r.Born != 0:
+		j.born = r.Born
+	case r.Fence != nil:
+		j.shard(r.Fence.Shard).fence = *r.Fence
+	case r.Covers != nil:
+		held := j.shard(r.Covers.Shard).covers
+		for _, c := range r.Covers.Covers {
+			if c.Total >= held[c.Program].Total {
+				held[c.Program] = c
+			}
+		}
+	}
+}
+
+// shard returns the state of a shard. The caller holds mu.
+func (j *Journal) shard(number int) *shard {
+	s := j.shards[number]
+	if s == nil {
+		s = &shard{covers: map[string]ledger.Cover{}}
+		j.shards[number] = s
+	}
+	return s
+}
+
+// Take fences a shard and returns what was written about it. ErrFenced comes with
+// the fence that stands in the way.
+func (j *Journal) Take(f Fence, now time.Time) (Fence, []ledger.Cover, error) {
+	j.mu.Lock()
+	s := j.shard(f.Shard)
+	if f.Number < s.fence.Number || (f.Number == s.fence.Number && f.Home != s.fence.Home) {
+		held := s.fence
+		j.mu.Unlock()
+		return held, nil, ErrFenced
+	}
+	s.fence = f
+	covers := make([]ledger.Cover, 0, len(s.covers))
+	for name, c := range s.covers {
+		if c.Expires <= now.UnixMilli() {
+			delete(s.covers, name)
+			continue
+		}
+		covers = append(covers, c)
+	}
+	done := j.add(record{Fence: &f})
+	j.mu.Unlock()
+	return f, covers, <-done
+}
+
+// Append writes covers of a shard down. They are durable when it returns nil.
+func (j *Journal) Append(f Fence, covers []ledger.Cover) error {
+	j.mu.Lock()
+	if held := j.shard(f.Shard).fence; held.Number != f.Number || held.Home != f.Home {
+		j.mu.Unlock()
+		return ErrFenced
+	}
+	r := record{Covers: &shardCovers{Shard: f.Shard, Covers: covers}}
+	j.apply(r)
+	done := j.add(r)
+	j.mu.Unlock()
+	return <-done
+}
+
+// add queues a record for the next sync. The caller holds mu.
+func (j *Journal) add(r record) <-chan error {
+	done := make(chan error, 1)
+	if j.failed != nil {
+		done <- j.failed
+		return done
+	}
+	if err := encode(&j.pending, r); err != nil {
+		done <- err
+		return done
+	}
+	j.waiters = append(j.waiters, done)
+	if !j.syncing {
+		j.syncing = true
+		go j.sync()
+	}
+	return done
+}
+
+// encode appends a record with its length and checksum.
+func encode(out *bytes.Buffer, r record) error {
+	body, err := msgpack.Marshal(r)
+	if err != nil {
+		return errors.Wrap(err, "encode record")
+	}
+	var header [headerBytes]byte
+	binary.BigEndian.PutUint32(header[:], uint32(len(body)))
+	binary.BigEndian.PutUint64(header[4:], xxhash.Sum64(body))
+	out.Write(header[:])
+	out.Write(body)
+	return nil
+}
+
+// sync writes and syncs what is pending until nothing is. One sync serves all
+// records that came while the one before was under way.
+func (j *Journal) sync() {
+	for {
+		j.mu.Lock()
+		if len(j.waiters) == 0 {
+			j.syncing = false
+			j.mu.Unlock()
+			return
+		}
+		part := bytes.Clone(j.pending.Bytes())
+		waiters := j.waiters
+		j.pending.Reset()
+		j.waiters = nil
+		file, err := j.file, j.failed
+		j.mu.Unlock()
+		if err == nil {
+			err = writeAndSync(file, part)
+		}
+		j.finish(int64(len(part)), waiters, err)
+	}
+}
+
+func writeAndSync(file *os.File, part []byte) error {
+	if _, err := file.Write(part); err != nil {
+		return errors.Wrap(ErrDisk, err.Error())
+	}
+	if err := file.Sync(); err != nil {
+		return errors.Wrap(ErrDisk, err.Error())
+	}
+	return nil
+}
+
+// finish tells the waiters. After a failure the end of the file is not known, so
+// that it is written anew; if that fails too, the journal takes nothing more.
+func (j *Journal) finish(written int64, waiters []chan error, err error) {
+	j.mu.Lock()
+	j.size += written
+	if j.failed == nil && (err != nil || j.size > compactBytes) {
+		if again := j.rewriteLocked(); again != nil {
+			j.failed = again
+		}
+	}
+	j.mu.Unlock()
+	for _, done := range waiters {
+		done <- err
+	}
+}
+
+// Retry makes a journal that has failed try its disk again.
+func (j *Journal) Retry() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.failed == nil {
+		return nil
+	}
+	j.failed = j.rewriteLocked()
+	return j.failed
+}
+
+// rewrite replaces the file by one that holds the present state only.
+func (j *Journal) rewrite() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.rewriteLocked()
+}
+
+func (j *Journal) rewriteLocked() error {
+	var content bytes.Buffer
+	for _, r := range j.state(time.Now()) {
+		if err := encode(&content, r); err != nil {
+			return err
+		}
+	}
+	next, err := replaceFile(j.path(), content.Bytes())
+	if err != nil {
+		return errors.Wrap(ErrDisk, err.Error())
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+	}
+	j.file = next
+	j.size = int64(content.Len())
+	return nil
+}
+
+// state returns records that bring about the present state.
+func (j *Journal) state(now time.Time) []record {
+	// -1 marks a journal that never lost anything.
+	born := j.born
+	if born == 0 {
+		born = -1
+	}
+	all := []record{{Born: born}}
+	for number, s := range j.shards {
+		if s.fence.Number != 0 {
+			fence := s.fence
+			all = append(all, record{Fence: &fence})
+		}
+		live := &shardCovers{Shard: number}
+		for _, c := range s.covers {
+			if c.Expires > now.UnixMilli() {
+				live.Covers = append(live.Covers, c)
+			}
+		}
+		if len(live.Covers) > 0 {
+			all = append(all, record{Covers: live})
+		}
+	}
+	return all
+}
+
+// replaceFile writes content to a new file, makes it durable and puts it in the
+// place of path. The order is safe: until the rename is durable the old file, and
+// from then on the new one, is whole.
+func replaceFile(path string, content []byte) (*os.File, error) {
+	temporary := path + ".new"
+	file, err := os.OpenFile(temporary, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := file.Write(content); err != nil {
+		file.Close()
+		return nil, err
+	}
+	if err := file.Sync(); err != nil {
+		file.Close()
+		return nil, err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		file.Close()
+		return nil, err
+	}
+	if err := syncFolder(filepath.Dir(path)); err != nil {
+		file.Close()
+		return nil, err
+	}
+	return file, nil
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer folder.Close()
+	return folder.Sync()
+}
+
+// Everything returns all that is written down, for an instance that is emptied.
+func (j *Journal) Everything(now time.Time) map[int][]ledger.Cover {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	all := map[int][]ledger.Cover{}
+	for number, s := range j.shards {
+		for _, c := range s.covers {
+			if c.Expires > now.UnixMilli() {
+				all[number] = append(all[number], c)
+			}
+		}
+	}
+	return all
+}
+
+// Close closes the file.
+func (j *Journal) Close() error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.file.Close()
+}
+
+var _ io.Closer = (*Journal)(nil)
+
+// Holder returns the home that has fenced a shard last.
+func (j *Journal) Holder(number int) Fence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.shard(number).fence
+}
--- /dev/null
+++ b/internal/allowance/keeper.go
@@ -0,0 +1,78 @@
+package allowance
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/allowance/journal"
+	"ibisline/internal/peer"
+)
+
+// Keeper serves the journal of an instance with a disk to the homes. It is a
+// kernel service.
+type Keeper struct {
+	journal *journal.Journal
+	logger  log.Interface
+	retry   time.Duration
+}
+
+// NewKeeper registers the methods of a journal with mux.
+func NewKeeper(j *journal.Journal, mux peer.Mux, logger log.Interface) *Keeper {
+	k := &Keeper{journal: j, logger: logger, retry: diskRetry}
+	mux.Handle(methodFence, k.serveFence)
+	mux.Handle(methodAppend, k.serveAppend)
+	return k
+}
+
+// diskRetry is the time between two attempts to write to a disk that has failed.
+const diskRetry = time.Second
+
+// Run makes the journal try its disk again after failures, until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	ticker := time.NewTicker(k.retry)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return k.journal.Close()
+		case <-ticker.C:
+		}
+		if err := k.journal.Retry(); err != nil {
+			k.logger.WithError(err).Error("journal not written")
+		}
+	}
+}
+
+func (k *Keeper) serveFence(_ context.Context, s peer.Stream) error {
+	var f journal.Fence
+	if err := s.Recv(&f); err != nil {
+		return err
+	}
+	held, covers, err := k.journal.Take(f, time.Now())
+	if err != nil && !errors.Is(err, journal.ErrFenced) {
+		k.logger.WithError(err).WithField("shard", f.Shard).Error("fence not written")
+		return err
+	}
+	k.logger.WithField("shard", f.Shard).WithField("home", held.Home).WithField("number", held.Number).
+		WithField("accepted", err == nil).WithField("covers", len(covers)).Debug("shard fenced")
+	return s.Send(fenceReply{Held: held, Covers: covers, Born: k.journal.Born()})
+}
+
+func (k *Keeper) serveAppend(_ context.Context, s peer.Stream) error {
+	var request appendRequest
+	if err := s.Recv(&request); err != nil {
+		return err
+	}
+	err := k.journal.Append(request.Fence, request.Covers)
+	if errors.Is(err, journal.ErrFenced) {
+		return s.Send(appendReply{Refused: true, Held: k.journal.Holder(request.Fence.Shard)})
+	}
+	if err != nil {
+		k.logger.WithError(err).Error("journal not written")
+		return err
+	}
+	return s.Send(appendReply{})
+}
--- /dev/null
+++ b/internal/allowance/ledger/ledger.go
@@ -0,0 +1,229 @@
+// Package ledger decides about the token budgets of programs at their home. It is
+// a state machine without I/O and clock.
+//
+// A home promises that all turns of a program together generate no more than the
+// budget, whatever is lost: before a total is granted it must be covered, that is
+// written down where a later home finds it. Up to half of a budget a journal on
+// the disk of one instance covers it, which costs no call to the platform. Beyond
+// that only a record at the platform does. So a home that cannot read all journals
+// need only assume that a program has used its half.
+package ledger
+
+import (
+	"time"
+)
+
+// Reservation asks for the tokens of one turn.
+type Reservation struct {
+	Program string `msgpack:"p"`
+	// ID identifies the attempt; the same reservation is granted once.
+	ID     string `msgpack:"i"`
+	Budget int    `msgpack:"b"`
+	// Tokens is the most that the turn generates.
+	Tokens int `msgpack:"t"`
+	// Lifetime is the time for which the program is remembered when idle.
+	Lifetime time.Duration `msgpack:"l"`
+}
+
+// Decision is what a home does about a reservation.
+type Decision uint8
+
+// Decisions.
+const (
+	// Granted: the total is covered, the turn may run.
+	Granted Decision = iota
+	// Spent: the budget does not hold the turn.
+	Spent
+	// Journal and Record: the turn may run once a journal, or a record at the
+	// platform, covers the total given with the decision.
+	Journal
+	Record
+)
+
+// Cover is a total that has to be, or was, written down for a program.
+type Cover struct {
+	Program string `msgpack:"p" json:"program"`
+	// Total is the number of tokens that the program may have used since its start.
+	Total int `msgpack:"t" json:"total"`
+	// Expires is when the program is forgotten, in Unix milliseconds.
+	Expires int64 `msgpack:"x" json:"expires"`
+}
+
+// program is the account of one program.
+type program struct {
+	// base is what the program may have used before it was first seen here.
+	// When estimated is set, that is more than it is known to have used.
+	base      int
+	estimated bool
+	// spent is what ended turns used here, open what turns under way may use.
+	spent int
+	open  map[string]int
+	// covered is the highest total written down, in journals or at the platform.
+	covered int
+	expires time.Time
+}
+
+func (p *program) total() int {
+	total := p.base + p.spent
+	for _, tokens := range p.open {
+		total += tokens
+	}
+	return total
+}
+
+// Ledger holds the programs of one shard. It is not safe for concurrent use.
+type Ledger struct {
+	programs map[string]*program
+	// inherited holds what earlier homes wrote down, until a program is seen.
+	inherited map[string]Cover
+}
+
+// New returns an empty ledger.
+func New() *Ledger {
+	return &Ledger{programs: map[string]*program{}, inherited: map[string]Cover{}}
+}
+
+// Len is the number of programs known.
+func (l *Ledger) Len() int { return len(l.programs) }
+
+// Inherit takes what an earlier home wrote down. Of several totals the highest counts.
+func (l *Ledger) Inherit(covers []Cover) {
+	for _, c := range covers {
+		if known, ok := l.inherited[c.Program]; !ok || c.Total > known.Total {
+			l.inherited[c.Program] = c
+		}
+		if p := l.programs[c.Program]; p != nil && c.Total > p.covered {
+			p.base = max(p.base, c.Total)
+			p.estimated = true
+		}
+	}
+}
+
+// half is the part of a budget that journals alone may cover: at least one turn,
+// so that the shortest programs need no record.
+func (r Reservation) half() int { return max(r.Budget/2, r.Tokens) }
+
+// Reserve decides about a reservation. certain is set when all that earlier homes
+// wrote down has been inherited. With Journal and Record the reservation is held
+// until Covered or Release, and the total to write down is returned.
+func (l *Ledger) Reserve(r Reservation, certain bool, now time.Time) (Decision, int) {
+	p := l.programs[r.Program]
+	if p == nil {
+		p = l.meet(r, certain, now)
+	}
+	p.expires = now.Add(r.Lifetime)
+	if _, held := p.open[r.ID]; held {
+		return l.coverage(p, r)
+	}
+	if p.total()+r.Tokens > p.limit(r) {
+		return Spent, 0
+	}
+	p.open[r.ID] = r.Tokens
+	return l.coverage(p, r)
+}
+
+// limit is the highest total that a reservation may reach. Where the total is an
+// estimate, one turn more is granted: programs may exceed their budget by what a
+// single turn generates.
+func (p *program) limit(r Reservation) int {
+	if p.estimated {
+		return r.Budget + r.Tokens
+	}
+	return r.Budget
+}
+
+// meet opens the account of a program that was not seen here before.
+func (l *Ledger) meet(r Reservation, certain bool, now time.Time) *program {
+	p := &program{open: map[string]int{}}
+	if cover, ok := l.inherited[r.Program]; ok && cover.Expires > now.UnixMilli() {
+		p.base, p.covered = cover.Total, cover.Total
+		// What was written down is often more than was used.
+		p.estimated = true
+	}
+	if !certain {
+		p.base = max(p.base, r.half())
+		p.estimated = true
+	}
+	l.programs[r.Program] = p
+	return p
+}
+
+// coverage says what a held reservation still needs.
+func (l *Ledger) coverage(p *program, r Reservation) (Decision, int) {
+	total := p.total()
+	if total <= p.covered {
+		return Granted, 0
+	}
+	half := r.half()
+	if total <= half {
+		// One turn ahead, so that not every turn has to be written down.
+		return Journal, min(half, total+r.Tokens)
+	}
+	// Half of what is left, so that few records are written and a later home
+	// need not take the whole budget for used.
+	return Record, max(total, total+(p.limit(r)-total)/2)
+}
+
+// Covered notes that a total was written down.
+func (l *Ledger) Covered(name string, total int) {
+	if p := l.programs[name]; p != nil {
+		p.covered = max(p.covered, total)
+	}
+}
+
+// Release ends a reservation. Used is what the turn generated.
+func (l *Ledger) Release(name, id string, used int) {
+	p := l.programs[name]
+	if p == nil {
+		return
+	}
+	if _, held := p.open[id]; !held {
+		return
+	}
+	delete(p.open, id)
+	p.spent += used
+}
+
+// Cover returns what is written down for a program with a new total.
+func (l *Ledger) Cover(name string, total int) Cover {
+	c := Cover{Program: name, Total: total}
+	if p := l.programs[name]; p != nil {
+		c.Expires = p.expires.UnixMilli()
+	}
+	return c
+}
+
+// Expire forgets programs that have been idle for their lifetime.
+func (l *Ledger) Expire(now time.Time) {
+	for name, p := range l.programs {
+		if len(p.open) == 0 && now.After(p.expires) {
+			delete(l.programs, name)
+		}
+	}
+	for name, c := range l.inherited {
+		if c.Expires <= now.UnixMilli() {
+			delete(l.inherited, name)
+		}
+	}
+}
+
+// Usage is an account as the dump shows it.
+type Usage struct {
+	Program   string `json:"program"`
+	Total     int    `json:"total"`
+	Base      int    `json:"base"`
+	Open      int    `json:"open"`
+	Covered   int    `json:"covered"`
+	Estimated bool   `json:"estimated,omitempty"`
+}
+
+// Usages returns all accounts.
+func (l *Ledger) Usages() []Usage {
+	all := make([]Usage, 0, len(l.programs))
+	for name, p := range l.programs {
+		all = append(all, Usage{
+			Program: name, Total: p.total(), Base: p.base, Open: len(p.open), Covered: p.covered, Estimated: p.estimated,
+		})
+	}
+	return all
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,7 +62,9 @@
 
 // Run runs a daemon until SIGTERM or SIGINT, which starts a planned stop, or
 // until a service fails.
-func Run(s settings.Settings, adapter Adapter) error {
+//
+// File is where s was read from; it is read again when it changes.
+func Run(file string, s settings.Settings, adapter Adapter) error {
 	logger, err := logging.New(logOutput(s), s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
@@ -75,7 +77,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	k := kernel.New(logger.WithField("instance", s.Instance.Name))
-	if err := register(k, s, adapter, logger); err != nil {
+	if err := register(k, file, s, adapter, logger); err != nil {
 		return err
 	}
 	return k.Run(ctx, func() (context.Context, context.CancelFunc) {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,7 +4,10 @@
 	"context"
 	"maps"
 	"net/http"
+	"time"
 
+	"ibisline/internal/allowance"
+	"ibisline/internal/allowance/journal"
 	"ibisline/internal/api"
 	"ibisline/internal/feed"
 	"ibisline/internal/gateway"
@@ -15,7 +18,7 @@
 	"ibisline/internal/peer"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
-	"ibisline/internal/settings"
+	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -27,18 +30,31 @@
 	serviceServerFeed = "server-feed"
 	serviceRoutes     = "routes"
 	serviceServers    = "servers"
+	serviceBudgets    = "budgets"
+	serviceJournal    = "journal"
 	serviceGateway    = "gateway"
 )
 
 // platformSteps builds the services of a gateway or keeper.
 func (p *parts) platformSteps() []func() error {
-	steps := []func() error{p.addPeers, p.addMembers, p.addFeeds}
-	if p.settings.Instance.Duty == settings.DutyGateway {
-		steps = append(steps, p.addRoutes, p.addGateway)
+	steps := []func() error{p.addPeers, p.addMembers, p.addReload, p.addFeeds}
+	if p.settings.Instance.Duty == structs.DutyGateway {
+		steps = append(steps, p.addRoutes, p.addBudgets, p.addGateway)
+	} else {
+		steps = append(steps, p.addKeeper)
 	}
 	return append(steps, p.addOperations)
 }
 
+// addReload adds the reading of changed settings.
+func (p *parts) addReload() error {
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceReload, &reloader{file: p.file, current: p.settings, members: members, logger: p.root})
+}
+
 // addFeeds adds the copies of the platform's routes and backend servers, and lets
 // the daemons tell each other how new theirs are.
 func (p *parts) addFeeds() error {
@@ -103,6 +119,34 @@
 	return p.kernel.Register(serviceServers, servers.NewDirectory(serverFeed, p.adapter.ServersPrefix, p.adapter.Servers, p.log))
 }
 
+// addBudgets adds the home of program budgets.
+func (p *parts) addBudgets() error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	home := allowance.NewHome(allowance.Config{}, members, transport, transport, p.store, p.metrics, p.log)
+	return p.kernel.Register(serviceBudgets, home)
+}
+
+// addKeeper adds the journal of an instance with a disk.
+func (p *parts) addKeeper() error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	s := p.settings.Keeper
+	opened, err := journal.Open(s.DataDir, s.FirstStart, time.Now())
+	if err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log))
+}
+
 // addGateway adds the service of callers' requests.
 func (p *parts) addGateway() error {
 	book, err := kernel.Lookup[*routes.Book](p.kernel, serviceRoutes)
@@ -113,12 +157,25 @@
 	if err != nil {
 		return err
 	}
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	home, err := kernel.Lookup[*allowance.Home](p.kernel, serviceBudgets)
+	if err != nil {
+		return err
+	}
 	config := gateway.Config{Region: p.self.Region, DataCentre: p.self.DataCentre}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect: p.adapter.Dialect,
 		Routes:  book,
 		Servers: directory,
 		Client:  upstream.NewClient(upstream.Config{RequestOf: p.adapter.Dialect.RequestOf}, p.metrics),
+		Budgets: allowance.NewClient(allowance.Config{}, members, transport, home, p.log),
 		Metrics: p.metrics,
 		Log:     p.log,
 	})
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -26,6 +26,7 @@
 	serviceHome      = "home"
 	serviceAPI       = "api"
 	serviceStop      = "stop"
+	serviceReload    = "reload"
 )
 
 // parts is what the services of one daemon share while they are built.
@@ -37,12 +38,16 @@
 	store    objectapi.Store
 	self     structs.Instance
 	adapter  Adapter
+	file     string
+	root     *log.Logger
 }
 
 // register builds the services and registers them with k.
-func register(k *kernel.Kernel, s settings.Settings, adapter Adapter, logger log.Interface) error {
+func register(k *kernel.Kernel, file string, s settings.Settings, adapter Adapter, logger *log.Logger) error {
 	set := metrics.NewSet()
 	p := &parts{
+		file:     file,
+		root:     logger,
 		adapter:  adapter,
 		settings: s,
 		kernel:   k,
@@ -84,7 +89,12 @@
 	if advertised == "" {
 		advertised = s.PeerAddr
 	}
+	duty := s.Duty
+	if duty == settings.DutyPrograms {
+		duty = ""
+	}
 	return structs.Instance{
+		Duty:       duty,
 		Name:       s.Name,
 		Region:     s.Region,
 		DataCentre: s.DataCentre,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 
+	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/request"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
@@ -43,6 +45,12 @@
 // Routes returns the configuration in force, nil while none is known.
 type Routes interface{ Current() *routes.Table }
 
+// Budgets grants the tokens of turns. Errors of Reserve are refusals; the function
+// that it returns is called once, with the tokens that the caller got.
+type Budgets interface {
+	Reserve(ctx context.Context, r ledger.Reservation) (release func(used int), err error)
+}
+
 // Config names the daemon's place.
 type Config struct {
 	Region     string
@@ -55,6 +63,7 @@
 	Routes  Routes
 	Servers servers.View
 	Client  *upstream.Client
+	Budgets Budgets
 	Metrics *metrics.Set
 	Log     log.Interface
 }
@@ -111,6 +120,10 @@
 	// run it.
 	tried map[string]bool
 	ran   int
+	// events is the number of events that the caller got, lastEvent the
+	// identifier of the last one.
+	events    int
+	lastEvent string
 }
 
 // admit decodes a request and finds its route.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -25,6 +25,12 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	release, err := g.reserve(ctx, j)
+	if err != nil {
+		g.fail(w, r, j, err)
+		return
+	}
+	defer release()
 	for {
 		server, answer, err := g.send(ctx, j)
 		if err != nil {
@@ -32,7 +38,7 @@
 			return
 		}
 		var again bool
-		if j.route.Kind == structs.Stream {
+		if isEventStream(answer) {
 			again, err = g.passStream(w, j, server, answer)
 		} else {
 			again, err = g.passWhole(w, j, server, answer)
@@ -135,12 +141,7 @@
 		return true, err
 	}
 	g.tracker.answered(server.Name)
-	header := w.Header()
-	for name, values := range g.Dialect.AnswerHeader(answer.Header) {
-		header[name] = values
-	}
-	suppressDefaults(header)
-	w.WriteHeader(answer.Status)
+	g.writeHead(w, answer)
 	_, _ = w.Write(body)
 	return false, nil
 }
@@ -154,42 +155,6 @@
 	}
 }
 
-// streamBufferBytes holds a few events of a stream.
-const streamBufferBytes = 4 << 10
-
-// passStream passes a stream on as it arrives. A break after the first byte ends
-// the caller's connection, so that the answer does not look complete.
-func (g *Gateway) passStream(w http.ResponseWriter, j *job, server structs.Server, answer *upstream.Answer) (bool, error) {
-	defer g.tracker.done(server.Name)
-	defer answer.Close()
-	header := w.Header()
-	for name, values := range g.Dialect.AnswerHeader(answer.Header) {
-		header[name] = values
-	}
-	suppressDefaults(header)
-	w.WriteHeader(answer.Status)
-	control := http.NewResponseController(w)
-	buffer := make([]byte, streamBufferBytes)
-	for {
-		n, err := answer.Read(buffer)
-		if n > 0 {
-			if _, failed := w.Write(buffer[:n]); failed != nil {
-				panic(http.ErrAbortHandler)
-			}
-			_ = control.Flush()
-		}
-		if err == io.EOF {
-			g.tracker.answered(server.Name)
-			return false, nil
-		}
-		if err != nil {
-			g.tracker.failed(server.Name, time.Now())
-			g.Log.WithError(err).WithField("request", j.ID).WithField("server", server.Name).Info("stream broke")
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
 // fail answers a request that got no answer of a server.
 func (g *Gateway) fail(w http.ResponseWriter, r *http.Request, j *job, err error) {
 	failure := verdict.From(err)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
 
+	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/fake/testbed"
 	"ibisline/internal/gateway"
 	"ibisline/internal/routes"
@@ -38,6 +39,9 @@
 	mu      sync.Mutex
 	table   *routes.Table
 	servers map[string][]structs.Server
+	// refuse is what Reserve returns, used what was released.
+	refuse error
+	used   []int
 }
 
 // The services and routes of the tests.
@@ -93,6 +97,7 @@
 		Routes:  w,
 		Servers: w,
 		Client:  w.backend,
+		Budgets: w,
 		Metrics: set,
 		Log:     testbed.NoLog(),
 	})
@@ -157,6 +162,20 @@
 // Loaded implements servers.View.
 func (w *world) Loaded() bool { return true }
 
+// Reserve implements gateway.Budgets.
+func (w *world) Reserve(_ context.Context, r ledger.Reservation) (func(int), error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.refuse != nil {
+		return nil, w.refuse
+	}
+	return func(used int) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.used = append(w.used, used)
+	}, nil
+}
+
 // add starts a backend server of a service.
 func (w *world) add(service, name string) *platformtest.Runner {
 	w.mu.Lock()
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -89,7 +89,10 @@
 	if !ok {
 		return
 	}
-	for _, addr := range m.config.Seeds {
+	m.mu.Lock()
+	seeds := m.config.Seeds
+	m.mu.Unlock()
+	for _, addr := range seeds {
 		if addr == m.self.PeerAddr {
 			continue
 		}
@@ -97,6 +100,13 @@
 	}
 }
 
+// SetSeeds replaces the seeds.
+func (m *Members) SetSeeds(seeds []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.config.Seeds = seeds
+}
+
 func (m *Members) meet(transport greeter, addr string) {
 	ctx, cancel := context.WithTimeout(m.ctx, meetTimeout)
 	defer cancel()
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -11,6 +11,7 @@
 // snapshot is an immutable state of the view.
 type snapshot struct {
 	live    []structs.Instance
+	all     []structs.Instance
 	known   map[string]structs.Instance // live or leaving
 	servers []structs.Server
 	owners  map[string]*rendezvous.Rendezvous // by region, "" for all
@@ -26,6 +27,7 @@
 		changed: make(chan struct{}),
 	}
 	for _, member := range machine.Members() {
+		s.all = append(s.all, member.Instance)
 		if member.Status != gossip.Dead {
 			s.known[member.Instance.Name] = member.Instance
 		}
@@ -106,3 +108,6 @@
 		Digest:  m.machine.Digest(),
 	}
 }
+
+// Known returns all daemons that this one remembers, dead and leaving ones included.
+func (m *Members) Known() []structs.Instance { return m.snapshot.Load().all }
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -9,6 +9,8 @@
 	"github.com/go-faster/errors"
 	"github.com/go-playground/validator/v10"
 	"github.com/pelletier/go-toml/v2"
+
+	"ibisline/internal/structs"
 )
 
 // Load reads and checks the settings file at path.
@@ -36,9 +38,12 @@
 	if err := check(loaded); err != nil {
 		return Settings{}, err
 	}
-	if loaded.Instance.Duty == DutyGateway && loaded.Gateway.Listen == "" {
+	if loaded.Instance.Duty == structs.DutyGateway && loaded.Gateway.Listen == "" {
 		return Settings{}, errors.New("gateway.listen is nothing; allowed: IP:port, with the duty gateway")
 	}
+	if loaded.Instance.Duty == structs.DutyKeeper && loaded.Keeper.DataDir == "" {
+		return Settings{}, errors.New("keeper.data_dir is nothing; allowed: a folder, with the duty keeper")
+	}
 	return loaded, nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 	Home     Home     `toml:"home"`
 	Dispatch Dispatch `toml:"dispatch"`
 	Gateway  Gateway  `toml:"gateway"`
+	Keeper   Keeper   `toml:"keeper"`
 	Stop     Stop     `toml:"stop"`
 }
 
@@ -35,12 +36,9 @@
 	MemoryMB int `toml:"memory_mb" validate:"min=0,max=1048576" allowed:"0 to 1048576"`
 }
 
-// Duties of a daemon.
-const (
-	DutyPrograms = "programs"
-	DutyGateway  = "gateway"
-	DutyKeeper   = "keeper"
-)
+// DutyPrograms is the duty of a daemon that serves programs by the product's own
+// interface.
+const DutyPrograms = "programs"
 
 // Platform says how the object API is reached.
 type Platform struct {
@@ -124,6 +122,14 @@
 	Regions map[string]string `toml:"regions"`
 }
 
+// Keeper sets the journal of an instance with a disk.
+type Keeper struct {
+	DataDir string `toml:"data_dir"`
+	// FirstStart says that the whole fleet starts for the first time, so that an
+	// empty journal lacks nothing.
+	FirstStart bool `toml:"first_start"`
+}
+
 // Stop sets the planned stop.
 type Stop struct {
 	// DrainLimit bounds the whole planned stop.
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -89,8 +89,16 @@
 	State    string `json:"state" msgpack:"s"`
 	// Incarnation rises with each start of the daemon.
 	Incarnation uint64 `json:"incarnation,omitempty" msgpack:"i,omitempty"`
+	// Duty is what the daemon does; empty for one that serves programs.
+	Duty string `json:"duty,omitempty" msgpack:"u,omitempty"`
 }
 
+// Duties of a daemon on a users' platform.
+const (
+	DutyGateway = "gateway"
+	DutyKeeper  = "keeper"
+)
+
 // Kinds of backend servers.
 const (
 	KindEngine  = "engine"
--- a/internal/upstream/answer.go
+++ b/internal/upstream/answer.go
@@ -38,6 +38,9 @@
 	return n, broken(a.ctx, err)
 }
 
+// Whole reports whether the body was read to its end.
+func (a *Answer) Whole() bool { return a.whole }
+
 // Close keeps the connection for another request if the answer was read to its
 // end and nothing speaks against it, and closes it otherwise.
 func (a *Answer) Close() {
