--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -24,9 +24,7 @@
 	return s.acquire(ctx)
 }
 
-// acquire fences the journals that can be reached. With none of them the shard is
-// held too: then every total is written to the platform, where a home that has
-// lost the shard finds out.
+// acquire fences the journals that can be reached, at least one.
 func (s *shard) acquire(ctx context.Context) error {
 	self := s.home.fleet.Self().Name
 	s.mu.Lock()
@@ -40,6 +38,9 @@
 			number = highest + 1
 			continue
 		}
+		if len(replies) == 0 {
+			return unwritten(errNoJournal)
+		}
 		s.take(fence, replies)
 		return nil
 	}
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -3,12 +3,15 @@
 // that decides about its turns; see package ledger for what it promises and how.
 //
 // Before a home decides about a shard of programs it fences the journals of all
-// keepers and takes over what is written there. A former home, however late it
-// learns, can write nothing more, and what it granted before is written down. Where
-// a journal cannot be read, the programs that may stand in it are taken to have
-// used the half of their budget that journals may cover, and go on with records at
-// the platform. Those are written under the object's version, so that of two homes
-// one learns that it was replaced.
+// keepers and takes over what is written there. Every total is appended to a journal
+// before it is granted, so that a former home, however late it learns, can grant
+// nothing more, and what it granted before is known.
+//
+// A total beyond half of the budget is first written to a record at the platform,
+// under the object's version, so that of two homes one learns that it was replaced.
+// The records are for the loss of a journal: where one cannot be read, unknown
+// programs are taken to have used the half that journals alone may cover, and go on
+// with records. While all journals can be read, a takeover needs no platform.
 package allowance
 
 import (
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -105,7 +105,7 @@
 
 // Reserve decides about a reservation. certain is set when all that earlier homes
 // wrote down has been inherited. With Journal and Record the reservation is held
-// until Covered or Release, and the total to write down is returned.
+// until Confirm or Release, and the total to write down is returned.
 func (l *Ledger) Reserve(r Reservation, certain bool, now time.Time) (Decision, int) {
 	p := l.programs[r.Program]
 	if p == nil {
@@ -164,11 +164,23 @@
 	return Record, max(total, total+(p.limit(r)-total)/2)
 }
 
-// Covered notes that a total was written down.
-func (l *Ledger) Covered(name string, total int) {
-	if p := l.programs[name]; p != nil {
-		p.covered = max(p.covered, total)
+// Confirm grants a held reservation after its total was written down. It returns
+// false, and ends the reservation, when what was learned meanwhile has used the
+// budget up.
+func (l *Ledger) Confirm(r Reservation, total int) bool {
+	p := l.programs[r.Program]
+	if p == nil {
+		return false
+	}
+	if _, held := p.open[r.ID]; !held {
+		return false
+	}
+	p.covered = max(p.covered, total)
+	if p.total() > p.limit(r) {
+		delete(p.open, r.ID)
+		return false
 	}
+	return true
 }
 
 // Release ends a reservation. Used is what the turn generated.
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -130,6 +130,30 @@
 	return err
 }
 
+// recordLoaded reports whether the record is known here.
+func (s *shard) recordLoaded(fence journal.Fence) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held && s.fence == fence && s.record.loaded
+}
+
+// readRecord reads the record in the course of a reservation, which is withdrawn
+// first.
+func (s *shard) readRecord(ctx context.Context, fence journal.Fence, r ledger.Reservation) error {
+	s.withdraw(fence, r)
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
+	defer cancel()
+	err := s.loadRecord(ctx, fence)
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, errReplaced):
+		return s.notHome()
+	default:
+		return unwritten(err)
+	}
+}
+
 // key is the shard's object.
 func (s *shard) key() string { return RecordPrefix + strconv.Itoa(s.number) }
 
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -101,54 +101,90 @@
 	if err := s.ensureHeld(ctx); err != nil {
 		return reserveReply{}, err
 	}
-	now := time.Now()
-	s.mu.Lock()
-	if !s.held {
-		s.mu.Unlock()
-		return reserveReply{}, s.notHome()
+	fence, decision, c, err := s.decide(r)
+	if err != nil {
+		return reserveReply{}, err
+	}
+	if decision == ledger.Record && !s.recordLoaded(fence) {
+		// What earlier homes recorded counts before anything more is granted.
+		if err := s.readRecord(ctx, fence, r); err != nil {
+			return reserveReply{}, err
+		}
+		if fence, decision, c, err = s.decide(r); err != nil {
+			return reserveReply{}, err
+		}
 	}
-	fence := s.fence
-	decision, total := s.ledger.Reserve(r, s.certain(r.Lifetime, now), now)
-	cover := s.ledger.Cover(r.Program, total)
-	s.mu.Unlock()
-
 	switch decision {
 	case ledger.Granted:
 		s.home.granted.Inc()
 		return reserveReply{Granted: true}, nil
 	case ledger.Spent:
-		s.home.spent.Inc()
-		s.home.logger.WithField("request", r.ID).WithField("program", r.Program).WithField("budget", r.Budget).
-			Info("budget spent")
-		return reserveReply{Spent: true}, nil
+		return s.refuse(r), nil
+	}
+	if err := s.cover(ctx, fence, decision, c); err != nil {
+		s.withdraw(fence, r)
+		return reserveReply{}, err
 	}
-	err := s.cover(ctx, fence, decision, cover)
+	return s.confirm(fence, r, c.Total)
+}
+
+// decide asks the ledger, under the fence in force.
+func (s *shard) decide(r ledger.Reservation) (journal.Fence, ledger.Decision, ledger.Cover, error) {
+	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err != nil {
-		if s.fence == fence {
-			s.ledger.Release(r.Program, r.ID, 0)
-		}
-		return reserveReply{}, err
+	if !s.held {
+		return journal.Fence{}, 0, ledger.Cover{}, s.notHome()
 	}
-	if s.fence != fence || !s.held {
+	decision, total := s.ledger.Reserve(r, s.certain(r.Lifetime, now), now)
+	return s.fence, decision, s.ledger.Cover(r.Program, total), nil
+}
+
+// confirm grants a reservation whose total was written down.
+func (s *shard) confirm(fence journal.Fence, r ledger.Reservation, total int) (reserveReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.held || s.fence != fence {
 		return reserveReply{}, s.notHome()
 	}
-	s.ledger.Covered(r.Program, total)
+	if !s.ledger.Confirm(r, total) {
+		return s.refuse(r), nil
+	}
 	s.home.granted.Inc()
 	return reserveReply{Granted: true}, nil
 }
 
-// cover writes a total down, in a journal if that is enough and one can be written.
+// withdraw ends a reservation that was not granted.
+func (s *shard) withdraw(fence journal.Fence, r ledger.Reservation) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held && s.fence == fence {
+		s.ledger.Release(r.Program, r.ID, 0)
+	}
+}
+
+// refuse says that the budget is spent.
+func (s *shard) refuse(r ledger.Reservation) reserveReply {
+	s.home.spent.Inc()
+	s.home.logger.WithField("request", r.ID).WithField("program", r.Program).WithField("budget", r.Budget).Info("budget spent")
+	return reserveReply{Spent: true}
+}
+
+// cover writes a total down: in a record first, where that is needed, and always in
+// a journal. The order is what makes the journals complete: whoever has fenced them
+// all knows every total that was granted, since one that is appended later, to a
+// journal that is fenced, is refused and not granted.
 func (s *shard) cover(ctx context.Context, fence journal.Fence, decision ledger.Decision, c ledger.Cover) error {
-	if decision == ledger.Journal {
-		err := s.append(ctx, fence, c)
-		if err == nil || verdict.HasReason(err, verdict.NotHome) {
+	if decision == ledger.Record {
+		if err := s.writeRecord(ctx, fence, c); err != nil {
 			return err
 		}
-		s.home.logger.WithError(err).WithField("shard", s.number).Warn("no journal takes a total, writing a record")
 	}
-	return s.writeRecord(ctx, fence, c)
+	err := s.append(ctx, fence, c)
+	if err == nil || verdict.HasReason(err, verdict.NotHome) {
+		return err
+	}
+	return unwritten(err)
 }
 
 // notHome refuses a request that another daemon has to decide.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -36,6 +36,20 @@
 	Servers       servers.Decoder
 }
 
+// version returns the revision that the program was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, setting := range info.Settings {
+		if setting.Key == "vcs.revision" {
+			return setting.Value
+		}
+	}
+	return info.Main.Version
+}
+
 // memoryShare is the part of the memory limit that the Go heap may fill before
 // the collector runs without pause; the rest is for stacks and buffers.
 const memoryShare = 0.7
@@ -70,6 +84,8 @@
 		return err
 	}
 	logging.CaptureLogx(logger)
+	logger.WithField("instance", s.Instance.Name).WithField("duty", s.Instance.Duty).WithField("data_centre", s.Instance.DataCentre).
+		WithField("version", version()).Info("starting")
 	limit := s.Stop.DrainLimit.Std()
 	limitMemory(s.Instance.MemoryMB)
 	proc.Setup(proc.ShutdownConf{WrapUpTime: limit + forceQuitMargin, WaitTime: limit + 2*forceQuitMargin})
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -158,12 +158,9 @@
 		return
 	}
 	counter.Add(len(accepted))
-	for _, c := range accepted {
-		f.logger.WithField("object", c.Name).WithField("version", c.Version).
-			WithField("removed", c.Value == nil).WithField("from", from).Info("object changed")
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.log(accepted, from)
 	for _, c := range accepted {
 		f.newest = max(f.newest, c.Version)
 	}
@@ -171,6 +168,18 @@
 	f.changed = make(chan struct{})
 }
 
+// log reports changes, the first listing in one line. The caller holds mu.
+func (f *Feed) log(accepted []Change, from string) {
+	if f.newest == 0 {
+		f.logger.WithField("objects", len(accepted)).WithField("from", from).Info("objects loaded")
+		return
+	}
+	for _, c := range accepted {
+		f.logger.WithField("object", c.Name).WithField("version", c.Version).
+			WithField("removed", c.Value == nil).WithField("from", from).Info("object changed")
+	}
+}
+
 // State is the dump of a feed.
 type State struct {
 	Prefix   string           `json:"prefix"`
