--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -21,18 +21,24 @@
 	if s.holds() {
 		return nil
 	}
-	return s.acquire(ctx)
+	return s.acquire(context.WithoutCancel(ctx), nil)
 }
 
-// acquire fences the journals that can be reached, at least one.
-func (s *shard) acquire(ctx context.Context) error {
-	self := s.home.fleet.Self().Name
+// acquireTries bounds the numbers that are tried in one acquisition.
+const acquireTries = 4
+
+// acquire fences the journals that can be reached, at least one. Handed is what the
+// former home said on leaving, nil if it did not.
+func (s *shard) acquire(ctx context.Context, handed *handover) error {
 	s.mu.Lock()
 	number := max(time.Now().UnixMilli(), s.highest+1)
 	s.mu.Unlock()
+	if handed != nil {
+		number = max(number, handed.Fence.Number+1)
+	}
 	for range acquireTries {
-		fence := journal.Fence{Shard: s.number, Number: number, Home: self}
-		replies := s.fenceAll(context.WithoutCancel(ctx), fence, s.home.keepers())
+		fence := journal.Fence{Shard: s.number, Number: number, Home: s.home.fleet.Self().Name}
+		replies := s.fenceAll(ctx, fence, s.home.keepers())
 		if highest := highestOther(replies, fence); highest >= number {
 			// Somebody was faster, or this clock is behind.
 			number = highest + 1
@@ -41,15 +47,13 @@
 		if len(replies) == 0 {
 			return unwritten(errNoJournal)
 		}
-		s.take(fence, replies)
+		s.take(fence, replies, handed)
+		s.resolve(ctx, fence)
 		return nil
 	}
 	return s.notHome()
 }
 
-// acquireTries bounds the numbers that are tried in one acquisition.
-const acquireTries = 4
-
 // highestOther returns the highest number among fences that stand in the way.
 func highestOther(replies map[string]fenceReply, fence journal.Fence) int64 {
 	var highest int64
@@ -61,8 +65,9 @@
 	return highest
 }
 
-// take starts the shard anew with what the journals hold.
-func (s *shard) take(fence journal.Fence, replies map[string]fenceReply) {
+// take starts the shard anew with what the journals hold, or with what the former
+// home has handed over, if no other came between.
+func (s *shard) take(fence journal.Fence, replies map[string]fenceReply, handed *handover) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
@@ -71,16 +76,26 @@
 	s.fence = fence
 	s.successor = ""
 	s.highest = fence.Number
-	covers := 0
 	for keeper, reply := range replies {
-		s.journals[keeper] = journalState{fenced: true, born: reply.Born}
-		s.ledger.Inherit(reply.Covers)
-		covers += len(reply.Covers)
+		s.journals[keeper] = journalState{
+			fenced: true, born: reply.Born, began: reply.Born, incarnation: s.home.incarnation(keeper),
+		}
+		s.before = max(s.before, reply.Before.Number)
+	}
+	direct := handed != nil && s.before <= handed.Fence.Number
+	if direct {
+		s.ledger.Inherit(handed.Totals)
+		s.complete = handed.Complete
+		s.basis = handed.Basis
+	}
+	if !direct || !handed.Complete {
+		for _, reply := range replies {
+			s.ledger.Inherit(reply.Covers)
+		}
 	}
 	s.home.fences.Inc()
 	s.home.logger.WithField("shard", s.number).WithField("fence", fence.Number).WithField("journals", len(replies)).
-		WithField("programs", covers).WithField("certain", s.certain(time.Minute, time.Now())).
-		Info("budgets of a shard taken over")
+		WithField("handed_over", direct).WithField("complete", s.isComplete(time.Now())).Info("budgets of a shard taken over")
 }
 
 // fenceAll fences a shard in several journals at once and returns the replies.
@@ -133,24 +148,25 @@
 		return
 	}
 	for _, keeper := range missing {
-		reply, answered := replies[keeper.Name]
-		if !answered {
-			continue
+		if reply, answered := replies[keeper.Name]; answered {
+			s.note(keeper, reply)
 		}
-		s.note(keeper.Name, reply)
-		s.home.logger.WithField("shard", s.number).WithField("keeper", keeper.Name).WithField("programs", len(reply.Covers)).
-			Info("journal fenced later")
 	}
 }
 
 // sortJournals returns the fence in force, and the live keepers whose journals are
-// not fenced and those whose journals are.
+// not fenced and those whose journals are. A keeper that has started again may have
+// lost its disk, and has to be fenced anew. Without the shard it returns none.
 func (s *shard) sortJournals() (fence journal.Fence, missing, fenced []structs.Instance) {
 	keepers := s.home.keepers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.held {
+		return s.fence, nil, nil
+	}
 	for _, keeper := range keepers {
-		if s.journals[keeper.Name].fenced {
+		state := s.journals[keeper.Name]
+		if state.fenced && state.incarnation == keeper.Incarnation {
 			fenced = append(fenced, keeper)
 		} else {
 			missing = append(missing, keeper)
@@ -159,19 +175,28 @@
 	return s.fence, missing, fenced
 }
 
-// note takes over what a journal holds that was fenced later than the others. What
-// a journal lost since this home decides is in the ledger, so that only what it
-// lacked before counts. The caller holds mu.
-func (s *shard) note(keeper string, reply fenceReply) {
-	known, read := s.journals[keeper]
-	born := reply.Born
+// note takes over what a journal holds that was fenced later than the others. One
+// that had this home's fence and has it no more has lost what was written to it. The
+// caller holds mu.
+func (s *shard) note(keeper structs.Instance, reply fenceReply) {
+	known, read := s.journals[keeper.Name]
+	next := journalState{fenced: true, born: reply.Born, began: reply.Born, incarnation: keeper.Incarnation}
+	if read && reply.Before.Number != s.fence.Number {
+		next.lost = true
+	}
 	if read {
-		born = known.born
-	} else if time.UnixMilli(born).After(s.since) {
-		born = 0
+		next.lost = next.lost || known.lost
+		next.born = known.born
+	} else if time.UnixMilli(reply.Born).After(s.since) {
+		// It began after this home did, so that it lacks nothing of before.
+		next.born = 0
+	}
+	s.journals[keeper.Name] = next
+	if reply.Before.Number != s.fence.Number {
+		s.ledger.Inherit(reply.Covers)
 	}
-	s.journals[keeper] = journalState{fenced: true, born: born}
-	s.ledger.Inherit(reply.Covers)
+	s.home.logger.WithField("shard", s.number).WithField("keeper", keeper.Name).WithField("programs", len(reply.Covers)).
+		WithField("lost", next.lost).Info("journal fenced later")
 }
 
 // keepers returns the live daemons with a journal.
@@ -185,6 +210,16 @@
 	return all
 }
 
+// incarnation returns that of a live keeper.
+func (h *Home) incarnation(name string) uint64 {
+	for _, keeper := range h.keepers() {
+		if keeper.Name == name {
+			return keeper.Incarnation
+		}
+	}
+	return 0
+}
+
 // reviewKeepers notes since when keepers have been missing.
 func (h *Home) reviewKeepers(now time.Time) {
 	live := map[string]bool{}
@@ -212,25 +247,3 @@
 	since, missing := h.missing[name]
 	return missing && now.Sub(since) >= d
 }
-
-// certain reports whether all that earlier homes wrote down about programs of the
-// given lifetime is known here. The caller holds mu.
-func (s *shard) certain(lifetime time.Duration, now time.Time) bool {
-	if !s.home.fleet.Listed() || len(s.journals) == 0 {
-		return false
-	}
-	for _, instance := range s.home.fleet.Known() {
-		if instance.Duty != structs.DutyKeeper {
-			continue
-		}
-		read, known := s.journals[instance.Name]
-		if known && time.UnixMilli(read.born).Add(lifetime).Before(now) {
-			continue
-		}
-		if !known && s.home.goneFor(instance.Name, lifetime, now) {
-			continue
-		}
-		return false
-	}
-	return true
-}
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"context"
 	"slices"
 	"strconv"
 	"time"
@@ -25,6 +26,7 @@
 	"ibisline/internal/allowance/journal"
 	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/defaults"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
 )
 
@@ -34,6 +36,7 @@
 	methodRelease = "allowance.release"
 	methodFence   = "allowance.fence"
 	methodAppend  = "allowance.append"
+	methodTake    = "allowance.take"
 )
 
 // Defaults of Config.
@@ -43,20 +46,29 @@
 	// asked to take its place: several times the way between regions and a
 	// sync of a disk.
 	DefaultReserveTimeout = 200 * time.Millisecond
-	// DefaultReserveLimit bounds the whole search for a home that grants.
-	DefaultReserveLimit = 700 * time.Millisecond
+	// DefaultPendingAfter is the time after which a home says that its decision
+	// takes longer, so that nobody takes it for dead.
+	DefaultPendingAfter = 80 * time.Millisecond
+	// DefaultReserveLimit bounds the whole search for a home that grants: less
+	// than half of the time that callers usually wait.
+	DefaultReserveLimit = 1200 * time.Millisecond
 	// DefaultFenceTimeout bounds the fencing of one journal.
 	DefaultFenceTimeout = 150 * time.Millisecond
 	// DefaultAppendTimeout is the wait for one journal before the next is asked.
 	DefaultAppendTimeout = 80 * time.Millisecond
 	// DefaultRecordTimeout bounds one write of a record to the platform.
-	DefaultRecordTimeout = 600 * time.Millisecond
+	DefaultRecordTimeout = time.Second
 	// DefaultRecordInterval is the shortest time between two records of a shard,
 	// so that many programs share one call to the platform.
 	DefaultRecordInterval = 150 * time.Millisecond
 	// DefaultUpkeepInterval is the time between two looks at what has expired
 	// and at journals that are not fenced yet.
 	DefaultUpkeepInterval = 500 * time.Millisecond
+	// DefaultRebaseAfter is how long a keeper is missing before its homes write
+	// elsewhere what stands in its journal.
+	DefaultRebaseAfter = 500 * time.Millisecond
+	// DefaultLifetime is the least time for which programs are remembered.
+	DefaultLifetime = time.Minute
 	// DefaultStandAside is how long a home that was replaced sends requests to
 	// the one that replaced it.
 	DefaultStandAside = 10 * time.Second
@@ -67,6 +79,9 @@
 type Config struct {
 	Shards         int
 	ReserveTimeout time.Duration
+	PendingAfter   time.Duration
+	RebaseAfter    time.Duration
+	Lifetime       time.Duration
 	ReserveLimit   time.Duration
 	FenceTimeout   time.Duration
 	AppendTimeout  time.Duration
@@ -79,6 +94,9 @@
 func (c Config) withDefaults() Config {
 	defaults.Set(&c.Shards, DefaultShards)
 	defaults.Set(&c.ReserveTimeout, DefaultReserveTimeout)
+	defaults.Set(&c.PendingAfter, DefaultPendingAfter)
+	defaults.Set(&c.RebaseAfter, DefaultRebaseAfter)
+	defaults.Set(&c.Lifetime, DefaultLifetime)
 	defaults.Set(&c.ReserveLimit, DefaultReserveLimit)
 	defaults.Set(&c.FenceTimeout, DefaultFenceTimeout)
 	defaults.Set(&c.AppendTimeout, DefaultAppendTimeout)
@@ -89,6 +107,12 @@
 	return c
 }
 
+// Store holds the records. Its errors are those of objectapi.Store.
+type Store interface {
+	Get(ctx context.Context, key string) (objectapi.Object, error)
+	Put(ctx context.Context, key string, value []byte, expected int64) (int64, error)
+}
+
 // Fleet is what the homes need to know of the other daemons.
 type Fleet interface {
 	Self() structs.Instance
@@ -107,11 +131,13 @@
 	Skipped     []string           `msgpack:"s,omitempty"`
 }
 
-// reserveReply is a home's decision. Home names the daemon to ask instead when the
+// reserveReply is a home's decision. Pending says that the decision takes longer and
+// follows. Home names the daemon to ask instead when the
 // one that was asked is not the home.
 type reserveReply struct {
 	Granted bool   `msgpack:"g,omitempty"`
 	Spent   bool   `msgpack:"s,omitempty"`
+	Pending bool   `msgpack:"p,omitempty"`
 	Home    string `msgpack:"h,omitempty"`
 }
 
@@ -123,9 +149,10 @@
 }
 
 // fenceReply answers the fencing of a shard in a journal. Held is the fence that
-// stands, the asker's own if it was accepted.
+// stands, the asker's own if it was accepted, and Before the one that it replaced.
 type fenceReply struct {
 	Held   journal.Fence  `msgpack:"h"`
+	Before journal.Fence  `msgpack:"f,omitempty"`
 	Covers []ledger.Cover `msgpack:"c,omitempty"`
 	// Born is the time since when the journal lacks nothing, 0 for always.
 	Born int64 `msgpack:"b,omitempty"`
@@ -143,6 +170,15 @@
 	Held    journal.Fence `msgpack:"h,omitempty"`
 }
 
+// handover gives a shard to the next home, when a home leaves as planned. Complete
+// says that Totals lacks no program, Basis names the journals in use.
+type handover struct {
+	Fence    journal.Fence    `msgpack:"f"`
+	Totals   []ledger.Cover   `msgpack:"t,omitempty"`
+	Complete bool             `msgpack:"c,omitempty"`
+	Basis    map[string]int64 `msgpack:"b,omitempty"`
+}
+
 // done is the reply to a message that needs none.
 type done struct{}
 
--- a/internal/allowance/append.go
+++ b/internal/allowance/append.go
@@ -20,7 +20,7 @@
 // reason NotHome means that another home has fenced the shard.
 func (s *shard) append(ctx context.Context, fence journal.Fence, c ledger.Cover) error {
 	for _, keeper := range s.nearestJournals() {
-		reply, err := s.appendTo(ctx, keeper, fence, c)
+		reply, err := s.appendTo(ctx, keeper, fence, []ledger.Cover{c})
 		if err == nil && reply.Held.Number > fence.Number {
 			s.drop(fence, reply.Held.Home, reply.Held.Number)
 			return s.notHome()
@@ -47,16 +47,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	state := s.journals[keeper]
-	state.fenced = false
+	state.fenced, state.lost = false, true
 	s.journals[keeper] = state
 	s.home.logger.WithField("shard", s.number).WithField("keeper", keeper).Warn("journal has lost its fence")
 }
 
-func (s *shard) appendTo(ctx context.Context, keeper string, fence journal.Fence, c ledger.Cover) (appendReply, error) {
+func (s *shard) appendTo(ctx context.Context, keeper string, fence journal.Fence, covers []ledger.Cover) (appendReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.home.config.AppendTimeout)
 	defer cancel()
 	var reply appendReply
-	err := peer.Call(ctx, s.home.dialer, keeper, methodAppend, appendRequest{Fence: fence, Covers: []ledger.Cover{c}}, &reply)
+	err := peer.Call(ctx, s.home.dialer, keeper, methodAppend, appendRequest{Fence: fence, Covers: covers}, &reply)
 	return reply, err
 }
 
@@ -70,7 +70,7 @@
 	defer s.mu.Unlock()
 	var names []string
 	for _, keeper := range keepers {
-		if s.journals[keeper.Name].fenced {
+		if s.journals[keeper.Name].fenced && s.inBasis(keeper.Name) {
 			names = append(names, keeper.Name)
 		}
 	}
--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -148,11 +148,26 @@
 	if home == c.fleet.Self().Name {
 		return c.local.Reserve(ctx, request)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.config.ReserveTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var reply reserveReply
-	err := peer.Call(ctx, c.dialer, home, methodReserve, request, &reply)
-	return reply, err
+	// The watchdog ends the wait for a home that says nothing at all.
+	watchdog := time.AfterFunc(c.config.ReserveTimeout, cancel)
+	defer watchdog.Stop()
+	s, err := c.dialer.Open(ctx, home, methodReserve)
+	if err != nil {
+		return reserveReply{}, err
+	}
+	defer s.Close()
+	if err := s.Send(request); err != nil {
+		return reserveReply{}, err
+	}
+	for {
+		var reply reserveReply
+		if err := s.Recv(&reply); err != nil || !reply.Pending {
+			return reply, err
+		}
+		watchdog.Stop()
+	}
 }
 
 // releaseTimeout bounds the message that ends a reservation. When it is lost, the
--- a/internal/allowance/home.go
+++ b/internal/allowance/home.go
@@ -9,7 +9,6 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/allowance/ledger"
-	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
 )
 
@@ -19,7 +18,7 @@
 	config Config
 	fleet  Fleet
 	dialer peer.Dialer
-	store  objectapi.Store
+	store  Store
 	logger log.Interface
 
 	mu     sync.Mutex
@@ -36,7 +35,7 @@
 }
 
 // NewHome returns a home without shards and registers its methods with mux.
-func NewHome(config Config, fleet Fleet, dialer peer.Dialer, mux peer.Mux, store objectapi.Store, set *metrics.Set, logger log.Interface) *Home {
+func NewHome(config Config, fleet Fleet, dialer peer.Dialer, mux peer.Mux, store Store, set *metrics.Set, logger log.Interface) *Home {
 	h := &Home{
 		config:  config.withDefaults(),
 		fleet:   fleet,
@@ -54,6 +53,7 @@
 	}
 	mux.Handle(methodReserve, h.serveReserve)
 	mux.Handle(methodRelease, h.serveRelease)
+	mux.Handle(methodTake, h.serveTake)
 	return h
 }
 
@@ -143,13 +143,38 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	reply, err := h.Reserve(ctx, request)
+	reply, err := h.decideBy(ctx, request, s)
 	if err != nil {
 		return err
 	}
 	return s.Send(reply)
 }
 
+// decideBy decides, and says on the way that it takes longer if it does.
+func (h *Home) decideBy(ctx context.Context, request reserveRequest, s peer.Stream) (reserveReply, error) {
+	type outcome struct {
+		reply reserveReply
+		err   error
+	}
+	decided := make(chan outcome, 1)
+	go func() {
+		reply, err := h.Reserve(ctx, request)
+		decided <- outcome{reply, err}
+	}()
+	timer := time.NewTimer(h.config.PendingAfter)
+	defer timer.Stop()
+	select {
+	case o := <-decided:
+		return o.reply, o.err
+	case <-timer.C:
+	}
+	if err := s.Send(reserveReply{Pending: true}); err != nil {
+		return reserveReply{}, err
+	}
+	o := <-decided
+	return o.reply, o.err
+}
+
 // Release ends a reservation.
 func (h *Home) Release(request releaseRequest) {
 	h.shard(h.config.shardOf(request.Program)).release(request)
@@ -166,11 +191,12 @@
 
 // ShardState is the dump of a shard.
 type ShardState struct {
-	Shard   int            `json:"shard"`
-	Held    bool           `json:"held"`
-	Fence   int64          `json:"fence"`
-	Certain bool           `json:"certain"`
-	Usages  []ledger.Usage `json:"programs"`
+	Shard    int              `json:"shard"`
+	Held     bool             `json:"held"`
+	Fence    int64            `json:"fence"`
+	Complete bool             `json:"complete"`
+	Journals map[string]int64 `json:"journals,omitempty"`
+	Usages   []ledger.Usage   `json:"programs"`
 }
 
 // Dump returns the states of all shards.
--- a/internal/allowance/journal/journal.go
+++ b/internal/allowance/journal/journal.go
@@ -159,8 +159,8 @@
 	return s
 }
 
-// Take fences a shard and returns what was written about it. ErrFenced comes with
-// the fence that stands in the way.
+// Take fences a shard and returns the fence before and what was written about it.
+// ErrFenced comes with the fence that stands in the way.
 func (j *Journal) Take(f Fence, now time.Time) (Fence, []ledger.Cover, error) {
 	j.mu.Lock()
 	s := j.shard(f.Shard)
@@ -169,6 +169,7 @@
 		j.mu.Unlock()
 		return held, nil, ErrFenced
 	}
+	before := s.fence
 	s.fence = f
 	covers := make([]ledger.Cover, 0, len(s.covers))
 	for name, c := range s.covers {
@@ -180,7 +181,30 @@
 	}
 	done := j.add(record{Fence: &f})
 	j.mu.Unlock()
-	return f, covers, <-done
+	return before, covers, <-done
+}
+
+// Shards returns the fences of the shards about which something is written down.
+func (j *Journal) Shards(now time.Time) []Fence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var fences []Fence
+	for _, s := range j.shards {
+		for _, c := range s.covers {
+			if c.Expires > now.UnixMilli() {
+				fences = append(fences, s.fence)
+				break
+			}
+		}
+	}
+	return fences
+}
+
+// Used reports whether any home has written here.
+func (j *Journal) Used() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.shards) > 0
 }
 
 // Append writes covers of a shard down. They are durable when it returns nil.
@@ -379,21 +403,6 @@
 	return folder.Sync()
 }
 
-// Everything returns all that is written down, for an instance that is emptied.
-func (j *Journal) Everything(now time.Time) map[int][]ledger.Cover {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	all := map[int][]ledger.Cover{}
-	for number, s := range j.shards {
-		for _, c := range s.covers {
-			if c.Expires > now.UnixMilli() {
-				all[number] = append(all[number], c)
-			}
-		}
-	}
-	return all
-}
-
 // Close closes the file.
 func (j *Journal) Close() error {
 	j.mu.Lock()
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -9,19 +9,23 @@
 
 	"ibisline/internal/allowance/journal"
 	"ibisline/internal/peer"
+	"ibisline/internal/verdict"
 )
 
 // Keeper serves the journal of an instance with a disk to the homes. It is a
 // kernel service.
 type Keeper struct {
 	journal *journal.Journal
+	listed  func() bool
 	logger  log.Interface
 	retry   time.Duration
 }
 
-// NewKeeper registers the methods of a journal with mux.
-func NewKeeper(j *journal.Journal, mux peer.Mux, logger log.Interface) *Keeper {
-	k := &Keeper{journal: j, logger: logger, retry: diskRetry}
+// NewKeeper registers the methods of a journal with mux. Listed reports whether the
+// platform's list of daemons names this one: homes must be able to learn of every
+// journal that is in use.
+func NewKeeper(j *journal.Journal, listed func() bool, mux peer.Mux, logger log.Interface) *Keeper {
+	k := &Keeper{journal: j, listed: listed, logger: logger, retry: diskRetry}
 	mux.Handle(methodFence, k.serveFence)
 	mux.Handle(methodAppend, k.serveAppend)
 	return k
@@ -46,19 +50,27 @@
 	}
 }
 
+// usable reports whether homes may write here. A journal that was in use before has
+// been listed.
+func (k *Keeper) usable() bool { return k.journal.Used() || k.listed() }
+
 func (k *Keeper) serveFence(_ context.Context, s peer.Stream) error {
 	var f journal.Fence
 	if err := s.Recv(&f); err != nil {
 		return err
 	}
-	held, covers, err := k.journal.Take(f, time.Now())
-	if err != nil && !errors.Is(err, journal.ErrFenced) {
+	if !k.usable() {
+		return verdict.Refuse(verdict.Stopping, "the journal is not listed at the platform yet")
+	}
+	before, covers, err := k.journal.Take(f, time.Now())
+	if errors.Is(err, journal.ErrFenced) {
+		return s.Send(fenceReply{Held: before})
+	}
+	if err != nil {
 		k.logger.WithError(err).WithField("shard", f.Shard).Error("fence not written")
 		return err
 	}
-	k.logger.WithField("shard", f.Shard).WithField("home", held.Home).WithField("number", held.Number).
-		WithField("accepted", err == nil).WithField("covers", len(covers)).Debug("shard fenced")
-	return s.Send(fenceReply{Held: held, Covers: covers, Born: k.journal.Born()})
+	return s.Send(fenceReply{Held: f, Before: before, Covers: covers, Born: k.journal.Born()})
 }
 
 func (k *Keeper) serveAppend(_ context.Context, s peer.Stream) error {
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -159,9 +159,9 @@
 		// One turn ahead, so that not every turn has to be written down.
 		return Journal, min(half, total+r.Tokens)
 	}
-	// Half of what is left, so that few records are written and a later home
-	// need not take the whole budget for used.
-	return Record, max(total, total+(p.limit(r)-total)/2)
+	// Two turns ahead, so that few records are written, and no more, so that a
+	// later home need not take the whole budget for used.
+	return Record, max(total, min(p.limit(r), total+2*r.Tokens))
 }
 
 // Confirm grants a held reservation after its total was written down. It returns
@@ -196,6 +196,25 @@
 	p.spent += used
 }
 
+// Totals returns what every program may have used so far, for the next home. With
+// covered set it is what was written down.
+func (l *Ledger) Totals(covered bool, now time.Time) []Cover {
+	var all []Cover
+	for name, c := range l.inherited {
+		if l.programs[name] == nil && c.Expires > now.UnixMilli() {
+			all = append(all, c)
+		}
+	}
+	for name, p := range l.programs {
+		total := p.total()
+		if covered {
+			total = max(total, p.covered)
+		}
+		all = append(all, Cover{Program: name, Total: total, Expires: p.expires.UnixMilli()})
+	}
+	return all
+}
+
 // Cover returns what is written down for a program with a new total.
 func (l *Ledger) Cover(name string, total int) Cover {
 	c := Cover{Program: name, Total: total}
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -24,6 +24,9 @@
 	Home     string         `json:"home"`
 	Sequence int64          `json:"sequence"`
 	Programs []ledger.Cover `json:"programs"`
+	// Journals are the keepers in whose journals all other totals stand, with the
+	// time since when each lacks nothing; nil when any journal may hold some.
+	Journals map[string]int64 `json:"journals,omitempty"`
 }
 
 // recordWriter writes the record of a shard, one write at a time; what comes
@@ -53,7 +56,7 @@
 	if w.pending == nil {
 		w.pending = map[string]ledger.Cover{}
 	}
-	if c.Total >= w.pending[c.Program].Total {
+	if c.Program != "" && c.Total >= w.pending[c.Program].Total {
 		w.pending[c.Program] = c
 	}
 	written := make(chan error, 1)
@@ -77,6 +80,13 @@
 	}
 }
 
+// writeBasis writes which journals are in use, with everything else that is due.
+func (s *shard) writeBasis(ctx context.Context, fence journal.Fence) error {
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
+	defer cancel()
+	return s.writeRecord(ctx, fence, ledger.Cover{})
+}
+
 // writeRecords writes what is pending until nothing is.
 func (s *shard) writeRecords(fence journal.Fence) {
 	for {
@@ -199,6 +209,7 @@
 	}
 	if held.Fence != fence.Number || held.Home != fence.Home {
 		s.ledger.Inherit(held.Programs)
+		s.judge(held)
 	}
 	return nil
 }
@@ -215,7 +226,7 @@
 		}
 	}
 	w.sequence++
-	next := record{Fence: fence.Number, Home: fence.Home, Sequence: w.sequence}
+	next := record{Fence: fence.Number, Home: fence.Home, Sequence: w.sequence, Journals: s.basis}
 	now := time.Now().UnixMilli()
 	for name, c := range w.programs {
 		if c.Expires <= now {
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -27,6 +27,15 @@
 	// from which on this home decides.
 	journals map[string]journalState
 	since    time.Time
+	// before is the highest fence of former homes, complete is set once all that
+	// they granted is known here.
+	before   int64
+	complete bool
+	// basis holds the journals in use, with the time since when each lacks
+	// nothing; nil while all that are fenced may be used. basisWritten is set
+	// once the record names them.
+	basis        map[string]int64
+	basisWritten bool
 	// record is the shard's object at the platform.
 	record recordWriter
 	// successor is the home that replaced this one, until asideUntil.
@@ -39,9 +48,14 @@
 type journalState struct {
 	// fenced is set while the home may write there.
 	fenced bool
-	// born is the time since when the journal lacked nothing when it was read,
-	// in Unix milliseconds; 0 for always.
-	born int64
+	// born is the time since when the journal lacked nothing when it was first
+	// read, in Unix milliseconds, 0 for always; began is the same as of now.
+	born  int64
+	began int64
+	// incarnation is the keeper's start at which it was fenced.
+	incarnation uint64
+	// lost is set when the journal has lost what this home wrote to it.
+	lost bool
 }
 
 func newShard(h *Home, number int) *shard {
@@ -55,6 +69,10 @@
 	s.held = false
 	s.ledger = ledger.New()
 	s.journals = map[string]journalState{}
+	s.before = 0
+	s.complete = false
+	s.basis = nil
+	s.basisWritten = false
 	for _, waiter := range s.record.waiters {
 		waiter <- errReplaced
 	}
@@ -136,7 +154,7 @@
 	if !s.held {
 		return journal.Fence{}, 0, ledger.Cover{}, s.notHome()
 	}
-	decision, total := s.ledger.Reserve(r, s.certain(r.Lifetime, now), now)
+	decision, total := s.ledger.Reserve(r, s.isComplete(now), now)
 	return s.fence, decision, s.ledger.Cover(r.Program, total), nil
 }
 
@@ -203,11 +221,13 @@
 func (s *shard) upkeep(ctx context.Context) {
 	now := time.Now()
 	s.mu.Lock()
-	held := s.held
+	held, fence := s.held, s.fence
 	s.ledger.Expire(now)
 	s.mu.Unlock()
 	if held {
 		s.fenceMissing(ctx)
+		s.resolve(ctx, fence)
+		s.rebase(ctx)
 	}
 }
 
@@ -216,7 +236,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return ShardState{
-		Shard: s.number, Held: s.held, Fence: s.fence.Number, Certain: s.held && s.certain(time.Minute, now),
+		Shard: s.number, Held: s.held, Fence: s.fence.Number, Complete: s.isComplete(now), Journals: s.basis,
 		Usages: s.ledger.Usages(),
 	}
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -14,6 +14,7 @@
 	"ibisline/internal/kernel"
 	"ibisline/internal/logging"
 	"ibisline/internal/member"
+	"ibisline/internal/objectapi/relay"
 	"ibisline/internal/operator"
 	"ibisline/internal/peer"
 	"ibisline/internal/routes"
@@ -129,7 +130,8 @@
 	if err != nil {
 		return err
 	}
-	home := allowance.NewHome(allowance.Config{}, members, transport, transport, p.store, p.metrics, p.log)
+	store := relay.New(p.store, transport, transport, members.Others, p.log)
+	home := allowance.NewHome(allowance.Config{}, members, transport, transport, store, p.metrics, p.log)
 	return p.kernel.Register(serviceBudgets, home)
 }
 
@@ -139,12 +141,16 @@
 	if err != nil {
 		return err
 	}
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
 	s := p.settings.Keeper
 	opened, err := journal.Open(s.DataDir, s.FirstStart, time.Now())
 	if err != nil {
 		return err
 	}
-	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log))
+	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, members.Registered, transport, p.log))
 }
 
 // addGateway adds the service of callers' requests.
@@ -219,7 +225,8 @@
 	if err := p.kernel.Register(serviceAPI, server); err != nil {
 		return err
 	}
-	return p.kernel.Register(serviceStop, &departure{members: members, front: front})
+	home, _ := kernel.Lookup[*allowance.Home](p.kernel, serviceBudgets)
+	return p.kernel.Register(serviceStop, &departure{members: members, front: front, home: home})
 }
 
 // readyHandler answers the balancer.
@@ -236,6 +243,7 @@
 type departure struct {
 	members *member.Members
 	front   *gateway.Server
+	home    *allowance.Home
 }
 
 // Run does nothing until the stop.
@@ -244,11 +252,14 @@
 	return nil
 }
 
-// Drain announces the stop.
-func (d *departure) Drain(context.Context) error {
+// Drain announces the stop and gives the budgets away.
+func (d *departure) Drain(ctx context.Context) error {
 	if d.front != nil {
 		d.front.Leave()
 	}
 	d.members.Leave()
+	if d.home != nil {
+		d.home.HandOver(ctx)
+	}
 	return nil
 }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -87,5 +87,8 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	return errors.Wrap(s.http.Shutdown(ctx), "callers still connected")
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "callers still connected")
+	}
+	return nil
 }
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -18,10 +18,9 @@
 // live: in the platform's list, in which it also enters this daemon, and at the
 // seeds. It ends with the membership.
 func (m *Members) join() {
-	registered := false
 	for {
-		if !registered || m.alone() {
-			if err := m.readList(&registered); err != nil {
+		if !m.registered.Load() || m.alone() {
+			if err := m.readList(); err != nil {
 				m.logger.WithError(err).Info("list of daemons not read, trying the seeds")
 				m.meetSeeds()
 			}
@@ -32,6 +31,9 @@
 	}
 }
 
+// Registered is true once the platform's list names this daemon.
+func (m *Members) Registered() bool { return m.registered.Load() }
+
 // alone is true while no other daemon is known to live.
 func (m *Members) alone() bool {
 	for _, instance := range m.Live() {
@@ -43,7 +45,7 @@
 }
 
 // readList takes the platform's list and adds this daemon to it.
-func (m *Members) readList(registered *bool) error {
+func (m *Members) readList() error {
 	found, _, err := m.list(structs.InstancePrefix)
 	if err != nil {
 		return err
@@ -52,7 +54,7 @@
 	if m.listed.Load() == 0 {
 		m.listed.Store(listCount)
 	}
-	if *registered {
+	if m.registered.Load() {
 		return nil
 	}
 	key := structs.InstancePrefix + m.self.Name
@@ -60,7 +62,7 @@
 		m.logger.WithError(err).Info("own entry not written yet")
 		return nil
 	}
-	*registered = true
+	m.registered.Store(true)
 	return nil
 }
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -46,6 +46,8 @@
 	leave    sync.Once
 	left     atomic.Bool
 	listed   atomic.Int32 // lists of the platform read at least once
+	// registered is set once the platform's list names this daemon.
+	registered atomic.Bool
 	// confirming is the number of requests for confirmation served now.
 	confirming atomic.Int32
 
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -21,17 +21,21 @@
 // newSnapshot copies the state of the machine.
 func newSnapshot(machine *gossip.Machine, servers []structs.Server) *snapshot {
 	s := &snapshot{
-		live:    machine.Live(),
 		known:   map[string]structs.Instance{},
 		servers: servers,
 		changed: make(chan struct{}),
 	}
 	for _, member := range machine.Members() {
+		// The incarnation of the platform's list, or of a rumor, may be an older one.
+		member.Instance.Incarnation = member.Incarnation
 		s.all = append(s.all, member.Instance)
 		if member.Status != gossip.Dead {
 			s.known[member.Instance.Name] = member.Instance
 		}
 	}
+	for _, instance := range machine.Live() {
+		s.live = append(s.live, s.known[instance.Name])
+	}
 	s.owners = ownerTables(s.live)
 	return s
 }
@@ -109,5 +113,16 @@
 	}
 }
 
+// Others returns the names of the live daemons without this one.
+func (m *Members) Others() []string {
+	var names []string
+	for _, instance := range m.Live() {
+		if instance.Name != m.self.Name {
+			names = append(names, instance.Name)
+		}
+	}
+	return names
+}
+
 // Known returns all daemons that this one remembers, dead and leaving ones included.
 func (m *Members) Known() []structs.Instance { return m.snapshot.Load().all }
