Find deaf watches by listings, and hold few of them

Ruled out: stale reads, which are as old as the watch; a listing by every daemon. Change: the daemon that first finds the last known listing too old lists again, and its age spreads with the probes; three daemons hold a watch, the others take changes from peers.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
 	"time"
 
@@ -72,7 +71,7 @@
 		serviceRouteFeed:  p.adapter.RoutesPrefix,
 		serviceServerFeed: p.adapter.ServersPrefix,
 	} {
-		f := feed.New(feed.Config{}, prefix, p.store, transport, transport, p.metrics, p.log)
+		f := feed.New(feed.Config{Rank: members.Rank}, prefix, p.store, transport, transport, p.metrics, p.log)
 		news.feeds[prefix] = f
 		if err := p.kernel.Register(name, f); err != nil {
 			return err
@@ -90,16 +89,28 @@
 	marks := make(member.Marks, len(n.feeds))
 	for prefix, f := range n.feeds {
 		marks[prefix] = f.Mark()
+		if age := f.Age(); age >= 0 {
+			marks[prefix+ageSuffix] = age.Milliseconds()
+		}
 	}
 	return marks
 }
 
+// ageSuffix marks the age of a feed's newest listing, in milliseconds.
+const ageSuffix = "age"
+
 // Learn implements member.News.
 func (n *feedNews) Learn(daemon string, marks member.Marks) {
-	for prefix, mark := range maps.All(marks) {
-		if f, ok := n.feeds[prefix]; ok {
-			f.Learn(context.Background(), daemon, mark)
+	for prefix, f := range n.feeds {
+		mark, told := marks[prefix]
+		if !told {
+			continue
+		}
+		age := time.Duration(-1)
+		if listed, known := marks[prefix+ageSuffix]; known {
+			age = time.Duration(listed) * time.Millisecond
 		}
+		f.Learn(context.Background(), daemon, mark, age)
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -1,8 +1,15 @@
-// Package feed keeps a daemon's copy of the platform objects under one prefix.
-// Each daemon holds a watch of its own; daemons also tell each other the version
-// of the newest change that they have seen, and one that is behind takes the
-// change from a peer. A daemon that the platform does not serve therefore learns
-// as fast as the others. An older state never replaces a newer one.
+// Package feed keeps a daemon's copy of the platform objects under one prefix. An
+// older state never replaces a newer one.
+//
+// A few daemons of the fleet, the first by a hash, hold a watch. All daemons tell
+// each other the version of the newest change that they have seen, and one that is
+// behind takes the change from a peer. So a change costs a few calls to the platform
+// however large the fleet is, and a daemon that the platform does not serve learns of
+// it as well.
+//
+// A watch may be deaf. So the objects are also listed now and then, by whichever
+// daemon first finds the last listing that it knows of too old; they tell each other
+// the age of that, too.
 package feed
 
 import (
@@ -32,6 +39,14 @@
 	DefaultPullAfter = 150 * time.Millisecond
 	// DefaultPullTimeout bounds one question to a peer.
 	DefaultPullTimeout = 500 * time.Millisecond
+	// DefaultWatchers is the number of daemons that hold a watch: one more than
+	// may fail or be turned away at the same time.
+	DefaultWatchers = 3
+	// DefaultVerifyAfter is the age of the last listing at which the first daemon
+	// lists again; each further one waits VerifyStep longer. A change that the
+	// watches miss is in force everywhere a second later.
+	DefaultVerifyAfter = 1200 * time.Millisecond
+	DefaultVerifyStep  = 200 * time.Millisecond
 	// DefaultCoalesce is the shortest time between two watches that brought
 	// changes, so that a series of changes costs one call.
 	DefaultCoalesce = 100 * time.Millisecond
@@ -44,6 +59,12 @@
 	PullAfter    time.Duration
 	PullTimeout  time.Duration
 	Coalesce     time.Duration
+	Watchers     int
+	VerifyAfter  time.Duration
+	VerifyStep   time.Duration
+	// Rank returns the place of this daemon among the live ones for a feed, from
+	// 0 on. The same rank does not fall to two daemons with the same view.
+	Rank func(prefix string) int
 }
 
 func (c Config) withDefaults() Config {
@@ -52,6 +73,12 @@
 	defaults.Set(&c.PullAfter, DefaultPullAfter)
 	defaults.Set(&c.PullTimeout, DefaultPullTimeout)
 	defaults.Set(&c.Coalesce, DefaultCoalesce)
+	defaults.Set(&c.Watchers, DefaultWatchers)
+	defaults.Set(&c.VerifyAfter, DefaultVerifyAfter)
+	defaults.Set(&c.VerifyStep, DefaultVerifyStep)
+	if c.Rank == nil {
+		c.Rank = func(string) int { return 0 }
+	}
 	return c
 }
 
@@ -77,6 +104,8 @@
 	// rewatch ends a watch that waits, when a peer knew of a change first.
 	rewatch context.CancelFunc
 	pulling bool
+	// verified is the time of the newest listing by any daemon known here.
+	verified time.Time
 	// answered is the last time at which the platform answered a call, lost is
 	// set since it failed to, and regained is the end of the last outage.
 	answered time.Time
@@ -109,6 +138,7 @@
 func (f *Feed) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.follow(ctx) })
+	group.Go(func() error { return f.verify(ctx) })
 	return group.Wait()
 }
 
@@ -134,6 +164,17 @@
 	return f.newest
 }
 
+// Age returns the age of the newest listing known here, for peers; negative when
+// none is known.
+func (f *Feed) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.verified.IsZero() {
+		return -1
+	}
+	return time.Since(f.verified)
+}
+
 // Answered returns the last time at which the platform answered; zero if never.
 func (f *Feed) Answered() time.Time {
 	f.mu.Lock()
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -14,11 +14,19 @@
 // fromPlatform names the source of a change in logs.
 const sourcePlatform = "platform"
 
-// follow lists and watches until ctx ends.
+// watchPoll is the time between two looks of a daemon that holds no watch at whether
+// it should.
+const watchPoll = 250 * time.Millisecond
+
+// follow lists once, and then watches while this daemon is one of those that do.
 func (f *Feed) follow(ctx context.Context) error {
 	waits := f.newWaits()
 	list := true
 	for ctx.Err() == nil {
+		if !list && !f.watches() {
+			pause(ctx, watchPoll)
+			continue
+		}
 		err := f.step(ctx, list)
 		switch {
 		case err == nil:
@@ -38,6 +46,55 @@
 	return nil
 }
 
+// watches reports whether this daemon holds a watch.
+func (f *Feed) watches() bool { return f.config.Rank(f.prefix) < f.config.Watchers }
+
+// verify lists whenever the newest listing known is too old, until ctx ends.
+func (f *Feed) verify(ctx context.Context) error {
+	for {
+		wait := f.untilDue()
+		if wait > 0 {
+			pause(ctx, wait)
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		if wait > 0 {
+			continue
+		}
+		if err := f.list(ctx); err != nil {
+			f.markLost(err)
+			pause(ctx, f.config.RetryMaxWait)
+		}
+	}
+}
+
+// untilDue is the time until this daemon has to list, if no other one does.
+func (f *Feed) untilDue() time.Duration {
+	rank := f.config.Rank(f.prefix)
+	patience := f.config.VerifyAfter + time.Duration(rank)*f.config.VerifyStep
+	if rank > 0 {
+		// The age of the first daemon's listing takes a while to get here.
+		patience += f.config.VerifyAfter / 2
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newest == 0 {
+		// The first listing is under way.
+		return watchPoll
+	}
+	return patience - time.Since(f.verified)
+}
+
+// noteVerified notes a listing that was asked for at the given time.
+func (f *Feed) noteVerified(asked time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if asked.After(f.verified) {
+		f.verified = asked
+	}
+}
+
 // newWaits returns the waits between failed calls, with jitter.
 func (f *Feed) newWaits() *backoff.ExponentialBackOff {
 	waits := backoff.NewExponentialBackOff()
@@ -65,11 +122,13 @@
 
 // list takes all objects from the platform.
 func (f *Feed) list(ctx context.Context) error {
+	asked := time.Now()
 	found, revision, err := f.store.List(ctx, f.prefix)
 	if err != nil {
 		return err
 	}
 	f.markAnswered()
+	f.noteVerified(asked)
 	listed := make([]Change, 0, len(found))
 	for _, object := range found {
 		listed = append(listed, f.changeOf(object, false))
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -37,17 +37,23 @@
 	return s.Send(reply)
 }
 
-// Learn tells the feed that a peer has seen a change of the given version. If it
-// is still unknown here after a moment, it is taken from that peer.
-func (f *Feed) Learn(ctx context.Context, daemon string, mark int64) {
+// Learn tells the feed that a peer has seen a change of the given version, and knows
+// of a listing of the given age, negative for none. If the change is still unknown
+// here after a moment, it is taken from that peer.
+func (f *Feed) Learn(ctx context.Context, daemon string, mark int64, age time.Duration) {
+	watches := f.watches()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if at := time.Now().Add(-age); age >= 0 && mark <= f.newest && at.After(f.verified) {
+		// A listing counts only for a daemon that knows all that it showed.
+		f.verified = at
+	}
 	if mark <= f.newest || f.pulling {
 		return
 	}
 	f.pulling = true
 	wait := f.config.PullAfter
-	if f.newest == 0 {
+	if f.newest == 0 || !watches {
 		wait = 0
 	}
 	go func() {
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -113,6 +113,19 @@
 	}
 }
 
+// Rank returns the place of this daemon among the live ones in the order of a hash
+// with key, from 0 on.
+func (m *Members) Rank(key string) int {
+	own := xxhash.Sum64String(m.self.Name + "/" + key)
+	rank := 0
+	for _, instance := range m.Live() {
+		if xxhash.Sum64String(instance.Name+"/"+key) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Others returns the names of the live daemons without this one.
 func (m *Members) Others() []string {
 	var names []string
