Let streams go on after a break and hedge slow calls

Cause: a stream that a server broke off ended the caller's connection although its route lets it go on; a call that may be repeated waited for a silent server until its timeout; after an outage of the platform all servers of a service had vanished at once. Ruled out: going on at another server while the first may still work: the route allows one server. Change: a broken stream goes on inside the same answer at its server, elsewhere only if that has ended; a repeatable call is sent to a second server after a part of its objective, within the budget of retries; requests wait a moment for a server that takes them; servers that vanish from the list keep a grace in which they get what no other can take. Conclusion: faults of servers no longer reach the caller where the route permits.

--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -170,11 +170,15 @@
 	return c
 }
 
+// outageGap is the age of the newest listing, by any daemon, from which on the
+// platform was out of reach for all of them.
+const outageGap = 2500 * time.Millisecond
+
 func (f *Feed) markAnswered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = time.Now()
-	if f.lost {
+	if f.lost || (!f.verified.IsZero() && f.answered.Sub(f.verified) > outageGap) {
 		f.lost = false
 		f.regained = f.answered
 		f.logger.Info("platform regained")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,7 +20,6 @@
 	"ibisline/internal/request"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
-	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
 )
@@ -110,22 +109,6 @@
 	g.serve(w, r, job)
 }
 
-// job is a request on its way through the gateway.
-type job struct {
-	*request.Request
-	route    *structs.Route
-	service  structs.Service
-	deadline time.Time
-	// tried names the servers to which it was sent, ran those that may have
-	// run it.
-	tried map[string]bool
-	ran   int
-	// events is the number of events that the caller got, lastEvent the
-	// identifier of the last one.
-	events    int
-	lastEvent string
-}
-
 // admit decodes a request and finds its route.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*job, error) {
 	table := g.Routes.Current()
@@ -136,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	j := &job{Request: decoded, tried: map[string]bool{}}
+	j := newJob(decoded)
 	route, found := table.Match(decoded.Host, decoded.Path)
 	if !found {
 		return j, verdict.Refuse(verdict.UnknownRoute, "no route for %s%s", decoded.Host, decoded.Path)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,9 +14,12 @@
 
 const (
 	// maxUnrun bounds the servers that are asked in vain for one request.
-	maxUnrun = 8
+	maxUnrun = 24
 	// busyRetry is the wait told to callers when no server took the request.
 	busyRetry = 100 * time.Millisecond
+	// firstPause is the wait before the servers of a service that has none free
+	// are asked again; it doubles.
+	firstPause = 10 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is read whole before it is passed on.
 	maxAnswerBytes = 8 << 20
 )
@@ -25,78 +28,112 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
-	release, err := g.reserve(ctx, j)
+	if j.route.Kind == structs.Stream {
+		g.serveStream(ctx, w, r, j)
+		return
+	}
+	answer, err := g.call(ctx, j)
 	if err != nil {
 		g.fail(w, r, j, err)
 		return
 	}
-	defer release()
-	for {
-		server, answer, err := g.send(ctx, j)
-		if err != nil {
-			g.fail(w, r, j, err)
-			return
-		}
-		var again bool
-		if isEventStream(answer) {
-			again, err = g.passStream(w, j, server, answer)
-		} else {
-			again, err = g.passWhole(w, j, server, answer)
-		}
-		if err == nil {
-			return
-		}
-		if !again || !g.mayRunAgain(j) {
-			g.fail(w, r, j, err)
-			return
-		}
+	g.writeWhole(w, answer)
+}
+
+// whole is an answer that was read to its end.
+type whole struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// writeWhole passes an answer on.
+func (g *Gateway) writeWhole(w http.ResponseWriter, answer *whole) {
+	g.writeHead(w, answer.status, answer.header)
+	_, _ = w.Write(answer.body)
+}
+
+// writeHead passes the head of an answer on.
+func (g *Gateway) writeHead(w http.ResponseWriter, status int, sent http.Header) {
+	header := w.Header()
+	for name, values := range g.Dialect.AnswerHeader(sent) {
+		header[name] = values
 	}
+	suppressDefaults(header)
+	w.WriteHeader(status)
 }
 
-// mayRunAgain reports whether a request that may have run may be sent once more.
-func (g *Gateway) mayRunAgain(j *job) bool {
-	return j.route.Kind == structs.Repeatable && j.ran < j.route.MaxServers
+// attempt is one send of a request that was answered, or may have run.
+type attempt struct {
+	server structs.Server
+	answer *upstream.Answer
+	err    error
 }
 
 // send finds a server that takes the request and returns its answer. A server that
-// provably did not run it is followed by the next one.
-func (g *Gateway) send(ctx context.Context, j *job) (structs.Server, *upstream.Answer, error) {
+// provably did not run it is followed by the next one. While none takes it, they are
+// asked again after a pause, until the patience for that is used up.
+func (g *Gateway) send(ctx context.Context, j *job) (attempt, error) {
+	pause := firstPause
+	patience := time.Now().Add(g.queuePatience(j))
 	for range maxUnrun {
 		server, ok := g.pick(j)
 		if !ok {
-			return server, nil, g.noServer(j)
+			if time.Now().Add(pause).After(patience) || !sleep(ctx, pause) {
+				return attempt{}, g.noServer(j)
+			}
+			pause *= 2
+			j.forgetUnrun()
+			continue
 		}
-		j.tried[server.Name] = true
-		answer, err := g.sendTo(ctx, j, server)
+		answer, err := g.sendTo(ctx, j, server, j.ResumeAfter)
 		if err == nil && !g.Dialect.NotRun(answer.Status, answer.Header) {
-			j.ran++
-			return server, answer, nil
+			j.addRun(server.Name)
+			return attempt{server: server, answer: answer}, nil
 		}
+		j.addUnrun(server.Name)
+		g.tracker.done(server.Name)
 		if err == nil {
 			drain(answer)
-			g.tracker.done(server.Name)
 			continue
 		}
-		g.tracker.done(server.Name)
 		g.tracker.failed(server.Name, time.Now())
 		g.Log.WithError(err).WithField("request", j.ID).WithField("server", server.Name).Info("send failed")
-		if ctx.Err() == nil && verdict.Is(err, verdict.NotRun) {
-			continue
-		}
 		if !verdict.Is(err, verdict.NotRun) {
-			j.ran++
-			if ctx.Err() == nil && g.mayRunAgain(j) {
-				continue
-			}
+			j.addRun(server.Name)
+			return attempt{server: server, err: err}, err
+		}
+		if ctx.Err() != nil {
+			return attempt{}, err
 		}
-		return server, nil, err
 	}
-	return structs.Server{}, nil, g.noServer(j)
+	return attempt{}, g.noServer(j)
+}
+
+// queuePatience is the time for which a request may wait for a server that takes it:
+// a part of its objective, so that its caller can still try elsewhere.
+func (g *Gateway) queuePatience(j *job) time.Duration {
+	return min(j.route.Objective, time.Until(j.deadline)/patienceShare)
+}
+
+// patienceShare is the part of the time left that a request may wait for a server.
+const patienceShare = 4
+
+// sleep waits for d and returns false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
 }
 
 // noServer refuses a request that no server has taken.
 func (g *Gateway) noServer(j *job) error {
-	if j.ran > 0 {
+	if j.mayHaveRun() {
 		return verdict.New(verdict.MayHaveRun, verdict.NoServer, "no other server for %s", j.service.Name)
 	}
 	return verdict.Refuse(verdict.NoServer, "no server of %s takes the request", j.service.Name).After(busyRetry)
@@ -105,20 +142,20 @@
 // pick chooses a server that was not tried yet.
 func (g *Gateway) pick(j *job) (structs.Server, bool) {
 	candidates := slices.DeleteFunc(slices.Clone(g.Servers.Of(j.service.Name)), func(s structs.Server) bool {
-		return j.tried[s.Name]
+		return j.tried(s.Name)
 	})
 	return g.tracker.pick(candidates, g.config, j.Session, time.Now())
 }
 
-// sendTo sends the request to one server.
-func (g *Gateway) sendTo(ctx context.Context, j *job, server structs.Server) (*upstream.Answer, error) {
+// sendTo sends the request to one server, to go on after an event if it is not 0.
+func (g *Gateway) sendTo(ctx context.Context, j *job, server structs.Server, resumeAfter int) (*upstream.Answer, error) {
 	left := time.Until(j.deadline)
 	return g.Client.Send(ctx, server, upstream.Outgoing{
 		ID:     j.ID,
 		Method: j.Method,
 		Host:   j.Host,
 		Target: j.Target,
-		Header: g.Dialect.Forward(j.Request, server.Name, left, 0),
+		Header: g.Dialect.Forward(j.Request, server.Name, left, resumeAfter),
 		Body:   j.Body,
 	})
 }
@@ -129,23 +166,6 @@
 	answer.Close()
 }
 
-// passWhole reads an answer to its end and then passes it on, so that one that is
-// cut off is never taken for a whole one. The first result says whether the
-// request may be sent again.
-func (g *Gateway) passWhole(w http.ResponseWriter, j *job, server structs.Server, answer *upstream.Answer) (bool, error) {
-	defer g.tracker.done(server.Name)
-	body, err := io.ReadAll(io.LimitReader(answer, maxAnswerBytes))
-	answer.Close()
-	if err != nil {
-		g.tracker.failed(server.Name, time.Now())
-		return true, err
-	}
-	g.tracker.answered(server.Name)
-	g.writeHead(w, answer)
-	_, _ = w.Write(body)
-	return false, nil
-}
-
 // suppressDefaults keeps net/http from adding fields that the server did not send.
 func suppressDefaults(header http.Header) {
 	for _, name := range []string{"Date", "Content-Type"} {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -3,12 +3,18 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"io"
 	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
+	"ibisline/internal/verdict"
 )
 
 const (
@@ -24,34 +30,180 @@
 	return err == nil && kind == "text/event-stream"
 }
 
-// passStream passes whole events on as they arrive. A break after the first byte
-// ends the caller's connection, so that the answer does not look complete.
-func (g *Gateway) passStream(w http.ResponseWriter, j *job, server structs.Server, answer *upstream.Answer) (bool, error) {
-	defer g.tracker.done(server.Name)
-	defer answer.Close()
-	g.writeHead(w, answer)
-	control := http.NewResponseController(w)
-	events := bufio.NewScanner(answer)
+// stream is the answer to a turn on its way to the caller. It may come from several
+// runs, of which each goes on where the one before broke off.
+type stream struct {
+	gateway *Gateway
+	job     *job
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	// started is set once the head was passed on.
+	started bool
+	// last is the identifier of the last event passed on, or that the caller had,
+	// events the number of those passed on.
+	last   int
+	events int
+}
+
+// serveStream gets a turn answered.
+func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) {
+	release, err := g.reserve(ctx, j)
+	if err != nil {
+		g.fail(w, r, j, err)
+		return
+	}
+	s := &stream{gateway: g, job: j, writer: w, control: http.NewResponseController(w), last: j.ResumeAfter}
+	defer func() { release(s.events * j.service.TokensPerEvent) }()
+	err = s.run(ctx)
+	if err == nil {
+		return
+	}
+	if !s.started {
+		g.fail(w, r, j, j.overall(err))
+		return
+	}
+	g.Log.WithError(err).WithField("request", j.ID).WithField("events", s.events).Info("stream broken off")
+	// The caller's connection ends, so that the answer does not look complete.
+	panic(http.ErrAbortHandler)
+}
+
+// maxResumes bounds how often one answer goes on after a break.
+const maxResumes = 4
+
+// run passes the answer on, over several runs if it has to.
+func (s *stream) run(ctx context.Context) error {
+	sent, err := s.gateway.send(ctx, s.job)
+	for range maxResumes {
+		if err == nil {
+			err = s.pass(sent)
+		}
+		if err == nil || !s.mayResume(ctx, err) {
+			return err
+		}
+		s.gateway.Log.WithField("request", s.job.ID).WithField("server", sent.server.Name).WithField("after", s.last).
+			Info("stream goes on")
+		sent, err = s.resume(ctx, sent.server)
+	}
+	return err
+}
+
+// mayResume reports whether the answer may go on in another run.
+func (s *stream) mayResume(ctx context.Context, err error) bool {
+	return s.job.route.Resumable && ctx.Err() == nil && verdict.From(err).Verdict != verdict.NotRun &&
+		!errors.Is(err, errCaller)
+}
+
+// resume asks for the rest of the answer: the same server, and another one only if
+// that one has ended or cannot be reached.
+func (s *stream) resume(ctx context.Context, server structs.Server) (attempt, error) {
+	g := s.gateway
+	if server.Name == "" {
+		return attempt{}, errNothingRan
+	}
+	g.tracker.begin(server.Name)
+	answer, err := g.sendTo(ctx, s.job, server, s.last)
+	switch {
+	case err == nil && !g.Dialect.NotRun(answer.Status, answer.Header):
+		return attempt{server: server, answer: answer}, nil
+	case err == nil && answer.Status != http.StatusMisdirectedRequest:
+		// It is there, but full; the run must not go on elsewhere.
+		drain(answer)
+		g.tracker.done(server.Name)
+		if !sleep(ctx, resumePause) {
+			return attempt{server: server}, ctx.Err()
+		}
+		return s.resume(ctx, server)
+	case err == nil:
+		drain(answer)
+	}
+	g.tracker.done(server.Name)
+	if err != nil && !verdict.Is(err, verdict.NotRun) {
+		return attempt{server: server}, err
+	}
+	// Nothing listens there any more: the run has ended with its server.
+	s.job.forgetRun(server.Name)
+	s.job.addUnrun(server.Name)
+	return s.sendElsewhere(ctx)
+}
+
+// resumePause is the wait before a full server is asked again to go on.
+const resumePause = 25 * time.Millisecond
+
+// sendElsewhere lets another server go on.
+func (s *stream) sendElsewhere(ctx context.Context) (attempt, error) {
+	s.job.ResumeAfter = s.last
+	return s.gateway.send(ctx, s.job)
+}
+
+// errCaller is returned when the caller cannot be written to.
+var errCaller = errors.New("the caller is gone")
+
+// errNothingRan is returned when there is no run to go on.
+var errNothingRan = errors.New("no run to go on")
+
+// pass passes on the events of one run. Those that the caller has are left out, and
+// a gap ends the answer.
+func (s *stream) pass(sent attempt) error {
+	g := s.gateway
+	defer g.tracker.done(sent.server.Name)
+	defer sent.answer.Close()
+	if !isEventStream(sent.answer) {
+		return s.passWhole(sent)
+	}
+	if !s.started {
+		g.writeHead(s.writer, sent.answer.Status, sent.answer.Header)
+		s.started = true
+	}
+	events := bufio.NewScanner(sent.answer)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
-	events.Split(splitEvents(answer.Whole))
+	events.Split(splitEvents(sent.answer.Whole))
 	for events.Scan() {
-		event := events.Bytes()
-		if _, err := w.Write(event); err != nil {
-			panic(http.ErrAbortHandler)
-		}
-		j.delivered(event)
-		if err := control.Flush(); err != nil {
-			panic(http.ErrAbortHandler)
+		if err := s.passEvent(events.Bytes()); err != nil {
+			return err
 		}
 	}
 	if err := events.Err(); err != nil {
-		g.tracker.failed(server.Name, time.Now())
-		g.Log.WithError(err).WithField("request", j.ID).WithField("server", server.Name).WithField("events", j.events).
-			Info("stream broke")
-		panic(http.ErrAbortHandler)
+		g.tracker.failed(sent.server.Name, time.Now())
+		return err
 	}
-	g.tracker.answered(server.Name)
-	return false, nil
+	g.tracker.answered(sent.server.Name)
+	return nil
+}
+
+// passEvent passes one event on.
+func (s *stream) passEvent(event []byte) error {
+	id, named := idOf(event)
+	switch {
+	case named && id <= s.last:
+		return nil
+	case named && s.events > 0 && id != s.last+1:
+		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "event %d follows event %d", id, s.last)
+	}
+	if _, err := s.writer.Write(event); err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
+	if err := s.control.Flush(); err != nil {
+		return errors.Wrap(errCaller, err.Error())
+	}
+	if named {
+		s.last = id
+		s.events++
+	}
+	return nil
+}
+
+// passWhole passes on an answer that is no stream, such as a failure of the server.
+func (s *stream) passWhole(sent attempt) error {
+	body, err := io.ReadAll(io.LimitReader(sent.answer, maxAnswerBytes))
+	if err != nil {
+		return err
+	}
+	if s.started {
+		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "status %d in place of the rest", sent.answer.Status)
+	}
+	s.started = true
+	s.gateway.writeWhole(s.writer, &whole{status: sent.answer.Status, header: sent.answer.Header, body: body})
+	return nil
 }
 
 // splitEvents splits a stream into whole events, each with the empty line that ends
@@ -79,23 +231,13 @@
 // idField begins the line of an event that names it.
 var idField = []byte("id:")
 
-// delivered notes an event that the caller got.
-func (j *job) delivered(event []byte) {
+// idOf returns the number of an event.
+func idOf(event []byte) (int, bool) {
 	for line := range bytes.Lines(event) {
 		if rest, found := bytes.CutPrefix(line, idField); found {
-			j.lastEvent = string(bytes.TrimSpace(rest))
-			j.events++
-			return
+			id, err := strconv.Atoi(string(bytes.TrimSpace(rest)))
+			return id, err == nil
 		}
 	}
-}
-
-// writeHead passes on the head of an answer.
-func (g *Gateway) writeHead(w http.ResponseWriter, answer *upstream.Answer) {
-	header := w.Header()
-	for name, values := range g.Dialect.AnswerHeader(answer.Header) {
-		header[name] = values
-	}
-	suppressDefaults(header)
-	w.WriteHeader(answer.Status)
+	return 0, false
 }
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ibisline/internal/policy/balance"
+	"ibisline/internal/policy/retrybudget"
 	"ibisline/internal/structs"
 )
 
@@ -19,6 +20,9 @@
 type tracker struct {
 	mu    sync.Mutex
 	loads map[string]*load
+	// hedges bounds the requests that are sent twice, so that they cannot add to
+	// an overload.
+	hedges *retrybudget.Budget
 }
 
 // load is what is known of one server.
@@ -27,7 +31,9 @@
 	suspectUntil time.Time
 }
 
-func newTracker() *tracker { return &tracker{loads: map[string]*load{}} }
+func newTracker() *tracker {
+	return &tracker{loads: map[string]*load{}, hedges: retrybudget.New(time.Now())}
+}
 
 // of returns the record of a server. The caller holds mu.
 func (t *tracker) of(server string) *load {
@@ -50,6 +56,7 @@
 			UnderWay: float64(known.underWay),
 			Slots:    server.Slots,
 			Distance: distance(from, server),
+			Doubtful: server.State == structs.StateVanished,
 			Suspect:  now.Before(known.suspectUntil),
 			Affinity: unit(xxhash.Sum64String(session + server.Name)),
 		}
@@ -59,6 +66,7 @@
 		return structs.Server{}, false
 	}
 	t.of(candidates[best].Name).underWay++
+	t.hedges.Request()
 	return candidates[best], true
 }
 
@@ -74,6 +82,20 @@
 	}
 }
 
+// begin counts a request at a server that was chosen otherwise; done must be called.
+func (t *tracker) begin(server string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.of(server).underWay++
+}
+
+// mayHedge takes one request out of the budget of those that are sent twice.
+func (t *tracker) mayHedge(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hedges.Spend(now)
+}
+
 // done ends a request at a server.
 func (t *tracker) done(server string) {
 	t.mu.Lock()
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -20,9 +20,10 @@
 const (
 	regionPenalty      = 1.0
 	otherRegionPenalty = 4.0
-	// suspectPenalty keeps requests away from a server that failed a moment
-	// ago, as long as any other can take them.
-	suspectPenalty = 1000.0
+	// doubtfulPenalty keeps requests away from a server that is no longer listed,
+	// and suspectPenalty even more from one that failed a moment ago.
+	doubtfulPenalty = 100.0
+	suspectPenalty  = 1000.0
 )
 
 // Candidate is a server that may get a request.
@@ -32,8 +33,10 @@
 	// Slots is the number of requests that it works on at once.
 	Slots    int
 	Distance Distance
-	// Suspect is set for a while after a failure.
-	Suspect bool
+	// Suspect is set for a while after a failure, Doubtful when the server is no
+	// longer listed.
+	Suspect  bool
+	Doubtful bool
 	// Affinity is a number from 0 to 1 that is the same for requests of one
 	// session; it decides among equals, so that a session stays at a server.
 	Affinity float64
@@ -61,6 +64,9 @@
 	case OtherRegion:
 		cost += otherRegionPenalty
 	}
+	if c.Doubtful {
+		cost += doubtfulPenalty
+	}
 	if c.Suspect {
 		cost += suspectPenalty
 	}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -15,6 +15,11 @@
 	"ibisline/internal/structs"
 )
 
+// VanishGrace is the time for which a server that is no longer listed may still get
+// requests that no other can take. The platform wants none after two and a half
+// seconds, of which the news may have taken one.
+const VanishGrace = 1200 * time.Millisecond
+
 // ReturnGrace is the time after an outage of the platform for which servers that
 // vanished from its list meanwhile are kept: their entries lapsed while they could
 // not renew them, and come back within about two seconds.
@@ -25,7 +30,8 @@
 
 // View is the read side. Servers returned must not be modified.
 type View interface {
-	// Of returns the servers of a service that may get new requests.
+	// Of returns the servers of a service that may get new requests. Vanished
+	// ones are for requests that no other can take.
 	Of(service string) []structs.Server
 	// Loaded is true once a list was read.
 	Loaded() bool
@@ -54,12 +60,12 @@
 	known map[string]entry
 }
 
-// entry is a decoded object. Lapsed is set when it vanished during an outage.
+// entry is a decoded object. Until is the end of its grace after it has vanished.
 type entry struct {
 	server  structs.Server
 	version int64
 	usable  bool
-	lapsed  bool
+	until   time.Time
 }
 
 // NewDirectory returns an empty directory. Prefix is that of the feed.
@@ -99,7 +105,7 @@
 	}
 }
 
-// Refresh takes what the feed holds now. It returns the time after which lapsed
+// Refresh takes what the feed holds now. It returns the time after which vanished
 // servers have to be looked at again, or 0.
 func (d *Directory) Refresh(now time.Time) time.Duration {
 	held, ok := d.source.Snapshot()
@@ -111,7 +117,7 @@
 	listed := make(map[string]bool, len(held))
 	for _, c := range held {
 		listed[c.Name] = true
-		if known, ok := d.known[c.Name]; !ok || known.version != c.Version || known.lapsed {
+		if known, ok := d.known[c.Name]; !ok || known.version != c.Version || !known.until.IsZero() {
 			d.known[c.Name] = d.read(c)
 		}
 	}
@@ -133,22 +139,24 @@
 	return entry{server: server, version: c.Version, usable: true}
 }
 
-// removeMissing drops the servers that are not listed, those that lapsed during an
-// outage only after their grace.
+// removeMissing takes the servers that are no longer listed out, live ones after
+// their grace.
 func (d *Directory) removeMissing(listed map[string]bool, now time.Time) time.Duration {
-	grace := d.source.SinceOutage(now)
 	var again time.Duration
 	for name, known := range d.known {
 		if listed[name] {
 			continue
 		}
-		if known.usable && grace < ReturnGrace {
-			if !known.lapsed {
-				known.lapsed = true
-				d.known[name] = known
-				d.logger.WithField("server", name).Info("backend server vanished during an outage, kept for now")
+		if known.usable && known.server.State == structs.StateLive {
+			known.server.State = structs.StateVanished
+			known.until = now.Add(d.grace(now))
+			d.known[name] = known
+			d.logger.WithField("server", name).WithField("grace", known.until.Sub(now)).Info("backend server vanished")
+		}
+		if left := known.until.Sub(now); left > 0 {
+			if again == 0 || left < again {
+				again = left
 			}
-			again = ReturnGrace - grace
 			continue
 		}
 		delete(d.known, name)
@@ -157,6 +165,12 @@
 	return again
 }
 
+// grace is the time for which a server that vanished now is still used where there
+// is no other.
+func (d *Directory) grace(now time.Time) time.Duration {
+	return max(VanishGrace, ReturnGrace-d.source.SinceOutage(now))
+}
+
 // publish makes the known servers visible. The caller holds mu.
 func (d *Directory) publish() {
 	next := &snapshot{byService: map[string][]structs.Server{}, byName: map[string]structs.Server{}}
@@ -165,7 +179,7 @@
 			continue
 		}
 		next.byName[name] = known.server
-		if known.server.State == structs.StateLive {
+		if known.server.State != structs.StateLeaving {
 			next.byService[known.server.Service] = append(next.byService[known.server.Service], known.server)
 		}
 	}
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -76,6 +76,9 @@
 const (
 	StateLive    = "live"
 	StateLeaving = "leaving"
+	// StateVanished is that of a backend server which the platform has ceased to
+	// list without a word, a moment ago. It may still serve.
+	StateVanished = "vanished"
 )
 
 // Instance is one daemon as the platform's list and its own settings name it.
