Count sends under way among the servers that a route allows

Ruled out: hedging only routes with more than one server, which leaves the count wrong for the others. Change: a server counts from before the send until it provably did not run the request. Conclusion: the test with two slow servers and a limit of one fails before and passes after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -341,6 +341,21 @@
 	})
 }
 
+func TestSlowCallIsNotSentToMoreServersThanItsRouteAllows(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		table := usualRoutes()
+		table.Routes[1].MaxServers = 1
+		w.table = routes.NewTable(table)
+		first := w.add(tills, "till-1")
+		second := w.add(tills, "till-2")
+		for _, till := range []*platformtest.Runner{first, second} {
+			till.Always(platformtest.Reply{Body: "found", Delay: 200 * time.Millisecond})
+		}
+		require.Equal(t, "found", w.call(http.MethodGet, "/look/1", "r1").body)
+		require.Len(t, append(first.Runs(), second.Runs()...), 1)
+	})
+}
+
 func TestRequestWaitsAMomentForAServer(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		till := w.add(tills, "till-1")
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -16,8 +16,8 @@
 	deadline time.Time
 
 	mu sync.Mutex
-	// ran names the servers that may have run the request, unrun those that
-	// provably did not.
+	// ran names the servers to which the request was sent, unrun those of them
+	// that provably did not run it.
 	ran   map[string]bool
 	unrun map[string]bool
 	// begun is set once any server may have run the request.
@@ -35,22 +35,28 @@
 	return j.ran[server] || j.unrun[server]
 }
 
-// addRun notes a server that may have run the request.
-func (j *job) addRun(server string) {
+// addSent notes a server to which the request is about to be sent, so that another
+// send beside it counts it.
+func (j *job) addSent(server string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.unrun, server)
 	j.ran[server] = true
+}
+
+// addRun notes that a server to which the request was sent may have run it.
+func (j *job) addRun() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.begun = true
 }
 
-// addUnrun notes a server that did not run the request.
+// addUnrun notes that a server to which the request was sent did not run it.
 func (j *job) addUnrun(server string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if !j.ran[server] {
-		j.unrun[server] = true
-	}
+	delete(j.ran, server)
+	j.unrun[server] = true
 }
 
 // forgetUnrun lets the servers that did not run the request be asked again.
@@ -60,14 +66,6 @@
 	clear(j.unrun)
 }
 
-// forgetRun takes a server out of those to which the request was sent, once it is
-// known to have ended: it no longer counts among those that a route allows.
-func (j *job) forgetRun(server string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	delete(j.ran, server)
-}
-
 // mayHaveRun reports whether any server may have run the request.
 func (j *job) mayHaveRun() bool {
 	j.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,23 +86,25 @@
 			j.forgetUnrun()
 			continue
 		}
+		j.addSent(server.Name)
 		answer, err := g.sendTo(ctx, j, server, j.ResumeAfter)
 		if err == nil && !g.Dialect.NotRun(answer.Status, answer.Header) {
-			j.addRun(server.Name)
+			j.addRun()
 			return attempt{server: server, answer: answer}, nil
 		}
-		j.addUnrun(server.Name)
 		g.tracker.done(server.Name)
 		if err == nil {
+			j.addUnrun(server.Name)
 			drain(answer)
 			continue
 		}
 		g.tracker.failed(server.Name, time.Now())
 		g.Log.WithError(err).WithField("request", j.ID).WithField("server", server.Name).Info("send failed")
 		if !verdict.Is(err, verdict.NotRun) {
-			j.addRun(server.Name)
+			j.addRun()
 			return attempt{server: server, err: err}, err
 		}
+		j.addUnrun(server.Name)
 		if ctx.Err() != nil {
 			return attempt{}, err
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,8 +120,8 @@
 	if err != nil && !verdict.Is(err, verdict.NotRun) {
 		return attempt{server: server}, err
 	}
-	// Nothing listens there any more: the run has ended with its server.
-	s.job.forgetRun(server.Name)
+	// Nothing listens there any more: the run has ended with its server, which no
+	// longer counts among those that the route allows.
 	s.job.addUnrun(server.Name)
 	return s.sendElsewhere(ctx)
 }
