--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,17 +12,62 @@
 	"ibisline/internal/structs"
 )
 
-// ensureHeld makes this daemon the home of the shard, unless it is.
-func (s *shard) ensureHeld(ctx context.Context) error {
+// ensureHeld makes this daemon the home of the shard, unless it is or another one
+// is; then it returns the name of that one.
+func (s *shard) ensureHeld(ctx context.Context) (string, error) {
 	if s.holds() {
-		return nil
+		return "", nil
 	}
-	s.acquiring.Lock()
-	defer s.acquiring.Unlock()
+	<-s.acquiring
+	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
-		return nil
+		return "", nil
+	}
+	ctx = context.WithoutCancel(ctx)
+	if holder := s.otherHolder(ctx); holder != "" {
+		s.standAside(holder)
+		return holder, nil
 	}
-	return s.acquire(context.WithoutCancel(ctx), nil)
+	return "", s.acquire(ctx, nil)
+}
+
+// otherHolder returns a live daemon that decides about the shard, "" if there is
+// none as far as one journal tells. A daemon that has just started would otherwise
+// take over from one that knows more.
+func (s *shard) otherHolder(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+	defer cancel()
+	self := s.home.fleet.Self()
+	keepers := s.home.keepers()
+	slices.SortStableFunc(keepers, func(a, b structs.Instance) int { return remoteness(self, a) - remoteness(self, b) })
+	for _, keeper := range keepers {
+		var held journal.Fence
+		if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodHolder, shardRequest{Shard: s.number}, &held); err != nil {
+			continue
+		}
+		if held.Home == "" || held.Home == self.Name || !s.home.isLive(held.Home) {
+			return ""
+		}
+		var reply holdsReply
+		if err := peer.Call(ctx, s.home.dialer, held.Home, methodHolds, shardRequest{Shard: s.number}, &reply); err != nil || !reply.Holds {
+			return ""
+		}
+		return held.Home
+	}
+	return ""
+}
+
+// standAside sends requests about the shard to another home for a while.
+func (s *shard) standAside(home string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.successor = home
+	s.asideUntil = time.Now().Add(s.home.config.StandAside)
+}
+
+// isLive reports whether a daemon is taken to be alive and not leaving.
+func (h *Home) isLive(name string) bool {
+	return slices.ContainsFunc(h.fleet.Live(), func(i structs.Instance) bool { return i.Name == name })
 }
 
 // acquireTries bounds the numbers that are tried in one acquisition.
@@ -76,6 +122,10 @@
 	s.fence = fence
 	s.successor = ""
 	s.highest = fence.Number
+	s.known = map[string]bool{}
+	for _, instance := range s.home.fleet.Known() {
+		s.known[instance.Name] = true
+	}
 	for keeper, reply := range replies {
 		s.journals[keeper] = journalState{
 			fenced: true, born: reply.Born, began: reply.Born, incarnation: s.home.incarnation(keeper),
@@ -125,8 +175,8 @@
 // empty journal accepts any home, also one that was replaced long ago; so a journal
 // that is fenced already has to confirm that this is still the home.
 func (s *shard) fenceMissing(ctx context.Context) {
-	s.acquiring.Lock()
-	defer s.acquiring.Unlock()
+	<-s.acquiring
+	defer func() { s.acquiring <- struct{}{} }()
 	fence, missing, fenced := s.sortJournals()
 	if len(missing) == 0 {
 		return
@@ -187,8 +237,8 @@
 	if read {
 		next.lost = next.lost || known.lost
 		next.born = known.born
-	} else if time.UnixMilli(reply.Born).After(s.since) {
-		// It began after this home did, so that it lacks nothing of before.
+	} else if !s.known[keeper.Name] && time.UnixMilli(reply.Born).After(s.since) {
+		// It came after this home, so that it lacks nothing of before.
 		next.born = 0
 	}
 	s.journals[keeper.Name] = next
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -7,10 +7,10 @@
 // before it is granted, so that a former home, however late it learns, can grant
 // nothing more, and what it granted before is known.
 //
-// A total beyond half of the budget is first written to a record at the platform,
+// A total beyond a share of the budget is first written to a record at the platform,
 // under the object's version, so that of two homes one learns that it was replaced.
 // The records are for the loss of a journal: where one cannot be read, unknown
-// programs are taken to have used the half that journals alone may cover, and go on
+// programs are taken to have used the share that journals alone may cover, and go on
 // with records. While all journals can be read, a takeover needs no platform.
 package allowance
 
@@ -37,6 +37,8 @@
 	methodFence   = "allowance.fence"
 	methodAppend  = "allowance.append"
 	methodTake    = "allowance.take"
+	methodHolder  = "allowance.holder"
+	methodHolds   = "allowance.holds"
 )
 
 // Defaults of Config.
@@ -125,10 +127,12 @@
 }
 
 // reserveRequest asks a home for the tokens of a turn. Skipped names daemons that
-// should have been asked and did not answer.
+// should have been asked and did not answer. Insist is set for a daemon to which
+// another one has sent the request back: it is not to send it on again.
 type reserveRequest struct {
 	Reservation ledger.Reservation `msgpack:"r"`
 	Skipped     []string           `msgpack:"s,omitempty"`
+	Insist      bool               `msgpack:"i,omitempty"`
 }
 
 // reserveReply is a home's decision. Pending says that the decision takes longer and
@@ -179,6 +183,17 @@
 	Basis    map[string]int64 `msgpack:"b,omitempty"`
 }
 
+// shardRequest asks about a shard: a keeper for the fence in force, a home whether
+// it decides.
+type shardRequest struct {
+	Shard int `msgpack:"s"`
+}
+
+// holdsReply says whether a home decides about a shard.
+type holdsReply struct {
+	Holds bool `msgpack:"h"`
+}
+
 // done is the reply to a message that needs none.
 type done struct{}
 
--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -50,17 +50,20 @@
 	shard := c.config.shardOf(r.Program)
 	var skipped []string
 	next := ""
+	asked := map[string]bool{}
 	var failure error
 	for range maxHomes {
 		home := next
 		if home == "" {
 			home = c.choose(shard, skipped)
 		}
+		insist := next != "" && asked[home]
+		asked[home] = true
 		next = ""
 		if home == "" || ctx.Err() != nil {
 			break
 		}
-		reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped})
+		reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped, Insist: insist})
 		switch {
 		case err == nil && reply.Granted:
 			c.learn(shard, home)
@@ -73,6 +76,7 @@
 		case verdict.HasReason(err, verdict.NotHome):
 			// It has just lost the shard; by now it knows to whom.
 			failure = err
+			c.forget(shard, home)
 		default:
 			failure = err
 			c.forget(shard, home)
--- a/internal/allowance/complete.go
+++ b/internal/allowance/complete.go
@@ -162,6 +162,7 @@
 	}
 	s.basis = usable
 	s.basisWritten = false
+	s.moves++
 }
 
 // inBasis reports whether a journal is in use. The caller holds mu.
--- a/internal/allowance/handover.go
+++ b/internal/allowance/handover.go
@@ -60,8 +60,8 @@
 		return err
 	}
 	s := h.shard(given.Fence.Shard)
-	s.acquiring.Lock()
-	defer s.acquiring.Unlock()
+	<-s.acquiring
+	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
 		return verdict.Refuse(verdict.NotHome, "shard %d is held already", s.number)
 	}
--- a/internal/allowance/home.go
+++ b/internal/allowance/home.go
@@ -54,6 +54,7 @@
 	mux.Handle(methodReserve, h.serveReserve)
 	mux.Handle(methodRelease, h.serveRelease)
 	mux.Handle(methodTake, h.serveTake)
+	mux.Handle(methodHolds, h.serveHolds)
 	return h
 }
 
@@ -100,7 +101,7 @@
 // Reserve decides about a reservation.
 func (h *Home) Reserve(ctx context.Context, request reserveRequest) (reserveReply, error) {
 	s := h.shard(h.config.shardOf(request.Reservation.Program))
-	if home := h.elsewhere(s, request.Skipped); home != "" {
+	if home := h.elsewhere(s, request.Skipped); home != "" && !request.Insist {
 		return reserveReply{Home: home}, nil
 	}
 	return s.reserve(ctx, request.Reservation)
@@ -175,6 +176,17 @@
 	return o.reply, o.err
 }
 
+func (h *Home) serveHolds(_ context.Context, s peer.Stream) error {
+	var request shardRequest
+	if err := s.Recv(&request); err != nil {
+		return err
+	}
+	return s.Send(holdsReply{Holds: h.shard(request.Shard).holds()})
+}
+
+// Holds reports whether this daemon decides about a program, as far as it knows.
+func (h *Home) Holds(program string) bool { return h.shard(h.config.shardOf(program)).holds() }
+
 // Release ends a reservation.
 func (h *Home) Release(request releaseRequest) {
 	h.shard(h.config.shardOf(request.Program)).release(request)
--- a/internal/allowance/journal/journal.go
+++ b/internal/allowance/journal/journal.go
@@ -10,9 +10,6 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"io"
-	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
@@ -31,8 +28,20 @@
 	ErrDisk = errors.New("journal cannot be written")
 )
 
+// Disk keeps the file of a journal. It is used by one goroutine at a time.
+type Disk interface {
+	// Read returns the content, empty if there is none yet.
+	Read() ([]byte, error)
+	// Replace puts content in the place of all that is there. When it returns
+	// nil that is durable; otherwise the old or the new content is there, whole.
+	Replace(content []byte) error
+	// Append adds to the end. When it returns nil that is durable; otherwise any
+	// part of it may be there.
+	Append(part []byte) error
+	Close() error
+}
+
 const (
-	fileName = "budgets.journal"
 	// compactBytes is the size at which the file is written anew.
 	compactBytes = 4 << 20
 	// headerBytes are length and checksum of a record.
@@ -68,10 +77,9 @@
 
 // Journal is safe for concurrent use.
 type Journal struct {
-	dir string
+	disk Disk
 
 	mu     sync.Mutex
-	file   *os.File
 	size   int64
 	shards map[int]*shard
 	born   int64
@@ -83,29 +91,26 @@
 	syncing bool
 }
 
-// Open reads the journal in dir, or begins one. Fresh says that no journal can
-// have been here before: only then is an empty one known to lack nothing.
-func Open(dir string, fresh bool, now time.Time) (*Journal, error) {
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, errors.Wrap(err, "folder of the journal")
-	}
-	j := &Journal{dir: dir, shards: map[int]*shard{}}
-	content, err := os.ReadFile(j.path())
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
+// Open reads the journal on a disk, or begins one. Fresh says that no journal can
+// have been there before: only then is an empty one known to lack nothing.
+func Open(disk Disk, fresh bool, now time.Time) (*Journal, error) {
+	j := &Journal{disk: disk, shards: map[int]*shard{}}
+	content, err := disk.Read()
+	if err != nil {
 		return nil, errors.Wrap(err, "read the journal")
 	}
 	j.replay(content)
 	if j.born == 0 && !fresh {
 		j.born = now.UnixMilli()
 	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	if err := j.rewrite(); err != nil {
 		return nil, err
 	}
 	return j, nil
 }
 
-func (j *Journal) path() string { return filepath.Join(j.dir, fileName) }
-
 // Born returns the time from which on the journal lacks nothing, in Unix
 // milliseconds; 0 when it never lost anything.
 func (j *Journal) Born() int64 {
@@ -142,9 +147,7 @@
 	case r.Covers != nil:
 		held := j.shard(r.Covers.Shard).covers
 		for _, c := range r.Covers.Covers {
-			if c.Total >= held[c.Program].Total {
-				held[c.Program] = c
-			}
+			held[c.Program] = c.Merge(held[c.Program])
 		}
 	}
 }
@@ -200,11 +203,26 @@
 	return fences
 }
 
-// Used reports whether any home has written here.
+// Used reports whether any home has fenced a shard here.
 func (j *Journal) Used() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.shards) > 0
+	for _, s := range j.shards {
+		if s.fence.Number != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Holder returns the fence in force for a shard, the zero Fence if there is none.
+func (j *Journal) Holder(number int) Fence {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if s := j.shards[number]; s != nil {
+		return s.fence
+	}
+	return Fence{}
 }
 
 // Append writes covers of a shard down. They are durable when it returns nil.
@@ -254,8 +272,8 @@
 	return nil
 }
 
-// sync writes and syncs what is pending until nothing is. One sync serves all
-// records that came while the one before was under way.
+// sync writes what is pending until nothing is. One write serves all records that
+// came while the one before was under way.
 func (j *Journal) sync() {
 	for {
 		j.mu.Lock()
@@ -265,37 +283,27 @@
 			return
 		}
 		part := bytes.Clone(j.pending.Bytes())
-		waiters := j.waiters
+		waiters, err := j.waiters, j.failed
 		j.pending.Reset()
 		j.waiters = nil
-		file, err := j.file, j.failed
 		j.mu.Unlock()
 		if err == nil {
-			err = writeAndSync(file, part)
+			err = j.disk.Append(part)
 		}
 		j.finish(int64(len(part)), waiters, err)
 	}
 }
 
-func writeAndSync(file *os.File, part []byte) error {
-	if _, err := file.Write(part); err != nil {
-		return errors.Wrap(ErrDisk, err.Error())
-	}
-	if err := file.Sync(); err != nil {
-		return errors.Wrap(ErrDisk, err.Error())
-	}
-	return nil
-}
-
 // finish tells the waiters. After a failure the end of the file is not known, so
 // that it is written anew; if that fails too, the journal takes nothing more.
 func (j *Journal) finish(written int64, waiters []chan error, err error) {
+	if err != nil {
+		err = errors.Wrap(ErrDisk, err.Error())
+	}
 	j.mu.Lock()
 	j.size += written
 	if j.failed == nil && (err != nil || j.size > compactBytes) {
-		if again := j.rewriteLocked(); again != nil {
-			j.failed = again
-		}
+		j.failed = j.rewrite()
 	}
 	j.mu.Unlock()
 	for _, done := range waiters {
@@ -307,35 +315,25 @@
 func (j *Journal) Retry() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.failed == nil {
-		return nil
+	if j.failed == nil || j.syncing {
+		return j.failed
 	}
-	j.failed = j.rewriteLocked()
+	j.failed = j.rewrite()
 	return j.failed
 }
 
-// rewrite replaces the file by one that holds the present state only.
+// rewrite replaces the file by one that holds the present state only. The caller
+// holds mu, and no other write is under way.
 func (j *Journal) rewrite() error {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.rewriteLocked()
-}
-
-func (j *Journal) rewriteLocked() error {
 	var content bytes.Buffer
 	for _, r := range j.state(time.Now()) {
 		if err := encode(&content, r); err != nil {
 			return err
 		}
 	}
-	next, err := replaceFile(j.path(), content.Bytes())
-	if err != nil {
+	if err := j.disk.Replace(content.Bytes()); err != nil {
 		return errors.Wrap(ErrDisk, err.Error())
 	}
-	if j.file != nil {
-		_ = j.file.Close()
-	}
-	j.file = next
 	j.size = int64(content.Len())
 	return nil
 }
@@ -366,55 +364,9 @@
 	return all
 }
 
-// replaceFile writes content to a new file, makes it durable and puts it in the
-// place of path. The order is safe: until the rename is durable the old file, and
-// from then on the new one, is whole.
-func replaceFile(path string, content []byte) (*os.File, error) {
-	temporary := path + ".new"
-	file, err := os.OpenFile(temporary, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o644)
-	if err != nil {
-		return nil, err
-	}
-	if _, err := file.Write(content); err != nil {
-		file.Close()
-		return nil, err
-	}
-	if err := file.Sync(); err != nil {
-		file.Close()
-		return nil, err
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		file.Close()
-		return nil, err
-	}
-	if err := syncFolder(filepath.Dir(path)); err != nil {
-		file.Close()
-		return nil, err
-	}
-	return file, nil
-}
-
-func syncFolder(path string) error {
-	folder, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer folder.Close()
-	return folder.Sync()
-}
-
-// Close closes the file.
+// Close closes the disk.
 func (j *Journal) Close() error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.file.Close()
-}
-
-var _ io.Closer = (*Journal)(nil)
-
-// Holder returns the home that has fenced a shard last.
-func (j *Journal) Holder(number int) Fence {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return j.shard(number).fence
+	return j.disk.Close()
 }
--- /dev/null
+++ b/internal/allowance/journal/journaltest/disk.go
@@ -0,0 +1,117 @@
+// Package journaltest holds a disk for journals in memory, with faults.
+package journaltest
+
+import (
+	"bytes"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// Disk is a journal.Disk in memory. It survives its journal, as a disk survives a
+// process.
+type Disk struct {
+	mu      sync.Mutex
+	content []byte
+	failure error
+}
+
+// NewDisk returns an empty disk.
+func NewDisk() *Disk { return &Disk{} }
+
+// Fail makes all writes fail with err from now on; nil ends that.
+func (d *Disk) Fail(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failure = err
+}
+
+// Process returns the disk as one process sees it, until that ends.
+func (d *Disk) Process() *Process { return &Process{disk: d} }
+
+// Process is a journal.Disk that fails once its process has ended.
+type Process struct {
+	disk  *Disk
+	mu    sync.Mutex
+	ended bool
+}
+
+// errEnded is returned to a process that has ended.
+var errEnded = errors.New("the process has ended")
+
+// End ends the process. What it still writes does not reach the disk.
+func (p *Process) End() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = true
+}
+
+// Read implements journal.Disk.
+func (p *Process) Read() ([]byte, error) { return p.disk.Read() }
+
+// Replace implements journal.Disk.
+func (p *Process) Replace(content []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return errEnded
+	}
+	return p.disk.Replace(content)
+}
+
+// Append implements journal.Disk.
+func (p *Process) Append(part []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return errEnded
+	}
+	return p.disk.Append(part)
+}
+
+// Close implements journal.Disk.
+func (p *Process) Close() error { return nil }
+
+// Wipe loses the content.
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.content = nil
+}
+
+// Content returns a copy of what is there.
+func (d *Disk) Content() []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return bytes.Clone(d.content)
+}
+
+// Read implements journal.Disk.
+func (d *Disk) Read() ([]byte, error) { return d.Content(), nil }
+
+// Replace implements journal.Disk.
+func (d *Disk) Replace(content []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failure != nil {
+		return d.failure
+	}
+	d.content = bytes.Clone(content)
+	return nil
+}
+
+// Append implements journal.Disk. One that fails leaves half of what was to be
+// written.
+func (d *Disk) Append(part []byte) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failure != nil {
+		d.content = append(d.content, part[:len(part)/2]...)
+		return d.failure
+	}
+	d.content = append(d.content, part...)
+	return nil
+}
+
+// Close implements journal.Disk.
+func (d *Disk) Close() error { return nil }
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -28,6 +28,7 @@
 	k := &Keeper{journal: j, listed: listed, logger: logger, retry: diskRetry}
 	mux.Handle(methodFence, k.serveFence)
 	mux.Handle(methodAppend, k.serveAppend)
+	mux.Handle(methodHolder, k.serveHolder)
 	return k
 }
 
@@ -73,6 +74,14 @@
 	return s.Send(fenceReply{Held: f, Before: before, Covers: covers, Born: k.journal.Born()})
 }
 
+func (k *Keeper) serveHolder(_ context.Context, s peer.Stream) error {
+	var request shardRequest
+	if err := s.Recv(&request); err != nil {
+		return err
+	}
+	return s.Send(k.journal.Holder(request.Shard))
+}
+
 func (k *Keeper) serveAppend(_ context.Context, s peer.Stream) error {
 	var request appendRequest
 	if err := s.Recv(&request); err != nil {
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -3,10 +3,10 @@
 //
 // A home promises that all turns of a program together generate no more than the
 // budget, whatever is lost: before a total is granted it must be covered, that is
-// written down where a later home finds it. Up to half of a budget a journal on
+// written down where a later home finds it. Up to a share of the budget a journal on
 // the disk of one instance covers it, which costs no call to the platform. Beyond
 // that only a record at the platform does. So a home that cannot read all journals
-// need only assume that a program has used its half.
+// need only assume that a program has used that share.
 package ledger
 
 import (
@@ -32,7 +32,8 @@
 const (
 	// Granted: the total is covered, the turn may run.
 	Granted Decision = iota
-	// Spent: the budget does not hold the turn.
+	// Spent: the budget does not hold the turn. A total that comes with it is to be
+	// written down again, so that it is remembered long enough.
 	Spent
 	// Journal and Record: the turn may run once a journal, or a record at the
 	// platform, covers the total given with the decision.
@@ -49,6 +50,13 @@
 	Expires int64 `msgpack:"x" json:"expires"`
 }
 
+// Merge returns c with what is higher in other, about the same program or nothing.
+func (c Cover) Merge(other Cover) Cover {
+	c.Total = max(c.Total, other.Total)
+	c.Expires = max(c.Expires, other.Expires)
+	return c
+}
+
 // program is the account of one program.
 type program struct {
 	// base is what the program may have used before it was first seen here.
@@ -58,8 +66,10 @@
 	// spent is what ended turns used here, open what turns under way may use.
 	spent int
 	open  map[string]int
-	// covered is the highest total written down, in journals or at the platform.
+	// covered is the highest total written down, in journals or at the platform,
+	// until the time at which a later home forgets it.
 	covered int
+	until   time.Time
 	expires time.Time
 }
 
@@ -89,9 +99,7 @@
 // Inherit takes what an earlier home wrote down. Of several totals the highest counts.
 func (l *Ledger) Inherit(covers []Cover) {
 	for _, c := range covers {
-		if known, ok := l.inherited[c.Program]; !ok || c.Total > known.Total {
-			l.inherited[c.Program] = c
-		}
+		l.inherited[c.Program] = c.Merge(l.inherited[c.Program])
 		if p := l.programs[c.Program]; p != nil && c.Total > p.covered {
 			p.base = max(p.base, c.Total)
 			p.estimated = true
@@ -99,9 +107,13 @@
 	}
 }
 
-// half is the part of a budget that journals alone may cover: at least one turn,
-// so that the shortest programs need no record.
-func (r Reservation) half() int { return max(r.Budget/2, r.Tokens) }
+// journalShare is the part of a budget that journals alone may cover. Most programs
+// stay below it, and what is left lets a program go on that is taken to have used it.
+const journalShare = 2.0 / 3
+
+// journaled is that part in tokens: at least one turn, so that the shortest programs
+// need no record.
+func (r Reservation) journaled() int { return max(int(float64(r.Budget)*journalShare), r.Tokens) }
 
 // Reserve decides about a reservation. certain is set when all that earlier homes
 // wrote down has been inherited. With Journal and Record the reservation is held
@@ -116,6 +128,9 @@
 		return l.coverage(p, r)
 	}
 	if p.total()+r.Tokens > p.limit(r) {
+		if p.until.Before(p.expires) {
+			return Spent, max(p.covered, p.total())
+		}
 		return Spent, 0
 	}
 	p.open[r.ID] = r.Tokens
@@ -136,12 +151,12 @@
 func (l *Ledger) meet(r Reservation, certain bool, now time.Time) *program {
 	p := &program{open: map[string]int{}}
 	if cover, ok := l.inherited[r.Program]; ok && cover.Expires > now.UnixMilli() {
-		p.base, p.covered = cover.Total, cover.Total
+		p.base, p.covered, p.until = cover.Total, cover.Total, time.UnixMilli(cover.Expires)
 		// What was written down is often more than was used.
 		p.estimated = true
 	}
 	if !certain {
-		p.base = max(p.base, r.half())
+		p.base = max(p.base, r.journaled())
 		p.estimated = true
 	}
 	l.programs[r.Program] = p
@@ -152,22 +167,22 @@
 func (l *Ledger) coverage(p *program, r Reservation) (Decision, int) {
 	total := p.total()
 	if total <= p.covered {
-		return Granted, 0
+		if !p.until.Before(p.expires) {
+			return Granted, 0
+		}
+		total = p.covered
 	}
-	half := r.half()
-	if total <= half {
-		// One turn ahead, so that not every turn has to be written down.
-		return Journal, min(half, total+r.Tokens)
+	// Nothing is covered ahead: a later home takes what is covered for used.
+	if total <= r.journaled() {
+		return Journal, total
 	}
-	// Two turns ahead, so that few records are written, and no more, so that a
-	// later home need not take the whole budget for used.
-	return Record, max(total, min(p.limit(r), total+2*r.Tokens))
+	return Record, total
 }
 
 // Confirm grants a held reservation after its total was written down. It returns
 // false, and ends the reservation, when what was learned meanwhile has used the
 // budget up.
-func (l *Ledger) Confirm(r Reservation, total int) bool {
+func (l *Ledger) Confirm(r Reservation, total int, until time.Time) bool {
 	p := l.programs[r.Program]
 	if p == nil {
 		return false
@@ -175,7 +190,7 @@
 	if _, held := p.open[r.ID]; !held {
 		return false
 	}
-	p.covered = max(p.covered, total)
+	p.setCovered(total, until)
 	if p.total() > p.limit(r) {
 		delete(p.open, r.ID)
 		return false
@@ -183,6 +198,20 @@
 	return true
 }
 
+// Refreshed notes that a total was written down again until a later time.
+func (l *Ledger) Refreshed(name string, total int, until time.Time) {
+	if p := l.programs[name]; p != nil {
+		p.setCovered(total, until)
+	}
+}
+
+// setCovered notes what was written down.
+func (p *program) setCovered(total int, until time.Time) {
+	if total >= p.covered {
+		p.covered, p.until = total, until
+	}
+}
+
 // Release ends a reservation. Used is what the turn generated.
 func (l *Ledger) Release(name, id string, used int) {
 	p := l.programs[name]
@@ -210,18 +239,21 @@
 		if covered {
 			total = max(total, p.covered)
 		}
-		all = append(all, Cover{Program: name, Total: total, Expires: p.expires.UnixMilli()})
+		// What is written down for the first time expires with the program; what
+		// was written down before must not be forgotten earlier than that says.
+		expires := p.expires
+		if p.until.After(expires) {
+			expires = p.until
+		}
+		all = append(all, Cover{Program: name, Total: total, Expires: expires.UnixMilli()})
 	}
 	return all
 }
 
-// Cover returns what is written down for a program with a new total.
-func (l *Ledger) Cover(name string, total int) Cover {
-	c := Cover{Program: name, Total: total}
-	if p := l.programs[name]; p != nil {
-		c.Expires = p.expires.UnixMilli()
-	}
-	return c
+// Cover returns what is written down for a program with a new total. It is
+// remembered for twice the lifetime, so that it need not be written at each turn.
+func (l *Ledger) Cover(r Reservation, total int, now time.Time) Cover {
+	return Cover{Program: r.Program, Total: total, Expires: now.Add(2 * r.Lifetime).UnixMilli()}
 }
 
 // Expire forgets programs that have been idle for their lifetime.
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -56,8 +56,8 @@
 	if w.pending == nil {
 		w.pending = map[string]ledger.Cover{}
 	}
-	if c.Program != "" && c.Total >= w.pending[c.Program].Total {
-		w.pending[c.Program] = c
+	if c.Program != "" {
+		w.pending[c.Program] = c.Merge(w.pending[c.Program])
 	}
 	written := make(chan error, 1)
 	w.waiters = append(w.waiters, written)
@@ -221,9 +221,7 @@
 	s.mu.Lock()
 	w := &s.record
 	for name, c := range batch {
-		if c.Total >= w.programs[name].Total {
-			w.programs[name] = c
-		}
+		w.programs[name] = c.Merge(w.programs[name])
 	}
 	w.sequence++
 	next := record{Fence: fence.Number, Home: fence.Home, Sequence: w.sequence, Journals: s.basis}
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -16,8 +16,8 @@
 	home   *Home
 	number int
 
-	// acquiring is held while the journals are fenced.
-	acquiring sync.Mutex
+	// acquiring holds a token that is taken while the journals are fenced.
+	acquiring chan struct{}
 
 	mu     sync.Mutex
 	held   bool
@@ -36,6 +36,10 @@
 	// once the record names them.
 	basis        map[string]int64
 	basisWritten bool
+	// moves counts the times that basis was chosen anew, and known holds the
+	// keepers that were known when this home took the shard.
+	moves int
+	known map[string]bool
 	// record is the shard's object at the platform.
 	record recordWriter
 	// successor is the home that replaced this one, until asideUntil.
@@ -59,7 +63,8 @@
 }
 
 func newShard(h *Home, number int) *shard {
-	s := &shard{home: h, number: number}
+	s := &shard{home: h, number: number, acquiring: make(chan struct{}, 1)}
+	s.acquiring <- struct{}{}
 	s.reset()
 	return s
 }
@@ -116,8 +121,8 @@
 
 // reserve decides about a reservation and has it written down.
 func (s *shard) reserve(ctx context.Context, r ledger.Reservation) (reserveReply, error) {
-	if err := s.ensureHeld(ctx); err != nil {
-		return reserveReply{}, err
+	if holder, err := s.ensureHeld(ctx); err != nil || holder != "" {
+		return reserveReply{Home: holder}, err
 	}
 	fence, decision, c, err := s.decide(r)
 	if err != nil {
@@ -137,13 +142,26 @@
 		s.home.granted.Inc()
 		return reserveReply{Granted: true}, nil
 	case ledger.Spent:
+		s.refresh(ctx, fence, c)
 		return s.refuse(r), nil
 	}
-	if err := s.cover(ctx, fence, decision, c); err != nil {
-		s.withdraw(fence, r)
-		return reserveReply{}, err
+	for {
+		moves := s.movesSoFar()
+		if err := s.cover(ctx, fence, decision, c); err != nil {
+			s.withdraw(fence, r)
+			return reserveReply{}, err
+		}
+		if reply, final, err := s.confirm(fence, r, c, moves); final {
+			return reply, err
+		}
 	}
-	return s.confirm(fence, r, c.Total)
+}
+
+// movesSoFar tells how often other journals were taken into use.
+func (s *shard) movesSoFar() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.moves
 }
 
 // decide asks the ledger, under the fence in force.
@@ -155,21 +173,43 @@
 		return journal.Fence{}, 0, ledger.Cover{}, s.notHome()
 	}
 	decision, total := s.ledger.Reserve(r, s.isComplete(now), now)
-	return s.fence, decision, s.ledger.Cover(r.Program, total), nil
+	return s.fence, decision, s.ledger.Cover(r, total, now), nil
 }
 
-// confirm grants a reservation whose total was written down.
-func (s *shard) confirm(fence journal.Fence, r ledger.Reservation, total int) (reserveReply, error) {
+// refresh writes the total of a program down again before it would be forgotten.
+// What cannot be written now is tried at the program's next request.
+func (s *shard) refresh(ctx context.Context, fence journal.Fence, c ledger.Cover) {
+	if c.Total == 0 {
+		return
+	}
+	if err := s.cover(ctx, fence, ledger.Record, c); err != nil {
+		s.home.logger.WithError(err).WithField("program", c.Program).Info("spent budget not written down again")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held && s.fence == fence {
+		s.ledger.Refreshed(c.Program, c.Total, time.UnixMilli(c.Expires))
+	}
+}
+
+// confirm grants a reservation whose total was written down while moves was the
+// number of times that other journals had been taken into use. If that has changed,
+// the total may stand in a journal that is out of use: then nothing is final.
+func (s *shard) confirm(fence journal.Fence, r ledger.Reservation, c ledger.Cover, moves int) (reserveReply, bool, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.held || s.fence != fence {
-		return reserveReply{}, s.notHome()
+		return reserveReply{}, true, s.notHome()
 	}
-	if !s.ledger.Confirm(r, total) {
-		return s.refuse(r), nil
+	if s.moves != moves {
+		return reserveReply{}, false, nil
+	}
+	if !s.ledger.Confirm(r, c.Total, time.UnixMilli(c.Expires)) {
+		return s.refuse(r), true, nil
 	}
 	s.home.granted.Inc()
-	return reserveReply{Granted: true}, nil
+	return reserveReply{Granted: true}, true, nil
 }
 
 // withdraw ends a reservation that was not granted.
--- /dev/null
+++ b/internal/allowance/takeover_test.go
@@ -0,0 +1,133 @@
+package allowance_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/fake/objects"
+)
+
+// inFleet runs a test under virtual time.
+func inFleet(t *testing.T, test func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 3)
+		defer f.close()
+		test(t, f)
+	})
+}
+
+// runUntilSpent runs turns of a program that generate their most, through all
+// gateways, until one is refused because the budget is spent.
+func runUntilSpent(t *testing.T, f *fleet, program string) {
+	for i := range 20 {
+		g := f.gateways[i%len(f.gateways)]
+		if !g.up {
+			continue
+		}
+		if err := f.turn(g.daemon, program, most, time.Millisecond); err != nil {
+			require.True(t, spent(err), "%v", err)
+			return
+		}
+	}
+	require.Fail(t, "the budget holds twenty turns")
+}
+
+func TestBudgetIsSpentOverAllGateways(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		runUntilSpent(t, f, "p")
+		require.Equal(t, 3*most, f.granted["p"], "three turns fit into the budget")
+	})
+}
+
+func TestTurnsThatGenerateLittleAreChargedLittle(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for i := range 30 {
+			require.NoError(t, f.turn(f.gateways[i%3].daemon, "p", 35, time.Millisecond))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+func TestShortProgramsNeedNoCallToThePlatform(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		before := f.store.Counts()
+		for range 3 {
+			require.NoError(t, f.turn(f.gateways[0].daemon, "p", 100, time.Millisecond))
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.Equal(t, before, f.store.Counts())
+	})
+}
+
+func TestSpentBudgetIsRememberedAfterEverythingWasKilled(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		runUntilSpent(t, f, "p")
+		tr := &trial{fleet: f}
+		tr.killAll()
+		require.True(t, spent(f.turn(f.gateways[0].daemon, "p", most, 0)) || f.granted["p"] <= budget+most)
+		runUntilSpent(t, f, "p")
+		require.Empty(t, f.overrun())
+	})
+}
+
+func TestProgramGoesOnAfterItsHomeDied(t *testing.T) {
+	for _, outage := range []bool{false, true} {
+		inFleet(t, func(t *testing.T, f *fleet) {
+			require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+			time.Sleep(50 * time.Millisecond)
+			f.store.SetFaults(objects.Faults{Outage: outage})
+			crashes := 2
+			if outage {
+				// The budget's share without records holds one crash.
+				crashes = 1
+			}
+			for i, g := range f.gateways[:crashes] {
+				g.crash()
+				f.spread()
+				started := time.Now()
+				require.NoError(t, f.turn(f.gateways[(i+1)%3].daemon, "p", 35, 0))
+				require.Less(t, time.Since(started), time.Second)
+				g.start(i)
+				f.spread()
+			}
+		})
+	}
+}
+
+func TestProgramGoesOnBesideALostDisk(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+		k := f.keepers[0]
+		k.crash()
+		k.disk.Wipe()
+		f.spread()
+		time.Sleep(3 * time.Second)
+		k.start(false)
+		f.spread()
+		time.Sleep(3 * time.Second)
+		require.NoError(t, f.turn(f.gateways[1].daemon, "p", 35, time.Millisecond))
+		runUntilSpent(t, f, "q")
+		require.Empty(t, f.overrun())
+	})
+}
+
+func TestPlannedStopHandsBudgetsOver(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		for round := range 9 {
+			require.NoError(t, f.turn(f.gateways[round%3].daemon, "p", 35, time.Millisecond))
+			time.Sleep(50 * time.Millisecond)
+			g := f.gateways[(round+1)%3]
+			g.leave()
+			g.start((round + 1) % 3)
+			f.spread()
+		}
+		require.Zero(t, f.store.Counts().Puts, "nothing has to be recorded")
+		for range 20 {
+			require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -157,7 +157,11 @@
 		return err
 	}
 	s := p.settings.Keeper
-	opened, err := journal.Open(s.DataDir, s.FirstStart, time.Now())
+	disk, err := journal.NewFile(s.DataDir)
+	if err != nil {
+		return err
+	}
+	opened, err := journal.Open(disk, s.FirstStart, time.Now())
 	if err != nil {
 		return err
 	}
