--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -143,6 +143,10 @@
 			s.ledger.Inherit(reply.Covers)
 		}
 	}
+	for keeper, reply := range replies {
+		s.home.logger.WithField("shard", s.number).WithField("keeper", keeper).WithField("programs", len(reply.Covers)).
+			WithField("born", reply.Born).WithField("before", reply.Before.Number).Info("journal fenced")
+	}
 	s.home.fences.Inc()
 	s.home.logger.WithField("shard", s.number).WithField("fence", fence.Number).WithField("journals", len(replies)).
 		WithField("handed_over", direct).WithField("complete", s.isComplete(time.Now())).Info("budgets of a shard taken over")
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -41,6 +41,11 @@
 	Record
 )
 
+// String returns the name used in logs.
+func (d Decision) String() string {
+	return [...]string{"earlier cover", "spent", "journal", "record"}[d]
+}
+
 // Cover is a total that has to be, or was, written down for a program.
 type Cover struct {
 	Program string `msgpack:"p" json:"program"`
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -139,7 +139,7 @@
 	}
 	switch decision {
 	case ledger.Granted:
-		s.home.granted.Inc()
+		s.logGrant(r, c, decision)
 		return reserveReply{Granted: true}, nil
 	case ledger.Spent:
 		s.refresh(ctx, fence, c)
@@ -152,6 +152,9 @@
 			return reserveReply{}, err
 		}
 		if reply, final, err := s.confirm(fence, r, c, moves); final {
+			if reply.Granted {
+				s.logGrant(r, c, decision)
+			}
 			return reply, err
 		}
 	}
@@ -208,10 +211,17 @@
 	if !s.ledger.Confirm(r, c.Total, time.UnixMilli(c.Expires)) {
 		return s.refuse(r), true, nil
 	}
-	s.home.granted.Inc()
 	return reserveReply{Granted: true}, true, nil
 }
 
+// logGrant reports a grant with what it rests on.
+func (s *shard) logGrant(r ledger.Reservation, c ledger.Cover, by ledger.Decision) {
+	s.home.granted.Inc()
+	s.home.logger.WithField("request", r.ID).WithField("program", r.Program).WithField("shard", s.number).
+		WithField("tokens", r.Tokens).WithField("budget", r.Budget).WithField("total", c.Total).WithField("covered_by", by.String()).
+		Info("turn granted")
+}
+
 // withdraw ends a reservation that was not granted.
 func (s *shard) withdraw(fence journal.Fence, r ledger.Reservation) {
 	s.mu.Lock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -184,12 +184,12 @@
 		// The caller is gone; nobody reads an answer.
 		panic(http.ErrAbortHandler)
 	}
-	id := ""
+	id, program := "", ""
 	if j != nil {
-		id = j.ID
+		id, program = j.ID, j.Program
 	}
-	g.Log.WithField("request", id).WithField("reason", failure.Reason).WithField("verdict", failure.Verdict).
-		WithField("message", failure.Message).Info("request refused or failed")
+	g.Log.WithField("request", id).WithField("program", program).WithField("reason", failure.Reason).
+		WithField("verdict", failure.Verdict).WithField("error", failure.Error()).Info("request refused or failed")
 	status, header := g.Dialect.Failure(failure)
 	for name, values := range header {
 		w.Header()[name] = values
