--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -2,14 +2,29 @@
 
 import (
 	"context"
-	"maps"
+	"encoding/json"
 	"slices"
-	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/allowance/journal"
+	"ibisline/internal/allowance/ledger"
+	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// acquireTries bounds the attempts of one acquisition.
+const acquireTries = 4
+
+// Errors of an acquisition.
+var (
+	errJournals = errors.New("too few of the journals on record can be reached")
+	errNoRecord = errors.New("neither the record nor a bridge in its place can be read")
+	errContest  = errors.New("other daemons acquire the shard at the same time")
+	errNotReady = errors.New("the list of daemons is not known yet")
 )
 
 // ensureHeld makes this daemon the home of the shard, unless it is or another one
@@ -18,51 +33,84 @@
 	if s.holds() {
 		return "", nil
 	}
-	<-s.acquiring
+	select {
+	case <-s.acquiring:
+	case <-ctx.Done():
+		return "", unacquired(ctx.Err())
+	}
 	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
 		return "", nil
 	}
-	ctx = context.WithoutCancel(ctx)
-	if holder := s.otherHolder(ctx); holder != "" {
+	// What was begun is ended, also for a caller that has left.
+	holder, err := s.acquire(context.WithoutCancel(ctx), nil)
+	if err != nil {
+		s.log().WithError(err).Info("budgets of a shard not taken over")
+		return "", unacquired(err)
+	}
+	if holder != "" {
+		s.mu.Lock()
 		s.standAside(holder)
-		return holder, nil
+		s.mu.Unlock()
 	}
-	return "", s.acquire(ctx, nil)
+	return holder, nil
 }
 
-// otherHolder returns a live daemon that decides about the shard, "" if there is
-// none as far as one journal tells. A daemon that has just started would otherwise
-// take over from one that knows more.
-func (s *shard) otherHolder(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
-	defer cancel()
-	self := s.home.fleet.Self()
-	keepers := s.home.keepers()
-	slices.SortStableFunc(keepers, func(a, b structs.Instance) int { return remoteness(self, a) - remoteness(self, b) })
-	for _, keeper := range keepers {
-		var held journal.Fence
-		if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodHolder, shardRequest{Shard: s.number}, &held); err != nil {
-			continue
+// unacquired refuses a reservation that this daemon cannot decide; another may.
+func unacquired(cause error) error {
+	return verdict.Wrap(cause, verdict.NotRun, verdict.PeerLost, "the shard of budgets cannot be taken over here")
+}
+
+// acquire makes this daemon the home by way of the record, or of a bridge while the
+// platform cannot be reached. It returns another daemon that decides already. Handed
+// is what the former home said on leaving, nil if it did not.
+func (s *shard) acquire(ctx context.Context, handed *handover) (string, error) {
+	for range acquireTries {
+		held, version, err := s.getRecord(ctx)
+		if errors.Is(err, objectapi.ErrUnavailable) {
+			return s.acquireWithoutRecord(ctx, handed)
+		}
+		if err != nil {
+			return "", err
 		}
-		if held.Home == "" || held.Home == self.Name || !s.home.isLive(held.Home) {
-			return ""
+		if !s.home.fleet.Listed() {
+			return "", errNotReady
 		}
-		var reply holdsReply
-		if err := peer.Call(ctx, s.home.dialer, held.Home, methodHolds, shardRequest{Shard: s.number}, &reply); err != nil || !reply.Holds {
-			return ""
+		if !handed.follows(held) && s.decides(ctx, held.Home) {
+			return held.Home, nil
+		}
+		err = s.acquireByRecord(ctx, held, version, handed)
+		if !errors.Is(err, errContest) {
+			return "", err
 		}
-		return held.Home
 	}
-	return ""
+	return "", errContest
 }
 
-// standAside sends requests about the shard to another home for a while.
-func (s *shard) standAside(home string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.successor = home
-	s.asideUntil = time.Now().Add(s.home.config.StandAside)
+// follows reports whether what was handed over is newer than a record, and nobody has
+// decided in between.
+func (h *handover) follows(r record) bool {
+	return h != nil && r.Epoch == h.Fence.Number && r.Home == h.Fence.Home
+}
+
+// getRecord reads the shard's record.
+func (s *shard) getRecord(ctx context.Context) (record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
+	defer cancel()
+	return decodeRecord(s.home.store.Get(ctx, recordKey(s.number)))
+}
+
+// decides reports whether another daemon is live and decides about the shard. One
+// that has just started would otherwise take over from one that knows more.
+func (s *shard) decides(ctx context.Context, home string) bool {
+	if home == "" || home == s.home.fleet.Self().Name || !s.home.isLive(home) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+	defer cancel()
+	var reply holdsReply
+	err := peer.Call(ctx, s.home.dialer, home, methodHolds, shardRequest{Shard: s.number}, &reply)
+	return err == nil && reply.Holds
 }
 
 // isLive reports whether a daemon is taken to be alive and not leaving.
@@ -70,234 +118,205 @@
 	return slices.ContainsFunc(h.fleet.Live(), func(i structs.Instance) bool { return i.Name == name })
 }
 
-// acquireTries bounds the numbers that are tried in one acquisition.
-const acquireTries = 4
-
-// acquire fences the journals that can be reached, at least one. Handed is what the
-// former home said on leaving, nil if it did not.
-func (s *shard) acquire(ctx context.Context, handed *handover) error {
+// acquireByRecord fences the journals that the record names and then takes the
+// record. The former home can build no bridge any more, and the record shows it that
+// it was replaced.
+func (s *shard) acquireByRecord(ctx context.Context, held record, version int64, handed *handover) error {
+	idle, idleVersion, err := s.readIdle(ctx)
+	if err != nil {
+		return err
+	}
 	s.mu.Lock()
-	number := max(time.Now().UnixMilli(), s.highest+1)
+	fence := journal.Fence{Shard: s.number, Number: max(held.Epoch, s.highest) + 1, Home: s.home.fleet.Self().Name}
 	s.mu.Unlock()
-	if handed != nil {
-		number = max(number, handed.Fence.Number+1)
+	keepers := s.home.keepers()
+	if !s.readable(held.Journals, journalSet(held.Journals).among(keepers)) {
+		// Fencing the others would only disturb the present home.
+		return errJournals
 	}
-	for range acquireTries {
-		fence := journal.Fence{Shard: s.number, Number: number, Home: s.home.fleet.Self().Name}
-		replies := s.fenceAll(ctx, fence, s.home.keepers())
-		if highest := highestOther(replies, fence); highest >= number {
-			// Somebody was faster, or this clock is behind.
-			number = highest + 1
-			continue
-		}
-		if len(replies) == 0 {
-			return unwritten(errNoJournal)
-		}
-		s.take(fence, replies, handed)
-		s.resolve(ctx, fence)
-		return nil
+	f := s.fenceAll(ctx, fence, keepers)
+	if other := f.highest(); other.Number >= fence.Number {
+		s.noteHighest(other.Number)
+		return errContest
 	}
-	return s.notHome()
-}
-
-// highestOther returns the highest number among fences that stand in the way.
-func highestOther(replies map[string]fenceReply, fence journal.Fence) int64 {
-	var highest int64
-	for _, reply := range replies {
-		if reply.Held != fence {
-			highest = max(highest, reply.Held.Number)
-		}
+	if !s.readable(held.Journals, f.accepted()) {
+		return errJournals
+	}
+	next := record{Epoch: fence.Number, Home: fence.Home, Most: held.Most, Journals: f.accepted(), Programs: held.Programs}
+	next.merge(f.covers(), time.Now())
+	written, err := s.putRecord(ctx, next, version)
+	if err != nil {
+		return err
+	}
+	hidden := held.Most
+	if version == objectapi.NoVersion {
+		// No home has decided before.
+		hidden = 0
 	}
-	return highest
-}
-
-// take starts the shard anew with what the journals hold, or with what the former
-// home has handed over, if no other came between.
-func (s *shard) take(fence journal.Fence, replies map[string]fenceReply, handed *handover) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
-	s.held = true
-	s.since = time.Now()
-	s.fence = fence
-	s.successor = ""
-	s.highest = fence.Number
-	s.known = map[string]bool{}
-	for _, instance := range s.home.fleet.Known() {
-		s.known[instance.Name] = true
+	if handed.follows(held) {
+		hidden = 0
 	}
-	for keeper, reply := range replies {
-		s.journals[keeper] = journalState{
-			fenced: true, born: reply.Born, began: reply.Born, incarnation: s.home.incarnation(keeper),
-		}
-		s.before = max(s.before, reply.Before.Number)
+	now := time.Now()
+	s.ledger = ledger.New(hidden, next.Most)
+	s.ledger.Inherit(idle.covers(now), ledger.FromIdle)
+	s.ledger.Inherit(next.covers(now), ledger.FromRecord)
+	if handed.follows(held) {
+		s.ledger.Adopt(handed.Totals)
 	}
-	direct := handed != nil && s.before <= handed.Fence.Number
-	if direct {
-		s.ledger.Inherit(handed.Totals)
-		s.complete = handed.Complete
-		s.basis = handed.Basis
+	s.idle = idleState{known: true, version: idleVersion}
+	s.record = recordState{known: true, version: written, journals: next.Journals}
+	s.begin(fence, f, keepers)
+	s.log().WithField("fence", fence.Number).WithField("programs", len(next.Programs)).
+		WithField("handed_over", handed.follows(held)).WithField("journals", len(next.Journals)).
+		Info("budgets of a shard taken over")
+	return nil
+}
+
+// readable reports whether enough of the journals on record were fenced. Journals that
+// stay away are given up after a while, as what they may hold has then expired.
+func (s *shard) readable(onRecord, fenced journalSet) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if onRecord.readBy(fenced, s.home.config.LostDisks) {
+		s.blocked = time.Time{}
+		return true
 	}
-	if !direct || !handed.Complete {
-		for _, reply := range replies {
-			s.ledger.Inherit(reply.Covers)
-		}
+	now := time.Now()
+	if s.blocked.IsZero() {
+		s.blocked = now
 	}
-	for keeper, reply := range replies {
-		s.home.logger.WithField("shard", s.number).WithField("keeper", keeper).WithField("programs", len(reply.Covers)).
-			WithField("born", reply.Born).WithField("before", reply.Before.Number).Info("journal fenced")
+	if now.Sub(s.blocked) < s.home.config.JournalPatience {
+		return false
 	}
-	s.home.fences.Inc()
-	s.home.logger.WithField("shard", s.number).WithField("fence", fence.Number).WithField("journals", len(replies)).
-		WithField("handed_over", direct).WithField("complete", s.isComplete(time.Now())).Info("budgets of a shard taken over")
+	s.log().WithField("journals", onRecord.outOfReach(fenced)).Error("journals given up")
+	s.blocked = time.Time{}
+	return true
 }
 
-// fenceAll fences a shard in several journals at once and returns the replies.
-func (s *shard) fenceAll(ctx context.Context, fence journal.Fence, keepers []structs.Instance) map[string]fenceReply {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+// putRecord writes a record under the version of the one that it replaces, and finds
+// out whether it took effect.
+func (s *shard) putRecord(ctx context.Context, next record, expected int64) (int64, error) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var asked sync.WaitGroup
-	replies := map[string]fenceReply{}
-	for _, keeper := range keepers {
-		asked.Go(func() {
-			var reply fenceReply
-			if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodFence, fence, &reply); err != nil {
-				s.home.logger.WithError(err).WithField("keeper", keeper.Name).WithField("shard", s.number).Info("journal not fenced")
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			replies[keeper.Name] = reply
-		})
+	version, err := s.home.store.Put(ctx, recordKey(s.number), value, expected)
+	switch {
+	case errors.Is(err, objectapi.ErrConflict):
+		return 0, errContest
+	case !errors.Is(err, objectapi.ErrUnknown):
+		return version, err
+	}
+	// A write that comes to pass later finds the object changed by the next one.
+	found, version, err := s.getRecord(ctx)
+	if err == nil && (found.Epoch != next.Epoch || found.Home != next.Home) {
+		return 0, errContest
 	}
-	asked.Wait()
-	return replies
+	return version, err
 }
 
-// fenceMissing fences the journals that are not, and takes over what they hold. An
-// empty journal accepts any home, also one that was replaced long ago; so a journal
-// that is fenced already has to confirm that this is still the home.
-func (s *shard) fenceMissing(ctx context.Context) {
-	<-s.acquiring
-	defer func() { s.acquiring <- struct{}{} }()
-	fence, missing, fenced := s.sortJournals()
-	if len(missing) == 0 {
-		return
-	}
-	replies := s.fenceAll(ctx, fence, fenced)
-	if len(replies) == 0 && len(fenced) > 0 {
-		return
-	}
-	maps.Copy(replies, s.fenceAll(ctx, fence, missing))
-	for _, reply := range replies {
-		if reply.Held != fence {
-			s.drop(fence, reply.Held.Home, reply.Held.Number)
-			return
-		}
-	}
+// noteHighest notes the number of a fence that stands in the way.
+func (s *shard) noteHighest(number int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.held || s.fence != fence {
-		return
-	}
-	for _, keeper := range missing {
-		if reply, answered := replies[keeper.Name]; answered {
-			s.note(keeper, reply)
-		}
-	}
+	s.highest = max(s.highest, number)
 }
 
-// sortJournals returns the fence in force, and the live keepers whose journals are
-// not fenced and those whose journals are. A keeper that has started again may have
-// lost its disk, and has to be fenced anew. Without the shard it returns none.
-func (s *shard) sortJournals() (fence journal.Fence, missing, fenced []structs.Instance) {
-	keepers := s.home.keepers()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.held {
-		return s.fence, nil, nil
-	}
-	for _, keeper := range keepers {
-		state := s.journals[keeper.Name]
-		if state.fenced && state.incarnation == keeper.Incarnation {
-			fenced = append(fenced, keeper)
-		} else {
-			missing = append(missing, keeper)
-		}
-	}
-	return s.fence, missing, fenced
+// begin starts to decide. The caller holds mu and has set the rest of the state.
+func (s *shard) begin(fence journal.Fence, f fencing, keepers []structs.Instance) {
+	s.held = true
+	s.fence = fence
+	s.successor = ""
+	s.highest = max(s.highest, fence.Number)
+	s.noteFenced(f, keepers)
+	s.wanted = s.record.journals
+	s.home.fences.Inc()
+	ctx, stop := context.WithCancel(s.home.ctx)
+	s.stop = stop
+	s.home.spawn(func() { s.keepRecord(ctx, fence) })
+	s.home.spawn(func() { s.keepBridge(ctx, fence) })
+	s.home.spawn(func() { s.keepIdle(ctx, fence) })
 }
 
-// note takes over what a journal holds that was fenced later than the others. One
-// that had this home's fence and has it no more has lost what was written to it. The
-// caller holds mu.
-func (s *shard) note(keeper structs.Instance, reply fenceReply) {
-	known, read := s.journals[keeper.Name]
-	next := journalState{fenced: true, born: reply.Born, began: reply.Born, incarnation: keeper.Incarnation}
-	if read && reply.Before.Number != s.fence.Number {
-		next.lost = true
+// acquireWithoutRecord takes the shard over while the platform cannot be reached:
+// from a home that leaves and says what it knows, or from one that has built a bridge.
+// The journals are fenced only if there seems to be one, so that a home that needs
+// none is not disturbed.
+func (s *shard) acquireWithoutRecord(ctx context.Context, handed *handover) (string, error) {
+	keepers := s.home.keepers()
+	seen := s.askHolder(ctx, keepers)
+	bridged := seen.Fence.Number != 0 && seen.Bridge.Fence == seen.Fence && !seen.Bridge.Closed
+	given := handed != nil && handed.Journals != nil && seen.Fence == handed.Fence
+	switch {
+	case !given && s.decides(ctx, seen.Fence.Home):
+		return seen.Fence.Home, nil
+	case !given && !bridged:
+		return "", errNoRecord
 	}
-	if read {
-		next.lost = next.lost || known.lost
-		next.born = known.born
-	} else if !s.known[keeper.Name] && time.UnixMilli(reply.Born).After(s.since) {
-		// It came after this home, so that it lacks nothing of before.
-		next.born = 0
+	s.mu.Lock()
+	fence := journal.Fence{Shard: s.number, Number: max(seen.Fence.Number, s.highest) + 1, Home: s.home.fleet.Self().Name}
+	s.mu.Unlock()
+	f := s.fenceAll(ctx, fence, keepers)
+	if other := f.highest(); other.Number >= fence.Number {
+		s.noteHighest(other.Number)
+		return "", errContest
 	}
-	s.journals[keeper.Name] = next
-	if reply.Before.Number != s.fence.Number {
-		s.ledger.Inherit(reply.Covers)
+	if given && f.former() == handed.Fence.Number {
+		from := journal.Bridge{Journals: handed.Journals, Most: handed.Most, Covers: handed.Totals}
+		return "", s.takeByBridge(fence, f, keepers, from, 0)
 	}
-	s.home.logger.WithField("shard", s.number).WithField("keeper", keeper.Name).WithField("programs", len(reply.Covers)).
-		WithField("lost", next.lost).Info("journal fenced later")
-}
-
-// keepers returns the live daemons with a journal.
-func (h *Home) keepers() []structs.Instance {
-	var all []structs.Instance
-	for _, instance := range h.fleet.Live() {
-		if instance.Duty == structs.DutyKeeper {
-			all = append(all, instance)
-		}
+	found := f.bridge()
+	if found.Fence.Number == 0 || found.Closed {
+		return "", errNoRecord
 	}
-	return all
+	return "", s.takeByBridge(fence, f, keepers, found, found.Most)
 }
 
-// incarnation returns that of a live keeper.
-func (h *Home) incarnation(name string) uint64 {
-	for _, keeper := range h.keepers() {
-		if keeper.Name == name {
-			return keeper.Incarnation
-		}
+// takeByBridge begins to decide from what a bridge holds. Nothing is granted before
+// the own bridge stands: whoever comes later looks for it on the same journals.
+func (s *shard) takeByBridge(fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Bridge, hidden int) error {
+	if !s.readable(from.Journals, f.accepted()) {
+		return errJournals
 	}
-	return 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reset()
+	s.ledger = ledger.New(hidden, from.Most)
+	s.ledger.Inherit(from.Covers, ledger.FromBridge)
+	s.ledger.SetRule(ledger.ByBoth)
+	s.record = recordState{journals: from.Journals, failing: true}
+	s.bridge = bridgeState{open: true, sets: []journalSet{from.Journals}}
+	s.begin(fence, f, keepers)
+	s.log().WithField("fence", fence.Number).WithField("programs", len(from.Covers)).
+		Info("budgets of a shard taken over without their record")
+	return nil
 }
 
-// reviewKeepers notes since when keepers have been missing.
-func (h *Home) reviewKeepers(now time.Time) {
-	live := map[string]bool{}
-	for _, keeper := range h.keepers() {
-		live[keeper.Name] = true
+// askHolder returns the highest fence, and the bridge under it, that a journal knows.
+func (s *shard) askHolder(ctx context.Context, keepers []structs.Instance) holderReply {
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+	defer cancel()
+	replies := make(chan holderReply, len(keepers))
+	for _, keeper := range keepers {
+		go func() {
+			var reply holderReply
+			if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodHolder, shardRequest{Shard: s.number}, &reply); err != nil {
+				reply = holderReply{}
+			}
+			replies <- reply
+		}()
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, instance := range h.fleet.Known() {
-		if instance.Duty != structs.DutyKeeper {
-			continue
-		}
-		if live[instance.Name] {
-			delete(h.missing, instance.Name)
-		} else if _, noted := h.missing[instance.Name]; !noted {
-			h.missing[instance.Name] = now
+	var highest holderReply
+	for range keepers {
+		reply := <-replies
+		if reply.Fence.Number > highest.Fence.Number || (reply.Fence == highest.Fence && reply.Bridge.Generation > highest.Bridge.Generation) {
+			highest = reply
 		}
 	}
-}
-
-// goneFor reports whether a keeper has been missing for at least d.
-func (h *Home) goneFor(name string, d time.Duration, now time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	since, missing := h.missing[name]
-	return missing && now.Sub(since) >= d
+	return highest
 }
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -1,17 +1,16 @@
 // Package allowance keeps the token budgets of programs over a fleet whose daemons
 // may fail at any time. Each program has a home, found by hash over the gateways,
-// that decides about its turns; see package ledger for what it promises and how.
+// that decides about its turns.
 //
-// Before a home decides about a shard of programs it fences the journals of all
-// keepers and takes over what is written there. Every total is appended to a journal
-// before it is granted, so that a former home, however late it learns, can grant
-// nothing more, and what it granted before is known.
+// What a home knows is written to the record of its shard at the platform, for many
+// turns at once, under the object's version: of two homes one learns that it was
+// replaced. Package ledger says which turns need not wait for that.
 //
-// A total beyond a share of the budget is first written to a record at the platform,
-// under the object's version, so that of two homes one learns that it was replaced.
-// The records are for the loss of a journal: where one cannot be read, unknown
-// programs are taken to have used the share that journals alone may cover, and go on
-// with records. While all journals can be read, a takeover needs no platform.
+// While the record cannot be written, the home builds a bridge: it writes its totals
+// to the journals of several instances with a disk, one more than may be lost at the
+// same time. A later home reads all but so many of the journals that the record
+// names, so that it finds the bridge if there is one. Before a home decides, it
+// fences these journals, so that its predecessor can build none any more.
 package allowance
 
 import (
@@ -35,7 +34,7 @@
 	methodReserve = "allowance.reserve"
 	methodRelease = "allowance.release"
 	methodFence   = "allowance.fence"
-	methodAppend  = "allowance.append"
+	methodExtend  = "allowance.extend"
 	methodTake    = "allowance.take"
 	methodHolder  = "allowance.holder"
 	methodHolds   = "allowance.holds"
@@ -43,10 +42,11 @@
 
 // Defaults of Config.
 const (
-	DefaultShards = 16
+	// DefaultShards bounds the calls to the platform: each shard has one record.
+	DefaultShards = 1
 	// DefaultReserveTimeout is the wait for a home before the next daemon is
 	// asked to take its place: several times the way between regions and a
-	// sync of a disk.
+	// call to the platform.
 	DefaultReserveTimeout = 200 * time.Millisecond
 	// DefaultPendingAfter is the time after which a home says that its decision
 	// takes longer, so that nobody takes it for dead.
@@ -56,56 +56,93 @@
 	DefaultReserveLimit = 1200 * time.Millisecond
 	// DefaultFenceTimeout bounds the fencing of one journal.
 	DefaultFenceTimeout = 150 * time.Millisecond
-	// DefaultAppendTimeout is the wait for one journal before the next is asked.
-	DefaultAppendTimeout = 80 * time.Millisecond
-	// DefaultRecordTimeout bounds one write of a record to the platform.
+	// DefaultExtendTimeout bounds one write to a journal.
+	DefaultExtendTimeout = 150 * time.Millisecond
+	// DefaultRecordTimeout bounds one call to the platform about a record.
 	DefaultRecordTimeout = time.Second
-	// DefaultRecordInterval is the shortest time between two records of a shard,
-	// so that many programs share one call to the platform.
-	DefaultRecordInterval = 150 * time.Millisecond
-	// DefaultUpkeepInterval is the time between two looks at what has expired
-	// and at journals that are not fenced yet.
+	// DefaultRecordInterval is the time between two writes of a record that no
+	// turn waits for.
+	DefaultRecordInterval = 500 * time.Millisecond
+	// DefaultRecordGap is the shortest time between two writes of a record. Turns
+	// run meanwhile; the first token of some waits for a part of it.
+	DefaultRecordGap = 200 * time.Millisecond
+	// DefaultIdleAfter is how long a program has had no turn when it is moved to
+	// the idle part of the record, and DefaultIdleInterval the time between two
+	// writes of that. Most programs run a turn each second.
+	DefaultIdleAfter    = 3 * time.Second
+	DefaultIdleInterval = 5 * time.Second
+	// DefaultRecordRetry is the wait after a write that failed.
+	DefaultRecordRetry = 150 * time.Millisecond
+	// DefaultBridgeAfter is how long turns wait for the record before a bridge
+	// is built.
+	DefaultBridgeAfter = 150 * time.Millisecond
+	// DefaultStuckAfter is how long a home tries to close a bridge before it
+	// leaves the shard to others.
+	DefaultStuckAfter = time.Second
+	// DefaultUpkeepInterval is the time between two looks at the journals.
 	DefaultUpkeepInterval = 500 * time.Millisecond
-	// DefaultRebaseAfter is how long a keeper is missing before its homes write
-	// elsewhere what stands in its journal.
-	DefaultRebaseAfter = 500 * time.Millisecond
-	// DefaultLifetime is the least time for which programs are remembered.
-	DefaultLifetime = time.Minute
+	// DefaultAdoptInterval is the time between two looks at whether the shards
+	// that fall to a daemon have a home, in a fleet that does not change.
+	DefaultAdoptInterval = 5 * time.Second
+	// DefaultDropAfter is how long an instance with a journal is missing before
+	// a record no longer names it.
+	DefaultDropAfter = 3 * time.Second
 	// DefaultStandAside is how long a home that was replaced sends requests to
 	// the one that replaced it.
 	DefaultStandAside = 10 * time.Second
+	// DefaultJournalPatience is how long a shard stays without a home while more
+	// journals than may be lost are out of reach: what platforms remember of
+	// programs is usually forgotten by then.
+	DefaultJournalPatience = 2 * time.Minute
 )
 
-// Config sets the times of the homes. Zero fields take their default. Shards is
-// the same in the whole fleet.
+// Config sets the times of the homes. Zero fields take their default. Shards and
+// LostDisks are the same in the whole fleet.
 type Config struct {
-	Shards         int
+	Shards int
+	// LostDisks is the number of disks that may be lost at the same time.
+	LostDisks      int
 	ReserveTimeout time.Duration
 	PendingAfter   time.Duration
-	RebaseAfter    time.Duration
-	Lifetime       time.Duration
 	ReserveLimit   time.Duration
 	FenceTimeout   time.Duration
-	AppendTimeout  time.Duration
+	ExtendTimeout  time.Duration
 	RecordTimeout  time.Duration
 	RecordInterval time.Duration
+	RecordGap      time.Duration
+	IdleAfter      time.Duration
+	IdleInterval   time.Duration
+	RecordRetry    time.Duration
+	BridgeAfter    time.Duration
+	StuckAfter     time.Duration
 	UpkeepInterval time.Duration
+	AdoptInterval  time.Duration
+	DropAfter      time.Duration
 	StandAside     time.Duration
+	// JournalPatience bounds the wait for journals that are out of reach.
+	JournalPatience time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	defaults.Set(&c.Shards, DefaultShards)
 	defaults.Set(&c.ReserveTimeout, DefaultReserveTimeout)
 	defaults.Set(&c.PendingAfter, DefaultPendingAfter)
-	defaults.Set(&c.RebaseAfter, DefaultRebaseAfter)
-	defaults.Set(&c.Lifetime, DefaultLifetime)
 	defaults.Set(&c.ReserveLimit, DefaultReserveLimit)
 	defaults.Set(&c.FenceTimeout, DefaultFenceTimeout)
-	defaults.Set(&c.AppendTimeout, DefaultAppendTimeout)
+	defaults.Set(&c.ExtendTimeout, DefaultExtendTimeout)
 	defaults.Set(&c.RecordTimeout, DefaultRecordTimeout)
 	defaults.Set(&c.RecordInterval, DefaultRecordInterval)
+	defaults.Set(&c.RecordGap, DefaultRecordGap)
+	defaults.Set(&c.IdleAfter, DefaultIdleAfter)
+	defaults.Set(&c.IdleInterval, DefaultIdleInterval)
+	defaults.Set(&c.RecordRetry, DefaultRecordRetry)
+	defaults.Set(&c.BridgeAfter, DefaultBridgeAfter)
+	defaults.Set(&c.StuckAfter, DefaultStuckAfter)
 	defaults.Set(&c.UpkeepInterval, DefaultUpkeepInterval)
+	defaults.Set(&c.AdoptInterval, DefaultAdoptInterval)
+	defaults.Set(&c.DropAfter, DefaultDropAfter)
 	defaults.Set(&c.StandAside, DefaultStandAside)
+	defaults.Set(&c.JournalPatience, DefaultJournalPatience)
 	return c
 }
 
@@ -120,8 +157,6 @@
 	Self() structs.Instance
 	// Live returns the daemons taken to be alive and not leaving.
 	Live() []structs.Instance
-	// Known returns all daemons, dead and leaving ones included.
-	Known() []structs.Instance
 	// Listed is true once the platform's list of daemons was read.
 	Listed() bool
 }
@@ -136,10 +171,12 @@
 }
 
 // reserveReply is a home's decision. Pending says that the decision takes longer and
-// follows. Home names the daemon to ask instead when the
-// one that was asked is not the home.
+// follows. Ahead is a grant that has to be written down yet; the final decision
+// follows. Home names the daemon to ask instead when the one that was asked is not the
+// home.
 type reserveReply struct {
 	Granted bool   `msgpack:"g,omitempty"`
+	Ahead   bool   `msgpack:"a,omitempty"`
 	Spent   bool   `msgpack:"s,omitempty"`
 	Pending bool   `msgpack:"p,omitempty"`
 	Home    string `msgpack:"h,omitempty"`
@@ -155,32 +192,34 @@
 // fenceReply answers the fencing of a shard in a journal. Held is the fence that
 // stands, the asker's own if it was accepted, and Before the one that it replaced.
 type fenceReply struct {
-	Held   journal.Fence  `msgpack:"h"`
-	Before journal.Fence  `msgpack:"f,omitempty"`
-	Covers []ledger.Cover `msgpack:"c,omitempty"`
-	// Born is the time since when the journal lacks nothing, 0 for always.
-	Born int64 `msgpack:"b,omitempty"`
+	Held    journal.Fence  `msgpack:"h"`
+	Before  journal.Fence  `msgpack:"f,omitempty"`
+	Journal int64          `msgpack:"j,omitempty"`
+	Bridge  journal.Bridge `msgpack:"b,omitempty"`
 }
 
-// appendRequest writes covers down. Refused in its reply says that another fence,
-// Held, is in force.
-type appendRequest struct {
-	Fence  journal.Fence  `msgpack:"f"`
-	Covers []ledger.Cover `msgpack:"c"`
-}
-
-type appendReply struct {
+// extendReply answers a write to a journal. Refused says that another fence, Held,
+// is in force.
+type extendReply struct {
 	Refused bool          `msgpack:"r,omitempty"`
 	Held    journal.Fence `msgpack:"h,omitempty"`
+	Journal int64         `msgpack:"j,omitempty"`
 }
 
-// handover gives a shard to the next home, when a home leaves as planned. Complete
-// says that Totals lacks no program, Basis names the journals in use.
+// handover gives a shard to the next home, when a home leaves as planned.
 type handover struct {
-	Fence    journal.Fence    `msgpack:"f"`
-	Totals   []ledger.Cover   `msgpack:"t,omitempty"`
-	Complete bool             `msgpack:"c,omitempty"`
-	Basis    map[string]int64 `msgpack:"b,omitempty"`
+	Fence  journal.Fence  `msgpack:"f"`
+	Totals []ledger.Cover `msgpack:"t,omitempty"`
+	// Most is the largest turn on record, and Journals are those that the record
+	// names for sure.
+	Most     int        `msgpack:"m,omitempty"`
+	Journals journalSet `msgpack:"j,omitempty"`
+}
+
+// holderReply tells the fence in force in a journal, and the bridge without covers.
+type holderReply struct {
+	Fence  journal.Fence  `msgpack:"f"`
+	Bridge journal.Bridge `msgpack:"b"`
 }
 
 // shardRequest asks about a shard: a keeper for the fence in force, a home whether
--- a/internal/allowance/client.go
+++ b/internal/allowance/client.go
@@ -21,32 +21,41 @@
 	logger log.Interface
 
 	mu sync.Mutex
-	// learned holds homes other than the ones that the hash names, by shard.
-	learned map[int]learned
-}
-
-// learned is a home that answered in place of another.
-type learned struct {
-	home string
-	at   time.Time
+	// learned holds the homes that decided last, by shard.
+	learned map[int]string
 }
 
 // NewClient returns a client. Local is this daemon's own home.
 func NewClient(config Config, fleet Fleet, dialer peer.Dialer, local *Home, logger log.Interface) *Client {
 	return &Client{
-		config: config.withDefaults(), fleet: fleet, dialer: dialer, local: local, logger: logger, learned: map[int]learned{},
+		config: config.withDefaults(), fleet: fleet, dialer: dialer, local: local, logger: logger, learned: map[int]string{},
 	}
 }
 
+const (
+	// maxHomes bounds the daemons asked about one reservation.
+	maxHomes = 5
+	// reserveRetry is the time after which a caller is to try again when no
+	// home has decided: what a takeover takes.
+	reserveRetry = 150 * time.Millisecond
+)
+
 // Reserve asks the home of a program for the tokens of a turn. Errors are refusals:
-// BudgetSpent when the budget does not hold the turn, otherwise PlatformDown or
-// PeerLost with a time after which to try again.
-//
-// The function returned ends the reservation with the number of tokens that the
-// turn generated. It is called once and does not wait.
-func (c *Client) Reserve(ctx context.Context, r ledger.Reservation) (func(used int), error) {
-	ctx, cancel := context.WithTimeout(ctx, c.config.ReserveLimit)
-	defer cancel()
+// BudgetSpent when the budget does not hold the turn, otherwise PeerLost or NotHome
+// with a time after which to try again.
+func (c *Client) Reserve(ctx context.Context, r ledger.Reservation) (ledger.Grant, error) {
+	limited, cancel := context.WithTimeout(ctx, c.config.ReserveLimit)
+	g, err := c.search(limited, r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	g.cancel = cancel
+	return g, nil
+}
+
+// search asks daemons until one decides.
+func (c *Client) search(ctx context.Context, r ledger.Reservation) (*grant, error) {
 	shard := c.config.shardOf(r.Program)
 	var skipped []string
 	next := ""
@@ -63,26 +72,23 @@
 		if home == "" || ctx.Err() != nil {
 			break
 		}
-		reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped, Insist: insist})
+		g, reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped, Insist: insist})
 		switch {
-		case err == nil && reply.Granted:
+		case err == nil && g != nil:
 			c.learn(shard, home)
-			return func(used int) { c.release(home, releaseRequest{Program: r.Program, ID: r.ID, Used: used}) }, nil
+			return g, nil
 		case err == nil && reply.Spent:
 			c.learn(shard, home)
 			return nil, verdict.Refuse(verdict.BudgetSpent, "the budget of %d tokens does not hold another turn", r.Budget)
 		case err == nil:
 			next = reply.Home
-		case verdict.HasReason(err, verdict.NotHome):
-			// It has just lost the shard; by now it knows to whom.
-			failure = err
-			c.forget(shard, home)
 		default:
 			failure = err
 			c.forget(shard, home)
 			c.logger.WithError(err).WithField("request", r.ID).WithField("program", r.Program).WithField("home", home).
 				Info("home of a budget did not decide")
-			if !verdict.HasReason(err, verdict.PlatformDown) {
+			if !verdict.HasReason(err, verdict.NotHome) {
+				// One that has just lost the shard knows by now to whom.
 				skipped = append(skipped, home)
 			}
 		}
@@ -90,14 +96,6 @@
 	return nil, refuse(failure)
 }
 
-const (
-	// maxHomes bounds the daemons asked about one reservation.
-	maxHomes = 5
-	// reserveRetry is the time after which a caller is to try again when no
-	// home has decided: what a takeover takes.
-	reserveRetry = 150 * time.Millisecond
-)
-
 // refuse returns the refusal when no home has decided.
 func refuse(cause error) error {
 	if cause == nil {
@@ -116,9 +114,9 @@
 	c.mu.Lock()
 	known := c.learned[shard]
 	c.mu.Unlock()
-	if known.home != "" && !excluded[known.home] {
+	if known != "" && !excluded[known] {
 		for _, name := range names {
-			if name == known.home {
+			if name == known {
 				return name
 			}
 		}
@@ -135,33 +133,58 @@
 func (c *Client) learn(shard int, home string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.learned[shard] = learned{home: home, at: time.Now()}
+	c.learned[shard] = home
 }
 
 // forget drops what was learned about a home that did not answer.
 func (c *Client) forget(shard int, home string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.learned[shard].home == home {
+	if c.learned[shard] == home {
 		delete(c.learned, shard)
 	}
 }
 
-// ask sends a reservation to one daemon.
-func (c *Client) ask(ctx context.Context, home string, request reserveRequest) (reserveReply, error) {
+// ask sends a reservation to one daemon. The grant is nil unless it was granted, for
+// sure or ahead of being written down.
+func (c *Client) ask(ctx context.Context, home string, request reserveRequest) (*grant, reserveReply, error) {
+	g := &grant{client: c, home: home, reservation: request.Reservation}
 	if home == c.fleet.Self().Name {
-		return c.local.Reserve(ctx, request)
+		return c.askLocal(ctx, g, request)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	streamCtx, closeStream := context.WithCancel(ctx)
 	// The watchdog ends the wait for a home that says nothing at all.
-	watchdog := time.AfterFunc(c.config.ReserveTimeout, cancel)
-	defer watchdog.Stop()
-	s, err := c.dialer.Open(ctx, home, methodReserve)
+	watchdog := time.AfterFunc(c.config.ReserveTimeout, closeStream)
+	s, err := c.dialer.Open(streamCtx, home, methodReserve)
 	if err != nil {
-		return reserveReply{}, err
+		watchdog.Stop()
+		closeStream()
+		return nil, reserveReply{}, err
+	}
+	reply, err := exchange(s, request, watchdog)
+	if err == nil && reply.Ahead {
+		g.final = func(context.Context) (reserveReply, error) {
+			defer closeStream()
+			defer s.Close()
+			return receive(s)
+		}
+		g.drop = func() {
+			s.Close()
+			closeStream()
+		}
+		return g, reply, nil
+	}
+	s.Close()
+	closeStream()
+	if err != nil || !reply.Granted {
+		return nil, reply, err
 	}
-	defer s.Close()
+	return g, reply, nil
+}
+
+// exchange sends a reservation and returns the first decision.
+func exchange(s peer.Stream, request reserveRequest, watchdog *time.Timer) (reserveReply, error) {
+	defer watchdog.Stop()
 	if err := s.Send(request); err != nil {
 		return reserveReply{}, err
 	}
@@ -174,10 +197,105 @@
 	}
 }
 
+// receive returns the final decision.
+func receive(s peer.Stream) (reserveReply, error) {
+	var reply reserveReply
+	err := s.Recv(&reply)
+	return reply, err
+}
+
+// askLocal asks this daemon's own home.
+func (c *Client) askLocal(ctx context.Context, g *grant, request reserveRequest) (*grant, reserveReply, error) {
+	reply, confirm, err := c.local.reserve(ctx, request)
+	switch {
+	case err != nil:
+		return nil, reply, err
+	case reply.Ahead:
+		confirmCtx, stop := context.WithCancel(ctx)
+		g.final = func(context.Context) (reserveReply, error) {
+			defer stop()
+			return confirm(confirmCtx)
+		}
+		g.drop = stop
+		return g, reply, nil
+	case reply.Granted:
+		return g, reply, nil
+	default:
+		return nil, reply, nil
+	}
+}
+
+// grant implements ledger.Grant.
+type grant struct {
+	client      *Client
+	reservation ledger.Reservation
+	cancel      context.CancelFunc
+
+	mu   sync.Mutex
+	home string
+	// final returns the decision that follows one ahead, nil after a final one,
+	// and drop ends the wait for it.
+	final func(context.Context) (reserveReply, error)
+	drop  func()
+}
+
+// Confirm implements ledger.Grant. When the home is lost before the grant is written
+// down, another one decides anew.
+func (g *grant) Confirm(ctx context.Context) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var failure error
+	for range maxConfirms {
+		if g.final == nil {
+			return nil
+		}
+		reply, err := g.final(ctx)
+		g.final, g.drop = nil, nil
+		if err == nil && reply.Granted {
+			return nil
+		}
+		failure = err
+		g.client.forget(g.client.config.shardOf(g.reservation.Program), g.home)
+		if err := g.searchAgain(ctx); err != nil {
+			return err
+		}
+	}
+	return refuse(failure)
+}
+
+// maxConfirms bounds the homes that decide about one turn.
+const maxConfirms = 3
+
+// searchAgain reserves the same turn anew.
+func (g *grant) searchAgain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, g.client.config.ReserveLimit)
+	again, err := g.client.search(ctx, g.reservation)
+	if err != nil {
+		cancel()
+		return err
+	}
+	g.cancel()
+	g.home, g.final, g.drop, g.cancel = again.home, again.final, again.drop, cancel
+	return nil
+}
+
 // releaseTimeout bounds the message that ends a reservation. When it is lost, the
 // home counts the turn at its most.
 const releaseTimeout = 2 * time.Second
 
+// Release implements ledger.Grant.
+func (g *grant) Release(used int) {
+	g.mu.Lock()
+	home, drop := g.home, g.drop
+	g.final, g.drop = nil, nil
+	defer g.cancel()
+	g.mu.Unlock()
+	if drop != nil {
+		drop()
+	}
+	g.client.release(home, releaseRequest{Program: g.reservation.Program, ID: g.reservation.ID, Used: used})
+}
+
 // release tells the home that a turn has ended.
 func (c *Client) release(home string, request releaseRequest) {
 	if home == c.fleet.Self().Name {
--- a/internal/allowance/handover.go
+++ b/internal/allowance/handover.go
@@ -5,19 +5,20 @@
 	"sync"
 	"time"
 
+	"ibisline/internal/allowance/journal"
 	"ibisline/internal/peer"
 	"ibisline/internal/verdict"
 )
 
 // handoverTimeout bounds giving one shard to the next home; one that is not given
-// is taken from the journals.
+// is taken by way of its record.
 const handoverTimeout = 500 * time.Millisecond
 
 // HandOver gives every shard to the next home, in a planned stop, after the others
 // have learned that this daemon leaves.
 func (h *Home) HandOver(ctx context.Context) {
 	var giving sync.WaitGroup
-	for _, s := range h.held() {
+	for _, s := range h.known() {
 		giving.Go(func() { s.handOver(ctx) })
 	}
 	giving.Wait()
@@ -25,32 +26,44 @@
 
 // handOver stops deciding about the shard and tells the next home what is known.
 func (s *shard) handOver(ctx context.Context) {
-	self := s.home.fleet.Self().Name
-	successor := ""
-	for _, name := range ranked(s.home.fleet.Live(), s.number) {
-		if name != self {
-			successor = name
-			break
-		}
-	}
+	successor := s.nextHome()
 	s.mu.Lock()
 	if !s.held || successor == "" {
 		s.mu.Unlock()
 		return
 	}
-	now := time.Now()
-	given := handover{Fence: s.fence, Totals: s.ledger.Totals(false, now), Complete: s.isComplete(now), Basis: s.basis}
+	given := s.give()
 	s.reset()
-	s.successor = successor
-	s.asideUntil = now.Add(s.home.config.StandAside)
+	s.standAside(successor)
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	if err := peer.Call(ctx, s.home.dialer, successor, methodTake, given, &done{}); err != nil {
-		s.home.logger.WithError(err).WithField("shard", s.number).WithField("successor", successor).Info("shard not handed over")
+		s.log().WithError(err).WithField("successor", successor).Info("shard not handed over")
 		return
 	}
-	s.home.logger.WithField("shard", s.number).WithField("successor", successor).Info("shard handed over")
+	s.log().WithField("successor", successor).Info("shard handed over")
+}
+
+// give returns what the next home is to know. The caller holds mu.
+func (s *shard) give() handover {
+	given := handover{Fence: s.fence, Most: s.ledger.Most(), Totals: s.ledger.Totals(time.Now())}
+	if len(s.record.doubtful) == 0 {
+		given.Journals = s.record.journals
+	}
+	return given
+}
+
+// nextHome returns the daemon that comes first for the shard beside this one, "" if
+// there is none.
+func (s *shard) nextHome() string {
+	self := s.home.fleet.Self().Name
+	for _, name := range ranked(s.home.fleet.Live(), s.number) {
+		if name != self {
+			return name
+		}
+	}
+	return ""
 }
 
 // serveTake takes a shard from a home that leaves.
@@ -60,13 +73,40 @@
 		return err
 	}
 	s := h.shard(given.Fence.Shard)
-	<-s.acquiring
+	select {
+	case <-s.acquiring:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
 		return verdict.Refuse(verdict.NotHome, "shard %d is held already", s.number)
 	}
-	if err := s.acquire(context.WithoutCancel(ctx), &given); err != nil {
-		return err
+	if _, err := s.acquire(context.WithoutCancel(ctx), &given); err != nil {
+		return unacquired(err)
 	}
 	return stream.Send(done{})
 }
+
+// reacquire takes the shard anew under a higher number, after another daemon has
+// fenced journals but has not taken the record. While a bridge may stand, the other
+// one may have taken the shard by it.
+func (s *shard) reacquire(ctx context.Context, fence journal.Fence) {
+	<-s.acquiring
+	defer func() { s.acquiring <- struct{}{} }()
+	s.mu.Lock()
+	if !s.holdsUnder(fence) {
+		s.mu.Unlock()
+		return
+	}
+	own, bridged := s.give(), s.bridge.open
+	s.reset()
+	s.mu.Unlock()
+	if bridged {
+		s.log().Info("shard given up, journals are fenced by another home")
+		return
+	}
+	if _, err := s.acquire(ctx, &own); err != nil {
+		s.log().WithError(err).Info("shard not taken anew")
+	}
+}
--- a/internal/allowance/home.go
+++ b/internal/allowance/home.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/peer"
+	"ibisline/internal/structs"
 )
 
 // Home decides about the budgets of the shards that fall to this daemon. It is a
@@ -21,34 +23,44 @@
 	store  Store
 	logger log.Interface
 
+	// ctx bounds the writers of all shards.
+	ctx   context.Context
+	stop  context.CancelFunc
+	tasks sync.WaitGroup
+
+	// adopted is the fleet for which every shard was last found to have a home.
+	adopted   []structs.Instance
+	adoptedAt time.Time
+
 	mu     sync.Mutex
+	ended  bool
 	shards map[int]*shard
-	// missing holds the time since when each keeper was not live.
-	missing map[string]time.Time
 
 	granted *metrics.Counter
 	spent   *metrics.Counter
 	fences  *metrics.Counter
-	appends *metrics.Counter
 	records *metrics.Counter
+	bridges *metrics.Counter
 	lost    *metrics.Counter
 }
 
 // NewHome returns a home without shards and registers its methods with mux.
 func NewHome(config Config, fleet Fleet, dialer peer.Dialer, mux peer.Mux, store Store, set *metrics.Set, logger log.Interface) *Home {
+	ctx, stop := context.WithCancel(context.Background())
 	h := &Home{
 		config:  config.withDefaults(),
 		fleet:   fleet,
 		dialer:  dialer,
 		store:   store,
 		logger:  logger,
+		ctx:     ctx,
+		stop:    stop,
 		shards:  map[int]*shard{},
-		missing: map[string]time.Time{},
 		granted: set.GetOrCreateCounter(`ibisline_allowance_decisions_total{decision="granted"}`),
 		spent:   set.GetOrCreateCounter(`ibisline_allowance_decisions_total{decision="spent"}`),
-		fences:  set.GetOrCreateCounter("ibisline_allowance_fences_total"),
-		appends: set.GetOrCreateCounter("ibisline_allowance_journal_appends_total"),
+		fences:  set.GetOrCreateCounter("ibisline_allowance_takeovers_total"),
 		records: set.GetOrCreateCounter("ibisline_allowance_records_total"),
+		bridges: set.GetOrCreateCounter("ibisline_allowance_bridge_writes_total"),
 		lost:    set.GetOrCreateCounter("ibisline_allowance_shards_lost_total"),
 	}
 	mux.Handle(methodReserve, h.serveReserve)
@@ -65,18 +77,66 @@
 	for {
 		select {
 		case <-ctx.Done():
+			h.end()
 			return nil
 		case <-ticker.C:
 		}
-		h.reviewKeepers(time.Now())
-		for _, s := range h.held() {
-			s.upkeep(ctx)
+		for _, s := range h.known() {
+			if s.holds() {
+				s.reviewJournals(ctx)
+			}
+		}
+		h.adoptOrphans(ctx)
+	}
+}
+
+// adoptOrphans takes over the shards that fall to this daemon and that no live one
+// decides about, whenever the fleet has changed and now and then: a shard without a home would learn
+// nothing of journals that come and go.
+func (h *Home) adoptOrphans(ctx context.Context) {
+	live, now := h.fleet.Live(), time.Now()
+	if !h.fleet.Listed() || (slices.Equal(live, h.adopted) && now.Sub(h.adoptedAt) < h.config.AdoptInterval) {
+		return
+	}
+	self := h.fleet.Self().Name
+	whole := true
+	for number := range h.config.Shards {
+		if names := ranked(live, number); len(names) == 0 || names[0] != self {
+			continue
+		}
+		s := h.shard(number)
+		if s.holds() || h.isLive(s.replacedBy(now)) {
+			continue
+		}
+		if _, err := s.ensureHeld(ctx); err != nil {
+			whole = false
 		}
 	}
+	if whole {
+		h.adopted, h.adoptedAt = live, now
+	}
+}
+
+// end waits for all writers.
+func (h *Home) end() {
+	h.mu.Lock()
+	h.ended = true
+	h.mu.Unlock()
+	h.stop()
+	h.tasks.Wait()
+}
+
+// spawn runs f in a goroutine that Run waits for.
+func (h *Home) spawn(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		h.tasks.Go(f)
+	}
 }
 
-// held returns the shards that this daemon has been asked about.
-func (h *Home) held() []*shard {
+// known returns the shards that this daemon has been asked about.
+func (h *Home) known() []*shard {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	all := make([]*shard, 0, len(h.shards))
@@ -98,11 +158,15 @@
 	return s
 }
 
-// Reserve decides about a reservation.
-func (h *Home) Reserve(ctx context.Context, request reserveRequest) (reserveReply, error) {
+// confirmation waits for the decision that follows one ahead.
+type confirmation func(ctx context.Context) (reserveReply, error)
+
+// reserve decides about a reservation. Where it decides ahead, the confirmation
+// returns the final decision.
+func (h *Home) reserve(ctx context.Context, request reserveRequest) (reserveReply, confirmation, error) {
 	s := h.shard(h.config.shardOf(request.Reservation.Program))
 	if home := h.elsewhere(s, request.Skipped); home != "" && !request.Insist {
-		return reserveReply{Home: home}, nil
+		return reserveReply{Home: home}, nil, nil
 	}
 	return s.reserve(ctx, request.Reservation)
 }
@@ -144,36 +208,37 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	reply, err := h.decideBy(ctx, request, s)
+	reply, confirm, err := h.reserveBy(ctx, request, s)
 	if err != nil {
 		return err
 	}
+	if err := s.Send(reply); err != nil {
+		return err
+	}
+	if confirm == nil {
+		return nil
+	}
+	if reply, err = confirm(ctx); err != nil {
+		return err
+	}
 	return s.Send(reply)
 }
 
-// decideBy decides, and says on the way that it takes longer if it does.
-func (h *Home) decideBy(ctx context.Context, request reserveRequest, s peer.Stream) (reserveReply, error) {
-	type outcome struct {
-		reply reserveReply
-		err   error
-	}
-	decided := make(chan outcome, 1)
-	go func() {
-		reply, err := h.Reserve(ctx, request)
-		decided <- outcome{reply, err}
-	}()
-	timer := time.NewTimer(h.config.PendingAfter)
-	defer timer.Stop()
-	select {
-	case o := <-decided:
-		return o.reply, o.err
-	case <-timer.C:
+// reserveBy decides, and says on the way that it takes longer if it does.
+func (h *Home) reserveBy(ctx context.Context, request reserveRequest, s peer.Stream) (reserveReply, confirmation, error) {
+	if h.shard(h.config.shardOf(request.Reservation.Program)).holds() {
+		return h.reserve(ctx, request)
 	}
-	if err := s.Send(reserveReply{Pending: true}); err != nil {
-		return reserveReply{}, err
+	pending := make(chan error, 1)
+	timer := time.AfterFunc(h.config.PendingAfter, func() { pending <- s.Send(reserveReply{Pending: true}) })
+	reply, confirm, err := h.reserve(ctx, request)
+	if !timer.Stop() {
+		// The stream has one sender at a time.
+		if sent := <-pending; err == nil {
+			err = sent
+		}
 	}
-	o := <-decided
-	return o.reply, o.err
+	return reply, confirm, err
 }
 
 func (h *Home) serveHolds(_ context.Context, s peer.Stream) error {
@@ -181,7 +246,7 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	return s.Send(holdsReply{Holds: h.shard(request.Shard).holds()})
+	return s.Send(holdsReply{Holds: h.shard(request.Shard).able()})
 }
 
 // Holds reports whether this daemon decides about a program, as far as it knows.
@@ -206,16 +271,17 @@
 	Shard    int              `json:"shard"`
 	Held     bool             `json:"held"`
 	Fence    int64            `json:"fence"`
-	Complete bool             `json:"complete"`
+	Version  int64            `json:"record_version"`
 	Journals map[string]int64 `json:"journals,omitempty"`
+	Bridged  bool             `json:"bridged,omitempty"`
 	Usages   []ledger.Usage   `json:"programs"`
 }
 
 // Dump returns the states of all shards.
 func (h *Home) Dump() any {
 	var all []ShardState
-	for _, s := range h.held() {
-		all = append(all, s.state(time.Now()))
+	for _, s := range h.known() {
+		all = append(all, s.state())
 	}
 	return all
 }
--- a/internal/allowance/journal/journal.go
+++ b/internal/allowance/journal/journal.go
@@ -1,7 +1,7 @@
-// Package journal keeps on the disk of one instance what homes of budgets wrote
-// down, by shard. A home first fences a shard with a number higher than any
-// before; from then on writes with a lower number are refused. So a home that
-// reads a journal knows that nothing is added behind its back.
+// Package journal keeps on the disk of one instance what homes of budgets write down
+// while they cannot reach the platform, by shard. A home first fences a shard with a
+// number higher than any before; from then on writes with a lower number are refused.
+// So a home that reads a journal knows that nothing is added behind its back.
 //
 // The file is a sequence of records, each with its length and checksum. Reading
 // ends at the first record that is torn: what follows was never acknowledged.
@@ -10,6 +10,9 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,21 +60,33 @@
 	Home   string `msgpack:"h"`
 }
 
-// record is one entry of the file. Exactly one field is set.
-type record struct {
-	Born   int64        `msgpack:"b,omitempty"`
-	Fence  *Fence       `msgpack:"f,omitempty"`
-	Covers *shardCovers `msgpack:"c,omitempty"`
+// Bridge is what a home writes down in place of the shard's record. It stands on
+// several journals.
+type Bridge struct {
+	Fence Fence `msgpack:"f"`
+	// Generation counts the bridges of one fence; the highest counts.
+	Generation int64 `msgpack:"g"`
+	// Closed is set once the record holds everything again.
+	Closed bool `msgpack:"c,omitempty"`
+	// Journals are those on which the bridge may stand: their identity by the
+	// name of their instance.
+	Journals map[string]int64 `msgpack:"j,omitempty"`
+	// Most is the largest turn on record.
+	Most   int            `msgpack:"m,omitempty"`
+	Covers []ledger.Cover `msgpack:"t,omitempty"`
 }
 
-type shardCovers struct {
-	Shard  int            `msgpack:"s"`
-	Covers []ledger.Cover `msgpack:"c"`
+// record is one entry of the file. Exactly one field is set.
+type record struct {
+	ID     int64   `msgpack:"i,omitempty"`
+	Fence  *Fence  `msgpack:"f,omitempty"`
+	Bridge *Bridge `msgpack:"b,omitempty"`
 }
 
 // shard is the state of one shard.
 type shard struct {
 	fence  Fence
+	bridge Bridge // without covers
 	covers map[string]ledger.Cover
 }
 
@@ -82,7 +97,7 @@
 	mu     sync.Mutex
 	size   int64
 	shards map[int]*shard
-	born   int64
+	id     int64
 	failed error
 	// pending are encoded records that the next sync makes durable, waiters
 	// those that wait for it.
@@ -91,17 +106,16 @@
 	syncing bool
 }
 
-// Open reads the journal on a disk, or begins one. Fresh says that no journal can
-// have been there before: only then is an empty one known to lack nothing.
-func Open(disk Disk, fresh bool, now time.Time) (*Journal, error) {
+// Open reads the journal on a disk, or begins one with a new identity.
+func Open(disk Disk) (*Journal, error) {
 	j := &Journal{disk: disk, shards: map[int]*shard{}}
 	content, err := disk.Read()
 	if err != nil {
 		return nil, errors.Wrap(err, "read the journal")
 	}
 	j.replay(content)
-	if j.born == 0 && !fresh {
-		j.born = now.UnixMilli()
+	for j.id == 0 {
+		j.id = rand.Int64()
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -111,13 +125,8 @@
 	return j, nil
 }
 
-// Born returns the time from which on the journal lacks nothing, in Unix
-// milliseconds; 0 when it never lost anything.
-func (j *Journal) Born() int64 {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return max(j.born, 0)
-}
+// ID identifies the journal as long as its disk keeps it.
+func (j *Journal) ID() int64 { return j.id }
 
 // replay applies all whole records.
 func (j *Journal) replay(content []byte) {
@@ -140,16 +149,37 @@
 // apply changes the state as a record says.
 func (j *Journal) apply(r record) {
 	switch {
-	case r.Born != 0:
-		j.born = r.Born
+	case r.ID != 0:
+		j.id = r.ID
 	case r.Fence != nil:
 		j.shard(r.Fence.Shard).fence = *r.Fence
-	case r.Covers != nil:
-		held := j.shard(r.Covers.Shard).covers
-		for _, c := range r.Covers.Covers {
-			held[c.Program] = c.Merge(held[c.Program])
+	case r.Bridge != nil:
+		j.shard(r.Bridge.Fence.Shard).extend(*r.Bridge)
+	}
+}
+
+// extend adds to the bridge, or begins another one.
+func (s *shard) extend(b Bridge) {
+	if s.bridge.Fence != b.Fence || s.bridge.Generation != b.Generation || b.Closed {
+		s.covers = map[string]ledger.Cover{}
+	}
+	for _, c := range b.Covers {
+		s.covers[c.Program] = c.Merge(s.covers[c.Program])
+	}
+	b.Covers = nil
+	s.bridge = b
+}
+
+// whole returns the bridge with its covers.
+func (s *shard) whole(now time.Time) Bridge {
+	b := s.bridge
+	for name, c := range s.covers {
+		if c.Expires <= now.UnixMilli() {
+			delete(s.covers, name)
 		}
 	}
+	b.Covers = slices.Collect(maps.Values(s.covers))
+	return b
 }
 
 // shard returns the state of a shard. The caller holds mu.
@@ -162,79 +192,46 @@
 	return s
 }
 
-// Take fences a shard and returns the fence before and what was written about it.
+// Take fences a shard and returns the fence before and the bridge that was built.
 // ErrFenced comes with the fence that stands in the way.
-func (j *Journal) Take(f Fence, now time.Time) (Fence, []ledger.Cover, error) {
+func (j *Journal) Take(f Fence, now time.Time) (Fence, Bridge, error) {
 	j.mu.Lock()
 	s := j.shard(f.Shard)
 	if f.Number < s.fence.Number || (f.Number == s.fence.Number && f.Home != s.fence.Home) {
 		held := s.fence
 		j.mu.Unlock()
-		return held, nil, ErrFenced
+		return held, Bridge{}, ErrFenced
 	}
 	before := s.fence
 	s.fence = f
-	covers := make([]ledger.Cover, 0, len(s.covers))
-	for name, c := range s.covers {
-		if c.Expires <= now.UnixMilli() {
-			delete(s.covers, name)
-			continue
-		}
-		covers = append(covers, c)
-	}
+	bridge := s.whole(now)
 	done := j.add(record{Fence: &f})
 	j.mu.Unlock()
-	return before, covers, <-done
-}
-
-// Shards returns the fences of the shards about which something is written down.
-func (j *Journal) Shards(now time.Time) []Fence {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	var fences []Fence
-	for _, s := range j.shards {
-		for _, c := range s.covers {
-			if c.Expires > now.UnixMilli() {
-				fences = append(fences, s.fence)
-				break
-			}
-		}
-	}
-	return fences
-}
-
-// Used reports whether any home has fenced a shard here.
-func (j *Journal) Used() bool {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	for _, s := range j.shards {
-		if s.fence.Number != 0 {
-			return true
-		}
-	}
-	return false
+	return before, bridge, <-done
 }
 
-// Holder returns the fence in force for a shard, the zero Fence if there is none.
-func (j *Journal) Holder(number int) Fence {
+// Holder returns the fence in force for a shard and the last bridge without its
+// covers, zero values if there are none.
+func (j *Journal) Holder(number int) (Fence, Bridge) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if s := j.shards[number]; s != nil {
-		return s.fence
+		return s.fence, s.bridge
 	}
-	return Fence{}
+	return Fence{}, Bridge{}
 }
 
-// Append writes covers of a shard down. They are durable when it returns nil.
-func (j *Journal) Append(f Fence, covers []ledger.Cover) error {
+// Extend adds to a bridge, or begins or closes it, under the fence in force. It is
+// durable when Extend returns nil.
+func (j *Journal) Extend(b Bridge) error {
 	j.mu.Lock()
-	if held := j.shard(f.Shard).fence; held.Number != f.Number || held.Home != f.Home {
+	s := j.shard(b.Fence.Shard)
+	if s.fence != b.Fence {
 		j.mu.Unlock()
 		return ErrFenced
 	}
-	r := record{Covers: &shardCovers{Shard: f.Shard, Covers: covers}}
-	j.apply(r)
-	done := j.add(r)
+	s.extend(b)
+	done := j.add(record{Bridge: &b})
 	j.mu.Unlock()
 	return <-done
 }
@@ -340,25 +337,15 @@
 
 // state returns records that bring about the present state.
 func (j *Journal) state(now time.Time) []record {
-	// -1 marks a journal that never lost anything.
-	born := j.born
-	if born == 0 {
-		born = -1
-	}
-	all := []record{{Born: born}}
-	for number, s := range j.shards {
-		if s.fence.Number != 0 {
-			fence := s.fence
-			all = append(all, record{Fence: &fence})
-		}
-		live := &shardCovers{Shard: number}
-		for _, c := range s.covers {
-			if c.Expires > now.UnixMilli() {
-				live.Covers = append(live.Covers, c)
-			}
+	all := []record{{ID: j.id}}
+	for _, s := range j.shards {
+		if s.fence.Number == 0 {
+			continue
 		}
-		if len(live.Covers) > 0 {
-			all = append(all, record{Covers: live})
+		fence, bridge := s.fence, s.whole(now)
+		all = append(all, record{Fence: &fence})
+		if bridge.Fence.Number != 0 {
+			all = append(all, record{Bridge: &bridge})
 		}
 	}
 	return all
--- /dev/null
+++ b/internal/allowance/journals.go
@@ -0,0 +1,241 @@
+package allowance
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"ibisline/internal/allowance/journal"
+	"ibisline/internal/allowance/ledger"
+	"ibisline/internal/peer"
+	"ibisline/internal/structs"
+)
+
+// journalSet names journals: their identity by the name of their instance. A journal
+// that lost its disk has another identity than before.
+type journalSet map[string]int64
+
+// count returns how many members of the set are among answered.
+func (s journalSet) count(answered journalSet) int {
+	found := 0
+	for name, id := range s {
+		if answered[name] == id {
+			found++
+		}
+	}
+	return found
+}
+
+// readBy reports whether answered holds enough of the set to find every bridge that
+// stands on one journal more than may be lost, or all that is left of the set.
+func (s journalSet) readBy(answered journalSet, lost int) bool {
+	return s.count(answered) >= len(s)-lost || len(s.outOfReach(answered)) == 0
+}
+
+// outOfReach returns the members that did not answer. One that answered with another
+// identity has lost its disk.
+func (s journalSet) outOfReach(answered journalSet) []string {
+	var names []string
+	for name := range s {
+		if _, ok := answered[name]; !ok {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// among returns the members whose instances are among some.
+func (s journalSet) among(instances []structs.Instance) journalSet {
+	found := journalSet{}
+	for _, instance := range instances {
+		if id, ok := s[instance.Name]; ok {
+			found[instance.Name] = id
+		}
+	}
+	return found
+}
+
+// bridgedBy reports whether answered holds enough of the set to carry a bridge.
+func (s journalSet) bridgedBy(answered journalSet, lost int) bool {
+	return s.count(answered) > lost
+}
+
+// keepers returns the live instances with a journal.
+func (h *Home) keepers() []structs.Instance {
+	var all []structs.Instance
+	for _, instance := range h.fleet.Live() {
+		if instance.Duty == structs.DutyKeeper {
+			all = append(all, instance)
+		}
+	}
+	return all
+}
+
+// fencing is the outcome of fencing a shard in several journals.
+type fencing struct {
+	fence   journal.Fence
+	replies map[string]fenceReply
+}
+
+// fenceAll fences a shard in several journals at once.
+func (s *shard) fenceAll(ctx context.Context, fence journal.Fence, keepers []structs.Instance) fencing {
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var asked sync.WaitGroup
+	f := fencing{fence: fence, replies: map[string]fenceReply{}}
+	for _, keeper := range keepers {
+		asked.Go(func() {
+			var reply fenceReply
+			if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodFence, fence, &reply); err != nil {
+				s.log().WithError(err).WithField("keeper", keeper.Name).Info("journal not fenced")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			f.replies[keeper.Name] = reply
+		})
+	}
+	asked.Wait()
+	return f
+}
+
+// highest returns the fence with the highest number that stands in the way, the zero
+// Fence if there is none.
+func (f fencing) highest() journal.Fence {
+	var highest journal.Fence
+	for _, reply := range f.replies {
+		if reply.Held != f.fence && reply.Held.Number >= highest.Number {
+			highest = reply.Held
+		}
+	}
+	return highest
+}
+
+// accepted returns the journals that took the fence.
+func (f fencing) accepted() journalSet {
+	set := journalSet{}
+	for name, reply := range f.replies {
+		if reply.Held == f.fence {
+			set[name] = reply.Journal
+		}
+	}
+	return set
+}
+
+// covers returns all that the journals hold, of whichever bridge: too much of it does
+// no harm.
+func (f fencing) covers() []ledger.Cover {
+	var all []ledger.Cover
+	for _, reply := range f.replies {
+		all = append(all, reply.Bridge.Covers...)
+	}
+	return all
+}
+
+// former returns the highest number of the fences that were replaced.
+func (f fencing) former() int64 {
+	var former int64
+	for _, reply := range f.replies {
+		former = max(former, reply.Before.Number)
+	}
+	return former
+}
+
+// bridge returns what the journals hold of the last bridge that was built under the
+// highest former fence, and the zero Bridge if there is none. A home between the two
+// may have granted turns by the record alone. A bridge that any journal knows to be
+// closed is closed.
+func (f fencing) bridge() journal.Bridge {
+	former := f.former()
+	var found journal.Bridge
+	for _, reply := range f.replies {
+		b := reply.Bridge
+		if b.Fence.Number == 0 || b.Fence.Number != former || b.Generation < found.Generation {
+			continue
+		}
+		if b.Generation == found.Generation {
+			b.Closed = b.Closed || found.Closed
+			b.Covers = append(b.Covers, found.Covers...)
+		}
+		found = b
+	}
+	return found
+}
+
+// reviewJournals fences journals that this home has not fenced yet, and chooses those
+// that the record is to name.
+func (s *shard) reviewJournals(ctx context.Context) {
+	keepers := s.home.keepers()
+	now := time.Now()
+	s.mu.Lock()
+	fence := s.fence
+	var missing []structs.Instance
+	for _, keeper := range keepers {
+		if known := s.fenced[keeper.Name]; known.id == 0 || known.incarnation != keeper.Incarnation {
+			missing = append(missing, keeper)
+		}
+	}
+	held := s.held
+	if s.unable {
+		signal(s.bridgeDue)
+	}
+	s.mu.Unlock()
+	if !held {
+		return
+	}
+	var f fencing
+	if len(missing) > 0 {
+		f = s.fenceAll(ctx, fence, missing)
+	}
+	if other := f.highest(); other.Number > fence.Number {
+		s.noteHighest(other.Number)
+		s.reacquire(ctx, fence)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held && s.fence == fence {
+		s.noteFenced(f, missing)
+		s.chooseJournals(keepers, now)
+	}
+}
+
+// fencedJournal is a journal in which this home has fenced the shard.
+type fencedJournal struct {
+	id int64
+	// incarnation is the keeper's start at which it was fenced.
+	incarnation uint64
+	seen        time.Time
+}
+
+// noteFenced notes the journals that took the fence. The caller holds mu.
+func (s *shard) noteFenced(f fencing, keepers []structs.Instance) {
+	for _, keeper := range keepers {
+		if id, ok := f.accepted()[keeper.Name]; ok {
+			s.fenced[keeper.Name] = fencedJournal{id: id, incarnation: keeper.Incarnation, seen: time.Now()}
+		}
+	}
+}
+
+// chooseJournals chooses the journals that the record is to name: those that are
+// fenced, and were missing for a short time at most. The caller holds mu.
+func (s *shard) chooseJournals(live []structs.Instance, now time.Time) {
+	for _, keeper := range live {
+		if known, ok := s.fenced[keeper.Name]; ok {
+			known.seen = now
+			s.fenced[keeper.Name] = known
+		}
+	}
+	wanted := journalSet{}
+	for name, known := range s.fenced {
+		if now.Sub(known.seen) < s.home.config.DropAfter {
+			wanted[name] = known.id
+		}
+	}
+	if !maps.Equal(wanted, s.wanted) {
+		s.log().WithField("journals", wanted).Info("journals for a bridge chosen")
+		s.wanted = wanted
+	}
+}
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -9,25 +9,21 @@
 
 	"ibisline/internal/allowance/journal"
 	"ibisline/internal/peer"
-	"ibisline/internal/verdict"
 )
 
 // Keeper serves the journal of an instance with a disk to the homes. It is a
 // kernel service.
 type Keeper struct {
 	journal *journal.Journal
-	listed  func() bool
 	logger  log.Interface
 	retry   time.Duration
 }
 
-// NewKeeper registers the methods of a journal with mux. Listed reports whether the
-// platform's list of daemons names this one: homes must be able to learn of every
-// journal that is in use.
-func NewKeeper(j *journal.Journal, listed func() bool, mux peer.Mux, logger log.Interface) *Keeper {
-	k := &Keeper{journal: j, listed: listed, logger: logger, retry: diskRetry}
+// NewKeeper registers the methods of a journal with mux.
+func NewKeeper(j *journal.Journal, mux peer.Mux, logger log.Interface) *Keeper {
+	k := &Keeper{journal: j, logger: logger, retry: diskRetry}
 	mux.Handle(methodFence, k.serveFence)
-	mux.Handle(methodAppend, k.serveAppend)
+	mux.Handle(methodExtend, k.serveExtend)
 	mux.Handle(methodHolder, k.serveHolder)
 	return k
 }
@@ -51,19 +47,12 @@
 	}
 }
 
-// usable reports whether homes may write here. A journal that was in use before has
-// been listed.
-func (k *Keeper) usable() bool { return k.journal.Used() || k.listed() }
-
 func (k *Keeper) serveFence(_ context.Context, s peer.Stream) error {
 	var f journal.Fence
 	if err := s.Recv(&f); err != nil {
 		return err
 	}
-	if !k.usable() {
-		return verdict.Refuse(verdict.Stopping, "the journal is not listed at the platform yet")
-	}
-	before, covers, err := k.journal.Take(f, time.Now())
+	before, bridge, err := k.journal.Take(f, time.Now())
 	if errors.Is(err, journal.ErrFenced) {
 		return s.Send(fenceReply{Held: before})
 	}
@@ -71,7 +60,7 @@
 		k.logger.WithError(err).WithField("shard", f.Shard).Error("fence not written")
 		return err
 	}
-	return s.Send(fenceReply{Held: f, Before: before, Covers: covers, Born: k.journal.Born()})
+	return s.Send(fenceReply{Held: f, Before: before, Journal: k.journal.ID(), Bridge: bridge})
 }
 
 func (k *Keeper) serveHolder(_ context.Context, s peer.Stream) error {
@@ -79,21 +68,23 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	return s.Send(k.journal.Holder(request.Shard))
+	fence, bridge := k.journal.Holder(request.Shard)
+	return s.Send(holderReply{Fence: fence, Bridge: bridge})
 }
 
-func (k *Keeper) serveAppend(_ context.Context, s peer.Stream) error {
-	var request appendRequest
-	if err := s.Recv(&request); err != nil {
+func (k *Keeper) serveExtend(_ context.Context, s peer.Stream) error {
+	var b journal.Bridge
+	if err := s.Recv(&b); err != nil {
 		return err
 	}
-	err := k.journal.Append(request.Fence, request.Covers)
+	err := k.journal.Extend(b)
 	if errors.Is(err, journal.ErrFenced) {
-		return s.Send(appendReply{Refused: true, Held: k.journal.Holder(request.Fence.Shard)})
+		held, _ := k.journal.Holder(b.Fence.Shard)
+		return s.Send(extendReply{Refused: true, Held: held})
 	}
 	if err != nil {
-		k.logger.WithError(err).Error("journal not written")
+		k.logger.WithError(err).WithField("shard", b.Fence.Shard).Error("bridge not written")
 		return err
 	}
-	return s.Send(appendReply{})
+	return s.Send(extendReply{Journal: k.journal.ID()})
 }
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -1,15 +1,18 @@
-// Package ledger decides about the token budgets of programs at their home. It is
+// Package ledger keeps the accounts of programs at the home of their budgets. It is
 // a state machine without I/O and clock.
 //
 // A home promises that all turns of a program together generate no more than the
-// budget, whatever is lost: before a total is granted it must be covered, that is
-// written down where a later home finds it. Up to a share of the budget a journal on
-// the disk of one instance covers it, which costs no call to the platform. Beyond
-// that only a record at the platform does. So a home that cannot read all journals
-// need only assume that a program has used that share.
+// budget and one turn, whatever is lost. It grants a turn at once as long as the
+// program's total exceeds what is written down durably by no more than one turn; what
+// is beyond waits until more is written. So a later home that knows nothing but what
+// is written takes every program for one turn further, and is never below the truth.
+//
+// The record at the platform is where totals are written down. While it cannot be
+// written, a bridge on the disks of several instances stands in for it.
 package ledger
 
 import (
+	"context"
 	"time"
 )
 
@@ -19,8 +22,9 @@
 	// ID identifies the attempt; the same reservation is granted once.
 	ID     string `msgpack:"i"`
 	Budget int    `msgpack:"b"`
-	// Tokens is the most that the turn generates.
-	Tokens int `msgpack:"t"`
+	// Tokens is the most that the turn generates, and Expected an estimate.
+	Tokens   int `msgpack:"t"`
+	Expected int `msgpack:"e"`
 	// Lifetime is the time for which the program is remembered when idle.
 	Lifetime time.Duration `msgpack:"l"`
 }
@@ -30,247 +34,491 @@
 
 // Decisions.
 const (
-	// Granted: the total is covered, the turn may run.
+	// Granted: the turn may run.
 	Granted Decision = iota
-	// Spent: the budget does not hold the turn. A total that comes with it is to be
-	// written down again, so that it is remembered long enough.
+	// Spent: the budget does not hold the turn.
 	Spent
-	// Journal and Record: the turn may run once a journal, or a record at the
-	// platform, covers the total given with the decision.
-	Journal
-	Record
+	// Unwritten: the turn may run once more is written down. The reservation is
+	// held until Release.
+	Unwritten
+	// Unknown: the ledger holds no such reservation.
+	Unknown
 )
 
-// String returns the name used in logs.
-func (d Decision) String() string {
-	return [...]string{"earlier cover", "spent", "journal", "record"}[d]
+// Grant is a reservation that was granted.
+type Grant interface {
+	// Confirm waits until the grant is written down. Before that nothing that the
+	// turn generates may be handed on, although it may run. An error says that it
+	// will not be.
+	Confirm(ctx context.Context) error
+	// Release ends the reservation with what was handed on. It is called once and
+	// does not wait.
+	Release(used int)
 }
 
 // Cover is a total that has to be, or was, written down for a program.
 type Cover struct {
-	Program string `msgpack:"p" json:"program"`
+	Program string `msgpack:"p"`
 	// Total is the number of tokens that the program may have used since its start.
-	Total int `msgpack:"t" json:"total"`
+	Total int `msgpack:"t"`
 	// Expires is when the program is forgotten, in Unix milliseconds.
-	Expires int64 `msgpack:"x" json:"expires"`
+	Expires int64 `msgpack:"x"`
+	// Estimated is set when the program has used less than Total, or may have.
+	Estimated bool `msgpack:"e,omitempty"`
 }
 
 // Merge returns c with what is higher in other, about the same program or nothing.
 func (c Cover) Merge(other Cover) Cover {
 	c.Total = max(c.Total, other.Total)
 	c.Expires = max(c.Expires, other.Expires)
+	c.Estimated = c.Estimated || other.Estimated
 	return c
 }
 
-// program is the account of one program.
-type program struct {
+// account is that of one program.
+type account struct {
 	// base is what the program may have used before it was first seen here.
 	// When estimated is set, that is more than it is known to have used.
 	base      int
 	estimated bool
 	// spent is what ended turns used here, open what turns under way may use.
 	spent int
-	open  map[string]int
-	// covered is the highest total written down, in journals or at the platform,
-	// until the time at which a later home forgets it.
-	covered int
-	until   time.Time
-	expires time.Time
+	open  map[string]turn
+	// recorded is the total that stands in the record for sure, recording the
+	// one in a write under way, and bridged the one on the disks.
+	recorded  int
+	recording int
+	bridged   int
+	bridging  int
+	expires   time.Time
+	lifetime  time.Duration
+	// written is when the record forgets the program.
+	written int64
+	writing int64
+	// place is the part of the record where the total belongs, and listed is set
+	// while the active part holds it for sure.
+	place  place
+	listed bool
 }
 
-func (p *program) total() int {
-	total := p.base + p.spent
-	for _, tokens := range p.open {
-		total += tokens
+// place is the part of the record that holds a program.
+type place uint8
+
+const (
+	// active is the part that is written often.
+	active place = iota
+	// moving is for a program of the active part that is being written to the
+	// idle one as well.
+	moving
+	// idle is the part for programs that have not been active lately.
+	idle
+)
+
+// turn is one under way.
+type turn struct{ tokens, expected int }
+
+// total is what the program may have used.
+func (a *account) total() int {
+	total := a.base + a.spent
+	for _, t := range a.open {
+		total += t.tokens
 	}
 	return total
 }
 
+// likely is what the program has used if its turns under way are as expected, and at
+// least what leaves no more than most of the total unsaid.
+func (a *account) likely(most int) int {
+	likely := a.base + a.spent
+	for _, t := range a.open {
+		likely += t.expected
+	}
+	return max(likely, a.total()-most)
+}
+
+// remembered is when the record is to forget the program: late enough that not every
+// turn of an old program has to be written down.
+func (a *account) remembered() int64 { return a.expires.Add(a.lifetime).UnixMilli() }
+
 // Ledger holds the programs of one shard. It is not safe for concurrent use.
 type Ledger struct {
-	programs map[string]*program
-	// inherited holds what earlier homes wrote down, until a program is seen.
-	inherited map[string]Cover
+	programs map[string]*account
+	// hidden is what earlier homes may have granted to any program beyond what
+	// they wrote down.
+	hidden int
+	// most is the largest turn that the record allows to be granted ahead of it,
+	// wanted the largest one seen, and writing the one in a write under way.
+	most    int
+	wanted  int
+	writing int
+	rule    Rule
+	dirty   bool
 }
 
-// New returns an empty ledger.
-func New() *Ledger {
-	return &Ledger{programs: map[string]*program{}, inherited: map[string]Cover{}}
+// Rule says where a total has to be written down before it is granted.
+type Rule uint8
+
+// Rules.
+const (
+	// ByRecord: later homes read the record.
+	ByRecord Rule = iota
+	// ByBridge: they may be unable to read the record, and read the bridge.
+	ByBridge
+	// ByBoth: it is not known which of the two they read.
+	ByBoth
+)
+
+// SetRule changes the rule.
+func (l *Ledger) SetRule(rule Rule) { l.rule = rule }
+
+// New returns the ledger of a home whose predecessor may have granted hidden tokens
+// to any program beyond what it wrote down. Most is the largest turn on record.
+func New(hidden, most int) *Ledger {
+	return &Ledger{programs: map[string]*account{}, hidden: hidden, most: most, wanted: most}
 }
 
 // Len is the number of programs known.
 func (l *Ledger) Len() int { return len(l.programs) }
 
-// Inherit takes what an earlier home wrote down. Of several totals the highest counts.
-func (l *Ledger) Inherit(covers []Cover) {
+// Source is where an earlier home wrote something down.
+type Source uint8
+
+// Sources.
+const (
+	// FromRecord and FromIdle are the two parts of the record.
+	FromRecord Source = iota
+	FromIdle
+	// FromBridge is not the record.
+	FromBridge
+)
+
+// Inherit takes totals that earlier homes wrote down. Of several totals of a program
+// the highest counts. It comes before the first reservation, the active part of the
+// record after the idle one.
+func (l *Ledger) Inherit(covers []Cover, from Source) {
 	for _, c := range covers {
-		l.inherited[c.Program] = c.Merge(l.inherited[c.Program])
-		if p := l.programs[c.Program]; p != nil && c.Total > p.covered {
-			p.base = max(p.base, c.Total)
-			p.estimated = true
+		a := l.programs[c.Program]
+		if a == nil {
+			a = &account{open: map[string]turn{}, recording: none}
+			l.programs[c.Program] = a
+		}
+		a.base = max(a.base, c.Total+l.hidden)
+		a.estimated = a.estimated || c.Estimated || l.hidden > 0
+		a.expires = later(a.expires, time.UnixMilli(c.Expires))
+		switch from {
+		case FromIdle:
+			a.recorded, a.written, a.place = c.Total, c.Expires, idle
+		case FromRecord:
+			a.recorded, a.written, a.place = max(a.recorded, c.Total), max(a.written, c.Expires), active
+			a.listed = true
 		}
 	}
+	l.dirty = l.dirty || from == FromBridge
 }
 
-// journalShare is the part of a budget that journals alone may cover. Most programs
-// stay below it, and what is left lets a program go on that is taken to have used it.
-const journalShare = 2.0 / 3
+// Adopt takes the totals that the former home has handed over. They are exact.
+func (l *Ledger) Adopt(totals []Cover) {
+	for _, c := range totals {
+		a := l.programs[c.Program]
+		if a == nil {
+			a = &account{open: map[string]turn{}, recording: none}
+			l.programs[c.Program] = a
+		}
+		a.base, a.estimated = c.Total, c.Estimated
+		a.expires = later(a.expires, time.UnixMilli(c.Expires))
+	}
+	l.dirty = true
+}
 
-// journaled is that part in tokens: at least one turn, so that the shortest programs
-// need no record.
-func (r Reservation) journaled() int { return max(int(float64(r.Budget)*journalShare), r.Tokens) }
+// none stands for the total in a write when there is none.
+const none = -1
 
-// Reserve decides about a reservation. certain is set when all that earlier homes
-// wrote down has been inherited. With Journal and Record the reservation is held
-// until Confirm or Release, and the total to write down is returned.
-func (l *Ledger) Reserve(r Reservation, certain bool, now time.Time) (Decision, int) {
-	p := l.programs[r.Program]
-	if p == nil {
-		p = l.meet(r, certain, now)
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
-	p.expires = now.Add(r.Lifetime)
-	if _, held := p.open[r.ID]; held {
-		return l.coverage(p, r)
+	return a
+}
+
+// Reserve decides about a reservation. With Unwritten it is held, and Check tells
+// when that has changed.
+func (l *Ledger) Reserve(r Reservation, now time.Time) Decision {
+	a := l.programs[r.Program]
+	if a == nil {
+		a = &account{base: l.hidden, estimated: l.hidden > 0, open: map[string]turn{}, recording: none}
+		l.programs[r.Program] = a
 	}
-	if p.total()+r.Tokens > p.limit(r) {
-		if p.until.Before(p.expires) {
-			return Spent, max(p.covered, p.total())
-		}
-		return Spent, 0
+	a.lifetime = r.Lifetime
+	a.place = active
+	a.expires = now.Add(r.Lifetime)
+	if a.written < a.expires.UnixMilli() {
+		l.dirty = true
 	}
-	p.open[r.ID] = r.Tokens
-	return l.coverage(p, r)
+	if _, held := a.open[r.ID]; held {
+		return l.Check(r)
+	}
+	if a.total()+r.Tokens > a.limit(r) {
+		return Spent
+	}
+	a.open[r.ID] = turn{tokens: r.Tokens, expected: min(r.Expected, r.Tokens)}
+	l.wanted = max(l.wanted, r.Tokens)
+	l.dirty = true
+	return l.Check(r)
 }
 
 // limit is the highest total that a reservation may reach. Where the total is an
 // estimate, one turn more is granted: programs may exceed their budget by what a
 // single turn generates.
-func (p *program) limit(r Reservation) int {
-	if p.estimated {
+func (a *account) limit(r Reservation) int {
+	if a.estimated {
 		return r.Budget + r.Tokens
 	}
 	return r.Budget
 }
 
-// meet opens the account of a program that was not seen here before.
-func (l *Ledger) meet(r Reservation, certain bool, now time.Time) *program {
-	p := &program{open: map[string]int{}}
-	if cover, ok := l.inherited[r.Program]; ok && cover.Expires > now.UnixMilli() {
-		p.base, p.covered, p.until = cover.Total, cover.Total, time.UnixMilli(cover.Expires)
-		// What was written down is often more than was used.
-		p.estimated = true
+// Check decides about a reservation that is held.
+func (l *Ledger) Check(r Reservation) Decision {
+	a := l.programs[r.Program]
+	if a == nil {
+		return Unknown
+	}
+	if _, held := a.open[r.ID]; !held {
+		return Unknown
 	}
-	if !certain {
-		p.base = max(p.base, r.journaled())
-		p.estimated = true
+	if r.Tokens <= l.most && l.covers(a) {
+		return Granted
 	}
-	l.programs[r.Program] = p
-	return p
+	return Unwritten
 }
 
-// coverage says what a held reservation still needs.
-func (l *Ledger) coverage(p *program, r Reservation) (Decision, int) {
-	total := p.total()
-	if total <= p.covered {
-		if !p.until.Before(p.expires) {
-			return Granted, 0
-		}
-		total = p.covered
+// covers reports whether a program's total is written down, up to one turn.
+func (l *Ledger) covers(a *account) bool {
+	durable := a.onRecord()
+	switch l.rule {
+	case ByBridge:
+		durable = a.bridged
+	case ByBoth:
+		durable = min(durable, a.bridged)
 	}
-	// Nothing is covered ahead: a later home takes what is covered for used.
-	if total <= r.journaled() {
-		return Journal, total
+	return a.total() <= durable+l.most
+}
+
+// onRecord is the lowest total that the record may hold.
+func (a *account) onRecord() int {
+	if a.recording != none {
+		return min(a.recorded, a.recording)
 	}
-	return Record, total
+	return a.recorded
 }
 
-// Confirm grants a held reservation after its total was written down. It returns
-// false, and ends the reservation, when what was learned meanwhile has used the
-// budget up.
-func (l *Ledger) Confirm(r Reservation, total int, until time.Time) bool {
-	p := l.programs[r.Program]
-	if p == nil {
-		return false
+// Release ends a reservation. Used is what the turn generated.
+func (l *Ledger) Release(name, id string, used int) {
+	a := l.programs[name]
+	if a == nil {
+		return
 	}
-	if _, held := p.open[r.ID]; !held {
-		return false
+	if _, held := a.open[id]; !held {
+		return
 	}
-	p.setCovered(total, until)
-	if p.total() > p.limit(r) {
-		delete(p.open, r.ID)
-		return false
+	delete(a.open, id)
+	a.spent += used
+	l.dirty = true
+}
+
+// Dirty reports whether the record lacks something.
+func (l *Ledger) Dirty() bool { return l.dirty }
+
+// Record returns what the record is to hold now, totals and the largest turn. The
+// write is under way until Recorded. A program with a turn under way is charged what
+// that is expected to generate: a later home adds the largest turn anyway.
+func (l *Ledger) Record(now time.Time) ([]Cover, int) {
+	l.forget(now)
+	covers := make([]Cover, 0, len(l.programs))
+	for name, a := range l.programs {
+		if a.place == idle {
+			continue
+		}
+		a.recording = a.likely(l.wanted)
+		a.writing = max(a.remembered(), a.written)
+		covers = append(covers, Cover{Program: name, Total: a.recording, Expires: a.writing, Estimated: a.estimated})
 	}
-	return true
+	l.writing = l.wanted
+	l.dirty = false
+	return covers, l.writing
 }
 
-// Refreshed notes that a total was written down again until a later time.
-func (l *Ledger) Refreshed(name string, total int, until time.Time) {
-	if p := l.programs[name]; p != nil {
-		p.setCovered(total, until)
+// Outcome is how a write to the record ended.
+type Outcome uint8
+
+// Outcomes.
+const (
+	Written Outcome = iota
+	NotWritten
+	// InDoubt: it may have been written, or may be later.
+	InDoubt
+)
+
+// Recorded ends the write under way. In doubt, the lower of two totals counts.
+func (l *Ledger) Recorded(outcome Outcome) {
+	for _, a := range l.programs {
+		if a.recording == none {
+			a.listed = a.listed && outcome != Written
+			continue
+		}
+		switch outcome {
+		case Written:
+			a.recorded, a.written, a.listed = a.recording, a.writing, true
+		case InDoubt:
+			a.recorded, a.written = min(a.recorded, a.recording), min(a.written, a.writing)
+		}
+		a.recording = none
+	}
+	if outcome == Written {
+		l.most = max(l.most, l.writing)
+	} else {
+		l.dirty = true
 	}
 }
 
-// setCovered notes what was written down.
-func (p *program) setCovered(total int, until time.Time) {
-	if total >= p.covered {
-		p.covered, p.until = total, until
+// Reread takes what the record was found to hold after a write in doubt.
+func (l *Ledger) Reread(covers []Cover, most int) {
+	for _, a := range l.programs {
+		a.listed = false
+		if a.place != idle {
+			a.recorded, a.written = 0, 0
+		}
+	}
+	for _, c := range covers {
+		if a := l.programs[c.Program]; a != nil && a.place != idle {
+			a.recorded, a.written, a.listed = c.Total, c.Expires, true
+		}
 	}
+	l.most = max(most, 0)
+	l.wanted = max(l.wanted, l.most)
+	l.dirty = true
 }
 
-// Release ends a reservation. Used is what the turn generated.
-func (l *Ledger) Release(name, id string, used int) {
-	p := l.programs[name]
-	if p == nil {
-		return
+// Idle returns what the idle part of the record is to hold: the programs that have
+// had no turn since a time, and those that are there already and not in the active
+// part. The write is under way until Moved. It returns nil when no program is to be
+// moved.
+func (l *Ledger) Idle(since, now time.Time) []Cover {
+	l.forget(now)
+	var covers []Cover
+	found := false
+	for name, a := range l.programs {
+		if a.place == active && len(a.open) == 0 && a.recording == none && a.recorded == a.total() && a.lastTurn().Before(since) {
+			a.place = moving
+			found = true
+		}
+		if a.place != active || !a.listed {
+			covers = append(covers, Cover{Program: name, Total: a.recorded, Expires: a.written, Estimated: a.estimated})
+		}
 	}
-	if _, held := p.open[id]; !held {
-		return
+	if !found {
+		return nil
 	}
-	delete(p.open, id)
-	p.spent += used
+	return covers
 }
 
-// Totals returns what every program may have used so far, for the next home. With
-// covered set it is what was written down.
-func (l *Ledger) Totals(covered bool, now time.Time) []Cover {
-	var all []Cover
-	for name, c := range l.inherited {
-		if l.programs[name] == nil && c.Expires > now.UnixMilli() {
-			all = append(all, c)
+// lastTurn is when the last turn was reserved here, the zero time if none was.
+func (a *account) lastTurn() time.Time {
+	if a.lifetime == 0 {
+		return time.Time{}
+	}
+	return a.expires.Add(-a.lifetime)
+}
+
+// Moved ends the write of Idle.
+func (l *Ledger) Moved(written bool) {
+	for _, a := range l.programs {
+		if a.place == moving {
+			a.place = active
+			if written {
+				a.place = idle
+				l.dirty = true
+			}
 		}
 	}
-	for name, p := range l.programs {
-		total := p.total()
-		if covered {
-			total = max(total, p.covered)
+}
+
+// Bridge returns what the disks are to hold beyond what they do, or everything if
+// whole is set. The write is under way until Bridged.
+func (l *Ledger) Bridge(whole bool, now time.Time) []Cover {
+	l.forget(now)
+	var covers []Cover
+	for name, a := range l.programs {
+		total := a.likely(l.most)
+		if whole || total > a.bridged {
+			a.bridging = total
+			covers = append(covers, Cover{Program: name, Total: total, Expires: a.remembered(), Estimated: a.estimated})
 		}
-		// What is written down for the first time expires with the program; what
-		// was written down before must not be forgotten earlier than that says.
-		expires := p.expires
-		if p.until.After(expires) {
-			expires = p.until
+	}
+	return covers
+}
+
+// Bridged ends a write of Bridge that the disks have taken. From then on the bridge
+// counts in place of the record.
+func (l *Ledger) Bridged(whole bool) {
+	l.rule = ByBridge
+	for _, a := range l.programs {
+		if whole {
+			a.bridged = a.bridging
+		} else {
+			a.bridged = max(a.bridged, a.bridging)
 		}
-		all = append(all, Cover{Program: name, Total: total, Expires: expires.UnixMilli()})
+		a.bridging = 0
 	}
-	return all
 }
 
-// Cover returns what is written down for a program with a new total. It is
-// remembered for twice the lifetime, so that it need not be written at each turn.
-func (l *Ledger) Cover(r Reservation, total int, now time.Time) Cover {
-	return Cover{Program: r.Program, Total: total, Expires: now.Add(2 * r.Lifetime).UnixMilli()}
+// Settled reports whether the record alone covers every total.
+func (l *Ledger) Settled() bool {
+	for _, a := range l.programs {
+		if a.total() > a.onRecord()+l.most {
+			return false
+		}
+	}
+	return true
 }
 
-// Expire forgets programs that have been idle for their lifetime.
-func (l *Ledger) Expire(now time.Time) {
-	for name, p := range l.programs {
-		if len(p.open) == 0 && now.After(p.expires) {
-			delete(l.programs, name)
+// Waiting reports whether a total has to be written down before it is granted.
+func (l *Ledger) Waiting() bool {
+	for _, a := range l.programs {
+		if !l.covers(a) {
+			return true
 		}
 	}
-	for name, c := range l.inherited {
-		if c.Expires <= now.UnixMilli() {
-			delete(l.inherited, name)
+	return false
+}
+
+// Most is the largest turn on record.
+func (l *Ledger) Most() int { return l.most }
+
+// Total is what a program may have used, 0 if it is not known.
+func (l *Ledger) Total(program string) int {
+	if a := l.programs[program]; a != nil {
+		return a.total()
+	}
+	return 0
+}
+
+// Totals returns what every program may have used, for the next home.
+func (l *Ledger) Totals(now time.Time) []Cover {
+	l.forget(now)
+	all := make([]Cover, 0, len(l.programs))
+	for name, a := range l.programs {
+		all = append(all, Cover{
+			Program: name, Total: a.total(), Expires: a.remembered(), Estimated: a.estimated || len(a.open) > 0,
+		})
+	}
+	return all
+}
+
+// forget drops programs that have been idle for their lifetime.
+func (l *Ledger) forget(now time.Time) {
+	for name, a := range l.programs {
+		if len(a.open) == 0 && now.After(a.expires) {
+			delete(l.programs, name)
 		}
 	}
 }
@@ -281,16 +529,18 @@
 	Total     int    `json:"total"`
 	Base      int    `json:"base"`
 	Open      int    `json:"open"`
-	Covered   int    `json:"covered"`
+	Recorded  int    `json:"recorded"`
+	Bridged   int    `json:"bridged,omitempty"`
 	Estimated bool   `json:"estimated,omitempty"`
 }
 
 // Usages returns all accounts.
 func (l *Ledger) Usages() []Usage {
 	all := make([]Usage, 0, len(l.programs))
-	for name, p := range l.programs {
+	for name, a := range l.programs {
 		all = append(all, Usage{
-			Program: name, Total: p.total(), Base: p.base, Open: len(p.open), Covered: p.covered, Estimated: p.estimated,
+			Program: name, Total: a.total(), Base: a.base, Open: len(a.open), Recorded: a.recorded, Bridged: a.bridged,
+			Estimated: a.estimated,
 		})
 	}
 	return all
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"ibisline/internal/allowance/journal"
 	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/verdict"
@@ -16,72 +18,75 @@
 	home   *Home
 	number int
 
-	// acquiring holds a token that is taken while the journals are fenced.
+	// acquiring holds a token that is taken while the shard is acquired.
 	acquiring chan struct{}
+	// recordDue and bridgeDue wake the writers of record and bridge.
+	recordDue chan struct{}
+	bridgeDue chan struct{}
 
 	mu     sync.Mutex
 	held   bool
 	fence  journal.Fence
 	ledger *ledger.Ledger
-	// journals holds what is known of the keepers' journals, and since the time
-	// from which on this home decides.
-	journals map[string]journalState
-	since    time.Time
-	// before is the highest fence of former homes, complete is set once all that
-	// they granted is known here.
-	before   int64
-	complete bool
-	// basis holds the journals in use, with the time since when each lacks
-	// nothing; nil while all that are fenced may be used. basisWritten is set
-	// once the record names them.
-	basis        map[string]int64
-	basisWritten bool
-	// moves counts the times that basis was chosen anew, and known holds the
-	// keepers that were known when this home took the shard.
-	moves int
-	known map[string]bool
-	// record is the shard's object at the platform.
-	record recordWriter
+	// changed is closed, and replaced, when a total was written down, when it
+	// could not be, and when the shard is given up.
+	changed chan struct{}
+	// failures counts the times that neither record nor bridge could be written,
+	// and unable is set while that is so.
+	failures int
+	unable   bool
+	// stop ends the writers.
+	stop context.CancelFunc
+
+	record recordState
+	idle   idleState
+	bridge bridgeState
+	// fenced holds the journals that carry this home's fence, and wanted those
+	// that the record is to name.
+	fenced map[string]fencedJournal
+	wanted journalSet
+
 	// successor is the home that replaced this one, until asideUntil.
 	successor  string
 	asideUntil time.Time
-	highest    int64
-}
-
-// journalState is what a home knows of one journal.
-type journalState struct {
-	// fenced is set while the home may write there.
-	fenced bool
-	// born is the time since when the journal lacked nothing when it was first
-	// read, in Unix milliseconds, 0 for always; began is the same as of now.
-	born  int64
-	began int64
-	// incarnation is the keeper's start at which it was fenced.
-	incarnation uint64
-	// lost is set when the journal has lost what this home wrote to it.
-	lost bool
+	// highest is the highest fence seen.
+	highest int64
+	// blocked is the time since when too few journals can be reached.
+	blocked time.Time
 }
 
 func newShard(h *Home, number int) *shard {
-	s := &shard{home: h, number: number, acquiring: make(chan struct{}, 1)}
+	s := &shard{
+		home: h, number: number, changed: make(chan struct{}),
+		acquiring: make(chan struct{}, 1), recordDue: make(chan struct{}, 1), bridgeDue: make(chan struct{}, 1),
+	}
 	s.acquiring <- struct{}{}
 	s.reset()
 	return s
 }
 
+func (s *shard) log() *log.Entry { return s.home.logger.WithField("shard", s.number) }
+
 // reset forgets everything. The caller holds mu.
 func (s *shard) reset() {
-	s.held = false
-	s.ledger = ledger.New()
-	s.journals = map[string]journalState{}
-	s.before = 0
-	s.complete = false
-	s.basis = nil
-	s.basisWritten = false
-	for _, waiter := range s.record.waiters {
-		waiter <- errReplaced
+	if s.stop != nil {
+		s.stop()
 	}
-	s.record = recordWriter{}
+	s.held = false
+	s.unable = false
+	s.ledger = ledger.New(0, 0)
+	s.record = recordState{}
+	s.idle = idleState{}
+	s.bridge = bridgeState{}
+	s.fenced = map[string]fencedJournal{}
+	s.wanted = nil
+	s.notify()
+}
+
+// notify wakes the reservations that wait. The caller holds mu.
+func (s *shard) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 func (s *shard) holds() bool {
@@ -90,6 +95,17 @@
 	return s.held
 }
 
+// able reports whether this daemon holds the shard and can write what it decides.
+func (s *shard) able() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held && !s.unable
+}
+
+// holdsUnder reports whether the shard is still held under a fence. The caller holds
+// mu.
+func (s *shard) holdsUnder(fence journal.Fence) bool { return s.held && s.fence == fence }
+
 // replacedBy returns the home that took the shard from this daemon a short time ago.
 func (s *shard) replacedBy(now time.Time) string {
 	s.mu.Lock()
@@ -100,159 +116,131 @@
 	return s.successor
 }
 
+// standAside sends requests about the shard to another home for a while. The caller
+// holds mu.
+func (s *shard) standAside(home string) {
+	if home != s.home.fleet.Self().Name {
+		s.successor = home
+		s.asideUntil = time.Now().Add(s.home.config.StandAside)
+	}
+}
+
 // drop gives the shard up after another home has fenced it, if fence is still the
 // one in force here.
 func (s *shard) drop(fence journal.Fence, successor string, number int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.highest = max(s.highest, number)
-	if !s.held || s.fence != fence {
+	if !s.holdsUnder(fence) {
 		return
 	}
 	s.reset()
-	if successor != s.home.fleet.Self().Name {
-		s.successor = successor
-		s.asideUntil = time.Now().Add(s.home.config.StandAside)
-	}
+	s.standAside(successor)
 	s.home.lost.Inc()
-	s.home.logger.WithField("shard", s.number).WithField("fence", fence.Number).WithField("successor", successor).
-		Info("budgets of a shard given up")
+	s.log().WithField("fence", fence.Number).WithField("successor", successor).Info("budgets of a shard given up")
 }
 
-// reserve decides about a reservation and has it written down.
-func (s *shard) reserve(ctx context.Context, r ledger.Reservation) (reserveReply, error) {
-	if holder, err := s.ensureHeld(ctx); err != nil || holder != "" {
-		return reserveReply{Home: holder}, err
-	}
-	fence, decision, c, err := s.decide(r)
-	if err != nil {
-		return reserveReply{}, err
-	}
-	if decision == ledger.Record && !s.recordLoaded(fence) {
-		// What earlier homes recorded counts before anything more is granted.
-		if err := s.readRecord(ctx, fence, r); err != nil {
-			return reserveReply{}, err
-		}
-		if fence, decision, c, err = s.decide(r); err != nil {
-			return reserveReply{}, err
-		}
-	}
-	switch decision {
-	case ledger.Granted:
-		s.logGrant(r, c, decision)
-		return reserveReply{Granted: true}, nil
-	case ledger.Spent:
-		s.refresh(ctx, fence, c)
-		return s.refuse(r), nil
-	}
-	for {
-		moves := s.movesSoFar()
-		if err := s.cover(ctx, fence, decision, c); err != nil {
-			s.withdraw(fence, r)
-			return reserveReply{}, err
-		}
-		if reply, final, err := s.confirm(fence, r, c, moves); final {
-			if reply.Granted {
-				s.logGrant(r, c, decision)
-			}
-			return reply, err
-		}
+// signal wakes a writer.
+func signal(due chan struct{}) {
+	select {
+	case due <- struct{}{}:
+	default:
 	}
 }
 
-// movesSoFar tells how often other journals were taken into use.
-func (s *shard) movesSoFar() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.moves
-}
-
-// decide asks the ledger, under the fence in force.
-func (s *shard) decide(r ledger.Reservation) (journal.Fence, ledger.Decision, ledger.Cover, error) {
-	now := time.Now()
+// reserve decides about a reservation. If its total has to be written down, it decides
+// ahead of that.
+func (s *shard) reserve(ctx context.Context, r ledger.Reservation) (reserveReply, confirmation, error) {
+	holder, err := s.ensureHeld(ctx)
+	if err != nil || holder != "" {
+		return reserveReply{Home: holder}, nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.held {
-		return journal.Fence{}, 0, ledger.Cover{}, s.notHome()
+		return reserveReply{}, nil, s.notHome()
 	}
-	decision, total := s.ledger.Reserve(r, s.isComplete(now), now)
-	return s.fence, decision, s.ledger.Cover(r, total, now), nil
-}
-
-// refresh writes the total of a program down again before it would be forgotten.
-// What cannot be written now is tried at the program's next request.
-func (s *shard) refresh(ctx context.Context, fence journal.Fence, c ledger.Cover) {
-	if c.Total == 0 {
-		return
-	}
-	if err := s.cover(ctx, fence, ledger.Record, c); err != nil {
-		s.home.logger.WithError(err).WithField("program", c.Program).Info("spent budget not written down again")
-		return
+	decision := s.ledger.Reserve(r, time.Now())
+	if decision != ledger.Unwritten {
+		reply, err := s.reply(r, decision, 0)
+		return reply, nil, err
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.held && s.fence == fence {
-		s.ledger.Refreshed(c.Program, c.Total, time.UnixMilli(c.Expires))
+	if s.unable {
+		s.ledger.Release(r.Program, r.ID, 0)
+		return reserveReply{}, nil, unwritten(errUnwritten)
 	}
+	fence, failures := s.fence, s.failures
+	confirm := func(ctx context.Context) (reserveReply, error) { return s.confirm(ctx, r, fence, failures) }
+	return reserveReply{Ahead: true}, confirm, nil
 }
 
-// confirm grants a reservation whose total was written down while moves was the
-// number of times that other journals had been taken into use. If that has changed,
-// the total may stand in a journal that is out of use: then nothing is final.
-func (s *shard) confirm(fence journal.Fence, r ledger.Reservation, c ledger.Cover, moves int) (reserveReply, bool, error) {
+// confirm waits until the total of a held reservation is written down. Failures is the
+// count when it was reserved.
+func (s *shard) confirm(ctx context.Context, r ledger.Reservation, fence journal.Fence, failures int) (reserveReply, error) {
+	started := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.held || s.fence != fence {
-		return reserveReply{}, true, s.notHome()
-	}
-	if s.moves != moves {
-		return reserveReply{}, false, nil
-	}
-	if !s.ledger.Confirm(r, c.Total, time.UnixMilli(c.Expires)) {
-		return s.refuse(r), true, nil
+	for {
+		if !s.holdsUnder(fence) {
+			return reserveReply{}, s.notHome()
+		}
+		if decision := s.ledger.Check(r); decision != ledger.Unwritten {
+			return s.reply(r, decision, time.Since(started))
+		}
+		err := s.await(ctx)
+		if err == nil && s.failures != failures {
+			err = errUnwritten
+		}
+		if err != nil && s.holdsUnder(fence) {
+			s.ledger.Release(r.Program, r.ID, 0)
+		}
+		if err != nil {
+			return reserveReply{}, unwritten(err)
+		}
 	}
-	return reserveReply{Granted: true}, true, nil
-}
-
-// logGrant reports a grant with what it rests on.
-func (s *shard) logGrant(r ledger.Reservation, c ledger.Cover, by ledger.Decision) {
-	s.home.granted.Inc()
-	s.home.logger.WithField("request", r.ID).WithField("program", r.Program).WithField("shard", s.number).
-		WithField("tokens", r.Tokens).WithField("budget", r.Budget).WithField("total", c.Total).WithField("covered_by", by.String()).
-		Info("turn granted")
 }
 
-// withdraw ends a reservation that was not granted.
-func (s *shard) withdraw(fence journal.Fence, r ledger.Reservation) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.held && s.fence == fence {
-		s.ledger.Release(r.Program, r.ID, 0)
+// await waits for the next change, which it asks for. The caller holds mu, which is
+// free meanwhile.
+func (s *shard) await(ctx context.Context) error {
+	changed := s.changed
+	patience := s.home.config.BridgeAfter
+	if s.bridge.open {
+		patience = 0
 	}
-}
-
-// refuse says that the budget is spent.
-func (s *shard) refuse(r ledger.Reservation) reserveReply {
-	s.home.spent.Inc()
-	s.home.logger.WithField("request", r.ID).WithField("program", r.Program).WithField("budget", r.Budget).Info("budget spent")
-	return reserveReply{Spent: true}
-}
-
-// cover writes a total down: in a record first, where that is needed, and always in
-// a journal. The order is what makes the journals complete: whoever has fenced them
-// all knows every total that was granted, since one that is appended later, to a
-// journal that is fenced, is refused and not granted.
-func (s *shard) cover(ctx context.Context, fence journal.Fence, decision ledger.Decision, c ledger.Cover) error {
-	if decision == ledger.Record {
-		if err := s.writeRecord(ctx, fence, c); err != nil {
-			return err
+	s.mu.Unlock()
+	defer s.mu.Lock()
+	signal(s.recordDue)
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	for {
+		select {
+		case <-changed:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			signal(s.bridgeDue)
 		}
 	}
-	err := s.append(ctx, fence, c)
-	if err == nil || verdict.HasReason(err, verdict.NotHome) {
-		return err
+}
+
+// reply answers a reservation. The caller holds mu.
+func (s *shard) reply(r ledger.Reservation, decision ledger.Decision, waited time.Duration) (reserveReply, error) {
+	entry := s.log().WithField("request", r.ID).WithField("program", r.Program).WithField("budget", r.Budget).
+		WithField("tokens", r.Tokens).WithField("waited_ms", waited.Milliseconds())
+	switch decision {
+	case ledger.Granted:
+		s.home.granted.Inc()
+		entry.Debug("turn granted")
+		return reserveReply{Granted: true}, nil
+	case ledger.Spent:
+		s.home.spent.Inc()
+		entry.WithField("total", s.ledger.Total(r.Program)).Info("budget spent")
+		return reserveReply{Spent: true}, nil
+	default:
+		return reserveReply{}, s.notHome()
 	}
-	return unwritten(err)
 }
 
 // notHome refuses a request that another daemon has to decide.
@@ -260,6 +248,11 @@
 	return verdict.Refuse(verdict.NotHome, "another daemon decides about the budgets of shard %d", s.number)
 }
 
+// unwritten refuses a reservation whose total could not be written down.
+func unwritten(cause error) error {
+	return verdict.Wrap(cause, verdict.NotRun, verdict.PlatformDown, "the budget's record cannot be written")
+}
+
 // release ends a reservation.
 func (s *shard) release(request releaseRequest) {
 	s.mu.Lock()
@@ -267,26 +260,12 @@
 	s.ledger.Release(request.Program, request.ID, request.Used)
 }
 
-// upkeep forgets idle programs and fences journals that could not be before.
-func (s *shard) upkeep(ctx context.Context) {
-	now := time.Now()
-	s.mu.Lock()
-	held, fence := s.held, s.fence
-	s.ledger.Expire(now)
-	s.mu.Unlock()
-	if held {
-		s.fenceMissing(ctx)
-		s.resolve(ctx, fence)
-		s.rebase(ctx)
-	}
-}
-
 // state is the dump.
-func (s *shard) state(now time.Time) ShardState {
+func (s *shard) state() ShardState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return ShardState{
-		Shard: s.number, Held: s.held, Fence: s.fence.Number, Complete: s.isComplete(now), Journals: s.basis,
-		Usages: s.ledger.Usages(),
+		Shard: s.number, Held: s.held, Fence: s.fence.Number, Version: s.record.version, Journals: s.record.journals,
+		Bridged: s.bridge.open, Usages: s.ledger.Usages(),
 	}
 }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -142,30 +142,30 @@
 		return err
 	}
 	store := relay.New(p.store, transport, transport, members.Others, p.log)
-	home := allowance.NewHome(allowance.Config{}, members, transport, transport, store, p.metrics, p.log)
+	home := allowance.NewHome(p.allowanceConfig(), members, transport, transport, store, p.metrics, p.log)
 	return p.kernel.Register(serviceBudgets, home)
 }
 
+// allowanceConfig is what all homes of the fleet agree on.
+func (p *parts) allowanceConfig() allowance.Config {
+	return allowance.Config{Shards: p.settings.Budgets.Shards, LostDisks: p.settings.Budgets.LostDisks}
+}
+
 // addKeeper adds the journal of an instance with a disk.
 func (p *parts) addKeeper() error {
 	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
 	if err != nil {
 		return err
 	}
-	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
-	if err != nil {
-		return err
-	}
-	s := p.settings.Keeper
-	disk, err := journal.NewFile(s.DataDir)
+	disk, err := journal.NewFile(p.settings.Keeper.DataDir)
 	if err != nil {
 		return err
 	}
-	opened, err := journal.Open(disk, s.FirstStart, time.Now())
+	opened, err := journal.Open(disk)
 	if err != nil {
 		return err
 	}
-	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, members.Registered, transport, p.log))
+	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log))
 }
 
 // addGateway adds the service of callers' requests.
@@ -196,7 +196,7 @@
 		Routes:  book,
 		Servers: directory,
 		Client:  upstream.NewClient(upstream.Config{RequestOf: p.adapter.Dialect.RequestOf}, p.metrics),
-		Budgets: allowance.NewClient(allowance.Config{}, members, transport, home, p.log),
+		Budgets: allowance.NewClient(p.allowanceConfig(), members, transport, home, p.log),
 		Metrics: p.metrics,
 		Log:     p.log,
 	})
--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -49,6 +49,13 @@
 	return node
 }
 
+// Remove takes a daemon out for good.
+func (n *Network) Remove(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, name)
+}
+
 // Cut cuts or heals the direction between two daemons: frames sent on it vanish.
 func (n *Network) Cut(from, to string, on bool) {
 	n.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,10 +44,9 @@
 // Routes returns the configuration in force, nil while none is known.
 type Routes interface{ Current() *routes.Table }
 
-// Budgets grants the tokens of turns. Errors of Reserve are refusals; the function
-// that it returns is called once, with the tokens that the caller got.
+// Budgets grants the tokens of turns. Errors of Reserve are refusals.
 type Budgets interface {
-	Reserve(ctx context.Context, r ledger.Reservation) (release func(used int), err error)
+	Reserve(ctx context.Context, r ledger.Reservation) (ledger.Grant, error)
 }
 
 // Config names the daemon's place.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -310,6 +310,32 @@
 	})
 }
 
+// TestTurnRunsWhileItsGrantIsWrittenDown: only what it generates waits.
+func TestTurnRunsWhileItsGrantIsWrittenDown(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a", "b"}, EventGap: 50 * time.Millisecond})
+		w.written = make(chan struct{})
+		time.AfterFunc(80*time.Millisecond, func() { close(w.written) })
+		got := w.call(http.MethodPost, "/turn/1", "r1", with("Program-Id", "p1"), with("Token-Budget", "900"))
+		require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got.body)
+		require.Equal(t, 100*time.Millisecond, got.took)
+	})
+}
+
+// TestTurnWhoseGrantIsLostIsNotHandedOn: nor is it called not run, since it ran.
+func TestTurnWhoseGrantIsLostIsNotHandedOn(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a", "b"}})
+		w.lost = verdict.Refuse(verdict.BudgetSpent, "spent")
+		got := w.call(http.MethodPost, "/turn/1", "r1", with("Program-Id", "p1"), with("Token-Budget", "900"))
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Len(t, engine.Runs(), 1, "it does not go on at its server either")
+		require.Equal(t, []int{0}, w.used)
+	})
+}
+
 func TestTurnIsChargedForItsEvents(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		engine := w.add(engines, "engine-1")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
@@ -37,6 +38,10 @@
 	job     *job
 	writer  http.ResponseWriter
 	control *http.ResponseController
+	ctx     context.Context
+	grant   ledger.Grant
+	// confirmed is set once the grant is written down.
+	confirmed bool
 	// started is set once the head was passed on.
 	started bool
 	// last is the identifier of the last event passed on, or that the caller had,
@@ -47,13 +52,15 @@
 
 // serveStream gets a turn answered.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) {
-	release, err := g.reserve(ctx, j)
+	grant, err := g.reserve(ctx, j)
 	if err != nil {
 		g.fail(w, r, j, err)
 		return
 	}
-	s := &stream{gateway: g, job: j, writer: w, control: http.NewResponseController(w), last: j.ResumeAfter}
-	defer func() { release(s.events * j.service.TokensPerEvent) }()
+	s := &stream{
+		gateway: g, job: j, ctx: ctx, grant: grant, writer: w, control: http.NewResponseController(w), last: j.ResumeAfter,
+	}
+	defer func() { grant.Release(s.events * j.service.TokensPerEvent) }()
 	err = s.run(ctx)
 	if err == nil {
 		return
@@ -90,7 +97,7 @@
 // mayResume reports whether the answer may go on in another run.
 func (s *stream) mayResume(ctx context.Context, err error) bool {
 	return s.job.route.Resumable && ctx.Err() == nil && verdict.From(err).Verdict != verdict.NotRun &&
-		!errors.Is(err, errCaller)
+		!errors.Is(err, errCaller) && !errors.Is(err, errGrant)
 }
 
 // resume asks for the rest of the answer: the same server, and another one only if
@@ -150,14 +157,13 @@
 	if !isEventStream(sent.answer) {
 		return s.passWhole(sent)
 	}
-	if !s.started {
-		g.writeHead(s.writer, sent.answer.Status, sent.answer.Header)
-		s.started = true
-	}
 	events := bufio.NewScanner(sent.answer)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
 	events.Split(splitEvents(sent.answer.Whole))
 	for events.Scan() {
+		if err := s.begin(sent); err != nil {
+			return err
+		}
 		if err := s.passEvent(events.Bytes()); err != nil {
 			return err
 		}
@@ -167,6 +173,19 @@
 		return err
 	}
 	g.tracker.answered(sent.server.Name)
+	return s.begin(sent)
+}
+
+// begin passes the head on, once the tokens that follow are granted for sure.
+func (s *stream) begin(sent attempt) error {
+	if s.started {
+		return nil
+	}
+	if err := s.confirm(); err != nil {
+		return err
+	}
+	s.gateway.writeHead(s.writer, sent.answer.Status, sent.answer.Header)
+	s.started = true
 	return nil
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,7 @@
 	Home     Home     `toml:"home"`
 	Dispatch Dispatch `toml:"dispatch"`
 	Gateway  Gateway  `toml:"gateway"`
+	Budgets  Budgets  `toml:"budgets"`
 	Keeper   Keeper   `toml:"keeper"`
 	Stop     Stop     `toml:"stop"`
 }
@@ -125,9 +126,14 @@
 // Keeper sets the journal of an instance with a disk.
 type Keeper struct {
 	DataDir string `toml:"data_dir"`
-	// FirstStart says that the whole fleet starts for the first time, so that an
-	// empty journal lacks nothing.
-	FirstStart bool `toml:"first_start"`
+}
+
+// Budgets sets what the homes of program budgets of a fleet agree on.
+type Budgets struct {
+	// Shards is the number of records at the platform, each with one home.
+	Shards int `toml:"shards" validate:"min=1,max=4096" allowed:"1 to 4096"`
+	// LostDisks is the number of keepers whose disks may be lost at the same time.
+	LostDisks int `toml:"lost_disks" validate:"min=0,max=64" allowed:"0 to 64"`
 }
 
 // Stop sets the planned stop.
@@ -170,6 +176,7 @@
 			SweepInterval: Duration(10 * time.Second),
 		},
 		Gateway: Gateway{ReadyPath: "/readyz"},
+		Budgets: Budgets{Shards: 1, LostDisks: 1},
 		Stop: Stop{
 			DrainLimit:    Duration(10 * time.Minute),
 			BalancerDelay: Duration(5 * time.Second),
