Empty keepers on request, and try unanswered connections again

A feed of a kind without objects took each answer for the end of an outage and never listed again. Ruled out: taking a shard over without the journals on record, which may carry a bridge. Feeds know an empty listing.

--- a/cmd/ibislined/main.go
+++ b/cmd/ibislined/main.go
@@ -75,6 +75,9 @@
 		Routes:        adapter.RouteTable,
 		ServersPrefix: platform.ServersPrefix,
 		Servers:       adapter.Server,
+
+		RetirementsPrefix: platform.RetirementsPrefix,
+		Retirements:       adapter,
 	}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -157,6 +157,8 @@
 	Self() structs.Instance
 	// Live returns the daemons taken to be alive and not leaving.
 	Live() []structs.Instance
+	// Lookup returns a known daemon, a leaving one included.
+	Lookup(name string) (structs.Instance, bool)
 	// Listed is true once the platform's list of daemons was read.
 	Listed() bool
 }
--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -35,6 +35,8 @@
 	t       *testing.T
 	network *peers.Network
 	store   *objects.Store
+	// leaving names a keeper that has said that it leaves.
+	leaving string
 	// turnedAway names the gateways that the platform does not serve.
 	turnedAway map[string]bool
 
@@ -70,6 +72,7 @@
 	fleet *fleet
 	name  string
 	place int
+	id    int64
 	disk  *journaltest.Disk
 	// process is the present start's view of the disk.
 	process *journaltest.Process
@@ -189,6 +192,15 @@
 	clear(f.turnedAway)
 }
 
+// Lookup implements allowance.Fleet.
+func (d *daemon) Lookup(name string) (structs.Instance, bool) {
+	instance, known := d.Node.Lookup(name)
+	if name == d.fleet.leaving {
+		instance.State = structs.StateLeaving
+	}
+	return instance, known
+}
+
 // Listed implements allowance.Fleet.
 func (d *daemon) Listed() bool { return true }
 
@@ -241,6 +253,7 @@
 	k.process = k.disk.Process()
 	j, err := journal.Open(k.process)
 	require.NoError(k.fleet.t, err)
+	k.id = j.ID()
 	k.node = k.fleet.network.Join(structs.Instance{
 		Name: k.name, Region: place(k.place), DataCentre: place(k.place), Duty: structs.DutyKeeper,
 		Incarnation: k.fleet.incarnation(),
--- a/internal/allowance/journals.go
+++ b/internal/allowance/journals.go
@@ -72,6 +72,12 @@
 	return all
 }
 
+// isLeaving reports whether a daemon has said that it leaves.
+func (h *Home) isLeaving(name string) bool {
+	instance, known := h.fleet.Lookup(name)
+	return known && instance.State == structs.StateLeaving
+}
+
 // fencing is the outcome of fencing a shard in several journals.
 type fencing struct {
 	fence   journal.Fence
@@ -220,7 +226,7 @@
 }
 
 // chooseJournals chooses the journals that the record is to name: those that are
-// fenced, and were missing for a short time at most. The caller holds mu.
+// fenced, do not leave, and were missing for a short time at most. The caller holds mu.
 func (s *shard) chooseJournals(live []structs.Instance, now time.Time) {
 	for _, keeper := range live {
 		if known, ok := s.fenced[keeper.Name]; ok {
@@ -230,6 +236,9 @@
 	}
 	wanted := journalSet{}
 	for name, known := range s.fenced {
+		if s.home.isLeaving(name) {
+			continue
+		}
 		if now.Sub(known.seen) < s.home.config.DropAfter {
 			wanted[name] = known.id
 		}
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -77,6 +77,20 @@
 	}
 }
 
+// Bridged reports whether a record names a journal, so that a bridge may stand there.
+func Bridged(records []objectapi.Object, keeper string, id int64) (bool, error) {
+	for _, object := range records {
+		r, _, err := decodeRecord(object, nil)
+		if err != nil {
+			return false, err
+		}
+		if r.Journals[keeper] == id {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // decodeRecord reads the object of a shard, the zero record if there is none.
 func decodeRecord(object objectapi.Object, err error) (record, int64, error) {
 	if errors.Is(err, objectapi.ErrNotFound) {
--- a/internal/allowance/takeover_test.go
+++ b/internal/allowance/takeover_test.go
@@ -156,3 +156,23 @@
 		}
 	})
 }
+
+// TestLeavingKeeperIsLeftOut: once no record names its journal, it may be taken away.
+func TestLeavingKeeperIsLeftOut(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+		time.Sleep(time.Second)
+		leaving := f.keepers[1]
+		bridged := func() bool {
+			records, _, err := f.store.List(t.Context(), allowance.RecordPrefix)
+			require.NoError(t, err)
+			found, err := allowance.Bridged(records, leaving.name, leaving.id)
+			require.NoError(t, err)
+			return found
+		}
+		require.True(t, bridged())
+		f.leaving = leaving.name
+		time.Sleep(2 * time.Second)
+		require.False(t, bridged())
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"ibisline/internal/kernel"
 	"ibisline/internal/logging"
 	"ibisline/internal/objectapi"
+	"ibisline/internal/retire"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
 	"ibisline/internal/settings"
@@ -34,6 +35,9 @@
 	Routes        routes.Decoder
 	ServersPrefix string
 	Servers       servers.Decoder
+	// RetirementsPrefix is the prefix of the requests that Retirements reads.
+	RetirementsPrefix string
+	Retirements       retire.Dialect
 }
 
 // version returns the revision that the program was built from.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -16,6 +16,7 @@
 	"ibisline/internal/objectapi/relay"
 	"ibisline/internal/operator"
 	"ibisline/internal/peer"
+	"ibisline/internal/retire"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
 	"ibisline/internal/structs"
@@ -33,6 +34,8 @@
 	serviceBudgets    = "budgets"
 	serviceJournal    = "journal"
 	serviceGateway    = "gateway"
+	serviceRequests   = "retirement-feed"
+	serviceRetire     = "retirement"
 )
 
 // platformSteps builds the services of a gateway or keeper.
@@ -165,7 +168,45 @@
 	if err != nil {
 		return err
 	}
-	return p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log))
+	if err := p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log)); err != nil {
+		return err
+	}
+	return p.addRetirement(opened)
+}
+
+// retirementVerify is the age of the last listing of the operators' requests at which
+// a keeper lists them again: a watch may miss one, and operators wait for it.
+const retirementVerify = 5 * time.Second
+
+// addRetirement adds the service that empties this instance on request.
+func (p *parts) addRetirement(own *journal.Journal) error {
+	transport, err := kernel.Lookup[*peer.Transport](p.kernel, servicePeers)
+	if err != nil {
+		return err
+	}
+	members, err := kernel.Lookup[*member.Members](p.kernel, serviceMembers)
+	if err != nil {
+		return err
+	}
+	requests := feed.New(feed.Config{VerifyAfter: retirementVerify}, p.adapter.RetirementsPrefix, p.store, transport, transport, p.metrics, p.log)
+	if err := p.kernel.Register(serviceRequests, requests); err != nil {
+		return err
+	}
+	return p.kernel.Register(serviceRetire, retire.New(retire.Config{}, p.self.Name, retire.Deps{
+		Dialect:  p.adapter.Retirements,
+		Requests: requests,
+		Store:    p.store,
+		Leave:    members.Leave,
+		Log:      p.log,
+		Empty: func(ctx context.Context) (bool, error) {
+			records, _, err := p.store.List(ctx, allowance.RecordPrefix)
+			if err != nil {
+				return false, err
+			}
+			bridged, err := allowance.Bridged(records, p.self.Name, own.ID())
+			return !bridged, err
+		},
+	}))
 }
 
 // addGateway adds the service of callers' requests.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -134,6 +134,9 @@
 	return f
 }
 
+// Prefix is that of the objects.
+func (f *Feed) Prefix() string { return f.prefix }
+
 // Run follows the platform until ctx ends.
 func (f *Feed) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -175,6 +178,12 @@
 	return time.Since(f.verified)
 }
 
+// isLoaded is true after the first listing.
+func (f *Feed) isLoaded() bool {
+	_, loaded := f.table.Position()
+	return loaded
+}
+
 // Answered returns the last time at which the platform answered; zero if never.
 func (f *Feed) Answered() time.Time {
 	f.mu.Lock()
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -77,12 +77,12 @@
 		// The age of the first daemon's listing takes a while to get here.
 		patience += f.config.VerifyAfter / 2
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.newest == 0 {
+	if !f.isLoaded() {
 		// The first listing is under way.
 		return watchPoll
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return patience - time.Since(f.verified)
 }
 
@@ -170,15 +170,15 @@
 	return c
 }
 
-// outageGap is the age of the newest listing, by any daemon, from which on the
-// platform was out of reach for all of them.
-const outageGap = 2500 * time.Millisecond
+// outageSlack is how much older than it should be the newest listing by any daemon is
+// when the platform was out of reach for all of them.
+const outageSlack = 1300 * time.Millisecond
 
 func (f *Feed) markAnswered() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = time.Now()
-	if f.lost || (!f.verified.IsZero() && f.answered.Sub(f.verified) > outageGap) {
+	if f.lost || (!f.verified.IsZero() && f.answered.Sub(f.verified) > f.config.VerifyAfter+outageSlack) {
 		f.lost = false
 		f.regained = f.answered
 		f.logger.Info("platform regained")
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -86,8 +86,7 @@
 // Meet returns the name of the daemon that listens at addr, IP:port. No stream is
 // opened to it.
 func (t *Transport) Meet(ctx context.Context, addr string) (string, error) {
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := t.connectTo(ctx, addr)
 	if err != nil {
 		return "", err
 	}
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -263,6 +263,20 @@
 	}
 }
 
+// connectTo makes a TCP connection, with another attempt whenever one gets no answer
+// in time, until ctx ends.
+func (t *Transport) connectTo(ctx context.Context, addr string) (net.Conn, error) {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, t.config.ConnectTimeout)
+		conn, err := t.config.Dial(attempt, addr)
+		unanswered := attempt.Err() != nil
+		cancel()
+		if err == nil || ctx.Err() != nil || !unanswered {
+			return conn, err
+		}
+	}
+}
+
 // dial connects to a daemon and shakes hands.
 func (t *Transport) dial(daemon string) (*meteredConn, error) {
 	resolve := t.resolve.Load()
@@ -275,8 +289,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, t.config.DialTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
+	conn, err := t.connectTo(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/transport_test.go
+++ b/internal/peer/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -129,6 +130,24 @@
 	require.True(t, verdict.HasReason(err, verdict.PeerLost))
 }
 
+// TestUnansweredConnectionIsTriedAgain: a peer that has just started may have missed
+// the first packet of a connection.
+func TestUnansweredConnectionIsTriedAgain(t *testing.T) {
+	var tries atomic.Int32
+	config := peer.Config{ConnectTimeout: 20 * time.Millisecond, DialTimeout: waitLimit}
+	config.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		if tries.Add(1) < 3 {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+	}
+	p := connect(t, config, serveEcho)
+	var reply note
+	require.NoError(t, peer.Call(t.Context(), p.a, "b", "echo", note{ID: 1}, &reply))
+	require.EqualValues(t, 3, tries.Load())
+}
+
 func TestConnectionToAnotherDaemonIsRefused(t *testing.T) {
 	p := connect(t, peer.Config{}, serveEcho)
 	_, err := p.a.Open(t.Context(), "c", "echo")
