Report a stream that broke at its last try as a failure

Ruled out: a foreign answer on a kept connection; the trace shows five runs of the same request at one server. Change: the last try is passed on like the others. TestStreamThatBreaksAtEachTryIsNoSuccess fails before and passes after.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -283,6 +283,17 @@
 	})
 }
 
+// TestStreamThatBreaksAtEachTryIsNoSuccess: the last try counts, too.
+func TestStreamThatBreaksAtEachTryIsNoSuccess(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a"}, CutAfter: 1})
+		got := w.call(http.MethodPost, "/turn/1", "r1")
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Greater(t, len(engine.Runs()), 1)
+	})
+}
+
 func TestStreamThatMayNotGoOnIsBrokenOff(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		table := usualRoutes()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -80,18 +80,17 @@
 // run passes the answer on, over several runs if it has to.
 func (s *stream) run(ctx context.Context) error {
 	sent, err := s.gateway.send(ctx, s.job)
-	for range maxResumes {
+	for resumes := 0; ; resumes++ {
 		if err == nil {
 			err = s.pass(sent)
 		}
-		if err == nil || !s.mayResume(ctx, err) {
+		if err == nil || resumes == maxResumes || !s.mayResume(ctx, err) {
 			return err
 		}
 		s.gateway.Log.WithField("request", s.job.ID).WithField("server", sent.server.Name).WithField("after", s.last).
 			Info("stream goes on")
 		sent, err = s.resume(ctx, sent.server)
 	}
-	return err
 }
 
 // mayResume reports whether the answer may go on in another run.
