Write totals to the record and to two disks before they are granted

Change: the bridge on the journals is always there and written beside the record; a turn waits for both, or for the bridge alone while the record cannot be written. Either is enough for the next home. There is no opening and closing of bridges any more; a home that cannot write its bridge hands the shard over; the set of journals changes only when the bridge stands on the new ones. Conclusion: a home and the platform may be lost together.

--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -65,10 +65,17 @@
 // platform cannot be reached. It returns another daemon that decides already. Handed
 // is what the former home said on leaving, nil if it did not.
 func (s *shard) acquire(ctx context.Context, handed *handover) (string, error) {
+	patience := s.home.config.AcquireTimeout
 	for range acquireTries {
-		held, version, err := s.getRecord(ctx)
+		held, version, err := s.getRecord(ctx, patience)
 		if errors.Is(err, objectapi.ErrUnavailable) {
-			return s.acquireWithoutRecord(ctx, handed)
+			holder, failure := s.acquireWithoutRecord(ctx, handed)
+			if !errors.Is(failure, errNoRecord) || patience == s.home.config.RecordTimeout {
+				return holder, failure
+			}
+			// The platform may just be slow.
+			patience = s.home.config.RecordTimeout
+			continue
 		}
 		if err != nil {
 			return "", err
@@ -94,8 +101,8 @@
 }
 
 // getRecord reads the shard's record.
-func (s *shard) getRecord(ctx context.Context) (record, int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
+func (s *shard) getRecord(ctx context.Context, patience time.Duration) (record, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	return decodeRecord(s.home.store.Get(ctx, recordKey(s.number)))
 }
@@ -142,13 +149,16 @@
 	if !s.readable(held.Journals, f.accepted()) {
 		return errJournals
 	}
-	next := record{Epoch: fence.Number, Home: fence.Home, Most: held.Most, Journals: f.accepted(), Programs: held.Programs}
-	next.merge(f.covers(), time.Now())
+	bridge := f.bridge()
+	direct := handed.follows(held) && bridge.Fence.Number <= handed.Fence.Number
+	next := held
+	next.merge(bridge, idle)
+	next.Epoch, next.Home, next.Sequence, next.Journals = fence.Number, fence.Home, 0, f.accepted()
 	written, err := s.putRecord(ctx, next, version)
 	if err != nil {
 		return err
 	}
-	hidden := held.Most
+	hidden := next.Most
 	if version == objectapi.NoVersion {
 		// No home has decided before.
 		hidden = 0
@@ -156,21 +166,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
-	if handed.follows(held) {
+	if direct {
 		hidden = 0
 	}
 	now := time.Now()
 	s.ledger = ledger.New(hidden, next.Most)
 	s.ledger.Inherit(idle.covers(now), ledger.FromIdle)
 	s.ledger.Inherit(next.covers(now), ledger.FromRecord)
-	if handed.follows(held) {
+	if direct {
 		s.ledger.Adopt(handed.Totals)
 	}
 	s.idle = idleState{known: true, version: idleVersion}
 	s.record = recordState{known: true, version: written, journals: next.Journals}
 	s.begin(fence, f, keepers)
 	s.log().WithField("fence", fence.Number).WithField("programs", len(next.Programs)).
-		WithField("handed_over", handed.follows(held)).WithField("journals", len(next.Journals)).
+		WithField("handed_over", direct).WithField("journals", len(next.Journals)).
 		Info("budgets of a shard taken over")
 	return nil
 }
@@ -213,7 +223,7 @@
 		return version, err
 	}
 	// A write that comes to pass later finds the object changed by the next one.
-	found, version, err := s.getRecord(ctx)
+	found, version, err := s.getRecord(ctx, s.home.config.RecordTimeout)
 	if err == nil && (found.Epoch != next.Epoch || found.Home != next.Home) {
 		return 0, errContest
 	}
@@ -250,7 +260,7 @@
 func (s *shard) acquireWithoutRecord(ctx context.Context, handed *handover) (string, error) {
 	keepers := s.home.keepers()
 	seen := s.askHolder(ctx, keepers)
-	bridged := seen.Fence.Number != 0 && seen.Bridge.Fence == seen.Fence && !seen.Bridge.Closed
+	bridged := seen.Fence.Number != 0 && seen.Bridge.Fence == seen.Fence
 	given := handed != nil && handed.Journals != nil && seen.Fence == handed.Fence
 	switch {
 	case !given && s.decides(ctx, seen.Fence.Home):
@@ -271,7 +281,8 @@
 		return "", s.takeByBridge(fence, f, keepers, from, 0)
 	}
 	found := f.bridge()
-	if found.Fence.Number == 0 || found.Closed {
+	if !found.Whole || found.Fence.Number != f.former() || len(found.Journals) <= s.home.config.LostDisks {
+		// A home in between may have granted turns by other journals.
 		return "", errNoRecord
 	}
 	return "", s.takeByBridge(fence, f, keepers, found, found.Most)
@@ -288,9 +299,7 @@
 	s.reset()
 	s.ledger = ledger.New(hidden, from.Most)
 	s.ledger.Inherit(from.Covers, ledger.FromBridge)
-	s.ledger.SetRule(ledger.ByBoth)
 	s.record = recordState{journals: from.Journals, failing: true}
-	s.bridge = bridgeState{open: true, sets: []journalSet{from.Journals}}
 	s.begin(fence, f, keepers)
 	s.log().WithField("fence", fence.Number).WithField("programs", len(from.Covers)).
 		Info("budgets of a shard taken over without their record")
@@ -314,7 +323,8 @@
 	var highest holderReply
 	for range keepers {
 		reply := <-replies
-		if reply.Fence.Number > highest.Fence.Number || (reply.Fence == highest.Fence && reply.Bridge.Generation > highest.Bridge.Generation) {
+		newer := reply.Fence.Number > highest.Fence.Number
+		if newer || (reply.Fence == highest.Fence && reply.Bridge.Fence.Number > highest.Bridge.Fence.Number) {
 			highest = reply
 		}
 	}
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -6,11 +6,12 @@
 // turns at once, under the object's version: of two homes one learns that it was
 // replaced. Package ledger says which turns need not wait for that.
 //
-// While the record cannot be written, the home builds a bridge: it writes its totals
-// to the journals of several instances with a disk, one more than may be lost at the
-// same time. A later home reads all but so many of the journals that the record
-// names, so that it finds the bridge if there is one. Before a home decides, it
-// fences these journals, so that its predecessor can build none any more.
+// The same is written to the bridge, the journals of several instances with a disk,
+// one more than may be lost at the same time, so that an outage of the platform
+// stops nothing: the home goes on by the bridge alone, and if it dies, another one
+// takes over by it. A home reads all but so many of the journals that the record
+// names, so that it finds what the record lacks. Before it decides, it fences these
+// journals, so that its predecessor can write nothing any more.
 package allowance
 
 import (
@@ -60,10 +61,14 @@
 	// what the way between regions and a sync usually take. Others are fenced
 	// later.
 	DefaultFenceGrace = 40 * time.Millisecond
-	// DefaultExtendTimeout bounds one write to a journal.
-	DefaultExtendTimeout = 150 * time.Millisecond
+	// DefaultExtendTimeout bounds one write to a journal: a disk may be many times
+	// slower than usual.
+	DefaultExtendTimeout = 400 * time.Millisecond
 	// DefaultRecordTimeout bounds one call to the platform about a record.
 	DefaultRecordTimeout = time.Second
+	// DefaultAcquireTimeout bounds the reading of a record in a takeover before
+	// the bridge is looked for.
+	DefaultAcquireTimeout = 250 * time.Millisecond
 	// DefaultRecordInterval is the time between two writes of a record that no
 	// turn waits for.
 	DefaultRecordInterval = 500 * time.Millisecond
@@ -77,13 +82,14 @@
 	DefaultIdleInterval = 5 * time.Second
 	// DefaultRecordRetry is the wait after a write that failed.
 	DefaultRecordRetry = 150 * time.Millisecond
-	// DefaultBridgeAfter is how much longer than the gap between two writes turns
-	// wait for the record before a bridge is built: several times what a write
-	// usually takes.
+	// DefaultBridgeGap is the shortest time between two writes of a bridge.
+	DefaultBridgeGap = 60 * time.Millisecond
+	// DefaultBridgeAfter is how long a write of the record may take before turns
+	// go on by the bridge alone: several times what it usually takes.
 	DefaultBridgeAfter = 150 * time.Millisecond
-	// DefaultStuckAfter is how long a home tries to close a bridge before it
-	// leaves the shard to others.
-	DefaultStuckAfter = time.Second
+	// DefaultStuckAfter is how long a home fails to write a bridge before it leaves
+	// the shard to others.
+	DefaultStuckAfter = 500 * time.Millisecond
 	// DefaultUpkeepInterval is the time between two looks at the journals.
 	DefaultUpkeepInterval = 500 * time.Millisecond
 	// DefaultAdoptInterval is the time between two looks at whether the shards
@@ -114,11 +120,13 @@
 	FenceGrace     time.Duration
 	ExtendTimeout  time.Duration
 	RecordTimeout  time.Duration
+	AcquireTimeout time.Duration
 	RecordInterval time.Duration
 	RecordGap      time.Duration
 	IdleAfter      time.Duration
 	IdleInterval   time.Duration
 	RecordRetry    time.Duration
+	BridgeGap      time.Duration
 	BridgeAfter    time.Duration
 	StuckAfter     time.Duration
 	UpkeepInterval time.Duration
@@ -138,11 +146,13 @@
 	defaults.Set(&c.FenceGrace, DefaultFenceGrace)
 	defaults.Set(&c.ExtendTimeout, DefaultExtendTimeout)
 	defaults.Set(&c.RecordTimeout, DefaultRecordTimeout)
+	defaults.Set(&c.AcquireTimeout, DefaultAcquireTimeout)
 	defaults.Set(&c.RecordInterval, DefaultRecordInterval)
 	defaults.Set(&c.RecordGap, DefaultRecordGap)
 	defaults.Set(&c.IdleAfter, DefaultIdleAfter)
 	defaults.Set(&c.IdleInterval, DefaultIdleInterval)
 	defaults.Set(&c.RecordRetry, DefaultRecordRetry)
+	defaults.Set(&c.BridgeGap, DefaultBridgeGap)
 	defaults.Set(&c.BridgeAfter, DefaultBridgeAfter)
 	defaults.Set(&c.StuckAfter, DefaultStuckAfter)
 	defaults.Set(&c.UpkeepInterval, DefaultUpkeepInterval)
--- a/internal/allowance/bridge.go
+++ b/internal/allowance/bridge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,124 +15,109 @@
 
 // bridgeState is what a home knows of its bridge.
 type bridgeState struct {
-	// open is set while a later home may find the bridge: from before it is
-	// written until enough journals know that it is closed.
-	open bool
-	// whole is set while the journals hold all of it, so that what has changed
-	// since is enough.
-	whole      bool
-	generation int64
-	// sets are the journals by which a later home looks for the bridge. All but
-	// the allowed losses of each of them are read.
-	sets []journalSet
-	// stuck is the time since when it could not be closed.
-	stuck time.Time
-}
-
-// possible reports whether the sets are large enough for a bridge.
-func (b *bridgeState) possible(lost int) bool {
-	for _, set := range b.sets {
-		if len(set) <= lost {
-			return false
-		}
-	}
-	return true
+	// on are the journals on which all of it stands, so that what has changed
+	// since is enough; nil while there are none.
+	on journalSet
+	// failing is the time since when it could not be written.
+	failing time.Time
 }
 
 // errNoBridge is returned when too few journals can be reached.
 var errNoBridge = errors.New("too few journals for a bridge")
 
-// keepBridge builds the bridge when turns wait for the record for too long, and
-// closes it after the record was written, until ctx ends.
+// keepBridge writes the bridge until ctx ends: soon if a turn waits for it, else at
+// its interval.
 func (s *shard) keepBridge(ctx context.Context, fence journal.Fence) {
-	for {
+	ticker := time.NewTicker(s.home.config.RecordInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.bridgeDue:
+		case <-ticker.C:
 		}
-		if s.bridgeIsObsolete(fence) {
-			s.closeBridge(ctx, fence)
-			continue
-		}
-		if !s.bridgeLacks(fence) {
-			continue
-		}
+		started := time.Now()
+		wait := s.home.config.BridgeGap
 		if err := s.extendBridge(ctx, fence); err != nil && ctx.Err() == nil {
 			s.log().WithError(err).Info("bridge not written")
-			s.noteFailure(fence)
-			if !sleep(ctx, s.home.config.RecordGap) {
-				return
-			}
+			s.bridgeFailed(ctx, fence)
+			signal(s.bridgeDue)
+		}
+		if left := wait - time.Since(started); left > 0 && !sleep(ctx, left) {
+			return
 		}
 	}
 }
 
-// bridgeLacks reports whether a total waits to be written down, or nothing could be
-// written before.
-func (s *shard) bridgeLacks(fence journal.Fence) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.holdsUnder(fence) && (s.unable || s.ledger.Waiting())
+// sets returns the journals by which a later home may look for the bridge: it reads
+// all but the allowed losses of one of them. The caller holds mu.
+func (s *shard) sets() []journalSet {
+	return append([]journalSet{s.record.journals}, s.record.doubtful...)
 }
 
-// noteFailure lets the reservations that wait give up, if the record cannot be
-// written either.
-func (s *shard) noteFailure(fence journal.Fence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.holdsUnder(fence) && s.record.failing {
-		s.failures++
-		s.unable = true
-		s.notify()
+// possible reports whether there are enough journals for a bridge. The caller holds mu.
+func (s *shard) possible() bool {
+	for _, set := range s.sets() {
+		if len(set) <= s.home.config.LostDisks {
+			return false
+		}
+	}
+	return true
+}
+
+// setRule chooses where totals have to stand before they are granted. The caller
+// holds mu.
+func (s *shard) setRule() {
+	switch {
+	case !s.possible():
+		s.ledger.SetRule(ledger.ByRecord)
+	case s.record.failing:
+		s.ledger.SetRule(ledger.ByBridge)
+	default:
+		s.ledger.SetRule(ledger.ByBoth)
 	}
 }
 
-// extendBridge writes what the journals lack, or begins a bridge with everything.
+// extendBridge writes what the journals lack, or everything when others have been
+// chosen.
 func (s *shard) extendBridge(ctx context.Context, fence journal.Fence) error {
 	s.mu.Lock()
 	if !s.holdsUnder(fence) {
 		s.mu.Unlock()
 		return errReplaced
 	}
-	b := &s.bridge
-	whole := !b.whole
-	if !b.open {
-		b.sets = append([]journalSet{s.record.journals}, s.record.doubtful...)
-	}
-	if !b.possible(s.home.config.LostDisks) {
-		s.mu.Unlock()
-		return errNoBridge
-	}
-	if whole {
-		b.generation++
-		// A later home may find what is written from now on.
-		b.open = true
-		s.ledger.SetRule(ledger.ByBoth)
-	}
+	sets := append(s.sets(), s.wanted)
+	wanted := s.wanted
+	whole := s.bridge.on == nil || !maps.Equal(wanted, s.bridge.on)
+	s.sequence++
+	covers := s.ledger.Bridge(whole, s.sequence, time.Now())
 	next := journal.Bridge{
-		Fence: fence, Generation: b.generation, Journals: b.sets[0], Most: s.ledger.Most(), Covers: s.ledger.Bridge(whole, time.Now()),
+		Fence: fence, Whole: whole, Sequence: s.sequence, Journals: wanted, Most: s.ledger.Most(), Covers: covers,
 	}
-	sets := b.sets
 	s.mu.Unlock()
-
-	err := s.writeBridge(ctx, next, sets)
+	var err error
+	if whole || len(covers) > 0 {
+		err = s.writeBridge(ctx, next, sets)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.holdsUnder(fence) {
 		return errReplaced
 	}
+	s.ledger.Bridged(err == nil)
 	if err != nil {
-		b.whole = false
 		return err
 	}
 	if whole {
-		s.log().WithField("programs", len(next.Covers)).WithField("generation", next.Generation).Info("bridge built")
+		s.bridge.on = wanted
+		s.log().WithField("programs", len(covers)).WithField("journals", wanted).Info("bridge built")
 	}
-	b.whole = true
-	s.ledger.Bridged(whole)
+	if len(covers) > 0 {
+		s.home.bridges.Inc()
+	}
+	s.bridge.failing = time.Time{}
 	s.unable = false
-	s.home.bridges.Inc()
 	s.notify()
 	return nil
 }
@@ -139,8 +125,6 @@
 // writeBridge writes to all journals of the sets at once. It succeeds when so many
 // have taken it that a later home finds it.
 func (s *shard) writeBridge(ctx context.Context, b journal.Bridge, sets []journalSet) error {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.ExtendTimeout)
-	defer cancel()
 	names := journalSet{}
 	for _, set := range sets {
 		for name := range set {
@@ -156,6 +140,9 @@
 	var asked sync.WaitGroup
 	for name := range names {
 		asked.Go(func() {
+			// It goes on after enough others have taken it.
+			ctx, cancel := context.WithTimeout(ctx, s.home.config.ExtendTimeout)
+			defer cancel()
 			o := outcome{name: name}
 			o.err = peer.Call(ctx, s.home.dialer, name, methodExtend, b, &o.reply)
 			outcomes <- o
@@ -166,10 +153,13 @@
 		close(outcomes)
 	}()
 	taken := journalSet{}
+	if s.enough(taken, sets) {
+		return nil
+	}
 	for o := range outcomes {
 		switch {
 		case o.err != nil:
-			s.log().WithError(o.err).WithField("keeper", o.name).Info("journal did not answer")
+			s.log().WithError(o.err).WithField("keeper", o.name).Debug("journal did not answer")
 		case o.reply.Refused && o.reply.Held.Number > b.Fence.Number:
 			s.drop(b.Fence, o.reply.Held.Home, o.reply.Held.Number)
 			return errReplaced
@@ -186,66 +176,39 @@
 }
 
 // enough reports whether every set can carry the bridge on the journals that took it.
+// Sets that are too small carry none.
 func (s *shard) enough(taken journalSet, sets []journalSet) bool {
 	for _, set := range sets {
-		if !set.bridgedBy(taken, s.home.config.LostDisks) {
+		if len(set) > s.home.config.LostDisks && !set.bridgedBy(taken, s.home.config.LostDisks) {
 			return false
 		}
 	}
 	return true
 }
 
-// bridgeIsObsolete reports whether the record alone holds everything again. From then
-// on turns are granted only if both do, until the bridge is closed.
-func (s *shard) bridgeIsObsolete(fence journal.Fence) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.holdsUnder(fence) || !s.bridge.open || !s.record.known || s.record.failing || !s.ledger.Settled() {
-		return false
-	}
-	s.ledger.SetRule(ledger.ByBoth)
-	return true
-}
-
-// giveUpIfStuck gives the shard up when the journals have been out of reach for long
-// although the platform is not: another daemon may reach both. The caller holds mu.
-func (s *shard) giveUpIfStuck(now time.Time) {
-	switch {
-	case s.bridge.stuck.IsZero():
-		s.bridge.stuck = now
-	case now.Sub(s.bridge.stuck) >= s.home.config.StuckAfter:
-		s.log().Warn("shard given up, its bridge cannot be closed here")
-		s.reset()
-		s.home.orphaned.Store(true)
-	}
-}
-
-// closeBridge tells the journals that the record counts again. Until enough of them
-// know, nothing is granted by the record alone.
-func (s *shard) closeBridge(ctx context.Context, fence journal.Fence) {
+// bridgeFailed lets the reservations that wait give up if the record cannot be
+// written either, and leaves the shard to another daemon, which may reach more
+// journals, if the bridge has failed for a while.
+func (s *shard) bridgeFailed(ctx context.Context, fence journal.Fence) {
 	s.mu.Lock()
 	if !s.holdsUnder(fence) {
 		s.mu.Unlock()
 		return
 	}
-	b := &s.bridge
-	b.whole = false
-	last := journal.Bridge{Fence: fence, Generation: b.generation, Journals: b.sets[0], Closed: true}
-	sets := b.sets
-	s.mu.Unlock()
-	err := s.writeBridge(ctx, last, sets)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.holdsUnder(fence) {
-		return
+	now := time.Now()
+	if s.bridge.failing.IsZero() {
+		s.bridge.failing = now
 	}
-	if err != nil {
-		s.log().WithError(err).Info("bridge not closed yet")
-		s.giveUpIfStuck(time.Now())
-		return
+	if s.record.failing {
+		s.failures++
+		s.unable = true
+		s.notify()
+	}
+	stuck := !s.record.failing && now.Sub(s.bridge.failing) >= s.home.config.StuckAfter
+	s.mu.Unlock()
+	if stuck {
+		s.log().Warn("bridge cannot be written here, leaving the shard to another daemon")
+		// The writers of this shard end with the handover, this one too.
+		go s.handOver(context.WithoutCancel(ctx))
 	}
-	s.bridge = bridgeState{generation: b.generation}
-	s.ledger.SetRule(ledger.ByRecord)
-	s.log().Info("bridge closed")
-	s.notify()
 }
--- a/internal/allowance/handover.go
+++ b/internal/allowance/handover.go
@@ -89,8 +89,7 @@
 }
 
 // reacquire takes the shard anew under a higher number, after another daemon has
-// fenced journals but has not taken the record. While a bridge may stand, the other
-// one may have taken the shard by it.
+// fenced journals. If that has taken the shard by the bridge, it is left to it.
 func (s *shard) reacquire(ctx context.Context, fence journal.Fence) {
 	<-s.acquiring
 	defer func() { s.acquiring <- struct{}{} }()
@@ -99,13 +98,9 @@
 		s.mu.Unlock()
 		return
 	}
-	own, bridged := s.give(), s.bridge.open
+	own := s.give()
 	s.reset()
 	s.mu.Unlock()
-	if bridged {
-		s.log().Info("shard given up, journals are fenced by another home")
-		return
-	}
 	if _, err := s.acquire(ctx, &own); err != nil {
 		s.log().WithError(err).Info("shard not taken anew")
 	}
--- a/internal/allowance/home.go
+++ b/internal/allowance/home.go
@@ -279,7 +279,7 @@
 	Fence    int64            `json:"fence"`
 	Version  int64            `json:"record_version"`
 	Journals map[string]int64 `json:"journals,omitempty"`
-	Bridged  bool             `json:"bridged,omitempty"`
+	Bridge   map[string]int64 `json:"bridge,omitempty"`
 	Usages   []ledger.Usage   `json:"programs"`
 }
 
--- a/internal/allowance/idle.go
+++ b/internal/allowance/idle.go
@@ -45,7 +45,7 @@
 	}
 	now := time.Now()
 	s.mu.Lock()
-	if !s.holdsUnder(fence) || s.bridge.open {
+	if !s.holdsUnder(fence) || s.record.failing {
 		s.mu.Unlock()
 		return nil
 	}
--- a/internal/allowance/journal/journal.go
+++ b/internal/allowance/journal/journal.go
@@ -1,5 +1,5 @@
 // Package journal keeps on the disk of one instance what homes of budgets write down
-// while they cannot reach the platform, by shard. A home first fences a shard with a
+// for the time of an outage of the platform, by shard. A home first fences a shard with a
 // number higher than any before; from then on writes with a lower number are refused.
 // So a home that reads a journal knows that nothing is added behind its back.
 //
@@ -64,10 +64,11 @@
 // several journals.
 type Bridge struct {
 	Fence Fence `msgpack:"f"`
-	// Generation counts the bridges of one fence; the highest counts.
-	Generation int64 `msgpack:"g"`
-	// Closed is set once the record holds everything again.
-	Closed bool `msgpack:"c,omitempty"`
+	// Whole is set in a write that holds all programs, and in a journal that has
+	// had one under the fence. Others hold changes only.
+	Whole bool `msgpack:"w,omitempty"`
+	// Sequence orders the writes of one fence.
+	Sequence int64 `msgpack:"q"`
 	// Journals are those on which the bridge may stand: their identity by the
 	// name of their instance.
 	Journals map[string]int64 `msgpack:"j,omitempty"`
@@ -160,14 +161,23 @@
 
 // extend adds to the bridge, or begins another one.
 func (s *shard) extend(b Bridge) {
-	if s.bridge.Fence != b.Fence || s.bridge.Generation != b.Generation || b.Closed {
+	if s.bridge.Fence != b.Fence {
+		s.bridge = Bridge{Fence: b.Fence}
 		s.covers = map[string]ledger.Cover{}
 	}
+	if b.Whole {
+		// A later write may have overtaken this one.
+		maps.DeleteFunc(s.covers, func(_ string, c ledger.Cover) bool { return c.Sequence < b.Sequence })
+	}
 	for _, c := range b.Covers {
-		s.covers[c.Program] = c.Merge(s.covers[c.Program])
+		s.covers[c.Program] = c.Newer(s.covers[c.Program])
+	}
+	whole := b.Whole || s.bridge.Whole
+	if b.Sequence >= s.bridge.Sequence {
+		s.bridge = b
 	}
-	b.Covers = nil
-	s.bridge = b
+	s.bridge.Whole = whole
+	s.bridge.Covers = nil
 }
 
 // whole returns the bridge with its covers.
@@ -221,7 +231,7 @@
 	return Fence{}, Bridge{}
 }
 
-// Extend adds to a bridge, or begins or closes it, under the fence in force. It is
+// Extend adds to a bridge, or begins it, under the fence in force. It is
 // durable when Extend returns nil.
 func (j *Journal) Extend(b Bridge) error {
 	j.mu.Lock()
--- a/internal/allowance/journals.go
+++ b/internal/allowance/journals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"ibisline/internal/allowance/journal"
@@ -144,16 +145,6 @@
 	return set
 }
 
-// covers returns all that the journals hold, of whichever bridge: too much of it does
-// no harm.
-func (f fencing) covers() []ledger.Cover {
-	var all []ledger.Cover
-	for _, reply := range f.replies {
-		all = append(all, reply.Bridge.Covers...)
-	}
-	return all
-}
-
 // former returns the highest number of the fences that were replaced.
 func (f fencing) former() int64 {
 	var former int64
@@ -163,24 +154,32 @@
 	return former
 }
 
-// bridge returns what the journals hold of the last bridge that was built under the
-// highest former fence, and the zero Bridge if there is none. A home between the two
-// may have granted turns by the record alone. A bridge that any journal knows to be
-// closed is closed.
+// bridge returns what the journals hold of the bridge that was built last, the zero
+// Bridge if there is none. It is Whole if any journal holds all of it; the others add
+// what has changed since.
 func (f fencing) bridge() journal.Bridge {
-	former := f.former()
 	var found journal.Bridge
+	newest := map[string]ledger.Cover{}
 	for _, reply := range f.replies {
 		b := reply.Bridge
-		if b.Fence.Number == 0 || b.Fence.Number != former || b.Generation < found.Generation {
+		switch {
+		case b.Fence.Number == 0 || b.Fence.Number < found.Fence.Number:
 			continue
+		case b.Fence.Number > found.Fence.Number:
+			found = b
+			clear(newest)
+		default:
+			whole := b.Whole || found.Whole
+			if b.Sequence > found.Sequence {
+				found = b
+			}
+			found.Whole = whole
 		}
-		if b.Generation == found.Generation {
-			b.Closed = b.Closed || found.Closed
-			b.Covers = append(b.Covers, found.Covers...)
+		for _, c := range b.Covers {
+			newest[c.Program] = c.Newer(newest[c.Program])
 		}
-		found = b
 	}
+	found.Covers = slices.Collect(maps.Values(newest))
 	return found
 }
 
@@ -260,5 +259,6 @@
 	if !maps.Equal(wanted, s.wanted) {
 		s.log().WithField("journals", wanted).Info("journals for a bridge chosen")
 		s.wanted = wanted
+		signal(s.bridgeDue)
 	}
 }
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -7,8 +7,9 @@
 // is beyond waits until more is written. So a later home that knows nothing but what
 // is written takes every program for one turn further, and is never below the truth.
 //
-// The record at the platform is where totals are written down. While it cannot be
-// written, a bridge on the disks of several instances stands in for it.
+// Totals are written down twice: in the record at the platform, and on the disks of
+// several instances, the bridge, which stands in for the record while the platform
+// cannot be reached.
 package ledger
 
 import (
@@ -65,13 +66,16 @@
 	Expires int64 `msgpack:"x"`
 	// Estimated is set when the program has used less than Total, or may have.
 	Estimated bool `msgpack:"e,omitempty"`
+	// Sequence orders what one home wrote about a program; 0 in a record, whose own
+	// sequence counts.
+	Sequence int64 `msgpack:"q,omitempty"`
 }
 
-// Merge returns c with what is higher in other, about the same program or nothing.
-func (c Cover) Merge(other Cover) Cover {
-	c.Total = max(c.Total, other.Total)
-	c.Expires = max(c.Expires, other.Expires)
-	c.Estimated = c.Estimated || other.Estimated
+// Newer returns the newer of two covers of a program.
+func (c Cover) Newer(other Cover) Cover {
+	if other.Sequence > c.Sequence {
+		return other
+	}
 	return c
 }
 
@@ -84,8 +88,8 @@
 	// spent is what ended turns used here, open what turns under way may use.
 	spent int
 	open  map[string]turn
-	// recorded is the total that stands in the record for sure, recording the
-	// one in a write under way, and bridged the one on the disks.
+	// recorded is the total that stands in the record for sure, and recording the
+	// one in a write under way; bridged and bridging are the same on the disks.
 	recorded  int
 	recording int
 	bridged   int
@@ -160,12 +164,13 @@
 
 // Rules.
 const (
-	// ByRecord: later homes read the record.
-	ByRecord Rule = iota
-	// ByBridge: they may be unable to read the record, and read the bridge.
+	// ByBoth: in the record and on the disks, so that a later home may do with
+	// either of them.
+	ByBoth Rule = iota
+	// ByBridge: on the disks only, while the record cannot be written.
 	ByBridge
-	// ByBoth: it is not known which of the two they read.
-	ByBoth
+	// ByRecord: in the record only, where there are too few disks.
+	ByRecord
 )
 
 // SetRule changes the rule.
@@ -199,7 +204,7 @@
 	for _, c := range covers {
 		a := l.programs[c.Program]
 		if a == nil {
-			a = &account{open: map[string]turn{}, recording: none}
+			a = &account{open: map[string]turn{}, recording: none, bridging: none}
 			l.programs[c.Program] = a
 		}
 		a.base = max(a.base, c.Total+l.hidden)
@@ -221,7 +226,7 @@
 	for _, c := range totals {
 		a := l.programs[c.Program]
 		if a == nil {
-			a = &account{open: map[string]turn{}, recording: none}
+			a = &account{open: map[string]turn{}, recording: none, bridging: none}
 			l.programs[c.Program] = a
 		}
 		a.base, a.estimated = c.Total, c.Estimated
@@ -245,7 +250,7 @@
 func (l *Ledger) Reserve(r Reservation, now time.Time) Decision {
 	a := l.programs[r.Program]
 	if a == nil {
-		a = &account{base: l.hidden, estimated: l.hidden > 0, open: map[string]turn{}, recording: none}
+		a = &account{base: l.hidden, estimated: l.hidden > 0, open: map[string]turn{}, recording: none, bridging: none}
 		l.programs[r.Program] = a
 	}
 	a.lifetime = r.Lifetime
@@ -293,22 +298,24 @@
 
 // covers reports whether a program's total is written down, up to one turn.
 func (l *Ledger) covers(a *account) bool {
-	durable := a.onRecord()
+	durable := 0
 	switch l.rule {
+	case ByRecord:
+		durable = lowest(a.recorded, a.recording)
 	case ByBridge:
-		durable = a.bridged
+		durable = lowest(a.bridged, a.bridging)
 	case ByBoth:
-		durable = min(durable, a.bridged)
+		durable = min(lowest(a.recorded, a.recording), lowest(a.bridged, a.bridging))
 	}
 	return a.total() <= durable+l.most
 }
 
-// onRecord is the lowest total that the record may hold.
-func (a *account) onRecord() int {
-	if a.recording != none {
-		return min(a.recorded, a.recording)
+// lowest is the lower of what was written and what is being written, if anything is.
+func lowest(written, writing int) int {
+	if writing == none {
+		return written
 	}
-	return a.recorded
+	return min(written, writing)
 }
 
 // Release ends a reservation. Used is what the turn generated.
@@ -442,43 +449,38 @@
 	}
 }
 
-// Bridge returns what the disks are to hold beyond what they do, or everything if
-// whole is set. The write is under way until Bridged.
-func (l *Ledger) Bridge(whole bool, now time.Time) []Cover {
+// Bridge returns what the disks lack, or everything if whole is set, under a sequence
+// higher than any before. The write is under way until Bridged.
+func (l *Ledger) Bridge(whole bool, sequence int64, now time.Time) []Cover {
 	l.forget(now)
 	var covers []Cover
 	for name, a := range l.programs {
 		total := a.likely(l.most)
-		if whole || total > a.bridged {
-			a.bridging = total
-			covers = append(covers, Cover{Program: name, Total: total, Expires: a.remembered(), Estimated: a.estimated})
+		if !whole && total == a.bridged {
+			continue
 		}
+		a.bridging = total
+		covers = append(covers, Cover{
+			Program: name, Total: total, Expires: a.remembered(), Estimated: a.estimated, Sequence: sequence,
+		})
 	}
 	return covers
 }
 
-// Bridged ends a write of Bridge that the disks have taken. From then on the bridge
-// counts in place of the record.
-func (l *Ledger) Bridged(whole bool) {
-	l.rule = ByBridge
+// Bridged ends the write of Bridge. When it has failed some disks may have taken it,
+// so that the lower of two totals counts.
+func (l *Ledger) Bridged(written bool) {
 	for _, a := range l.programs {
-		if whole {
+		if a.bridging == none {
+			continue
+		}
+		if written {
 			a.bridged = a.bridging
 		} else {
-			a.bridged = max(a.bridged, a.bridging)
-		}
-		a.bridging = 0
-	}
-}
-
-// Settled reports whether the record alone covers every total.
-func (l *Ledger) Settled() bool {
-	for _, a := range l.programs {
-		if a.total() > a.onRecord()+l.most {
-			return false
+			a.bridged = min(a.bridged, a.bridging)
 		}
+		a.bridging = none
 	}
-	return true
 }
 
 // Waiting reports whether a total has to be written down before it is granted.
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/allowance/journal"
 	"ibisline/internal/allowance/ledger"
 	"ibisline/internal/objectapi"
 )
@@ -24,6 +26,8 @@
 	// Epoch and Home are those of the home that decides.
 	Epoch int64  `json:"epoch"`
 	Home  string `json:"home"`
+	// Sequence orders this write among those of the home to journals.
+	Sequence int64 `json:"sequence"`
 	// Most is the largest turn, in tokens, that may have been granted to a
 	// program beyond its total here.
 	Most int `json:"most"`
@@ -65,16 +69,29 @@
 	return e
 }
 
-// merge adds programs, of two totals the higher.
-func (r *record) merge(covers []ledger.Cover, now time.Time) {
-	merged := map[string]ledger.Cover{}
-	for _, c := range append(r.covers(now), covers...) {
-		merged[c.Program] = c.Merge(merged[c.Program])
+// merge adds what a bridge holds that is newer than the record. Programs that are
+// idle and have not been active since stay out.
+func (r *record) merge(b journal.Bridge, idle record) {
+	if b.Fence.Number < r.Epoch {
+		// Whoever wrote the record since has read the bridge.
+		return
 	}
-	r.Programs = make(map[string]entry, len(merged))
-	for name, c := range merged {
-		r.Programs[name] = entryOf(c)
+	programs := maps.Clone(r.Programs)
+	if programs == nil {
+		programs = map[string]entry{}
 	}
+	for _, c := range b.Covers {
+		_, active := r.Programs[c.Program]
+		if active && b.Fence.Number == r.Epoch && c.Sequence < r.Sequence {
+			continue
+		}
+		if known, ok := idle.Programs[c.Program]; !active && ok && int64(c.Total) <= known[0] {
+			continue
+		}
+		programs[c.Program] = entryOf(c)
+	}
+	r.Programs = programs
+	r.Most = max(r.Most, b.Most)
 }
 
 // Bridged reports whether a record names a journal, so that a bridge may stand there.
--- a/internal/allowance/recorder.go
+++ b/internal/allowance/recorder.go
@@ -22,7 +22,9 @@
 	// name others too.
 	journals journalSet
 	doubtful []journalSet
-	// failing is set while writes fail.
+	// began is the start of the write under way, zero without one, and failing is
+	// set while writes fail or take too long.
+	began   time.Time
 	failing bool
 }
 
@@ -79,13 +81,25 @@
 func (s *shard) recordLacks() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held && (s.ledger.Dirty() || s.bridge.open || !s.record.known || !maps.Equal(s.record.journals, s.wanted))
+	return s.held && (s.ledger.Dirty() || s.record.failing || !s.record.known || !maps.Equal(s.record.journals, s.proposal()))
+}
+
+// proposal returns the journals that the record is to name: others only once the
+// bridge stands on them, and the old ones know of that. The caller holds mu.
+func (s *shard) proposal() journalSet {
+	if s.bridge.on == nil {
+		return s.record.journals
+	}
+	return s.bridge.on
 }
 
 // writeRecord writes the present totals.
 func (s *shard) writeRecord(ctx context.Context, fence journal.Fence) error {
 	ctx, cancel := context.WithTimeout(ctx, s.home.config.RecordTimeout)
 	defer cancel()
+	s.mu.Lock()
+	s.record.began = time.Now()
+	s.mu.Unlock()
 	if err := s.rereadRecord(ctx, fence); err != nil {
 		s.recordFailed(fence)
 		return err
@@ -95,15 +109,13 @@
 		s.mu.Unlock()
 		return errReplaced
 	}
-	journals := s.record.journals
-	if !s.bridge.open && s.wanted != nil {
-		journals = s.wanted
-	}
+	journals := s.proposal()
 	covers, most := s.ledger.Record(time.Now())
 	expected := s.record.version
+	s.sequence++
+	next := record{Epoch: fence.Number, Home: fence.Home, Sequence: s.sequence, Most: most, Journals: journals}
 	s.mu.Unlock()
 
-	next := record{Epoch: fence.Number, Home: fence.Home, Most: most, Journals: journals}
 	next.set(covers)
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -121,15 +133,13 @@
 	if !s.holdsUnder(fence) {
 		return
 	}
+	s.record.began = time.Time{}
 	switch {
 	case err == nil:
 		s.ledger.Recorded(ledger.Written)
 		s.unable = false
 		s.record = recordState{known: true, version: version, journals: journals}
 		s.home.records.Inc()
-		if s.bridge.open {
-			signal(s.bridgeDue)
-		}
 		s.notify()
 	case errors.Is(err, objectapi.ErrConflict):
 		// Another home, or an earlier write of this one that was in doubt.
@@ -151,7 +161,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holdsUnder(fence) {
+		s.record.began = time.Time{}
 		s.record.failing = true
+		s.notify()
+	}
+}
+
+// recordIsLate notes that a write takes too long, so that turns go on by the bridge.
+func (s *shard) recordIsLate(fence journal.Fence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	late := !s.record.began.IsZero() && time.Since(s.record.began) >= s.home.config.BridgeAfter
+	if s.holdsUnder(fence) && late && !s.record.failing {
+		s.record.failing = true
+		s.log().Info("record of budgets is late, turns go on by the bridge")
+		s.notify()
 	}
 }
 
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -41,6 +41,8 @@
 	record recordState
 	idle   idleState
 	bridge bridgeState
+	// sequence counts the writes of record and bridge under the fence.
+	sequence int64
 	// fenced holds the journals that carry this home's fence, and wanted those
 	// that the record is to name.
 	fenced map[string]fencedJournal
@@ -78,6 +80,7 @@
 	s.record = recordState{}
 	s.idle = idleState{}
 	s.bridge = bridgeState{}
+	s.sequence = 0
 	s.fenced = map[string]fencedJournal{}
 	s.wanted = nil
 	s.notify()
@@ -161,6 +164,7 @@
 	if !s.held {
 		return reserveReply{}, nil, s.notHome()
 	}
+	s.setRule()
 	decision := s.ledger.Reserve(r, time.Now())
 	if decision != ledger.Unwritten {
 		reply, err := s.reply(r, decision, 0)
@@ -185,6 +189,7 @@
 		if !s.holdsUnder(fence) {
 			return reserveReply{}, s.notHome()
 		}
+		s.setRule()
 		if decision := s.ledger.Check(r); decision != ledger.Unwritten {
 			return s.reply(r, decision, time.Since(started))
 		}
@@ -204,16 +209,13 @@
 // await waits for the next change, which it asks for. The caller holds mu, which is
 // free meanwhile.
 func (s *shard) await(ctx context.Context) error {
-	changed := s.changed
-	// The record is written at its own pace; only a longer wait is a sign of trouble.
-	patience := s.home.config.RecordGap + s.home.config.BridgeAfter
-	if s.bridge.open {
-		patience = 0
-	}
+	changed, fence := s.changed, s.fence
 	s.mu.Unlock()
 	defer s.mu.Lock()
 	signal(s.recordDue)
-	timer := time.NewTimer(patience)
+	signal(s.bridgeDue)
+	// The record is written at its own pace; only a longer wait is a sign of trouble.
+	timer := time.NewTimer(s.home.config.RecordGap + s.home.config.BridgeAfter)
 	defer timer.Stop()
 	for {
 		select {
@@ -222,7 +224,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-timer.C:
-			signal(s.bridgeDue)
+			s.recordIsLate(fence)
 		}
 	}
 }
@@ -268,6 +270,6 @@
 	defer s.mu.Unlock()
 	return ShardState{
 		Shard: s.number, Held: s.held, Fence: s.fence.Number, Version: s.record.version, Journals: s.record.journals,
-		Bridged: s.bridge.open, Usages: s.ledger.Usages(),
+		Bridge: s.bridge.on, Usages: s.ledger.Usages(),
 	}
 }
