Claim a shard before fencing, and let waiters share a takeover

Ruled out: slow keepers, a slow platform (the times are logged now). Callers that wait share the outcome of one acquisition (singleflight). Daemons that come later by hash wait 100 ms for each one before them. Journals are asked, before a claim, whether enough of them can be reached.

--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -28,27 +28,41 @@
 )
 
 // ensureHeld makes this daemon the home of the shard, unless it is or another one
-// is; then it returns the name of that one.
-func (s *shard) ensureHeld(ctx context.Context) (string, error) {
+// is; then it returns the name of that one. Callers at the same time share the
+// outcome. Skipped names daemons that come first for the shard and did not answer.
+func (s *shard) ensureHeld(ctx context.Context, skipped []string) (string, error) {
 	if s.holds() {
 		return "", nil
 	}
+	outcome := s.flight.DoChan("", func() (any, error) { return s.acquireOnce(skipped) })
 	select {
-	case <-s.acquiring:
+	case o := <-outcome:
+		holder, _ := o.Val.(string)
+		return holder, o.Err
 	case <-ctx.Done():
 		return "", unacquired(ctx.Err())
 	}
+}
+
+// acquireOnce acquires the shard for all callers that wait. What was begun is ended,
+// also if they have left.
+func (s *shard) acquireOnce(skipped []string) (string, error) {
+	ctx := s.home.ctx
+	sleep(ctx, s.stagger(skipped))
+	<-s.acquiring
 	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
 		return "", nil
 	}
-	// What was begun is ended, also for a caller that has left.
-	holder, err := s.acquire(context.WithoutCancel(ctx), nil)
+	started := time.Now()
+	holder, err := s.acquire(ctx, nil)
+	entry := s.log().WithField("took_ms", time.Since(started).Milliseconds())
 	if err != nil {
-		s.log().WithError(err).Info("budgets of a shard not taken over")
+		entry.WithError(err).Info("budgets of a shard not taken over")
 		return "", unacquired(err)
 	}
 	if holder != "" {
+		entry.WithField("home", holder).Info("budgets of a shard have another home")
 		s.mu.Lock()
 		s.standAside(holder)
 		s.mu.Unlock()
@@ -56,6 +70,25 @@
 	return holder, nil
 }
 
+// stagger is the time for which daemons that come first for the shard are left to
+// acquire it: after a restart of the whole fleet each may know of itself only.
+func (s *shard) stagger(skipped []string) time.Duration {
+	before := 0
+	self := s.home.fleet.Self().Name
+	for _, name := range byHash(s.home.fleet.Live(), s.number) {
+		if name == self {
+			break
+		}
+		if !slices.Contains(skipped, name) {
+			before++
+		}
+	}
+	return time.Duration(min(before, maxStaggers)) * s.home.config.AcquireStagger
+}
+
+// maxStaggers bounds the daemons that one waits for.
+const maxStaggers = 3
+
 // unacquired refuses a reservation that this daemon cannot decide; another may.
 func unacquired(cause error) error {
 	return verdict.Wrap(cause, verdict.NotRun, verdict.PeerLost, "the shard of budgets cannot be taken over here")
@@ -125,22 +158,36 @@
 	return slices.ContainsFunc(h.fleet.Live(), func(i structs.Instance) bool { return i.Name == name })
 }
 
-// acquireByRecord fences the journals that the record names and then takes the
-// record. The former home can build no bridge any more, and the record shows it that
-// it was replaced.
+// acquireByRecord claims the record under its version, which only one daemon can, and
+// then fences the journals that it names. The former home's next write to the record
+// fails, and it can write no bridge any more. What the journals hold beyond the record
+// counts; the record keeps saying whose content it has until it is written anew.
 func (s *shard) acquireByRecord(ctx context.Context, held record, version int64, handed *handover) error {
 	idle, idleVersion, err := s.readIdle(ctx)
 	if err != nil {
 		return err
 	}
-	s.mu.Lock()
-	fence := journal.Fence{Shard: s.number, Number: max(held.Epoch, s.highest) + 1, Home: s.home.fleet.Self().Name}
-	s.mu.Unlock()
 	keepers := s.home.keepers()
-	if !s.readable(held.Journals, journalSet(held.Journals).among(keepers)) {
-		// Fencing the others would only disturb the present home.
+	seen := s.askHolders(ctx, keepers, held.Journals)
+	if !s.readable(held.Journals, seen.journals) {
+		// A claim that comes to nothing would only disturb the present home.
 		return errJournals
 	}
+	s.mu.Lock()
+	number := max(held.Epoch, s.highest, seen.fence.Number) + 1
+	fence := journal.Fence{Shard: s.number, Number: number, Home: s.home.fleet.Self().Name}
+	s.mu.Unlock()
+	claim := held
+	claim.Epoch, claim.Home = fence.Number, fence.Home
+	if len(claim.Journals) == 0 {
+		claim.Journals = seen.journals
+	}
+	claimed, err := s.putRecord(ctx, claim, version)
+	if err != nil {
+		return err
+	}
+	s.setClaiming(true)
+	defer s.setClaiming(false)
 	f := s.fenceAll(ctx, fence, keepers, held.Journals)
 	if other := f.highest(); other.Number >= fence.Number {
 		s.noteHighest(other.Number)
@@ -149,40 +196,43 @@
 	if !s.readable(held.Journals, f.accepted()) {
 		return errJournals
 	}
-	bridge := f.bridge()
-	direct := handed.follows(held) && bridge.Fence.Number <= handed.Fence.Number
-	next := held
-	next.merge(bridge, idle)
-	next.Epoch, next.Home, next.Sequence, next.Journals = fence.Number, fence.Home, 0, f.accepted()
-	written, err := s.putRecord(ctx, next, version)
-	if err != nil {
-		return err
-	}
-	hidden := next.Most
-	if version == objectapi.NoVersion {
-		// No home has decided before.
-		hidden = 0
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
+	s.inherit(held, idle, f.bridge(), handed)
+	s.idle = idleState{known: true, version: idleVersion}
+	s.record = recordState{known: true, version: claimed, journals: claim.Journals}
+	s.begin(fence, f, keepers)
+	s.log().WithField("fence", fence.Number).WithField("programs", s.ledger.Len()).
+		WithField("handed_over", handed.follows(held)).WithField("journals", len(f.accepted())).
+		Info("budgets of a shard taken over")
+	return nil
+}
+
+// inherit fills the ledger with what earlier homes wrote down, and with what the former
+// one has handed over if nobody has decided since. The caller holds mu.
+func (s *shard) inherit(held, idle record, bridge journal.Bridge, handed *handover) {
+	direct := handed.follows(held) && bridge.Fence.Number <= handed.Fence.Number
+	hidden := max(held.Most, bridge.Most)
 	if direct {
 		hidden = 0
 	}
 	now := time.Now()
-	s.ledger = ledger.New(hidden, next.Most)
+	s.ledger = ledger.New(hidden, held.Most)
 	s.ledger.Inherit(idle.covers(now), ledger.FromIdle)
-	s.ledger.Inherit(next.covers(now), ledger.FromRecord)
+	s.ledger.Inherit(held.covers(now), ledger.FromRecord)
 	if direct {
 		s.ledger.Adopt(handed.Totals)
+		return
 	}
-	s.idle = idleState{known: true, version: idleVersion}
-	s.record = recordState{known: true, version: written, journals: next.Journals}
-	s.begin(fence, f, keepers)
-	s.log().WithField("fence", fence.Number).WithField("programs", len(next.Programs)).
-		WithField("handed_over", direct).WithField("journals", len(next.Journals)).
-		Info("budgets of a shard taken over")
-	return nil
+	s.ledger.Inherit(held.lacks(bridge, idle), ledger.FromBridge)
+}
+
+// setClaiming notes whether this daemon has claimed the shard and is taking it over.
+func (s *shard) setClaiming(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.claiming = on
 }
 
 // readable reports whether enough of the journals on record were fenced. Journals that
@@ -244,7 +294,7 @@
 	s.successor = ""
 	s.highest = max(s.highest, fence.Number)
 	s.noteFenced(f, keepers)
-	s.wanted = s.record.journals
+	s.wanted = f.accepted()
 	s.home.fences.Inc()
 	ctx, stop := context.WithCancel(s.home.ctx)
 	s.stop = stop
@@ -259,19 +309,19 @@
 // none is not disturbed.
 func (s *shard) acquireWithoutRecord(ctx context.Context, handed *handover) (string, error) {
 	keepers := s.home.keepers()
-	seen := s.askHolder(ctx, keepers)
-	bridged := seen.Fence.Number != 0 && seen.Bridge.Fence == seen.Fence
-	given := handed != nil && handed.Journals != nil && seen.Fence == handed.Fence
+	seen := s.askHolders(ctx, keepers, nil)
+	bridged := seen.fence.Number != 0 && seen.bridged == seen.fence
+	given := handed != nil && handed.Journals != nil && seen.fence == handed.Fence
 	switch {
-	case !given && s.decides(ctx, seen.Fence.Home):
-		return seen.Fence.Home, nil
+	case !given && s.decides(ctx, seen.fence.Home):
+		return seen.fence.Home, nil
 	case !given && !bridged:
 		return "", errNoRecord
 	}
 	s.mu.Lock()
-	fence := journal.Fence{Shard: s.number, Number: max(seen.Fence.Number, s.highest) + 1, Home: s.home.fleet.Self().Name}
+	fence := journal.Fence{Shard: s.number, Number: max(seen.fence.Number, s.highest) + 1, Home: s.home.fleet.Self().Name}
 	s.mu.Unlock()
-	f := s.fenceAll(ctx, fence, keepers, seen.Bridge.Journals)
+	f := s.fenceAll(ctx, fence, keepers, nil)
 	if other := f.highest(); other.Number >= fence.Number {
 		s.noteHighest(other.Number)
 		return "", errContest
@@ -306,27 +356,50 @@
 	return nil
 }
 
-// askHolder returns the highest fence, and the bridge under it, that a journal knows.
-func (s *shard) askHolder(ctx context.Context, keepers []structs.Instance) holderReply {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
-	defer cancel()
-	replies := make(chan holderReply, len(keepers))
-	for _, keeper := range keepers {
-		go func() {
-			var reply holderReply
-			if err := peer.Call(ctx, s.home.dialer, keeper.Name, methodHolder, shardRequest{Shard: s.number}, &reply); err != nil {
-				reply = holderReply{}
+// holders is what journals say of a shard without being fenced.
+type holders struct {
+	// fence is the highest, and bridged that under which the last bridge was
+	// written.
+	fence    journal.Fence
+	bridged  journal.Fence
+	journals journalSet
+}
+
+// askHolders asks journals for the fence in force. It returns a moment after the wanted
+// ones have answered as far as needed, if any are given.
+func (s *shard) askHolders(ctx context.Context, keepers []structs.Instance, wanted journalSet) holders {
+	found := holders{journals: journalSet{}}
+	replies := gather(ctx, s.home.config.FenceTimeout, keepers, func(ctx context.Context, keeper string) (holderReply, error) {
+		var reply holderReply
+		err := peer.Call(ctx, s.home.dialer, keeper, methodHolder, shardRequest{Shard: s.number}, &reply)
+		return reply, err
+	})
+	var grace <-chan time.Time
+	for {
+		select {
+		case r, open := <-replies:
+			if !open {
+				return found
 			}
-			replies <- reply
-		}()
-	}
-	var highest holderReply
-	for range keepers {
-		reply := <-replies
-		newer := reply.Fence.Number > highest.Fence.Number
-		if newer || (reply.Fence == highest.Fence && reply.Bridge.Fence.Number > highest.Bridge.Fence.Number) {
-			highest = reply
+			if r.err == nil {
+				found.add(r.keeper, r.reply)
+			}
+		case <-grace:
+			return found
+		}
+		if grace == nil && len(wanted) > 0 && wanted.readBy(found.journals, s.home.config.LostDisks) {
+			grace = time.After(s.home.config.FenceGrace)
 		}
 	}
-	return highest
+}
+
+// add takes what one journal says.
+func (h *holders) add(keeper string, reply holderReply) {
+	h.journals[keeper] = reply.Journal
+	if reply.Fence.Number > h.fence.Number {
+		h.fence = reply.Fence
+	}
+	if reply.Bridge.Fence.Number > h.bridged.Number {
+		h.bridged = reply.Bridge.Fence
+	}
 }
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -69,6 +69,9 @@
 	// DefaultAcquireTimeout bounds the reading of a record in a takeover before
 	// the bridge is looked for.
 	DefaultAcquireTimeout = 250 * time.Millisecond
+	// DefaultAcquireStagger is the time for which each daemon that comes first for
+	// a shard is left to acquire it: what an acquisition takes.
+	DefaultAcquireStagger = 100 * time.Millisecond
 	// DefaultRecordInterval is the time between two writes of a record that no
 	// turn waits for.
 	DefaultRecordInterval = 500 * time.Millisecond
@@ -121,6 +124,7 @@
 	ExtendTimeout  time.Duration
 	RecordTimeout  time.Duration
 	AcquireTimeout time.Duration
+	AcquireStagger time.Duration
 	RecordInterval time.Duration
 	RecordGap      time.Duration
 	IdleAfter      time.Duration
@@ -147,6 +151,7 @@
 	defaults.Set(&c.ExtendTimeout, DefaultExtendTimeout)
 	defaults.Set(&c.RecordTimeout, DefaultRecordTimeout)
 	defaults.Set(&c.AcquireTimeout, DefaultAcquireTimeout)
+	defaults.Set(&c.AcquireStagger, DefaultAcquireStagger)
 	defaults.Set(&c.RecordInterval, DefaultRecordInterval)
 	defaults.Set(&c.RecordGap, DefaultRecordGap)
 	defaults.Set(&c.IdleAfter, DefaultIdleAfter)
@@ -237,8 +242,9 @@
 
 // holderReply tells the fence in force in a journal, and the bridge without covers.
 type holderReply struct {
-	Fence  journal.Fence  `msgpack:"f"`
-	Bridge journal.Bridge `msgpack:"b"`
+	Fence   journal.Fence  `msgpack:"f"`
+	Bridge  journal.Bridge `msgpack:"b"`
+	Journal int64          `msgpack:"j"`
 }
 
 // shardRequest asks about a shard: a keeper for the fence in force, a home whether
@@ -264,29 +270,38 @@
 // shard (rendezvous hash). Those of which nothing but an entry in the platform's list
 // is known come last: after a restart of the whole fleet they may not be up yet.
 func ranked(live []structs.Instance, shard int) []string {
+	listed := map[string]bool{}
+	for _, instance := range live {
+		listed[instance.Name] = instance.Incarnation == 0
+	}
+	names := byHash(live, shard)
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case listed[a] == listed[b]:
+			return 0
+		case listed[a]:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return names
+}
+
+// byHash returns the live gateways in the order of the hash alone.
+func byHash(live []structs.Instance, shard int) []string {
 	type place struct {
-		name   string
-		hash   uint64
-		listed bool
+		name string
+		hash uint64
 	}
 	key := "/" + strconv.Itoa(shard)
 	var places []place
 	for _, instance := range live {
 		if instance.Duty == structs.DutyGateway {
-			places = append(places, place{
-				name: instance.Name, hash: xxhash.Sum64String(instance.Name + key), listed: instance.Incarnation == 0,
-			})
+			places = append(places, place{name: instance.Name, hash: xxhash.Sum64String(instance.Name + key)})
 		}
 	}
-	slices.SortFunc(places, func(a, b place) int {
-		if a.listed != b.listed {
-			if a.listed {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
-	})
+	slices.SortFunc(places, func(a, b place) int { return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name)) })
 	names := make([]string, len(places))
 	for i, p := range places {
 		names[i] = p.name
--- a/internal/allowance/home.go
+++ b/internal/allowance/home.go
@@ -112,7 +112,7 @@
 		if s.holds() || s.decides(ctx, s.replacedBy(now)) {
 			continue
 		}
-		if _, err := s.ensureHeld(ctx); err != nil {
+		if _, err := s.ensureHeld(ctx, nil); err != nil {
 			whole = false
 		}
 	}
@@ -174,7 +174,7 @@
 	if home := h.elsewhere(s, request.Skipped); home != "" && !request.Insist {
 		return reserveReply{Home: home}, nil, nil
 	}
-	return s.reserve(ctx, request.Reservation)
+	return s.reserve(ctx, request.Reservation, request.Skipped)
 }
 
 // elsewhere returns the daemon that should be asked about a shard instead of this
--- a/internal/allowance/journals.go
+++ b/internal/allowance/journals.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 
 	"ibisline/internal/allowance/journal"
@@ -84,34 +85,54 @@
 	replies map[string]fenceReply
 }
 
+// fromKeeper is what one keeper answered.
+type fromKeeper[T any] struct {
+	keeper string
+	reply  T
+	err    error
+}
+
+// gather asks several keepers at once. The channel is closed after all have answered
+// or the time limit has passed.
+func gather[T any](ctx context.Context, limit time.Duration, keepers []structs.Instance, ask func(context.Context, string) (T, error)) <-chan fromKeeper[T] {
+	replies := make(chan fromKeeper[T], len(keepers))
+	var asked sync.WaitGroup
+	for _, keeper := range keepers {
+		asked.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, limit)
+			defer cancel()
+			reply, err := ask(ctx, keeper.Name)
+			replies <- fromKeeper[T]{keeper: keeper.Name, reply: reply, err: err}
+		})
+	}
+	go func() {
+		asked.Wait()
+		close(replies)
+	}()
+	return replies
+}
+
 // fenceAll fences a shard in several journals at once. It returns a moment after the
 // wanted ones have answered as far as needed.
 func (s *shard) fenceAll(ctx context.Context, fence journal.Fence, keepers []structs.Instance, wanted journalSet) fencing {
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
-	defer cancel()
-	type outcome struct {
-		keeper string
-		reply  fenceReply
-		err    error
-	}
-	outcomes := make(chan outcome, len(keepers))
-	for _, keeper := range keepers {
-		go func() {
-			o := outcome{keeper: keeper.Name}
-			o.err = peer.Call(ctx, s.home.dialer, keeper.Name, methodFence, fence, &o.reply)
-			outcomes <- o
-		}()
-	}
 	f := fencing{fence: fence, replies: map[string]fenceReply{}}
+	replies := gather(ctx, s.home.config.FenceTimeout, keepers, func(ctx context.Context, keeper string) (fenceReply, error) {
+		var reply fenceReply
+		err := peer.Call(ctx, s.home.dialer, keeper, methodFence, fence, &reply)
+		return reply, err
+	})
 	var grace <-chan time.Time
-	for range keepers {
+	for {
 		select {
-		case o := <-outcomes:
-			if o.err != nil {
-				s.log().WithError(o.err).WithField("keeper", o.keeper).Info("journal not fenced")
+		case r, open := <-replies:
+			if !open {
+				return f
+			}
+			if r.err != nil {
+				s.log().WithError(r.err).WithField("keeper", r.keeper).Info("journal not fenced")
 				continue
 			}
-			f.replies[o.keeper] = o.reply
+			f.replies[r.keeper] = r.reply
 		case <-grace:
 			return f
 		}
@@ -119,7 +140,6 @@
 			grace = time.After(s.home.config.FenceGrace)
 		}
 	}
-	return f
 }
 
 // highest returns the fence with the highest number that stands in the way, the zero
--- a/internal/allowance/keeper.go
+++ b/internal/allowance/keeper.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	fence, bridge := k.journal.Holder(request.Shard)
-	return s.Send(holderReply{Fence: fence, Bridge: bridge})
+	return s.Send(holderReply{Fence: fence, Bridge: bridge, Journal: k.journal.ID()})
 }
 
 func (k *Keeper) serveExtend(_ context.Context, s peer.Stream) error {
--- a/internal/allowance/ledger/ledger.go
+++ b/internal/allowance/ledger/ledger.go
@@ -193,13 +193,12 @@
 	// FromRecord and FromIdle are the two parts of the record.
 	FromRecord Source = iota
 	FromIdle
-	// FromBridge is not the record.
+	// FromBridge is newer than the record.
 	FromBridge
 )
 
-// Inherit takes totals that earlier homes wrote down. Of several totals of a program
-// the highest counts. It comes before the first reservation, the active part of the
-// record after the idle one.
+// Inherit takes totals that earlier homes wrote down. It comes before the first
+// reservation, the idle part of the record first, the bridge last.
 func (l *Ledger) Inherit(covers []Cover, from Source) {
 	for _, c := range covers {
 		a := l.programs[c.Program]
@@ -211,6 +210,8 @@
 		a.estimated = a.estimated || c.Estimated || l.hidden > 0
 		a.expires = later(a.expires, time.UnixMilli(c.Expires))
 		switch from {
+		case FromBridge:
+			a.base, a.place = c.Total+l.hidden, active
 		case FromIdle:
 			a.recorded, a.written, a.place = c.Total, c.Expires, idle
 		case FromRecord:
--- a/internal/allowance/record.go
+++ b/internal/allowance/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"maps"
 	"strconv"
 	"time"
 
@@ -26,7 +25,10 @@
 	// Epoch and Home are those of the home that decides.
 	Epoch int64  `json:"epoch"`
 	Home  string `json:"home"`
-	// Sequence orders this write among those of the home to journals.
+	// Basis is the epoch of the home whose content this is, and Sequence orders
+	// that among its writes to journals. A home that takes over claims the record
+	// before it knows what the journals hold beyond.
+	Basis    int64 `json:"basis"`
 	Sequence int64 `json:"sequence"`
 	// Most is the largest turn, in tokens, that may have been granted to a
 	// program beyond its total here.
@@ -69,29 +71,25 @@
 	return e
 }
 
-// merge adds what a bridge holds that is newer than the record. Programs that are
+// lacks returns what a bridge holds that is newer than the record. Programs that are
 // idle and have not been active since stay out.
-func (r *record) merge(b journal.Bridge, idle record) {
-	if b.Fence.Number < r.Epoch {
+func (r record) lacks(b journal.Bridge, idle record) []ledger.Cover {
+	if b.Fence.Number < r.Basis {
 		// Whoever wrote the record since has read the bridge.
-		return
-	}
-	programs := maps.Clone(r.Programs)
-	if programs == nil {
-		programs = map[string]entry{}
+		return nil
 	}
+	var newer []ledger.Cover
 	for _, c := range b.Covers {
 		_, active := r.Programs[c.Program]
-		if active && b.Fence.Number == r.Epoch && c.Sequence < r.Sequence {
+		if active && b.Fence.Number == r.Basis && c.Sequence < r.Sequence {
 			continue
 		}
 		if known, ok := idle.Programs[c.Program]; !active && ok && int64(c.Total) <= known[0] {
 			continue
 		}
-		programs[c.Program] = entryOf(c)
+		newer = append(newer, c)
 	}
-	r.Programs = programs
-	r.Most = max(r.Most, b.Most)
+	return newer
 }
 
 // Bridged reports whether a record names a journal, so that a bridge may stand there.
--- a/internal/allowance/recorder.go
+++ b/internal/allowance/recorder.go
@@ -113,7 +113,7 @@
 	covers, most := s.ledger.Record(time.Now())
 	expected := s.record.version
 	s.sequence++
-	next := record{Epoch: fence.Number, Home: fence.Home, Sequence: s.sequence, Most: most, Journals: journals}
+	next := record{Epoch: fence.Number, Home: fence.Home, Basis: fence.Number, Sequence: s.sequence, Most: most, Journals: journals}
 	s.mu.Unlock()
 
 	next.set(covers)
--- a/internal/allowance/shard.go
+++ b/internal/allowance/shard.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"golang.org/x/sync/singleflight"
 
 	"ibisline/internal/allowance/journal"
 	"ibisline/internal/allowance/ledger"
@@ -20,6 +21,7 @@
 
 	// acquiring holds a token that is taken while the shard is acquired.
 	acquiring chan struct{}
+	flight    singleflight.Group
 	// recordDue and bridgeDue wake the writers of record and bridge.
 	recordDue chan struct{}
 	bridgeDue chan struct{}
@@ -31,6 +33,8 @@
 	// changed is closed, and replaced, when a total was written down, when it
 	// could not be, and when the shard is given up.
 	changed chan struct{}
+	// claiming is set while this daemon takes over what it has claimed.
+	claiming bool
 	// failures counts the times that neither record nor bridge could be written,
 	// and unable is set while that is so.
 	failures int
@@ -98,11 +102,12 @@
 	return s.held
 }
 
-// able reports whether this daemon holds the shard and can write what it decides.
+// able reports whether this daemon holds the shard and can write what it decides, or is
+// taking it over.
 func (s *shard) able() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.held && !s.unable
+	return (s.held && !s.unable) || s.claiming
 }
 
 // holdsUnder reports whether the shard is still held under a fence. The caller holds
@@ -154,8 +159,8 @@
 
 // reserve decides about a reservation. If its total has to be written down, it decides
 // ahead of that.
-func (s *shard) reserve(ctx context.Context, r ledger.Reservation) (reserveReply, confirmation, error) {
-	holder, err := s.ensureHeld(ctx)
+func (s *shard) reserve(ctx context.Context, r ledger.Reservation, skipped []string) (reserveReply, confirmation, error) {
+	holder, err := s.ensureHeld(ctx, skipped)
 	if err != nil || holder != "" {
 		return reserveReply{Home: holder}, nil, err
 	}
