Log one line for each request, bounded and without blocking

Change: the gateway writes one line at the end of each request: route, servers with outcomes, times until the budget was decided, written down and the answer began, events, status, verdict, reason, configuration version. Lines are written by a goroutine behind a bounded ring; of each message at most 100 a second in the long run. What is dropped is counted and said with the next line.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/zeromicro/go-zero/core/proc"
 
 	"ibisline/internal/gateway"
@@ -83,7 +84,10 @@
 //
 // File is where s was read from; it is read again when it changes.
 func Run(file string, s settings.Settings, adapter Adapter) error {
-	logger, err := logging.New(logOutput(s), s.Log.Level, s.Log.Format)
+	set := metrics.NewSet()
+	output := logging.NewAsync(logOutput(s), set)
+	defer output.Close()
+	logger, err := logging.New(output, s.Log.Level, s.Log.Format)
 	if err != nil {
 		return err
 	}
@@ -97,7 +101,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	k := kernel.New(logger.WithField("instance", s.Instance.Name))
-	if err := register(k, file, s, adapter, logger); err != nil {
+	if err := register(k, file, s, adapter, set, logger); err != nil {
 		return err
 	}
 	return k.Run(ctx, func() (context.Context, context.CancelFunc) {
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -43,8 +43,7 @@
 }
 
 // register builds the services and registers them with k.
-func register(k *kernel.Kernel, file string, s settings.Settings, adapter Adapter, logger *log.Logger) error {
-	set := metrics.NewSet()
+func register(k *kernel.Kernel, file string, s settings.Settings, adapter Adapter, set *metrics.Set, logger *log.Logger) error {
 	p := &parts{
 		file:     file,
 		root:     logger,
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -48,7 +49,9 @@
 	if s.confirmed {
 		return nil
 	}
-	if err := s.grant.Confirm(s.ctx); err != nil {
+	err := s.grant.Confirm(s.ctx)
+	s.job.account.confirmed = time.Since(s.job.Arrived)
+	if err != nil {
 		return verdict.Wrap(errors.Wrap(errGrant, err.Error()), verdict.MayHaveRun, verdict.From(err).Reason, "the grant was lost")
 	}
 	s.confirmed = true
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -85,7 +85,7 @@
 	body, err := io.ReadAll(io.LimitReader(sent.answer, maxAnswerBytes))
 	if err != nil {
 		g.tracker.failed(sent.server.Name, time.Now())
-		g.Log.WithError(err).WithField("request", j.ID).WithField("server", sent.server.Name).Info("answer broke off")
+		j.addSend(sent.server, "answer broke off")
 		return outcome{err: err}
 	}
 	g.tracker.answered(sent.server.Name)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,7 +27,8 @@
 // Dialect translates requests and answers between a platform's wire and the types
 // of the gateway.
 type Dialect interface {
-	// Request decodes the header of a caller's request. Errors are refusals.
+	// Request decodes the header of a caller's request as far as it can be read; the
+	// request is never nil. Errors are refusals.
 	Request(r *http.Request, now time.Time) (*request.Request, error)
 	// Forward returns the header of one send to a server.
 	Forward(r *request.Request, server string, left time.Duration, resumeAfter int) http.Header
@@ -100,7 +101,9 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	job, err := g.admit(w, r, now)
+	table := g.Routes.Current()
+	job, err := g.admit(w, r, table, now)
+	defer g.logEnd(job, table.VersionOrZero())
 	if err != nil {
 		g.fail(w, r, job, err)
 		return
@@ -108,17 +111,16 @@
 	g.serve(w, r, job)
 }
 
-// admit decodes a request and finds its route.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, now time.Time) (*job, error) {
-	table := g.Routes.Current()
+// admit decodes a request and finds its route. The job is never nil.
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, table *routes.Table, now time.Time) (*job, error) {
+	decoded, err := g.Dialect.Request(r, now)
+	j := newJob(decoded)
 	if table == nil {
-		return nil, verdict.Refuse(verdict.CatalogueStale, "no configuration is known yet").After(noConfigRetry)
+		return j, verdict.Refuse(verdict.CatalogueStale, "no configuration is known yet").After(noConfigRetry)
 	}
-	decoded, err := g.Dialect.Request(r, now)
 	if err != nil {
-		return nil, err
+		return j, err
 	}
-	j := newJob(decoded)
 	route, found := table.Match(decoded.Host, decoded.Path)
 	if !found {
 		return j, verdict.Refuse(verdict.UnknownRoute, "no route for %s%s", decoded.Host, decoded.Path)
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -21,7 +21,8 @@
 	ran   map[string]bool
 	unrun map[string]bool
 	// begun is set once any server may have run the request.
-	begun bool
+	begun   bool
+	account account
 }
 
 func newJob(r *request.Request) *job {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -37,6 +37,8 @@
 		g.fail(w, r, j, err)
 		return
 	}
+	j.account.begun = time.Since(j.Arrived)
+	j.account.status = answer.status
 	g.writeWhole(w, answer)
 }
 
@@ -99,7 +101,6 @@
 			continue
 		}
 		g.tracker.failed(server.Name, time.Now())
-		g.Log.WithError(err).WithField("request", j.ID).WithField("server", server.Name).Info("send failed")
 		if !verdict.Is(err, verdict.NotRun) {
 			j.addRun()
 			return attempt{server: server, err: err}, err
@@ -152,7 +153,7 @@
 // sendTo sends the request to one server, to go on after an event if it is not 0.
 func (g *Gateway) sendTo(ctx context.Context, j *job, server structs.Server, resumeAfter int) (*upstream.Answer, error) {
 	left := time.Until(j.deadline)
-	return g.Client.Send(ctx, server, upstream.Outgoing{
+	answer, err := g.Client.Send(ctx, server, upstream.Outgoing{
 		ID:     j.ID,
 		Method: j.Method,
 		Host:   j.Host,
@@ -160,6 +161,12 @@
 		Header: g.Dialect.Forward(j.Request, server.Name, left, resumeAfter),
 		Body:   j.Body,
 	})
+	if err != nil {
+		j.addSend(server, sendOutcome(0, err, false))
+		return nil, err
+	}
+	j.addSend(server, sendOutcome(answer.Status, nil, g.Dialect.NotRun(answer.Status, answer.Header)))
+	return answer, nil
 }
 
 // drain reads the rest of a short answer, so that its connection can be kept.
@@ -180,17 +187,13 @@
 // fail answers a request that got no answer of a server.
 func (g *Gateway) fail(w http.ResponseWriter, r *http.Request, j *job, err error) {
 	failure := verdict.From(err)
+	j.account.failure = failure
 	if r.Context().Err() != nil {
 		// The caller is gone; nobody reads an answer.
 		panic(http.ErrAbortHandler)
 	}
-	id, program := "", ""
-	if j != nil {
-		id, program = j.ID, j.Program
-	}
-	g.Log.WithField("request", id).WithField("program", program).WithField("reason", failure.Reason).
-		WithField("verdict", failure.Verdict).WithField("error", failure.Error()).Info("request refused or failed")
 	status, header := g.Dialect.Failure(failure)
+	j.account.status = status
 	for name, values := range header {
 		w.Header()[name] = values
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -53,6 +53,7 @@
 // serveStream gets a turn answered.
 func (g *Gateway) serveStream(ctx context.Context, w http.ResponseWriter, r *http.Request, j *job) {
 	grant, err := g.reserve(ctx, j)
+	j.account.reserved = time.Since(j.Arrived)
 	if err != nil {
 		g.fail(w, r, j, err)
 		return
@@ -60,7 +61,10 @@
 	s := &stream{
 		gateway: g, job: j, ctx: ctx, grant: grant, writer: w, control: http.NewResponseController(w), last: j.ResumeAfter,
 	}
-	defer func() { grant.Release(s.events * j.service.TokensPerEvent) }()
+	defer func() {
+		j.account.events = s.events
+		grant.Release(s.events * j.service.TokensPerEvent)
+	}()
 	err = s.run(ctx)
 	if err == nil {
 		return
@@ -69,7 +73,7 @@
 		g.fail(w, r, j, j.overall(err))
 		return
 	}
-	g.Log.WithError(err).WithField("request", j.ID).WithField("events", s.events).Info("stream broken off")
+	j.account.status, j.account.failure = 0, verdict.From(err)
 	// The caller's connection ends, so that the answer does not look complete.
 	panic(http.ErrAbortHandler)
 }
@@ -87,8 +91,7 @@
 		if err == nil || resumes == maxResumes || !s.mayResume(ctx, err) {
 			return err
 		}
-		s.gateway.Log.WithField("request", s.job.ID).WithField("server", sent.server.Name).WithField("after", s.last).
-			Info("stream goes on")
+		s.job.addSend(sent.server, "broke off after event "+strconv.Itoa(s.last))
 		sent, err = s.resume(ctx, sent.server)
 	}
 }
@@ -183,6 +186,8 @@
 	if err := s.confirm(); err != nil {
 		return err
 	}
+	s.job.account.begun = time.Since(s.job.Arrived)
+	s.job.account.status = sent.answer.Status
 	s.gateway.writeHead(s.writer, sent.answer.Status, sent.answer.Header)
 	s.started = true
 	return nil
@@ -220,6 +225,8 @@
 		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "status %d in place of the rest", sent.answer.Status)
 	}
 	s.started = true
+	s.job.account.begun = time.Since(s.job.Arrived)
+	s.job.account.status = sent.answer.Status
 	s.gateway.writeWhole(s.writer, &whole{status: sent.answer.Status, header: sent.answer.Header, body: body})
 	return nil
 }
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,69 @@
+package logging_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/logging"
+)
+
+func TestLinesOfOneMessageAreBoundedAndTheRestIsCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		logger, err := logging.New(&out, "info", "json")
+		require.NoError(t, err)
+		for i := range 1000 {
+			logger.WithField("request", i).Info("budget spent")
+		}
+		logger.Info("something else")
+		require.Equal(t, 401, strings.Count(out.String(), "\n"))
+		time.Sleep(time.Second)
+		out.Reset()
+		logger.WithField("request", 1000).Info("budget spent")
+		require.Contains(t, out.String(), `"dropped_before":600`)
+		require.Contains(t, out.String(), `"request":1000`)
+	})
+}
+
+// stuck is a reader of the log that reads nothing until it is let go.
+type stuck struct {
+	free chan struct{}
+	out  bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.free
+	return s.out.Write(p)
+}
+
+func TestSlowReaderOfTheLogHoldsUpNobody(t *testing.T) {
+	s := &stuck{free: make(chan struct{})}
+	a := logging.NewAsync(s, metrics.NewSet())
+	for i := range 3000 {
+		fmt.Fprintf(a, "line %d\n", i)
+	}
+	close(s.free)
+	a.Close()
+	require.Contains(t, s.out.String(), "line 0\n")
+	require.Contains(t, s.out.String(), "log lines dropped")
+	require.NotContains(t, s.out.String(), "line 2999\n")
+}
+
+func TestLinesAreWrittenBeforeTheEnd(t *testing.T) {
+	var out bytes.Buffer
+	a := logging.NewAsync(&out, metrics.NewSet())
+	for range 100 {
+		_, err := io.WriteString(a, "line\n")
+		require.NoError(t, err)
+	}
+	a.Close()
+	require.Equal(t, 100, strings.Count(out.String(), "line\n"))
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -3,7 +3,9 @@
 package logging
 
 import (
+	"bytes"
 	"io"
+	"sync"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -12,8 +14,8 @@
 	"github.com/zeromicro/go-zero/core/logx"
 )
 
-// New returns a logger that writes to w. Level is debug, info, warn or error;
-// format is json or text.
+// New returns a logger that writes to w, of each message a bounded number of lines.
+// Level is debug, info, warn or error; format is json or text.
 func New(w io.Writer, level, format string) (*log.Logger, error) {
 	parsed, err := log.ParseLevel(level)
 	if err != nil {
@@ -21,9 +23,27 @@
 	}
 	var handler log.Handler = json.New(w)
 	if format == "text" {
-		handler = text.New(w)
+		handler = &textLines{to: w}
 	}
-	return &log.Logger{Handler: handler, Level: parsed}, nil
+	return &log.Logger{Handler: newBounded(handler), Level: parsed}, nil
+}
+
+// textLines writes each entry at once, as others may write to the same place.
+type textLines struct {
+	mu sync.Mutex
+	to io.Writer
+}
+
+// HandleLog implements log.Handler.
+func (t *textLines) HandleLog(e *log.Entry) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var line bytes.Buffer
+	if err := text.New(&line).HandleLog(e); err != nil {
+		return err
+	}
+	_, err := t.to.Write(line.Bytes())
+	return err
 }
 
 // CaptureLogx sends all later records of go-zero's logx to logger.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -24,6 +24,14 @@
 	return t
 }
 
+// VersionOrZero returns the version of the configuration, 0 for a nil table.
+func (t *Table) VersionOrZero() int64 {
+	if t == nil {
+		return 0
+	}
+	return t.Version
+}
+
 // Match returns the route with the longest prefix of path among those of host.
 func (t *Table) Match(host, path string) (*structs.Route, bool) {
 	var best *structs.Route
