--- a/internal/allowance/journals.go
+++ b/internal/allowance/journals.go
@@ -46,17 +46,6 @@
 	return names
 }
 
-// among returns the members whose instances are among some.
-func (s journalSet) among(instances []structs.Instance) journalSet {
-	found := journalSet{}
-	for _, instance := range instances {
-		if id, ok := s[instance.Name]; ok {
-			found[instance.Name] = id
-		}
-	}
-	return found
-}
-
 // bridgedBy reports whether answered holds enough of the set to carry a bridge.
 func (s journalSet) bridgedBy(answered journalSet, lost int) bool {
 	return s.count(answered) > lost
