--- a/internal/allowance/fleet_test.go
+++ b/internal/allowance/fleet_test.go
@@ -193,10 +193,23 @@
 	clear(f.turnedAway)
 }
 
+func (f *fleet) isLeaving(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving == name
+}
+
+// setLeaving lets a keeper say that it leaves.
+func (f *fleet) setLeaving(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving = name
+}
+
 // Lookup implements allowance.Fleet.
 func (d *daemon) Lookup(name string) (structs.Instance, bool) {
 	instance, known := d.Node.Lookup(name)
-	if name == d.fleet.leaving {
+	if d.fleet.isLeaving(name) {
 		instance.State = structs.StateLeaving
 	}
 	return instance, known
--- a/internal/allowance/takeover_test.go
+++ b/internal/allowance/takeover_test.go
@@ -213,7 +213,7 @@
 			return found
 		}
 		require.True(t, bridged())
-		f.leaving = leaving.name
+		f.setLeaving(leaving.name)
 		time.Sleep(2 * time.Second)
 		require.False(t, bridged())
 	})
