Keep listings from growing younger as daemons pass them on

All three daemons that watch the configuration were turned away by the platform, 0.3 s before a change. The next daemon listed it only 3.27 s later. The age of the last listing, which daemons tell each other with probes, lost the latency of each message on its way, and since they tell it in circles it grew by 0.27 s less a second than time does.

Change: listings are numbered; a listing that is known already is never taken for newer. The daemon that listed last goes on without waiting for those before it.

Tests: the fleet of the tests has 13 daemons that probe along a ring with latency; being turned away ends watches. TestListingsGrowOldAsTheyArePassedOn, TestChangeIsFoundWhileAllWatchersAreTurnedAway and, with 13 daemons, TestChangeReachesDaemonsThatThePlatformTurnsAway fail on the code before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -92,15 +92,20 @@
 	marks := make(member.Marks, len(n.feeds))
 	for prefix, f := range n.feeds {
 		marks[prefix] = f.Mark()
-		if age := f.Age(); age >= 0 {
-			marks[prefix+ageSuffix] = age.Milliseconds()
+		if listing := f.Listing(); listing.Number > 0 {
+			marks[prefix+listingSuffix] = listing.Number
+			marks[prefix+ageSuffix] = listing.Age.Milliseconds()
 		}
 	}
 	return marks
 }
 
-// ageSuffix marks the age of a feed's newest listing, in milliseconds.
-const ageSuffix = "age"
+// Suffixes of the marks of a feed's newest listing: its number, and its age in
+// milliseconds.
+const (
+	listingSuffix = "listing"
+	ageSuffix     = "age"
+)
 
 // Learn implements member.News.
 func (n *feedNews) Learn(daemon string, marks member.Marks) {
@@ -109,11 +114,10 @@
 		if !told {
 			continue
 		}
-		age := time.Duration(-1)
-		if listed, known := marks[prefix+ageSuffix]; known {
-			age = time.Duration(listed) * time.Millisecond
-		}
-		f.Learn(context.Background(), daemon, mark, age)
+		f.Learn(context.Background(), daemon, mark, feed.Listing{
+			Number: marks[prefix+listingSuffix],
+			Age:    time.Duration(marks[prefix+ageSuffix]) * time.Millisecond,
+		})
 	}
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -43,10 +43,13 @@
 	// may fail or be turned away at the same time.
 	DefaultWatchers = 3
 	// DefaultVerifyAfter is the age of the last listing at which the first daemon
-	// lists again; each further one waits VerifyStep longer. A change that the
-	// watches miss is in force everywhere a second later.
-	DefaultVerifyAfter = 1200 * time.Millisecond
-	DefaultVerifyStep  = 200 * time.Millisecond
+	// lists again. The others wait VerifyLag longer, in which a listing becomes
+	// known to all, and VerifyStep for each place. So a change that the watches
+	// miss is in force everywhere within 2.5 s, also when the platform turns the
+	// first four daemons away.
+	DefaultVerifyAfter = 1100 * time.Millisecond
+	DefaultVerifyLag   = 500 * time.Millisecond
+	DefaultVerifyStep  = 100 * time.Millisecond
 	// DefaultCoalesce is the shortest time between two watches that brought
 	// changes, so that a series of changes costs one call.
 	DefaultCoalesce = 100 * time.Millisecond
@@ -61,6 +64,7 @@
 	Coalesce     time.Duration
 	Watchers     int
 	VerifyAfter  time.Duration
+	VerifyLag    time.Duration
 	VerifyStep   time.Duration
 	// Rank returns the place of this daemon among the live ones for a feed, from
 	// 0 on. The same rank does not fall to two daemons with the same view.
@@ -75,6 +79,7 @@
 	defaults.Set(&c.Coalesce, DefaultCoalesce)
 	defaults.Set(&c.Watchers, DefaultWatchers)
 	defaults.Set(&c.VerifyAfter, DefaultVerifyAfter)
+	defaults.Set(&c.VerifyLag, DefaultVerifyLag)
 	defaults.Set(&c.VerifyStep, DefaultVerifyStep)
 	if c.Rank == nil {
 		c.Rank = func(string) int { return 0 }
@@ -104,8 +109,12 @@
 	// rewatch ends a watch that waits, when a peer knew of a change first.
 	rewatch context.CancelFunc
 	pulling bool
-	// verified is the time of the newest listing by any daemon known here.
+	// listing is the number of the newest listing by any daemon known here,
+	// verified the time at which it was asked for, and own whether it was asked for
+	// here.
+	listing  int64
 	verified time.Time
+	own      bool
 	// answered is the last time at which the platform answered a call, lost is
 	// set since it failed to, and regained is the end of the last outage.
 	answered time.Time
@@ -167,15 +176,22 @@
 	return f.newest
 }
 
-// Age returns the age of the newest listing known here, for peers; negative when
-// none is known.
-func (f *Feed) Age() time.Duration {
+// Listing names a listing of the platform's objects by any daemon.
+type Listing struct {
+	// Number counts the listings of the fleet; 0 means none.
+	Number int64
+	// Age is the time since it was asked for.
+	Age time.Duration
+}
+
+// Listing returns the newest listing known here, for peers.
+func (f *Feed) Listing() Listing {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.verified.IsZero() {
-		return -1
+	if f.listing == 0 {
+		return Listing{}
 	}
-	return time.Since(f.verified)
+	return Listing{Number: f.listing, Age: time.Since(f.verified)}
 }
 
 // isLoaded is true after the first listing.
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/testbed"
+	"ibisline/internal/feed"
 )
 
 func TestMain(m *testing.M) { testbed.Main(m, testbed.UsualSchedules) }
@@ -38,6 +39,35 @@
 	})
 }
 
+// TestChangeIsFoundWhileAllWatchersAreTurnedAway: at any time of the rhythm of listings.
+func TestChangeIsFoundWhileAllWatchersAreTurnedAway(t *testing.T) {
+	for moment := range 12 {
+		inFleet(t, func(t *testing.T, f *fleet) {
+			f.edit("a", false)
+			time.Sleep(10*time.Second + time.Duration(moment)*100*time.Millisecond)
+			for i := range feed.DefaultWatchers + 1 {
+				f.turnAway(i, true)
+			}
+			f.edit("a", false)
+			requireKnown(t, f)
+		})
+	}
+}
+
+// TestListingsGrowOldAsTheyArePassedOn: a listing that daemons tell each other in a
+// circle must not seem newer than it is.
+func TestListingsGrowOldAsTheyArePassedOn(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		f.edit("a", false)
+		time.Sleep(5 * time.Second)
+		f.store.SetFaults(objects.Faults{Outage: true})
+		time.Sleep(4 * time.Second)
+		for _, d := range f.daemons {
+			require.Greater(t, d.feed.Listing().Age, 3900*time.Millisecond)
+		}
+	})
+}
+
 // TestFirstObjectOfAKindIsFound: a listing of a kind without objects is one, too.
 func TestFirstObjectOfAKindIsFound(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
@@ -27,9 +28,14 @@
 	applyLimit = 2500 * time.Millisecond
 	// probeInterval is the time between two probes of daemons, which carry marks.
 	probeInterval = 250 * time.Millisecond
-	daemons       = 6
+	daemons       = 13
+	// regionLatency is that of a message between daemons.
+	regionLatency = 8 * time.Millisecond
 )
 
+// probeSteps are the places along the ring of the daemons that each one probes.
+var probeSteps = []int{1, 2, 3, 5, 8}
+
 // fleet is a fleet of daemons that follow the same objects.
 type fleet struct {
 	t       *testing.T
@@ -40,8 +46,10 @@
 
 	mu         sync.Mutex
 	turnedAway map[string]bool
-	cut        map[[2]int]bool
-	versions   map[string]int64
+	// watching ends the watches of the daemons that are turned away.
+	watching map[string]context.CancelFunc
+	cut      map[[2]int]bool
+	versions map[string]int64
 }
 
 // daemon is one of them. It reaches the platform unless it is turned away.
@@ -58,7 +66,7 @@
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, store: objects.New(), network: peers.New(nil), turnedAway: map[string]bool{}, cut: map[[2]int]bool{},
-		versions: map[string]int64{},
+		watching: map[string]context.CancelFunc{}, versions: map[string]int64{},
 	}
 	for i := range daemons {
 		name := fmt.Sprintf("d%d", i)
@@ -81,26 +89,45 @@
 	time.Sleep(time.Second)
 }
 
-// probe tells each daemon the marks of the others, as heartbeats do.
+// probe exchanges marks along the ring, as heartbeats do, each daemon at its own time.
 func (f *fleet) probe(ctx context.Context) error {
-	ticker := time.NewTicker(probeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-		for i, from := range f.daemons {
-			for j, to := range f.daemons {
-				if i != j && !f.isCut(i, j) {
-					to.feed.Learn(ctx, from.name, from.feed.Mark(), from.feed.Age())
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range f.daemons {
+		group.Go(func() error {
+			time.Sleep(probeInterval * time.Duration(i) / daemons)
+			ticker := time.NewTicker(probeInterval)
+			defer ticker.Stop()
+			for {
+				for _, step := range probeSteps {
+					f.exchange(ctx, i, (i+step)%daemons)
+				}
+				select {
+				case <-ctx.Done():
+					return nil
+				case <-ticker.C:
 				}
 			}
-		}
+		})
+	}
+	return group.Wait()
+}
+
+// exchange is one probe with its answer.
+func (f *fleet) exchange(ctx context.Context, i, j int) {
+	if !f.isCut(i, j) {
+		f.tell(ctx, i, j)
+		f.tell(ctx, j, i)
 	}
 }
 
+// tell lets one daemon hear, a little later, what another one knows now.
+func (f *fleet) tell(ctx context.Context, from, to int) {
+	source, target := f.daemons[from], f.daemons[to]
+	mark, listing := source.feed.Mark(), source.feed.Listing()
+	time.Sleep(regionLatency)
+	target.feed.Learn(ctx, source.name, mark, listing)
+}
+
 func (f *fleet) isCut(i, j int) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -117,11 +144,16 @@
 	f.network.Cut(b, a, on)
 }
 
-// turnAway makes the platform reject a daemon, or serve it again.
+// turnAway makes the platform reject a daemon, watches under way included, or serve it
+// again.
 func (f *fleet) turnAway(i int, on bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.turnedAway[f.daemons[i].name] = on
+	name := f.daemons[i].name
+	f.turnedAway[name] = on
+	if end := f.watching[name]; on && end != nil {
+		end()
+	}
 }
 
 func (d *daemon) rejected() error {
@@ -146,7 +178,16 @@
 	if err := d.rejected(); err != nil {
 		return nil, 0, err
 	}
-	return d.Store.Watch(ctx, prefix, after)
+	served, end := context.WithCancel(ctx)
+	defer end()
+	d.fleet.mu.Lock()
+	d.fleet.watching[d.name] = end
+	d.fleet.mu.Unlock()
+	events, revision, err := d.Store.Watch(served, prefix, after)
+	if served.Err() != nil && ctx.Err() == nil {
+		return nil, 0, objectapi.ErrUnknown
+	}
+	return events, revision, err
 }
 
 // edit changes an object, or removes it, as an operator does: the store answers.
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -72,27 +72,40 @@
 // untilDue is the time until this daemon has to list, if no other one does.
 func (f *Feed) untilDue() time.Duration {
 	rank := f.config.Rank(f.prefix)
-	patience := f.config.VerifyAfter + time.Duration(rank)*f.config.VerifyStep
-	if rank > 0 {
-		// The age of the first daemon's listing takes a while to get here.
-		patience += f.config.VerifyAfter / 2
-	}
 	if !f.isLoaded() {
 		// The first listing is under way.
 		return watchPoll
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return patience - time.Since(f.verified)
+	return f.patience(rank) - time.Since(f.verified)
+}
+
+// patience is the age of the newest listing at which the daemon of a rank lists. One
+// whose listing was the last goes on soon, as those before it seem not to reach the
+// platform. The caller holds mu.
+func (f *Feed) patience(rank int) time.Duration {
+	switch {
+	case rank == 0:
+		return f.config.VerifyAfter
+	case f.own:
+		return f.config.VerifyAfter + ownSteps*f.config.VerifyStep
+	default:
+		return f.config.VerifyAfter + f.config.VerifyLag + time.Duration(rank)*f.config.VerifyStep
+	}
 }
 
-// noteVerified notes a listing that was asked for at the given time.
+// ownSteps is the start that the first daemon by rank gets, so that it takes over
+// again from one that has listed in its place.
+const ownSteps = 2
+
+// noteVerified notes an own listing that was asked for at the given time.
 func (f *Feed) noteVerified(asked time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if asked.After(f.verified) {
-		f.verified = asked
-	}
+	f.listing++
+	f.verified = asked
+	f.own = true
 }
 
 // newWaits returns the waits between failed calls, with jitter.
@@ -103,7 +116,11 @@
 	return waits
 }
 
+// pause waits for d, not at all if that is over, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -38,15 +38,15 @@
 }
 
 // Learn tells the feed that a peer has seen a change of the given version, and knows
-// of a listing of the given age, negative for none. If the change is still unknown
-// here after a moment, it is taken from that peer.
-func (f *Feed) Learn(ctx context.Context, daemon string, mark int64, age time.Duration) {
+// of a listing. If the change is still unknown here after a moment, it is taken from
+// that peer.
+func (f *Feed) Learn(ctx context.Context, daemon string, mark int64, told Listing) {
 	watches := f.watches()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at := time.Now().Add(-age); age >= 0 && mark <= f.newest && at.After(f.verified) {
+	if mark <= f.newest {
 		// A listing counts only for a daemon that knows all that it showed.
-		f.verified = at
+		f.noteTold(told, time.Now().Add(-told.Age))
 	}
 	if mark <= f.newest || f.pulling {
 		return
@@ -67,6 +67,18 @@
 	}()
 }
 
+// noteTold notes a listing that a peer knows of. The way makes its age a little too
+// small, and peers tell each other of it again and again. So a listing that is known
+// already is never taken for newer than before. The caller holds mu.
+func (f *Feed) noteTold(told Listing, asked time.Time) {
+	switch {
+	case told.Number > f.listing:
+		f.listing, f.verified, f.own = told.Number, asked, false
+	case told.Number == f.listing && asked.Before(f.verified):
+		f.verified = asked
+	}
+}
+
 // pull takes from a peer what is missing here. The own watch was deaf to it and
 // starts anew.
 func (f *Feed) pull(ctx context.Context, daemon string) {
