Refuse requests that crash the servers which run them, fleet-wide

Cause: the rule of the platform that a request which crashes servers reaches few of them had no mechanism on the gateways; the quarantine of the dispatchers is not on that path.

Weighed: a message to all daemons for every crash (55 messages for each of the 16 requests under way at one); a look-up before each request (a round trip); the quarantine's suspects, which run one at a time (needs one dispatcher for a server). Change: a connection that broke is looked into; where nothing listens any more, the crash is counted here and at two daemons chosen by the request's hash. A request that crashed three servers is refused, as not run, for 10 minutes; daemons learn of that with their probes.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -16,6 +16,7 @@
 	"ibisline/internal/objectapi/relay"
 	"ibisline/internal/operator"
 	"ibisline/internal/peer"
+	"ibisline/internal/poison"
 	"ibisline/internal/retire"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
@@ -34,6 +35,7 @@
 	serviceBudgets    = "budgets"
 	serviceJournal    = "journal"
 	serviceGateway    = "gateway"
+	servicePoison     = "poison"
 	serviceRequests   = "retirement-feed"
 	serviceRetire     = "retirement"
 )
@@ -69,27 +71,37 @@
 	if err != nil {
 		return err
 	}
-	news := &feedNews{feeds: map[string]*feed.Feed{}}
+	p.news = &fleetNews{feeds: map[string]*feed.Feed{}}
 	for name, prefix := range map[string]string{
 		serviceRouteFeed:  p.adapter.RoutesPrefix,
 		serviceServerFeed: p.adapter.ServersPrefix,
 	} {
 		f := feed.New(feed.Config{Rank: members.Rank}, prefix, p.store, transport, transport, p.metrics, p.log)
-		news.feeds[prefix] = f
+		p.news.feeds[prefix] = f
 		if err := p.kernel.Register(name, f); err != nil {
 			return err
 		}
 	}
-	members.SetNews(news)
+	members.SetNews(p.news)
 	return nil
 }
 
-// feedNews lets probes carry the marks of the feeds.
-type feedNews struct{ feeds map[string]*feed.Feed }
+// fleetNews lets probes carry the marks of the feeds and, at a gateway, of the
+// requests that crash servers.
+type fleetNews struct {
+	feeds map[string]*feed.Feed
+	// guard is nil at a keeper.
+	guard *poison.Guard
+}
 
 // Marks implements member.News.
-func (n *feedNews) Marks() member.Marks {
+func (n *fleetNews) Marks() member.Marks {
 	marks := make(member.Marks, len(n.feeds))
+	if n.guard != nil {
+		if mark := n.guard.Mark(); mark != 0 {
+			marks[poisonMark] = mark
+		}
+	}
 	for prefix, f := range n.feeds {
 		marks[prefix] = f.Mark()
 		if listing := f.Listing(); listing.Number > 0 {
@@ -100,6 +112,9 @@
 	return marks
 }
 
+// poisonMark marks the requests that are refused because they crash servers.
+const poisonMark = "poison"
+
 // Suffixes of the marks of a feed's newest listing: its number, and its age in
 // milliseconds.
 const (
@@ -108,7 +123,10 @@
 )
 
 // Learn implements member.News.
-func (n *feedNews) Learn(daemon string, marks member.Marks) {
+func (n *fleetNews) Learn(daemon string, marks member.Marks) {
+	if n.guard != nil {
+		n.guard.Learn(daemon, marks[poisonMark])
+	}
 	for prefix, f := range n.feeds {
 		mark, told := marks[prefix]
 		if !told {
@@ -235,13 +253,20 @@
 	if err != nil {
 		return err
 	}
+	client := upstream.NewClient(upstream.Config{RequestOf: p.adapter.Dialect.RequestOf}, p.metrics)
+	guard := poison.New(members, transport, transport, client.Probe, p.metrics, p.log)
+	if err := p.kernel.Register(servicePoison, guard); err != nil {
+		return err
+	}
+	p.news.guard = guard
 	config := gateway.Config{Region: p.self.Region, DataCentre: p.self.DataCentre}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect: p.adapter.Dialect,
 		Routes:  book,
 		Servers: directory,
-		Client:  upstream.NewClient(upstream.Config{RequestOf: p.adapter.Dialect.RequestOf}, p.metrics),
+		Client:  client,
 		Budgets: allowance.NewClient(p.allowanceConfig(), members, transport, home, p.log),
+		Poison:  guard,
 		Metrics: p.metrics,
 		Log:     p.log,
 	})
--- a/internal/daemon/register.go
+++ b/internal/daemon/register.go
@@ -40,6 +40,7 @@
 	adapter  Adapter
 	file     string
 	root     *log.Logger
+	news     *fleetNews
 }
 
 // register builds the services and registers them with k.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -86,6 +86,7 @@
 	if err != nil {
 		g.tracker.failed(sent.server.Name, time.Now())
 		j.addSend(sent.server, "answer broke off")
+		g.lookInto(ctx, j, sent.server, err)
 		return outcome{err: err}
 	}
 	g.tracker.answered(sent.server.Name)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,9 +17,11 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/allowance/ledger"
+	"ibisline/internal/poison"
 	"ibisline/internal/request"
 	"ibisline/internal/routes"
 	"ibisline/internal/servers"
+	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
 )
@@ -50,6 +52,17 @@
 	Reserve(ctx context.Context, r ledger.Reservation) (ledger.Grant, error)
 }
 
+// Poison knows the requests that crash the servers which run them.
+type Poison interface {
+	// Empty reports whether nothing is refused, so that no request has to be
+	// identified.
+	Empty() bool
+	// Refuses reports whether a request must not be sent.
+	Refuses(request poison.Fingerprint) bool
+	// Broken looks, without blocking, into a connection that broke during a request.
+	Broken(request poison.Fingerprint, server structs.Server)
+}
+
 // Config names the daemon's place.
 type Config struct {
 	Region     string
@@ -63,6 +76,7 @@
 	Servers servers.View
 	Client  *upstream.Client
 	Budgets Budgets
+	Poison  Poison
 	Metrics *metrics.Set
 	Log     log.Interface
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -79,6 +79,9 @@
 	pause := firstPause
 	patience := time.Now().Add(g.queuePatience(j))
 	for range maxUnrun {
+		if g.isPoison(j) {
+			return attempt{}, verdict.Refuse(verdict.Quarantined, "the request crashes the servers that run it")
+		}
 		server, ok := g.pick(j)
 		if !ok {
 			if time.Now().Add(pause).After(patience) || !sleep(ctx, pause) {
@@ -103,6 +106,7 @@
 		g.tracker.failed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.addRun()
+			g.lookInto(ctx, j, server, err)
 			return attempt{server: server, err: err}, err
 		}
 		j.addUnrun(server.Name)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -172,6 +172,7 @@
 	}
 	if err := events.Err(); err != nil {
 		g.tracker.failed(sent.server.Name, time.Now())
+		g.lookInto(s.ctx, s.job, sent.server, err)
 		return err
 	}
 	g.tracker.answered(sent.server.Name)
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,8 +16,10 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/allowance/ledger"
+	"ibisline/internal/fake/peers"
 	"ibisline/internal/fake/testbed"
 	"ibisline/internal/gateway"
+	"ibisline/internal/poison"
 	"ibisline/internal/routes"
 	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
@@ -34,6 +37,7 @@
 	lines   chan net.Conn
 	client  *http.Client
 	backend *upstream.Client
+	guard   *poison.Guard
 	stop    func()
 
 	mu      sync.Mutex
@@ -94,13 +98,16 @@
 	}
 	adapter := platform.Adapter{}
 	set := metrics.NewSet()
+	node := peers.New(nil).Join(structs.Instance{Name: "gateway-1", Duty: structs.DutyGateway})
 	w.backend = upstream.NewClient(upstream.Config{RequestOf: adapter.RequestOf, Dial: w.network.Dial}, set)
+	w.guard = poison.New(node, node, node, w.backend.Probe, set, testbed.NoLog())
 	w.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1"}, gateway.Deps{
 		Dialect: adapter,
 		Routes:  w,
 		Servers: w,
 		Client:  w.backend,
 		Budgets: w,
+		Poison:  w.guard,
 		Metrics: set,
 		Log:     testbed.NoLog(),
 	})
@@ -125,11 +132,12 @@
 	}}
 	w.stop = func() {
 		w.client.CloseIdleConnections()
-		w.backend.Close()
 		stop()
 		<-done
-		// net/http lingers after it has refused a body.
+		// net/http lingers after it has refused a body, and broken connections may
+		// still be looked into.
 		time.Sleep(time.Second)
+		w.backend.Close()
 	}
 	return w
 }
@@ -216,6 +224,20 @@
 	return runner
 }
 
+// restart starts a crashed server again, as a new run of it.
+func (w *world) restart(service string, runner *platformtest.Runner) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	runner.Restart()
+	listed := slices.Clone(w.servers[service])
+	for i := range listed {
+		if listed[i].Name == runner.Name {
+			listed[i].Started++
+		}
+	}
+	w.servers[service] = listed
+}
+
 // pipeListener hands out the far ends of in-memory connections.
 type pipeListener struct {
 	lines  chan net.Conn
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -154,6 +154,18 @@
 	return newConn(raw, key), nil
 }
 
+// Probe connects to a server without a request. The connection is kept for the next
+// one. The error is that of the connection.
+func (c *Client) Probe(ctx context.Context, server structs.Server) error {
+	c.dials.Inc()
+	raw, err := c.config.Dial(ctx, server.Addr)
+	if err != nil {
+		return err
+	}
+	c.release(newConn(raw, keyOf(server)), nil)
+	return nil
+}
+
 // take removes the most recently used connection of a server.
 func (c *Client) take(key poolKey) *conn {
 	c.mu.Lock()
