Read the list of daemons again after the own entry was added

Change: a daemon that adds its entry reads the list once more. Of any two that start together the one that is added later then knows of the other.

Test: TestDaemonsThatStartTogetherMeet fails before and passes after. One more listing for each new instance, none in steady state.

--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -44,45 +44,58 @@
 	return true
 }
 
-// readList takes the platform's list and adds this daemon to it.
+// readList takes the platform's list and adds this daemon to it. After that it reads
+// the list again, so that of two daemons that start together at least the one that
+// is added later knows of the other.
 func (m *Members) readList() error {
-	found, _, err := m.list(structs.InstancePrefix)
-	if err != nil {
+	found, err := m.takeList()
+	if err != nil || m.registered.Load() {
 		return err
 	}
-	m.applyInstances(found)
-	if m.listed.Load() == 0 {
-		m.listed.Store(listCount)
-	}
-	if m.registered.Load() {
-		return nil
-	}
 	key := structs.InstancePrefix + m.self.Name
-	if err := m.enter(key, found[key]); err != nil {
+	added, err := m.enter(key, found[key])
+	if err != nil {
 		m.logger.WithError(err).Info("own entry not written yet")
 		return nil
 	}
 	m.registered.Store(true)
-	return nil
+	if added {
+		_, err = m.takeList()
+	}
+	return err
 }
 
-// enter writes the daemon's entry unless it stands there already. The entry holds
-// no incarnation, so that a restart at the same address writes nothing.
-func (m *Members) enter(key string, current objectapi.Object) error {
+// takeList reads the platform's list of daemons once.
+func (m *Members) takeList() (objects, error) {
+	found, _, err := m.list(structs.InstancePrefix)
+	if err != nil {
+		return nil, err
+	}
+	m.applyInstances(found)
+	if m.listed.Load() == 0 {
+		m.listed.Store(listCount)
+	}
+	return found, nil
+}
+
+// enter writes the daemon's entry unless it stands there already, and reports whether
+// it did. The entry holds no incarnation, so that a restart at the same address
+// writes nothing.
+func (m *Members) enter(key string, current objectapi.Object) (added bool, err error) {
 	entry := m.self
 	entry.Incarnation = 0
 	wanted, err := json.Marshal(entry)
 	if err != nil {
-		return err
+		return false, err
 	}
 	var held structs.Instance
 	if json.Unmarshal(current.Value, &held) == nil && held == entry {
-		return nil
+		return false, nil
 	}
 	ctx, cancel := context.WithTimeout(m.ctx, platformTimeout)
 	defer cancel()
 	_, err = m.store.Put(ctx, key, wanted, current.Version)
-	return err
+	return err == nil, err
 }
 
 // meetSeeds asks the seeds for their names and takes what they know.
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -29,6 +29,8 @@
 	net   *network
 	store *objects.Store
 	nodes map[string]*node
+	// config is that of all daemons.
+	config member.Config
 }
 
 // node is one daemon.
@@ -53,7 +55,7 @@
 func (f *fleet) start(name string) {
 	host := f.net.host(name)
 	self := structs.Instance{Name: name, Region: "r", DataCentre: "r-a", PeerAddr: name, HTTPAddr: name}
-	m := member.New(member.Config{}, self, f.store, host, host, metrics.NewSet(), testbed.NoLog())
+	m := member.New(f.config, self, f.store, host, host, metrics.NewSet(), testbed.NoLog())
 	f.nodes[name] = &node{Members: m, loop: testbed.Start(m.Run)}
 }
 
@@ -292,6 +294,27 @@
 	})
 }
 
+// TestDaemonsThatStartTogetherMeet at their first reading of the platform's list, though
+// each of them enters itself only then: the platform is out a moment later.
+func TestDaemonsThatStartTogetherMeet(t *testing.T) {
+	for _, apart := range []time.Duration{0, 3 * time.Millisecond, 6 * time.Millisecond, 9 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{
+				t: t, net: newNetwork(1), store: objects.New(), nodes: map[string]*node{}, config: member.Config{Sparse: true},
+			}
+			f.store.SetFaults(objects.Faults{Slow: 4 * time.Millisecond})
+			defer f.stopAll()
+			for _, name := range []string{"d00", "d01", "d02"} {
+				f.start(name)
+				time.Sleep(apart)
+			}
+			time.Sleep(50 * time.Millisecond)
+			f.store.SetFaults(objects.Faults{Outage: true})
+			f.await(5*time.Second, func() bool { return f.agreed(f.names()...) })
+		})
+	}
+}
+
 // put writes an object whatever its version.
 func put(t *testing.T, store *objects.Store, key string, value any) {
 	t.Helper()
