--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -31,6 +31,14 @@
 	Status *StatusArgs `arg:"subcommand:status" help:"show which daemons live and which catalogue revision they have in force"`
 	Server *ServerArgs `arg:"subcommand:server" help:"show backend servers"`
 	Order  *OrderArgs  `arg:"subcommand:order" help:"give an engine an order"`
+
+	Explain *ExplainArgs `arg:"subcommand:explain" help:"tell the story of one request from the logs of a fleet"`
+}
+
+// ExplainArgs are the arguments of explain.
+type ExplainArgs struct {
+	Request string   `arg:"positional,required" help:"identifier of the request, as its caller sent it"`
+	Logs    []string `arg:"positional" help:"log files of all daemons; standard input when none is given" placeholder:"LOG"`
 }
 
 // EntryArgs selects an entry command.
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -26,7 +26,7 @@
   0  done (and in force everywhere, with --wait)
   1  failed for another reason
   2  wrong arguments or a value that is not allowed; nothing was changed
-  3  no such entry, daemon or engine; nothing was changed
+  3  no such entry, daemon, engine or request; nothing was changed
   4  another operator was first; nothing was changed
   5  platform or daemons unavailable; nothing was changed
   6  a reply was lost: the edit may have been made, or the engine may have taken the order (may_have_run); look
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,63 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/explain"
+)
+
+// explainRequest tells the story of a request from log files, or from standard input.
+func explainRequest(args *ExplainArgs, streams Streams, asJSON bool) error {
+	logs := explain.NewLogs(args.Request)
+	if err := readLogs(args.Logs, streams, logs); err != nil {
+		return err
+	}
+	story, err := logs.Story()
+	if errors.Is(err, explain.ErrUnknownRequest) {
+		return failed(ExitNotFound, "%s", err)
+	}
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		p := printer{out: streams.Out, json: asJSON}
+		return p.encode(story)
+	}
+	return story.Render(streams.Out)
+}
+
+// readLogs reads all logs. Lines that are no records are counted on standard error.
+func readLogs(files []string, streams Streams, logs *explain.Logs) error {
+	if len(files) == 0 {
+		return readLog("standard input", streams.In, streams, logs)
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return usageError("%s", err)
+		}
+		err = readLog(name, file, streams, logs)
+		if closed := file.Close(); err == nil {
+			err = closed
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(name string, from io.Reader, streams Streams, logs *explain.Logs) error {
+	skipped, err := explain.Read(from, logs.Add)
+	if err != nil {
+		return errors.Wrap(err, name)
+	}
+	if skipped > 0 {
+		fmt.Fprintf(streams.Err, "ibisctl: %s: %d lines are no records and were left out\n", name, skipped)
+	}
+	return nil
+}
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -40,6 +40,9 @@
 
 // execute runs the parsed command.
 func execute(ctx context.Context, args Args, streams Streams) error {
+	if args.Explain != nil {
+		return explainRequest(args.Explain, streams, args.JSON)
+	}
 	if len(args.Platform) == 0 {
 		return usageError("--platform or IBISCTL_PLATFORM is needed")
 	}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -66,8 +66,10 @@
 	if j.Program != "" {
 		fields["program"] = j.Program
 	}
-	if j.IsTurn() {
+	if j.route != nil && j.route.Kind == structs.Stream {
 		fields["events"] = a.events
+	}
+	if j.IsTurn() {
 		fields["reserved_ms"] = a.reserved.Milliseconds()
 		fields["confirmed_ms"] = a.confirmed.Milliseconds()
 	}
--- a/test/platform/world_test.go
+++ b/test/platform/world_test.go
@@ -63,7 +63,6 @@
 	client  *http.Client
 	runners map[string]*platformtest.Runner
 
-	mu      sync.Mutex
 	daemons map[string]*daemon
 	version int64
 }
