--- a/internal/allowance/journal/journal.go
+++ b/internal/allowance/journal/journal.go
@@ -99,6 +99,7 @@
 	size   int64
 	shards map[int]*shard
 	id     int64
+	begun  bool
 	failed error
 	// pending are encoded records that the next sync makes durable, waiters
 	// those that wait for it.
@@ -115,6 +116,7 @@
 		return nil, errors.Wrap(err, "read the journal")
 	}
 	j.replay(content)
+	j.begun = j.id == 0
 	for j.id == 0 {
 		j.id = rand.Int64()
 	}
@@ -129,6 +131,9 @@
 // ID identifies the journal as long as its disk keeps it.
 func (j *Journal) ID() int64 { return j.id }
 
+// Begun reports whether the disk held no journal when this one was opened.
+func (j *Journal) Begun() bool { return j.begun }
+
 // replay applies all whole records.
 func (j *Journal) replay(content []byte) {
 	for len(content) >= headerBytes {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -190,6 +190,7 @@
 	if err != nil {
 		return err
 	}
+	p.log.WithField("journal", opened.ID()).WithField("empty_disk", opened.Begun()).Info("journal opened")
 	if err := p.kernel.Register(serviceJournal, allowance.NewKeeper(opened, transport, p.log)); err != nil {
 		return err
 	}
--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -37,6 +37,10 @@
 	switch {
 	case err != nil && verdict.Is(err, verdict.NotRun):
 		return "not sent"
+	case err != nil && verdict.From(err).Reason == verdict.BackendTimeout:
+		return "no answer in time"
+	case err != nil && verdict.From(err).Reason == verdict.Canceled:
+		return "caller left"
 	case err != nil:
 		return "broken"
 	case notRun:
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -26,7 +26,7 @@
 }
 
 func newJob(r *request.Request) *job {
-	return &job{Request: r, ran: map[string]bool{}, unrun: map[string]bool{}}
+	return &job{Request: r, ran: map[string]bool{}, unrun: map[string]bool{}, account: account{sends: []string{}}}
 }
 
 // tried reports whether the request was sent to a server.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/go-faster/errors"
@@ -109,7 +110,10 @@
 	var failure error
 	select {
 	case <-ctx.Done():
+		begun := time.Now()
+		k.log.Info("planned stop begins")
 		k.drain(drainContext)
+		k.log.WithField("took_ms", time.Since(begun).Milliseconds()).Info("work ended, stopping")
 	case first := <-ended:
 		failure = errors.Wrapf(first.cause(), "service %s ended", first.name)
 	}
--- a/test/platform/operations_test.go
+++ b/test/platform/operations_test.go
@@ -143,3 +143,31 @@
 	}
 	require.Equal(t, len(failures), followed, "a failure is missing on the page")
 }
+
+// logOf returns the log of a daemon.
+func (w *world) logOf(name string) string {
+	text, err := os.ReadFile(filepath.Join(w.dir, name+".log"))
+	require.NoError(w.t, err)
+	return string(text)
+}
+
+// TestLogsTellStopsDisksAndTimeouts, which the incidents of docs/INCIDENTS.md needed.
+func TestLogsTellStopsDisksAndTimeouts(t *testing.T) {
+	w := newWorld(t)
+	for _, name := range []string{"till-0", "till-1", "till-2"} {
+		w.runners[name].Always(platformtest.Reply{Silent: true})
+	}
+	impatient := func(r *http.Request) { r.Header.Set("Deadline-Ms", "100") }
+	got := w.call("gateway-0", http.MethodPost, "/redeem/1", impatient)
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+	w.ended(got.id)
+	require.Contains(t, w.logOf("gateway-0"), ":no answer in time")
+
+	require.NoError(t, w.process("gateway-1").Stop(t.Context()))
+	require.Contains(t, w.logOf("gateway-1"), `"planned stop begins"`)
+	require.Contains(t, w.logOf("gateway-1"), `"work ended, stopping"`)
+
+	require.Contains(t, w.logOf("keeper-0"), `"empty_disk":true`)
+	w.restart("keeper-0")
+	require.Contains(t, w.logOf("keeper-0"), `"empty_disk":false`)
+}
