Measure requests of gateways by kind, reason and cause

Cause: the metrics address told the number of requests under way and nothing of how they ended. Change: histograms of the whole request, queue, budget, first byte and gaps; counters of requests by status, failures by reason and verdict, sends by outcome. Histograms are looked up once.

Test: TestRequestsAreMeasured.

--- a/internal/gateway/account.go
+++ b/internal/gateway/account.go
@@ -23,6 +23,17 @@
 	reserved  time.Duration
 	confirmed time.Duration
 	begun     time.Duration
+	// queued is the time until the first send that a server took.
+	queued time.Duration
+}
+
+// addTaken notes that a server takes the request, which was sent at the given time.
+func (j *job) addTaken(at time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.account.queued == 0 {
+		j.account.queued = at.Sub(j.Arrived)
+	}
 }
 
 // addSend notes the outcome of one send.
@@ -50,10 +61,11 @@
 	}
 }
 
-// logEnd writes the one line about a request.
-func (g *Gateway) logEnd(j *job, configuration int64) {
+// noteEnd measures a request and writes the one line about it.
+func (g *Gateway) noteEnd(j *job, configuration int64) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	g.measures.ended(j)
 	a := &j.account
 	fields := log.Fields{
 		"request":  j.ID,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,15 +84,16 @@
 // Gateway serves callers' requests. It is an http.Handler.
 type Gateway struct {
 	Deps
-	config  Config
-	tracker *tracker
-	leaving atomic.Bool
-	active  atomic.Int64
+	config   Config
+	tracker  *tracker
+	measures measures
+	leaving  atomic.Bool
+	active   atomic.Int64
 }
 
 // New returns a gateway.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{Deps: deps, config: config, tracker: newTracker()}
+	g := &Gateway{Deps: deps, config: config, tracker: newTracker(), measures: newMeasures(deps.Metrics)}
 	deps.Metrics.GetOrCreateGauge("ibisline_gateway_requests_active", func() float64 { return float64(g.active.Load()) })
 	return g
 }
@@ -117,7 +118,7 @@
 	}
 	table := g.Routes.Current()
 	job, err := g.admit(w, r, table, now)
-	defer g.logEnd(job, table.VersionOrZero())
+	defer g.noteEnd(job, table.VersionOrZero())
 	if err != nil {
 		g.fail(w, r, job, err)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,3 +432,35 @@
 		require.Equal(t, 1500*time.Millisecond, got.took)
 	})
 }
+
+// TestRequestsAreMeasured by kind, with every send and failure.
+func TestRequestsAreMeasured(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		full := w.add(tills, "till-1")
+		full.Always(platformtest.Reply{NotExecuted: true})
+		w.add(tills, "till-2")
+		engine := w.add(engines, "engine-1")
+		engine.Always(platformtest.Reply{Events: []string{"a", "b"}, EventGap: 50 * time.Millisecond})
+		for _, id := range numbered(4) {
+			w.call(http.MethodPost, "/redeem/1", id)
+		}
+		w.call(http.MethodPost, "/turn/1", "r1", with("Program-Id", "p1"), with("Token-Budget", "900"))
+		w.call(http.MethodGet, "/other/1", "r2")
+		var text strings.Builder
+		w.metrics.WritePrometheus(&text)
+		for _, line := range []string{
+			`ibisline_gateway_requests_total{kind="at_most_once",status="200"} 4`,
+			`ibisline_gateway_requests_total{kind="none",status="404"} 1`,
+			`ibisline_gateway_failures_total{reason="unknown_route",verdict="not_run"} 1`,
+			`ibisline_gateway_sends_total{kind="at_most_once",outcome="200"} 4`,
+			`ibisline_gateway_sends_total{kind="stream",outcome="200"} 1`,
+			`ibisline_gateway_request_seconds_count{kind="at_most_once"} 4`,
+			`ibisline_gateway_first_byte_seconds_bucket{kind="stream",le="0.1"} 1`,
+			`ibisline_gateway_first_byte_seconds_bucket{kind="stream",le="0.025"} 0`,
+			`ibisline_gateway_event_gap_seconds_count 1`,
+		} {
+			require.Contains(t, text.String(), line+"\n")
+		}
+		require.Regexp(t, `ibisline_gateway_sends_total\{kind="at_most_once",outcome="not_run_503"\} [1-9]`, text.String())
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -156,7 +156,8 @@
 
 // sendTo sends the request to one server, to go on after an event if it is not 0.
 func (g *Gateway) sendTo(ctx context.Context, j *job, server structs.Server, resumeAfter int) (*upstream.Answer, error) {
-	left := time.Until(j.deadline)
+	started := time.Now()
+	left := j.deadline.Sub(started)
 	answer, err := g.Client.Send(ctx, server, upstream.Outgoing{
 		ID:     j.ID,
 		Method: j.Method,
@@ -166,10 +167,18 @@
 		Body:   j.Body,
 	})
 	if err != nil {
-		j.addSend(server, sendOutcome(0, err, false))
+		outcome := sendOutcome(0, err, false)
+		j.addSend(server, outcome)
+		g.measures.sent(kindOf(j), outcome)
 		return nil, err
 	}
-	j.addSend(server, sendOutcome(answer.Status, nil, g.Dialect.NotRun(answer.Status, answer.Header)))
+	notRun := g.Dialect.NotRun(answer.Status, answer.Header)
+	if !notRun {
+		j.addTaken(started)
+	}
+	outcome := sendOutcome(answer.Status, nil, notRun)
+	j.addSend(server, outcome)
+	g.measures.sent(kindOf(j), outcome)
 	return answer, nil
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -48,6 +48,8 @@
 	// events the number of those passed on.
 	last   int
 	events int
+	// passed is the time at which the last event was passed on.
+	passed time.Time
 }
 
 // serveStream gets a turn answered.
@@ -209,6 +211,11 @@
 	if err := s.control.Flush(); err != nil {
 		return errors.Wrap(errCaller, err.Error())
 	}
+	now := time.Now()
+	if s.events > 0 {
+		s.gateway.measures.gaps.Update(now.Sub(s.passed).Seconds())
+	}
+	s.passed = now
 	if named {
 		s.last = id
 		s.events++
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -38,6 +38,7 @@
 	client  *http.Client
 	backend *upstream.Client
 	guard   *poison.Guard
+	metrics *metrics.Set
 	stop    func()
 
 	mu      sync.Mutex
@@ -98,6 +99,7 @@
 	}
 	adapter := platform.Adapter{}
 	set := metrics.NewSet()
+	w.metrics = set
 	node := peers.New(nil).Join(structs.Instance{Name: "gateway-1", Duty: structs.DutyGateway})
 	w.backend = upstream.NewClient(upstream.Config{RequestOf: adapter.RequestOf, Dial: w.network.Dial}, set)
 	w.guard = poison.New(node, node, node, w.backend.Probe, set, testbed.NoLog())
