--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -33,14 +33,14 @@
 			with("X-Hop", "dropped"))
 		require.Equal(t, http.StatusCreated, got.status)
 		require.Equal(t, "done", got.body)
-		require.Equal(t, "stamp-till-1", got.header.Get("Server-Stamp"))
+		require.Equal(t, "stamp-till-1", got.header.Get(platformtest.HeaderStamp))
 		require.Equal(t, "7", got.header.Get("X-Till"))
 		require.Empty(t, got.header.Get("Date"), "the gateway adds no field")
 		run := till.Runs()[0]
 		require.Equal(t, "/redeem/a%2Fb?x=1&y=%20", run.Target)
 		require.Equal(t, "body of r1", run.Body)
 		require.Equal(t, "kept", run.Header.Get("X-Own"))
-		require.Equal(t, "till-1", run.Header.Get("Expect-Instance"))
+		require.Equal(t, "till-1", run.Header.Get(platformtest.HeaderInstance))
 		require.Empty(t, run.Header.Get("Hold"), "set by the system alone")
 		require.Empty(t, run.Header.Get("X-Hop"), "concerns one connection")
 	})
@@ -77,7 +77,7 @@
 		till := w.add(tills, "till-1")
 		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "").status)
 		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Deadline-Ms", "soon")).status)
-		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Token-Usage", "x,y")).status)
+		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with(platformtest.HeaderTokens, "x,y")).status)
 		require.Equal(t, http.StatusBadRequest, w.call(http.MethodGet, "/look/1", "r1", with("Prompt-Prefix", "abc")).status)
 		require.Empty(t, till.Runs())
 		require.Equal(t, http.StatusOK, w.call(http.MethodGet, "/look/1", "r2").status)
@@ -102,18 +102,23 @@
 	})
 }
 
+// rawRequest is a request with the given framing and what there is of its body.
+func rawRequest(id, rest string) []byte {
+	return []byte("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\n" + platformtest.HeaderAttempt + ": " + id + "\r\n" + rest)
+}
+
 func TestBodyThatEndsEarlyRunsNothing(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
 		till := w.add(tills, "till-1")
 		conn, err := w.client.Transport.(*http.Transport).DialContext(context.Background(), "", "")
 		require.NoError(t, err)
-		_, err = conn.Write([]byte("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r1\r\nContent-Length: 50\r\n\r\nhalf"))
+		_, err = conn.Write(rawRequest("r1", "Content-Length: 50\r\n\r\nhalf"))
 		require.NoError(t, err)
 		require.NoError(t, conn.Close())
 		synctest.Wait()
 		conn, err = w.client.Transport.(*http.Transport).DialContext(context.Background(), "", "")
 		require.NoError(t, err)
-		_, err = conn.Write([]byte("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: r2\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"))
+		_, err = conn.Write(rawRequest("r2", "Transfer-Encoding: chunked\r\n\r\nzz\r\n"))
 		require.NoError(t, err)
 		head := make([]byte, 12)
 		_, err = conn.Read(head)
@@ -314,7 +319,7 @@
 		turn := func(r *http.Request) {
 			r.Header.Set("Program-Id", "p1")
 			r.Header.Set("Token-Budget", "900")
-			r.Header.Set("Token-Usage", "100,560")
+			r.Header.Set(platformtest.HeaderTokens, "100,560")
 		}
 		require.Equal(t, http.StatusPaymentRequired, w.call(http.MethodPost, "/turn/1", "r1", turn).status)
 		require.Empty(t, engine.Runs())
--- a/internal/gateway/world_test.go
+++ b/internal/gateway/world_test.go
@@ -276,7 +276,7 @@
 func (w *world) call(method, path, id string, edit ...func(*http.Request)) answer {
 	request, err := http.NewRequest(method, "http://a.example"+path, strings.NewReader("body of "+id))
 	require.NoError(w.t, err)
-	request.Header.Set("Attempt-Id", id)
+	request.Header.Set(platformtest.HeaderAttempt, id)
 	request.Header.Set("Deadline-Ms", "3000")
 	for _, change := range edit {
 		change(request)
