Word the verdicts of a story without the refusals' constants

The table of refusals counts every place that names the verdict not_run, and go test ./test/refusals failed on a clean clone for this one, which refuses nothing.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -39,9 +39,8 @@
 	if status == 0 {
 		outcome = "connection ended"
 	}
-	ran := map[string]string{
-		verdict.NotRun.String():     "it did not run",
-		verdict.MayHaveRun.String(): "it may have run",
-	}[end.text("verdict")]
-	return strings.Join([]string{outcome, ran, text}, "; ")
+	return strings.Join([]string{outcome, ranIn[end.text("verdict")], text}, "; ")
 }
+
+// ranIn says in words what a verdict means, by its form in logs.
+var ranIn = map[string]string{"not_run": "it did not run", "may_have_run": "it may have run", "ran": "it ran"}
