--- a/internal/allowance/acquire.go
+++ b/internal/allowance/acquire.go
@@ -146,7 +146,7 @@
 	if home == "" || home == s.home.fleet.Self().Name || !s.home.isLive(home) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.FenceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.home.config.AskTimeout)
 	defer cancel()
 	var reply holdsReply
 	err := peer.Call(ctx, s.home.dialer, home, methodHolds, shardRequest{Shard: s.number}, &reply)
@@ -369,7 +369,7 @@
 // ones have answered as far as needed, if any are given.
 func (s *shard) askHolders(ctx context.Context, keepers []structs.Instance, wanted journalSet) holders {
 	found := holders{journals: journalSet{}}
-	replies := gather(ctx, s.home.config.FenceTimeout, keepers, func(ctx context.Context, keeper string) (holderReply, error) {
+	replies := gather(ctx, s.home.config.AskTimeout, keepers, func(ctx context.Context, keeper string) (holderReply, error) {
 		var reply holderReply
 		err := peer.Call(ctx, s.home.dialer, keeper, methodHolder, shardRequest{Shard: s.number}, &reply)
 		return reply, err
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -55,8 +55,13 @@
 	// DefaultReserveLimit bounds the whole search for a home that grants: less
 	// than half of the time that callers usually wait.
 	DefaultReserveLimit = 1200 * time.Millisecond
-	// DefaultFenceTimeout bounds the fencing of one journal.
-	DefaultFenceTimeout = 150 * time.Millisecond
+	// DefaultAskTimeout bounds a short question to another daemon: several times
+	// the way between regions, with a sync.
+	DefaultAskTimeout = 150 * time.Millisecond
+	// DefaultFenceTimeout bounds the fencing of one journal, which answers with the
+	// totals that it holds: those of some thousand programs, from several journals
+	// at once, take that long over a link of 30 Mbit/s.
+	DefaultFenceTimeout = 600 * time.Millisecond
 	// DefaultFenceGrace is the wait for further journals once enough are fenced:
 	// what the way between regions and a sync usually take. Others are fenced
 	// later.
@@ -119,6 +124,7 @@
 	ReserveTimeout time.Duration
 	PendingAfter   time.Duration
 	ReserveLimit   time.Duration
+	AskTimeout     time.Duration
 	FenceTimeout   time.Duration
 	FenceGrace     time.Duration
 	ExtendTimeout  time.Duration
@@ -146,6 +152,7 @@
 	defaults.Set(&c.ReserveTimeout, DefaultReserveTimeout)
 	defaults.Set(&c.PendingAfter, DefaultPendingAfter)
 	defaults.Set(&c.ReserveLimit, DefaultReserveLimit)
+	defaults.Set(&c.AskTimeout, DefaultAskTimeout)
 	defaults.Set(&c.FenceTimeout, DefaultFenceTimeout)
 	defaults.Set(&c.FenceGrace, DefaultFenceGrace)
 	defaults.Set(&c.ExtendTimeout, DefaultExtendTimeout)
--- a/internal/allowance/takeover_test.go
+++ b/internal/allowance/takeover_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// TestTakeoverOfManyProgramsOverSlowLinks: the journals answer with all that they hold,
+// which takes longer than other messages.
+func TestTakeoverOfManyProgramsOverSlowLinks(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		const programs = 200
+		for i := range programs {
+			require.NoError(t, f.turn(f.gateways[i%3].daemon, fmt.Sprint("p", i), most/2, 0))
+		}
+		home := f.homeOf("p0")
+		// About a third of a second for the totals of all programs.
+		f.network.SetBandwidth(15_000)
+		f.gateways[home].crash()
+		f.spread()
+		started := time.Now()
+		require.NoError(t, f.turn(f.gateways[(home+1)%3].daemon, "p0", 35, 0))
+		require.Less(t, time.Since(started), time.Second)
+	})
+}
+
 func TestProgramGoesOnBesideALostDisk(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -24,6 +24,8 @@
 	latency func(from, to structs.Instance) time.Duration
 	bytes   int
 	frames  int
+	// bandwidth is that of each link in bytes a second; 0 bounds nothing.
+	bandwidth int
 }
 
 // New returns a network without nodes. latency, when not nil, delays each frame.
@@ -63,6 +65,13 @@
 	n.cut[link{from, to}] = on
 }
 
+// SetBandwidth delays each frame by its size, at so many bytes a second.
+func (n *Network) SetBandwidth(bytesPerSecond int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bandwidth = bytesPerSecond
+}
+
 // Traffic returns the number of frames sent so far and their size in bytes.
 func (n *Network) Traffic() (frames, bytes int) {
 	n.mu.Lock()
@@ -96,10 +105,14 @@
 	if n.cut[link{from.Name, to.Name}] {
 		return 0, false
 	}
-	if n.latency == nil {
-		return 0, true
+	var delay time.Duration
+	if n.latency != nil {
+		delay = n.latency(from, to)
+	}
+	if n.bandwidth > 0 {
+		delay += time.Duration(size) * time.Second / time.Duration(n.bandwidth)
 	}
-	return n.latency(from, to), true
+	return delay, true
 }
 
 // Node is one daemon's side of the network. It implements peer.Mux, peer.Dialer
