Log why and how slowly a daemon acquires a shard of budgets

The logs told which daemon took the shard over, but not what it knew of the home that it replaced, nor which step took how long, so that competing homes, a slow handover and a saturated home looked alike.

An acquisition now logs the home that the checkpoint named, how this daemon saw it, what it answered, the callers' skipped daemons and the duration of each step; a handover logs its programs and duration, and a client how long it waited for a daemon that did not decide.

The in-memory network of the tests can charge processor time for each frame.

--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -26,6 +26,16 @@
 	frames  int
 	// bandwidthBytesPerSecond applies to each link; 0 means no limit.
 	bandwidthBytesPerSecond int
+	load                    Load
+	// busyUntil is when each daemon has processed the frames sent to it so far.
+	busyUntil map[string]time.Time
+}
+
+// Load is the processor time that a daemon spends on each frame that it receives. A daemon
+// processes one frame at a time.
+type Load struct {
+	PerFrame time.Duration
+	PerKB    time.Duration
 }
 
 // New returns a network without nodes. latency, when not nil, returns the delay of each
@@ -35,6 +45,8 @@
 		nodes:   map[string]*Node{},
 		cut:     map[direction]bool{},
 		latency: latency,
+
+		busyUntil: map[string]time.Time{},
 	}
 }
 
@@ -75,6 +87,14 @@
 	n.bandwidthBytesPerSecond = bytesPerSecond
 }
 
+// SetLoad makes frames wait until their receiver has processed the earlier ones; the zero
+// Load disables the wait.
+func (n *Network) SetLoad(load Load) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.load = load
+}
+
 // Traffic returns the number of frames sent so far and their total size in bytes.
 func (n *Network) Traffic() (frames, bytes int) {
 	n.mu.Lock()
@@ -115,7 +135,26 @@
 	if n.bandwidthBytesPerSecond > 0 {
 		delay += time.Duration(size) * time.Second / time.Duration(n.bandwidthBytesPerSecond)
 	}
-	return delay, true
+	return n.queue(to.Name, size, delay), true
+}
+
+// bytesPerKB is the unit of Load.PerKB in bytes.
+const bytesPerKB = 1 << 10
+
+// queue adds the time until a daemon has processed a frame that arrives after delay. The
+// caller holds mu.
+func (n *Network) queue(to string, size int, delay time.Duration) time.Duration {
+	cost := n.load.PerFrame + n.load.PerKB*time.Duration(size)/bytesPerKB
+	if cost == 0 {
+		return delay
+	}
+	now := time.Now()
+	start := now.Add(delay)
+	if busy := n.busyUntil[to]; busy.After(start) {
+		start = busy
+	}
+	n.busyUntil[to] = start.Add(cost)
+	return n.busyUntil[to].Sub(now)
 }
 
 // Node is one daemon in the network. It implements peer.Mux, peer.Dialer and
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -54,9 +54,9 @@
 	if s.holds() {
 		return "", nil
 	}
-	started := time.Now()
-	holder, err := s.acquire(ctx, nil)
-	entry := s.log().WithField("took_ms", time.Since(started).Milliseconds())
+	a := newAcquisition(nil, skipped)
+	holder, err := s.acquire(ctx, a)
+	entry := s.log().WithFields(a.fields())
 	if err != nil {
 		entry.WithError(err).Info("budgets of a shard not taken over")
 		return "", shardNotAcquired(err)
@@ -98,14 +98,15 @@
 
 // acquire makes this daemon the home, starting from the checkpoint, or from the replica in
 // the journals while the platform is unreachable. If another daemon already decides about
-// the shard, it returns that daemon's name. Handed is the state received from the previous
-// home in a planned handover, nil otherwise.
-func (s *shard) acquire(ctx context.Context, handed *handover) (string, error) {
+// the shard, it returns that daemon's name.
+func (s *shard) acquire(ctx context.Context, a *acquisition) (string, error) {
 	timeout := s.home.config.CheckpointReadTimeout
 	for range maxAcquireAttempts {
+		a.attempts++
 		current, version, err := s.readCheckpoint(ctx, timeout)
+		a.endStep("read")
 		if errors.Is(err, objectapi.ErrUnavailable) {
-			holder, failure := s.acquireFromJournals(ctx, handed)
+			holder, failure := s.acquireFromJournals(ctx, a)
 			if !errors.Is(failure, errNoCheckpoint) || timeout == s.home.config.CheckpointTimeout {
 				return holder, failure
 			}
@@ -120,10 +121,10 @@
 		if !s.home.fleet.Listed() {
 			return "", errNoDaemonList
 		}
-		if !handed.supersedes(current) && s.isHeldBy(ctx, current.Home) {
+		if !a.handed.supersedes(current) && s.isHeldBy(ctx, current.Home, a) {
 			return current.Home, nil
 		}
-		err = s.acquireFromCheckpoint(ctx, current, version, handed)
+		err = s.acquireFromCheckpoint(ctx, current, version, a)
 		if !errors.Is(err, errAcquireConflict) {
 			return "", err
 		}
@@ -147,17 +148,40 @@
 // isHeldBy reports whether another daemon is live and decides about the shard. Without this
 // check a daemon that has just started would take the shard over from one with more recent
 // state.
-func (s *shard) isHeldBy(ctx context.Context, home string) bool {
+func (s *shard) isHeldBy(ctx context.Context, home string, a *acquisition) bool {
+	a.incumbent, a.incumbentState, a.incumbentAnswer = home, s.home.stateOf(home), ""
 	if home == "" || home == s.home.fleet.Self().Name || !s.home.isLive(home) {
 		return false
 	}
+	defer a.endStep("ask")
 	ctx, cancel := context.WithTimeout(ctx, s.home.config.QueryTimeout)
 	defer cancel()
 	var reply holdsReply
 	err := peer.Call(ctx, s.home.dialer, home, methodHolds, shardRequest{Shard: s.number}, &reply)
+	switch {
+	case err != nil:
+		a.incumbentAnswer = "none"
+	case reply.Holds:
+		a.incumbentAnswer = "holds"
+	default:
+		a.incumbentAnswer = "does not hold"
+	}
 	return err == nil && reply.Holds
 }
 
+// stateOf returns this daemon's view of another one for the logs: "live", "leaving" or
+// "unknown".
+func (h *Home) stateOf(name string) string {
+	switch {
+	case h.isLive(name):
+		return structs.StateLive
+	case h.isLeaving(name):
+		return structs.StateLeaving
+	default:
+		return "unknown"
+	}
+}
+
 // isLive reports whether a daemon is considered alive and is not leaving.
 func (h *Home) isLive(name string) bool {
 	return slices.ContainsFunc(h.fleet.Live(), func(i structs.Instance) bool { return i.Name == name })
@@ -168,13 +192,15 @@
 // the previous home's next checkpoint write fails, and so do its writes to the journals.
 // Totals in the journals that are newer than the checkpoint take precedence. ContentEpoch
 // keeps naming the home that wrote the content until the next full checkpoint.
-func (s *shard) acquireFromCheckpoint(ctx context.Context, current checkpoint, version int64, handed *handover) error {
+func (s *shard) acquireFromCheckpoint(ctx context.Context, current checkpoint, version int64, a *acquisition) error {
 	idle, idleVersion, err := s.readIdleCheckpoint(ctx)
+	a.endStep("read_idle")
 	if err != nil {
 		return err
 	}
 	keepers := s.home.keepers()
 	seen := s.queryFences(ctx, keepers, current.Journals)
+	a.endStep("query")
 	if !s.journalsSuffice(current.Journals, seen.journals) {
 		// Claiming without enough journals would only disrupt the present home.
 		return errTooFewJournals
@@ -189,12 +215,14 @@
 		claim.Journals = seen.journals
 	}
 	claimed, err := s.putCheckpoint(ctx, claim, version)
+	a.endStep("claim")
 	if err != nil {
 		return err
 	}
 	s.setClaiming(true)
 	defer s.setClaiming(false)
 	f := s.fenceAll(ctx, fence, keepers, current.Journals)
+	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
 		return errAcquireConflict
@@ -205,12 +233,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
-	s.restoreLedger(current, idle, f.newestReplica(), handed)
+	s.restoreLedger(current, idle, f.newestReplica(), a.handed)
+	a.endStep("restore")
 	s.idleCheckpoint = idleCheckpointState{known: true, version: idleVersion}
 	s.checkpoint = checkpointState{known: true, version: claimed, journals: claim.Journals}
 	s.startDeciding(fence, f, keepers)
-	s.log().WithField("fence", fence.Number).WithField("programs", s.ledger.Len()).
-		WithField("handed_over", handed.supersedes(current)).WithField("journals", len(f.accepted())).
+	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", s.ledger.Len()).
+		WithField("handed_over", a.handed.supersedes(current)).WithField("journals", len(f.accepted())).
 		Info("budgets of a shard taken over")
 	return nil
 }
@@ -317,13 +346,15 @@
 // that a leaving home handed over, or from the replica in the journals. It fences the
 // journals only if there seems to be a replica, so that a home that works without one is not
 // disrupted.
-func (s *shard) acquireFromJournals(ctx context.Context, handed *handover) (string, error) {
+func (s *shard) acquireFromJournals(ctx context.Context, a *acquisition) (string, error) {
+	handed := a.handed
 	keepers := s.home.keepers()
 	seen := s.queryFences(ctx, keepers, nil)
+	a.endStep("query")
 	replicated := seen.fence.Number != 0 && seen.replicaFence == seen.fence
 	handedOver := handed != nil && handed.Journals != nil && seen.fence == handed.Fence
 	switch {
-	case !handedOver && s.isHeldBy(ctx, seen.fence.Home):
+	case !handedOver && s.isHeldBy(ctx, seen.fence.Home, a):
 		return seen.fence.Home, nil
 	case !handedOver && !replicated:
 		return "", errNoCheckpoint
@@ -334,13 +365,14 @@
 	}
 	s.mu.Unlock()
 	f := s.fenceAll(ctx, fence, keepers, nil)
+	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
 		return "", errAcquireConflict
 	}
 	if handedOver && f.previousNumber() == handed.Fence.Number {
 		from := journal.Replica{Journals: handed.Journals, MaxTurnTokens: handed.MaxTurnTokens, Totals: handed.Totals}
-		return "", s.startFromReplica(fence, f, keepers, from, 0)
+		return "", s.startFromReplica(a, fence, f, keepers, from, 0)
 	}
 	found := f.newestReplica()
 	if !found.Complete || found.Fence.Number != f.previousNumber() || len(found.Journals) <= s.home.config.LostDisks {
@@ -348,13 +380,13 @@
 		// turns based on other journals.
 		return "", errNoCheckpoint
 	}
-	return "", s.startFromReplica(fence, f, keepers, found, found.MaxTurnTokens)
+	return "", s.startFromReplica(a, fence, f, keepers, found, found.MaxTurnTokens)
 }
 
 // startFromReplica starts deciding from a replica. It grants nothing until this home's own
 // replica is stored on the same journals, because later homes look for it there.
 func (s *shard) startFromReplica(
-	fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica, unrecorded int,
+	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica, unrecorded int,
 ) error {
 	if !s.journalsSuffice(from.Journals, f.accepted()) {
 		return errTooFewJournals
@@ -366,7 +398,7 @@
 	s.ledger.Restore(from.Totals, ledger.FromJournals)
 	s.checkpoint = checkpointState{journals: from.Journals, failing: true}
 	s.startDeciding(fence, f, keepers)
-	s.log().WithField("fence", fence.Number).WithField("programs", len(from.Totals)).
+	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", len(from.Totals)).
 		Info("budgets of a shard taken over without their record")
 	return nil
 }
--- a/internal/tokenbudget/client.go
+++ b/internal/tokenbudget/client.go
@@ -72,6 +72,7 @@
 		if home == "" || ctx.Err() != nil {
 			break
 		}
+		askedAt := time.Now()
 		g, reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped, NoRedirect: noRedirect})
 		switch {
 		case err == nil && g != nil:
@@ -86,6 +87,7 @@
 			failure = err
 			c.evictHome(shard, home)
 			c.logger.WithError(err).WithField("request", r.ID).WithField("program", r.Program).WithField("home", home).
+				WithField("waited_ms", time.Since(askedAt).Milliseconds()).WithField("skipped", skipped).
 				Info("home of a budget did not decide")
 			if !verdict.HasReason(err, verdict.NotHome) {
 				// A daemon that has just lost the shard can redirect to its successor: don't
--- a/internal/tokenbudget/handover.go
+++ b/internal/tokenbudget/handover.go
@@ -38,11 +38,15 @@
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	if err := peer.Call(ctx, s.home.dialer, successor, methodTake, state, &empty{}); err != nil {
-		s.log().WithError(err).WithField("successor", successor).Info("shard not handed over")
+	started := time.Now()
+	err := peer.Call(ctx, s.home.dialer, successor, methodTake, state, &empty{})
+	entry := s.log().WithField("successor", successor).WithField("fence", state.Fence.Number).
+		WithField("programs", len(state.Totals)).WithField("took_ms", time.Since(started).Milliseconds())
+	if err != nil {
+		entry.WithError(err).Info("shard not handed over")
 		return
 	}
-	s.log().WithField("successor", successor).Info("shard handed over")
+	entry.Info("shard handed over")
 }
 
 // prepareHandover returns the state for the next home. The caller holds mu.
@@ -82,7 +86,7 @@
 	if s.holds() {
 		return verdict.Refuse(verdict.NotHome, "shard %d is held already", s.number)
 	}
-	if _, err := s.acquire(context.WithoutCancel(ctx), &handed); err != nil {
+	if _, err := s.acquire(context.WithoutCancel(ctx), newAcquisition(&handed, nil)); err != nil {
 		return shardNotAcquired(err)
 	}
 	return stream.Send(empty{})
@@ -101,7 +105,7 @@
 	own := s.prepareHandover()
 	s.reset()
 	s.mu.Unlock()
-	if _, err := s.acquire(ctx, &own); err != nil {
+	if _, err := s.acquire(ctx, newAcquisition(&own, nil)); err != nil {
 		s.log().WithError(err).Info("shard not reacquired")
 	}
 }
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		s := h.shard(number)
-		if s.holds() || s.isHeldBy(ctx, s.redirectTarget(now)) {
+		if s.holds() || s.isHeldBy(ctx, s.redirectTarget(now), newAcquisition(nil, nil)) {
 			continue
 		}
 		if _, err := s.ensureHeld(ctx, nil); err != nil {
