Leave a home alone that is slow but at work

Cause: a home that did not answer a query within 150 ms was replaced, on behalf of any single caller that had waited 200 ms. A home is slowest right after a takeover, with the whole fleet's requests waiting, so that overload was taken for death, each takeover made the next home as slow, and each cost what its predecessor had granted.

A daemon that considers a takeover now asks the incumbent repeatedly, and replaces it only if it is dead in the membership, refuses connections, says that it does not decide, or has neither answered nor stored a decision of another daemon for 450 ms (800 ms right after a claim). Checkpoints carry the number of such decisions, so that a home which is busy shows that it is at work, without a clock; one that is cut off from the fleet does not.

--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -121,8 +121,8 @@
 		if !s.home.fleet.Listed() {
 			return "", errNoDaemonList
 		}
-		if !a.handed.supersedes(current) && s.isHeldBy(ctx, current.Home, a) {
-			return current.Home, nil
+		if !a.handed.supersedes(current) && s.incumbentDecides(ctx, a, current.incumbent(s.number), s.readIncumbent) {
+			return a.incumbent, nil
 		}
 		err = s.acquireFromCheckpoint(ctx, current, version, a)
 		if !errors.Is(err, errAcquireConflict) {
@@ -132,6 +132,12 @@
 	return "", errAcquireConflict
 }
 
+// readIncumbent returns the home that the checkpoint names.
+func (s *shard) readIncumbent(ctx context.Context) (incumbent, error) {
+	current, _, err := s.readCheckpoint(ctx, s.home.config.CheckpointReadTimeout)
+	return current.incumbent(s.number), err
+}
+
 // supersedes reports whether the handed-over state is newer than a checkpoint: no other home
 // has decided in between.
 func (h *handover) supersedes(c checkpoint) bool {
@@ -145,48 +151,6 @@
 	return decodeCheckpoint(s.home.store.Get(ctx, checkpointKey(s.number)))
 }
 
-// isHeldBy reports whether another daemon is live and decides about the shard. Without this
-// check a daemon that has just started would take the shard over from one with more recent
-// state.
-func (s *shard) isHeldBy(ctx context.Context, home string, a *acquisition) bool {
-	a.incumbent, a.incumbentState, a.incumbentAnswer = home, s.home.stateOf(home), ""
-	if home == "" || home == s.home.fleet.Self().Name || !s.home.isLive(home) {
-		return false
-	}
-	defer a.endStep("ask")
-	ctx, cancel := context.WithTimeout(ctx, s.home.config.QueryTimeout)
-	defer cancel()
-	var reply holdsReply
-	err := peer.Call(ctx, s.home.dialer, home, methodHolds, shardRequest{Shard: s.number}, &reply)
-	switch {
-	case err != nil:
-		a.incumbentAnswer = "none"
-	case reply.Holds:
-		a.incumbentAnswer = "holds"
-	default:
-		a.incumbentAnswer = "does not hold"
-	}
-	return err == nil && reply.Holds
-}
-
-// stateOf returns this daemon's view of another one for the logs: "live", "leaving" or
-// "unknown".
-func (h *Home) stateOf(name string) string {
-	switch {
-	case h.isLive(name):
-		return structs.StateLive
-	case h.isLeaving(name):
-		return structs.StateLeaving
-	default:
-		return "unknown"
-	}
-}
-
-// isLive reports whether a daemon is considered alive and is not leaving.
-func (h *Home) isLive(name string) bool {
-	return slices.ContainsFunc(h.fleet.Live(), func(i structs.Instance) bool { return i.Name == name })
-}
-
 // acquireFromCheckpoint claims the checkpoint by a conditional write under its version,
 // which only one daemon can win, and then fences the journals that it lists. From then on
 // the previous home's next checkpoint write fails, and so do its writes to the journals.
@@ -354,8 +318,10 @@
 	replicated := seen.fence.Number != 0 && seen.replicaFence == seen.fence
 	handedOver := handed != nil && handed.Journals != nil && seen.fence == handed.Fence
 	switch {
-	case !handedOver && s.isHeldBy(ctx, seen.fence.Home, a):
-		return seen.fence.Home, nil
+	case !handedOver && s.incumbentDecides(ctx, a, seen.incumbent(), func(ctx context.Context) (incumbent, error) {
+		return s.queryFences(ctx, keepers, nil).incumbent(), nil
+	}):
+		return a.incumbent, nil
 	case !handedOver && !replicated:
 		return "", errNoCheckpoint
 	}
@@ -405,11 +371,12 @@
 
 // fenceStatus is the state of a shard in the journals, read without fencing it.
 type fenceStatus struct {
-	// fence is the highest fence found, and replicaFence the one under which the newest
-	// replica was written.
-	fence        journal.Fence
-	replicaFence journal.Fence
-	journals     journalSet
+	// fence is the highest fence found, replicaFence the one under which the newest replica
+	// was written, and replicaSequence the last write to it.
+	fence           journal.Fence
+	replicaFence    journal.Fence
+	replicaSequence int64
+	journals        journalSet
 }
 
 // queryFences asks the journals for the fence in force. If wanted is not empty, it returns
@@ -448,6 +415,9 @@
 		f.fence = reply.Fence
 	}
 	if reply.Replica.Fence.Number > f.replicaFence.Number {
-		f.replicaFence = reply.Replica.Fence
+		f.replicaFence, f.replicaSequence = reply.Replica.Fence, 0
+	}
+	if reply.Replica.Fence == f.replicaFence {
+		f.replicaSequence = max(f.replicaSequence, reply.Replica.Sequence)
 	}
 }
--- a/internal/tokenbudget/acquisition.go
+++ b/internal/tokenbudget/acquisition.go
@@ -20,6 +20,8 @@
 	incumbent       string
 	incumbentState  string
 	incumbentAnswer string
+	// silent is the last activity of an incumbent that counts as dead.
+	silent activity
 
 	startedAt time.Time
 	stepAt    time.Time
--- a/internal/tokenbudget/checkpoint.go
+++ b/internal/tokenbudget/checkpoint.go
@@ -30,6 +30,9 @@
 	// the checkpoint before it knows what newer totals the journals hold.
 	ContentEpoch int64 `json:"basis"`
 	Sequence     int64 `json:"sequence"`
+	// Decisions is the number of reservations of other daemons that the home has decided
+	// about. It shows the others that a home which answers slowly is at work.
+	Decisions int64 `json:"decisions,omitempty"`
 	// MaxTurnTokens is the largest turn that may have been granted to a program beyond its
 	// total here.
 	MaxTurnTokens int `json:"most"`
--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -117,7 +117,7 @@
 	s.sequence++
 	next := checkpoint{
 		Epoch: fence.Number, Home: fence.Home, ContentEpoch: fence.Number, Sequence: s.sequence,
-		MaxTurnTokens: maxTurnTokens, Journals: journals,
+		Decisions: s.decisions, MaxTurnTokens: maxTurnTokens, Journals: journals,
 	}
 	s.mu.Unlock()
 
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		s := h.shard(number)
-		if s.holds() || s.isHeldBy(ctx, s.redirectTarget(now), newAcquisition(nil, nil)) {
+		if target := s.redirectTarget(now); s.holds() || (h.isLive(target) && s.askIncumbent(ctx, target) == answerHolds) {
 			continue
 		}
 		if _, err := s.ensureHeld(ctx, nil); err != nil {
@@ -222,6 +222,7 @@
 	if err != nil {
 		return err
 	}
+	h.shard(h.config.shardOf(request.Reservation.Program)).countDecision()
 	if err := s.Send(reply); err != nil {
 		return err
 	}
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -47,6 +47,8 @@
 	replica        replicaState
 	// sequence numbers the writes to checkpoint and journals under the fence.
 	sequence int64
+	// decisions counts the reservations of other daemons that this one has decided about.
+	decisions int64
 	// fencedJournals are the journals that accepted this home's fence, and wantedJournals
 	// those that the checkpoint is to list.
 	fencedJournals map[string]fencedJournal
@@ -87,6 +89,7 @@
 	s.idleCheckpoint = idleCheckpointState{}
 	s.replica = replicaState{}
 	s.sequence = 0
+	s.decisions = 0
 	s.fencedJournals = map[string]fencedJournal{}
 	s.wantedJournals = nil
 	s.notify()
@@ -188,6 +191,13 @@
 	return reserveReply{Provisional: true}, confirm, nil
 }
 
+// countDecision counts a reservation of another daemon.
+func (s *shard) countDecision() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decisions++
+}
+
 // confirm waits until the total of a held reservation is durable. Failures is the value of
 // writeFailures at the time of the reservation.
 func (s *shard) confirm(
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -59,6 +59,12 @@
 	// DefaultQueryTimeout limits a short request to another daemon: several times the
 	// latency between regions plus a disk sync.
 	DefaultQueryTimeout = 150 * time.Millisecond
+	// DefaultSilenceLimit is how long a home may neither answer nor store decisions before
+	// another daemon replaces it: three queries, within the time that callers wait.
+	DefaultSilenceLimit = 450 * time.Millisecond
+	// DefaultClaimLimit is the same for a home that has claimed the shard and not stored
+	// anything yet: the duration of a takeover on a busy instance, within the time that callers wait.
+	DefaultClaimLimit = 800 * time.Millisecond
 	// DefaultFenceTimeout limits the fencing of one journal, which answers with all totals
 	// that it holds. 150 ms were too short with 3,000 programs and eight journals in a fleet
 	// of 76 instances.
@@ -125,6 +131,8 @@
 	PendingAfter           time.Duration
 	ReserveLimit           time.Duration
 	QueryTimeout           time.Duration
+	SilenceLimit           time.Duration
+	ClaimLimit             time.Duration
 	FenceTimeout           time.Duration
 	FenceGrace             time.Duration
 	JournalWriteTimeout    time.Duration
@@ -153,6 +161,8 @@
 	defaults.Set(&c.PendingAfter, DefaultPendingAfter)
 	defaults.Set(&c.ReserveLimit, DefaultReserveLimit)
 	defaults.Set(&c.QueryTimeout, DefaultQueryTimeout)
+	defaults.Set(&c.SilenceLimit, DefaultSilenceLimit)
+	defaults.Set(&c.ClaimLimit, DefaultClaimLimit)
 	defaults.Set(&c.FenceTimeout, DefaultFenceTimeout)
 	defaults.Set(&c.FenceGrace, DefaultFenceGrace)
 	defaults.Set(&c.JournalWriteTimeout, DefaultJournalWriteTimeout)
