--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -144,6 +144,15 @@
 	return h != nil && c.Epoch == h.Fence.Number && c.Home == h.Fence.Home
 }
 
+// known returns the totals that need not be read from the journals: those that the
+// checkpoint holds, or all up to the home that handed its own over.
+func (h *handover) known(c checkpoint) journal.Known {
+	if h.supersedes(c) {
+		return journal.Known{Number: h.Fence.Number + 1}
+	}
+	return journal.Known{Number: c.ContentEpoch, Sequence: c.Sequence}
+}
+
 // readCheckpoint reads the shard's checkpoint and the version of its object.
 func (s *shard) readCheckpoint(ctx context.Context, timeout time.Duration) (checkpoint, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -185,7 +194,7 @@
 	}
 	s.setClaiming(true)
 	defer s.setClaiming(false)
-	f := s.fenceAll(ctx, fence, keepers, current.Journals)
+	f := s.fenceAll(ctx, fence, keepers, current.Journals, a.handed.known(current))
 	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
@@ -330,7 +339,7 @@
 		Shard: s.number, Number: max(seen.fence.Number, s.highestFence) + 1, Home: s.home.fleet.Self().Name,
 	}
 	s.mu.Unlock()
-	f := s.fenceAll(ctx, fence, keepers, nil)
+	f := s.fenceAll(ctx, fence, keepers, nil, journal.Known{})
 	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
--- a/internal/tokenbudget/journal/journal.go
+++ b/internal/tokenbudget/journal/journal.go
@@ -185,6 +185,26 @@
 	s.replica.Totals = nil
 }
 
+// Known describes the totals that a reader of a replica has from elsewhere: all those
+// written under a fence number below Number, and those written under it before Sequence.
+type Known struct {
+	Number   int64 `msgpack:"kn,omitempty"`
+	Sequence int64 `msgpack:"kq,omitempty"`
+}
+
+// covers reports whether the reader has a total of a replica under a fence number.
+func (k Known) covers(number, sequence int64) bool {
+	return number < k.Number || (number == k.Number && sequence < k.Sequence)
+}
+
+// without returns the replica without the totals that the reader has.
+func (r Replica) without(known Known) Replica {
+	r.Totals = slices.DeleteFunc(r.Totals, func(total ledger.ProgramTotal) bool {
+		return known.covers(r.Fence.Number, total.Sequence)
+	})
+	return r
+}
+
 // withTotals returns the replica with its unexpired totals.
 func (s *shard) withTotals(now time.Time) Replica {
 	replica := s.replica
@@ -207,9 +227,9 @@
 	return s
 }
 
-// Fence fences a shard and returns the previous fence and the stored replica. With ErrFenced
-// it returns the fence in force.
-func (j *Journal) Fence(f Fence, now time.Time) (Fence, Replica, error) {
+// Fence fences a shard and returns the previous fence and the stored replica without the
+// known totals. With ErrFenced it returns the fence in force.
+func (j *Journal) Fence(f Fence, known Known, now time.Time) (Fence, Replica, error) {
 	j.mu.Lock()
 	s := j.shard(f.Shard)
 	if f.Number < s.fence.Number || (f.Number == s.fence.Number && f.Home != s.fence.Home) {
@@ -219,7 +239,7 @@
 	}
 	previous := s.fence
 	s.fence = f
-	replica := s.withTotals(now)
+	replica := s.withTotals(now).without(known)
 	done := j.enqueue(record{Fence: &f})
 	j.mu.Unlock()
 	return previous, replica, <-done
--- a/internal/tokenbudget/journal/journal_test.go
+++ b/internal/tokenbudget/journal/journal_test.go
@@ -49,7 +49,7 @@
 	require.NoError(t, err)
 	j := open(t, file)
 	id := j.ID()
-	_, _, err = j.Fence(fence(1, "a"), time.Now())
+	_, _, err = j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.NoError(t, j.Append(nextWrite(totalOf("p", 500))))
 	last := nextWrite(totalOf("p", 400))
@@ -57,7 +57,7 @@
 	require.NoError(t, j.Close())
 	j = open(t, file)
 	require.Equal(t, id, j.ID(), "the identity of an existing journal does not change")
-	previous, found, err := j.Fence(fence(2, "b"), time.Now())
+	previous, found, err := j.Fence(fence(2, "b"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.Equal(t, fence(1, "a"), previous)
 	require.Equal(t, last, found, "the newest total takes precedence")
@@ -66,22 +66,53 @@
 
 func TestFencedHomeCannotWrite(t *testing.T) {
 	j := open(t, journaltest.NewDisk())
-	_, _, err := j.Fence(fence(1, "a"), time.Now())
+	_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
-	_, _, err = j.Fence(fence(2, "b"), time.Now())
+	_, _, err = j.Fence(fence(2, "b"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.ErrorIs(t, j.Append(nextWrite(totalOf("p", 1))), journal.ErrFenced)
-	held, _, err := j.Fence(fence(1, "a"), time.Now())
+	held, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.ErrorIs(t, err, journal.ErrFenced)
 	require.Equal(t, fence(2, "b"), held)
-	_, _, err = j.Fence(fence(2, "c"), time.Now())
+	_, _, err = j.Fence(fence(2, "c"), journal.Known{}, time.Now())
 	require.ErrorIs(t, err, journal.ErrFenced, "of two fences with the same number the first wins")
 }
 
+// Guards against a fence that returns totals which its caller has from the checkpoint.
+func TestFenceOmitsKnownTotals(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		known journal.Known
+		found int
+	}{
+		{"nothing known", journal.Known{}, 2},
+		{"checkpoint of an earlier fence", journal.Known{Number: 0, Sequence: 9}, 2},
+		{"checkpoint between the writes", journal.Known{Number: 1, Sequence: 2}, 1},
+		{"checkpoint after the writes", journal.Known{Number: 1, Sequence: 3}, 0},
+		{"checkpoint of a later fence", journal.Known{Number: 2}, 0},
+	} {
+		j := open(t, journaltest.NewDisk())
+		_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
+		require.NoError(t, err)
+		for i, program := range []string{"p", "q"} {
+			write := nextWrite(totalOf(program, 1))
+			write.Sequence = int64(i + 1)
+			write.Totals[0].Sequence = write.Sequence
+			require.NoError(t, j.Append(write))
+		}
+		_, found, err := j.Fence(fence(2, "b"), c.known, time.Now())
+		require.NoError(t, err)
+		require.Len(t, found.Totals, c.found, c.name)
+		_, found, err = j.Fence(fence(3, "c"), journal.Known{}, time.Now())
+		require.NoError(t, err)
+		require.Len(t, found.Totals, 2, "%s: omitted totals stay in the journal", c.name)
+	}
+}
+
 func TestTornRecordIsIgnored(t *testing.T) {
 	disk := journaltest.NewDisk()
 	j := open(t, disk)
-	_, _, err := j.Fence(fence(1, "a"), time.Now())
+	_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	first := nextWrite(totalOf("p", 1))
 	require.NoError(t, j.Append(first))
@@ -90,7 +121,7 @@
 	for size := len(intact); size < len(disk.Content()); size++ {
 		torn := journaltest.NewDisk()
 		require.NoError(t, torn.Replace(disk.Content()[:size]))
-		_, found, err := open(t, torn).Fence(fence(2, "b"), time.Now())
+		_, found, err := open(t, torn).Fence(fence(2, "b"), journal.Known{}, time.Now())
 		require.NoError(t, err)
 		require.Equal(t, first.Totals, found.Totals)
 	}
@@ -108,7 +139,7 @@
 func TestCompleteReplicaReplacesEarlierTotals(t *testing.T) {
 	disk := journaltest.NewDisk()
 	j := open(t, disk)
-	_, _, err := j.Fence(fence(1, "a"), time.Now())
+	_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.NoError(t, j.Append(nextWrite(totalOf("p", 900))))
 	complete := nextWrite(totalOf("q", 200))
@@ -120,7 +151,7 @@
 	require.True(t, seen.Complete)
 	require.Empty(t, seen.Totals)
 	for range 2 {
-		_, found, err := open(t, disk).Fence(fence(1, "a"), time.Now())
+		_, found, err := open(t, disk).Fence(fence(1, "a"), journal.Known{}, time.Now())
 		require.NoError(t, err)
 		require.True(t, found.Complete)
 		require.ElementsMatch(t, append(complete.Totals, later.Totals...), found.Totals)
@@ -129,17 +160,17 @@
 
 func TestNextHomeStartsNewReplica(t *testing.T) {
 	j := open(t, journaltest.NewDisk())
-	_, _, err := j.Fence(fence(1, "a"), time.Now())
+	_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	complete := nextWrite(totalOf("p", 900))
 	complete.Complete = true
 	require.NoError(t, j.Append(complete))
-	_, found, err := j.Fence(fence(2, "b"), time.Now())
+	_, found, err := j.Fence(fence(2, "b"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.Equal(t, complete, found)
 	next := journal.Replica{Fence: fence(2, "b"), Sequence: 1, Totals: totalOf("q", 1)}
 	require.NoError(t, j.Append(next))
-	_, found, err = j.Fence(fence(3, "c"), time.Now())
+	_, found, err = j.Fence(fence(3, "c"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	require.Equal(t, next, found, "changes alone are not a complete replica")
 }
@@ -148,7 +179,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		disk := journaltest.NewDisk()
 		j := open(t, disk)
-		_, _, err := j.Fence(fence(1, "a"), time.Now())
+		_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 		require.NoError(t, err)
 		disk.Fail(errors.New("no space left"))
 		require.ErrorIs(t, j.Append(nextWrite(totalOf("p", 1))), journal.ErrDisk)
@@ -161,7 +192,7 @@
 		require.NoError(t, j.Retry())
 		last := nextWrite(totalOf("q", 3))
 		require.NoError(t, j.Append(last))
-		_, found, err := open(t, disk).Fence(fence(2, "b"), time.Now())
+		_, found, err := open(t, disk).Fence(fence(2, "b"), journal.Known{}, time.Now())
 		require.NoError(t, err)
 		require.Contains(t, found.Totals, last.Totals[0])
 	})
@@ -170,7 +201,7 @@
 func TestFileIsCompacted(t *testing.T) {
 	disk := journaltest.NewDisk()
 	j := open(t, disk)
-	_, _, err := j.Fence(fence(1, "a"), time.Now())
+	_, _, err := j.Fence(fence(1, "a"), journal.Known{}, time.Now())
 	require.NoError(t, err)
 	name := strings.Repeat("p", 1<<10)
 	for i := range 10_000 {
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -105,16 +105,16 @@
 	return replies
 }
 
-// fenceAll fences a shard in several journals in parallel. It returns FenceGrace after
-// enough of the wanted journals have answered.
+// fenceAll fences a shard in several journals in parallel and reads the totals that known
+// does not cover. It returns FenceGrace after enough of the wanted journals have answered.
 func (s *shard) fenceAll(
-	ctx context.Context, fence journal.Fence, keepers []structs.Instance, wanted journalSet,
+	ctx context.Context, fence journal.Fence, keepers []structs.Instance, wanted journalSet, known journal.Known,
 ) fencing {
 	f := fencing{fence: fence, replies: map[string]fenceReply{}}
 	replies := callKeepers(ctx, s.home.config.FenceTimeout, keepers,
 		func(ctx context.Context, keeper string) (fenceReply, error) {
 			var reply fenceReply
-			err := peer.Call(ctx, s.home.dialer, keeper, methodFence, fence, &reply)
+			err := peer.Call(ctx, s.home.dialer, keeper, methodFence, fenceRequest{Fence: fence, Known: known}, &reply)
 			return reply, err
 		})
 	var grace <-chan time.Time
@@ -222,7 +222,8 @@
 	}
 	var f fencing
 	if len(missing) > 0 {
-		f = s.fenceAll(ctx, fence, missing, nil)
+		// The totals of these journals are not needed: this home has already taken over.
+		f = s.fenceAll(ctx, fence, missing, nil, journal.Known{Number: fence.Number + 1})
 	}
 	if other := f.conflicting(); other.Number > fence.Number {
 		s.noteConflictingFence(other.Number)
--- a/internal/tokenbudget/keeper.go
+++ b/internal/tokenbudget/keeper.go
@@ -47,11 +47,12 @@
 }
 
 func (k *Keeper) serveFence(_ context.Context, s peer.Stream) error {
-	var f journal.Fence
-	if err := s.Recv(&f); err != nil {
+	var request fenceRequest
+	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	previous, replica, err := k.journal.Fence(f, time.Now())
+	f := request.Fence
+	previous, replica, err := k.journal.Fence(f, request.Known, time.Now())
 	if errors.Is(err, journal.ErrFenced) {
 		return s.Send(fenceReply{Held: previous})
 	}
--- a/internal/tokenbudget/takeover_test.go
+++ b/internal/tokenbudget/takeover_test.go
@@ -9,9 +9,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/fake/objects"
 	"ibisline/internal/tokenbudget"
+	"ibisline/internal/tokenbudget/journal"
+	"ibisline/internal/tokenbudget/ledger"
 )
 
 // inFleet runs a test on a fleet of three gateways and three keepers under virtual time.
@@ -240,3 +243,43 @@
 		require.False(t, listed())
 	})
 }
+
+// Guards against a takeover that reads the totals of all programs from every journal, which
+// keeps the new home busy while callers wait for it.
+func TestTakeoverReadsOnlyTotalsNewerThanCheckpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 3, 8)
+		defer f.close()
+		const programs = 300
+		for i := range programs {
+			require.NoError(t, f.turn(f.gateways[i%3].daemon, fmt.Sprint("p", i), maxTurnTokens/2, 0))
+		}
+		time.Sleep(2 * time.Second)
+		home := f.homeOf("p0")
+		f.gateways[home].crash()
+		f.publishLive()
+		_, before := f.network.Traffic()
+		takeover := time.Now()
+		require.NoError(t, f.turn(f.gateways[(home+1)%3].daemon, "p0", 35, 0))
+		require.Less(t, time.Since(takeover), time.Second)
+		_, after := f.network.Traffic()
+		// The new home writes one replica to each of the eight journals. Reading one from each
+		// would double that.
+		require.Less(t, after-before, f.replicaBytes(t, f.homeOf("p0"))*12)
+	})
+}
+
+// replicaBytes returns the size of a complete replica of a home.
+func (f *fleet) replicaBytes(t *testing.T, home int) int {
+	var totals []ledger.ProgramTotal
+	for _, shard := range f.gateways[home].home.Dump().([]tokenbudget.ShardState) {
+		for _, usage := range shard.Usages {
+			totals = append(totals, ledger.ProgramTotal{
+				Program: usage.Program, Total: usage.Total, Expires: time.Now().UnixMilli(), Sequence: 1,
+			})
+		}
+	}
+	encoded, err := msgpack.Marshal(journal.Replica{Totals: totals})
+	require.NoError(t, err)
+	return len(encoded)
+}
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -229,6 +229,12 @@
 	Used    int    `msgpack:"u"`
 }
 
+// fenceRequest fences a shard in a journal. The reply omits the totals that Known covers.
+type fenceRequest struct {
+	journal.Fence `msgpack:",inline"`
+	Known         journal.Known `msgpack:"k"`
+}
+
 // fenceReply answers the fencing of a shard in a journal. Held is the fence in force, which
 // is the caller's own if it was accepted, and Previous the one that it replaced.
 type fenceReply struct {
