Hand a shard over in a planned stop before callers take it

A daemon that hands a shard over now says to whom when it is asked. A stopping daemon acquires nothing: it refuses to be a successor, so that the next one is tried, always redirects, and tells callers to pass it over.

TestStoppingGatewayDoesNotBecomeHomeAgain and TestSuccessorWaitsForHandedOverTotals failed before.

--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -24,6 +24,7 @@
 	errTooFewJournals  = errors.New("too few of the journals listed in the checkpoint are reachable")
 	errNoCheckpoint    = errors.New("neither the checkpoint nor a complete replica in the journals can be read")
 	errAcquireConflict = errors.New("another daemon is acquiring the shard at the same time")
+	errLeaving         = errors.New("this daemon is leaving")
 	errNoDaemonList    = errors.New("the list of daemons has not been read from the platform yet")
 )
 
@@ -96,12 +97,26 @@
 	return verdict.Wrap(cause, verdict.NotRun, verdict.PeerLost, "the shard of budgets cannot be taken over here")
 }
 
+// acquireRefusal returns the answer to a home whose shard this daemon has not taken over.
+func acquireRefusal(cause error) error {
+	if errors.Is(cause, errLeaving) {
+		return verdict.Refuse(verdict.Stopping, "this daemon is leaving")
+	}
+	return shardNotAcquired(cause)
+}
+
 // acquire makes this daemon the home, starting from the checkpoint, or from the replica in
 // the journals while the platform is unreachable. If another daemon already decides about
 // the shard, it returns that daemon's name.
 func (s *shard) acquire(ctx context.Context, a *acquisition) (string, error) {
 	timeout := s.home.config.CheckpointReadTimeout
 	for range maxAcquireAttempts {
+		if s.home.leaving.Load() {
+			return "", errLeaving
+		}
+		if offered := s.takeOffer(); offered != nil && (a.handed == nil || a.handed.Fence.Number < offered.Fence.Number) {
+			a.handed = offered
+		}
 		a.attempts++
 		current, version, err := s.readCheckpoint(ctx, timeout)
 		a.endStep("read")
@@ -124,6 +139,9 @@
 		if !a.handed.supersedes(current) && s.incumbentDecides(ctx, a, current.incumbent(s.number), s.readIncumbent) {
 			return a.incumbent, nil
 		}
+		if s.hasOffer() {
+			continue
+		}
 		err = s.acquireFromCheckpoint(ctx, current, version, a)
 		if !errors.Is(err, errAcquireConflict) {
 			return "", err
@@ -211,6 +229,9 @@
 	s.idleCheckpoint = idleCheckpointState{known: true, version: idleVersion}
 	s.checkpoint = checkpointState{known: true, version: claimed, journals: claim.Journals}
 	s.startDeciding(fence, f, keepers)
+	if a.handed != nil {
+		s.handedBy = a.handed.Fence
+	}
 	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", s.ledger.Len()).
 		WithField("handed_over", a.handed.supersedes(current)).WithField("journals", len(f.accepted())).
 		Info("budgets of a shard taken over")
@@ -373,6 +394,9 @@
 	s.ledger.Restore(from.Totals, ledger.FromJournals)
 	s.checkpoint = checkpointState{journals: from.Journals, failing: true}
 	s.startDeciding(fence, f, keepers)
+	if a.handed != nil {
+		s.handedBy = a.handed.Fence
+	}
 	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", len(from.Totals)).
 		Info("budgets of a shard taken over without their record")
 	return nil
--- a/internal/tokenbudget/client.go
+++ b/internal/tokenbudget/client.go
@@ -83,6 +83,9 @@
 			return nil, verdict.Refuse(verdict.BudgetSpent, "the budget of %d tokens does not hold another turn", r.Budget)
 		case err == nil:
 			next = reply.Home
+			if reply.Leaving {
+				skipped = append(skipped, home)
+			}
 		default:
 			failure = err
 			c.evictHome(shard, home)
--- /dev/null
+++ b/internal/tokenbudget/handover_test.go
@@ -0,0 +1,87 @@
+package tokenbudget_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/tokenbudget"
+)
+
+// Guards against a gateway in a planned stop taking a shard over again, because others that do
+// not know yet that it is leaving send it the requests that it redirects.
+func TestStoppingGatewayDoesNotBecomeHomeAgain(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+		stopping := f.gateways[f.homeOf("p")]
+		var others []*gatewayNode
+		var names []string
+		for _, g := range f.gateways {
+			if g != stopping {
+				others = append(others, g)
+				names = append(names, g.Self().Name)
+			}
+		}
+		for _, k := range f.keepers {
+			names = append(names, k.name)
+		}
+		stopping.SetLive(names...)
+		f.setStopping(stopping.Self().Name, true)
+		for _, g := range others {
+			// The handover is lost, so that the successor has to take the shard over itself.
+			f.network.Cut(stopping.Self().Name, g.Self().Name, true)
+		}
+		go stopping.home.HandOver(context.Background())
+		time.Sleep(time.Millisecond)
+		for _, g := range others {
+			f.network.Cut(stopping.Self().Name, g.Self().Name, false)
+		}
+		for i := range 20 {
+			_ = f.turn(others[i%2].daemon, "p", 35, time.Millisecond)
+			require.False(t, stopping.home.Holds("p"), "the stopping gateway is the home again")
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.NoError(t, f.turn(others[0].daemon, "p", 35, time.Millisecond))
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// Guards against callers' requests overtaking a handover: the successor took the shard over
+// from the checkpoint, with estimated totals, because the state of its predecessor was still
+// on its way.
+func TestSuccessorWaitsForHandedOverTotals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 3, 3)
+		defer f.close()
+		const programs = 200
+		for i := range programs {
+			require.NoError(t, f.turn(f.gateways[i%3].daemon, fmt.Sprint("p", i), maxTurnTokens/2, 0))
+		}
+		time.Sleep(2 * time.Second)
+		stopping := f.gateways[f.homeOf("p0")]
+		// At this bandwidth the state takes about 100 ms.
+		f.network.SetBandwidth(100_000)
+		var waiting sync.WaitGroup
+		for _, g := range f.gateways {
+			if g != stopping {
+				waiting.Go(func() {
+					time.Sleep(5 * time.Millisecond)
+					require.NoError(t, f.turn(g.daemon, "p0", 35, time.Millisecond))
+				})
+			}
+		}
+		stopping.leave()
+		waiting.Wait()
+		time.Sleep(time.Second)
+		for _, shard := range f.gateways[f.homeOf("p0")].home.Dump().([]tokenbudget.ShardState) {
+			for _, usage := range shard.Usages {
+				require.False(t, usage.Estimated, "the total of %s is an estimate", usage.Program)
+			}
+		}
+	})
+}
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -33,6 +33,8 @@
 	// shard assigned to this daemon.
 	checkedFleet []structs.Instance
 	checkedAt    time.Time
+	// leaving is set once this daemon hands its shards over in a planned stop.
+	leaving atomic.Bool
 	// orphaned is set when a shard may be without a home.
 	orphaned atomic.Bool
 
@@ -103,7 +105,7 @@
 	live, now := h.fleet.Live(), time.Now()
 	unchanged := !h.orphaned.Swap(false) && slices.Equal(live, h.checkedFleet) &&
 		now.Sub(h.checkedAt) < h.config.OrphanCheckInterval
-	if !h.fleet.Listed() || unchanged {
+	if !h.fleet.Listed() || unchanged || h.leaving.Load() {
 		return
 	}
 	self := h.fleet.Self().Name
@@ -113,7 +115,7 @@
 			continue
 		}
 		s := h.shard(number)
-		if target := s.redirectTarget(now); s.holds() || (h.isLive(target) && s.askIncumbent(ctx, target) == answerHolds) {
+		if target := s.redirectTarget(now); s.holds() || (h.isLive(target) && s.askIncumbent(ctx, target).answer == answerHolds) {
 			continue
 		}
 		if _, err := s.ensureHeld(ctx, nil); err != nil {
@@ -175,8 +177,9 @@
 // the final decision.
 func (h *Home) reserve(ctx context.Context, request reserveRequest) (reserveReply, confirmation, error) {
 	s := h.shard(h.config.shardOf(request.Reservation.Program))
-	if home := h.preferredHome(s, request.Skipped); home != "" && !request.NoRedirect {
-		return reserveReply{Home: home}, nil, nil
+	leaving := h.leaving.Load() && !s.holds()
+	if home := h.preferredHome(s, request.Skipped); home != "" && (leaving || !request.NoRedirect) {
+		return reserveReply{Home: home, Leaving: leaving}, nil, nil
 	}
 	return s.reserve(ctx, request.Reservation, request.Skipped)
 }
@@ -261,7 +264,7 @@
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	return s.Send(holdsReply{Holds: h.shard(request.Shard).canDecide()})
+	return s.Send(h.shard(request.Shard).status())
 }
 
 // Holds reports whether this daemon believes to be the home of a program.
--- a/internal/tokenbudget/incumbent.go
+++ b/internal/tokenbudget/incumbent.go
@@ -57,10 +57,18 @@
 	}
 	known, silentSince := first, time.Now()
 	for refusals, changes := 0, 0; s.home.isReachable(first.home); {
-		a.incumbentAnswer = s.askIncumbent(ctx, first.home)
-		switch a.incumbentAnswer {
+		reply := s.askIncumbent(ctx, first.home)
+		a.incumbentAnswer = reply.answer
+		switch reply.answer {
 		case answerHolds:
 			return true
+		case answerHandsOver:
+			if reply.successor != s.home.fleet.Self().Name {
+				a.incumbent = reply.successor
+				return true
+			}
+			s.awaitOffer(ctx)
+			return false
 		case answerHoldsNot:
 			return false
 		case answerRefused:
@@ -111,28 +119,35 @@
 
 // Answers of an incumbent, as logged.
 const (
-	answerHolds    = "holds"
-	answerHoldsNot = "does not hold"
-	answerNone     = "none"
-	answerRefused  = "connection refused"
-	answerActive   = "none, but stores decisions"
+	answerHolds     = "holds"
+	answerHoldsNot  = "does not hold"
+	answerHandsOver = "hands over"
+	answerNone      = "none"
+	answerRefused   = "connection refused"
+	answerActive    = "none, but stores decisions"
 )
 
+// incumbentReply is the answer of an incumbent, and its successor if it is handing the shard
+// over.
+type incumbentReply struct{ answer, successor string }
+
 // askIncumbent asks a daemon whether it decides about the shard.
-func (s *shard) askIncumbent(ctx context.Context, home string) string {
+func (s *shard) askIncumbent(ctx context.Context, home string) incumbentReply {
 	ctx, cancel := context.WithTimeout(ctx, s.home.config.QueryTimeout)
 	defer cancel()
 	var reply holdsReply
 	err := peer.Call(ctx, s.home.dialer, home, methodHolds, shardRequest{Shard: s.number}, &reply)
 	switch {
 	case err == nil && reply.Holds:
-		return answerHolds
+		return incumbentReply{answer: answerHolds}
+	case err == nil && reply.Successor != "" && s.home.isReachable(reply.Successor):
+		return incumbentReply{answer: answerHandsOver, successor: reply.Successor}
 	case err == nil:
-		return answerHoldsNot
+		return incumbentReply{answer: answerHoldsNot}
 	case ctx.Err() == nil:
-		return answerRefused
+		return incumbentReply{answer: answerRefused}
 	default:
-		return answerNone
+		return incumbentReply{answer: answerNone}
 	}
 }
 
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -54,6 +54,14 @@
 	fencedJournals map[string]fencedJournal
 	wantedJournals journalSet
 
+	// handingTo is the daemon to which the shard is being handed over.
+	handingTo string
+	// offered is the state that a leaving home has sent to this daemon, and offerArrived
+	// signals it. handedBy is the fence of the home from whose state this one started.
+	offered      *handover
+	offerArrived chan struct{}
+	handedBy     journal.Fence
+
 	// successor is the home that replaced this one. Requests are redirected to it until
 	// redirectUntil.
 	successor     string
@@ -69,6 +77,7 @@
 	s := &shard{
 		home: h, number: number, changed: make(chan struct{}),
 		acquiring: make(chan struct{}, 1), checkpointWake: make(chan struct{}, 1), replicaWake: make(chan struct{}, 1),
+		offerArrived: make(chan struct{}, 1),
 	}
 	s.acquiring <- struct{}{}
 	s.reset()
@@ -90,6 +99,7 @@
 	s.replica = replicaState{}
 	s.sequence = 0
 	s.decisions = 0
+	s.handedBy = journal.Fence{}
 	s.fencedJournals = map[string]fencedJournal{}
 	s.wantedJournals = nil
 	s.notify()
@@ -107,14 +117,6 @@
 	return s.held
 }
 
-// canDecide reports whether this daemon holds the shard and can store its decisions, or is
-// taking the shard over.
-func (s *shard) canDecide() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return (s.held && !s.writesFailing) || s.claiming
-}
-
 // holdsUnder reports whether the shard is still held under a fence. The caller holds
 // mu.
 func (s *shard) holdsUnder(fence journal.Fence) bool { return s.held && s.fence == fence }
@@ -129,6 +131,14 @@
 	return s.successor
 }
 
+// status returns the answer to another daemon that asks whether this one decides about the
+// shard.
+func (s *shard) status() holdsReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return holdsReply{Holds: (s.held && !s.writesFailing) || s.claiming, Successor: s.handingTo}
+}
+
 // redirectTo redirects requests about the shard to another home for RedirectDuration. The
 // caller holds mu.
 func (s *shard) redirectTo(home string) {
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -213,13 +213,15 @@
 
 // reserveReply is a home's decision. Pending means that the decision takes longer and
 // follows. Provisional is a grant whose total is not durable yet; the final decision
-// follows. Home names the daemon to ask instead if the receiver is not the home.
+// follows. Home names the daemon to ask instead if the receiver is not the home, and Leaving
+// is set if the receiver is leaving and will not become the home.
 type reserveReply struct {
 	Granted     bool   `msgpack:"g,omitempty"`
 	Provisional bool   `msgpack:"a,omitempty"`
 	Spent       bool   `msgpack:"s,omitempty"`
 	Pending     bool   `msgpack:"p,omitempty"`
 	Home        string `msgpack:"h,omitempty"`
+	Leaving     bool   `msgpack:"l,omitempty"`
 }
 
 // releaseRequest ends a reservation.
@@ -275,9 +277,11 @@
 	Shard int `msgpack:"s"`
 }
 
-// holdsReply reports whether a home decides about a shard.
+// holdsReply reports whether a daemon decides about a shard, or to which one it is handing
+// the shard over.
 type holdsReply struct {
-	Holds bool `msgpack:"h"`
+	Holds     bool   `msgpack:"h"`
+	Successor string `msgpack:"s,omitempty"`
 }
 
 // empty is the reply to a request without a result.
