Write a new home's complete replica to a quorum of journals first

Cause: before it grants on, a new home writes the totals of all programs to its journals. It encoded them for each of ten journals and sent all ten copies at once, and the limit of 400 ms is that of a small write. Where the write succeeded it took 0.5 to 1.1 s.

The replica is now encoded once, goes to three of the nearest journals at first and to a further one whenever one is slow or fails; two that hold it are enough for every later reader. It has a limit of its own, and a shard is handed over for lack of journals only if they do not answer a query either. The fences are queried while the idle checkpoint is read.

TestSlowCompleteReplicaDoesNotMoveShard failed before.

--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -184,14 +184,16 @@
 // Totals in the journals that are newer than the checkpoint take precedence. ContentEpoch
 // keeps naming the home that wrote the content until the next full checkpoint.
 func (s *shard) acquireFromCheckpoint(ctx context.Context, current checkpoint, version int64, a *acquisition) error {
+	keepers := s.home.keepers()
+	queried := make(chan fenceStatus, 1)
+	go func() { queried <- s.queryFences(ctx, keepers, current.Journals) }()
 	idle, idleVersion, err := s.readIdleCheckpoint(ctx)
 	a.endStep("read_idle")
+	seen := <-queried
+	a.endStep("query")
 	if err != nil {
 		return err
 	}
-	keepers := s.home.keepers()
-	seen := s.queryFences(ctx, keepers, current.Journals)
-	a.endStep("query")
 	if !s.journalsSuffice(current.Journals, seen.journals) {
 		// Claiming without enough journals would only disrupt the present home.
 		return errTooFewJournals
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"maps"
-	"sync"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/peer"
 	"ibisline/internal/tokenbudget/journal"
@@ -18,7 +20,7 @@
 	// journals holds the complete replica, so that writing the changes is enough. It is nil
 	// if no set of journals does.
 	journals journalSet
-	// failingSince is the time of the first failed write in a row, zero after a success.
+	// failingSince is the start of the first failed write in a row, zero after a success.
 	failingSince time.Time
 }
 
@@ -41,7 +43,7 @@
 		wait := s.home.config.JournalWriteMinGap
 		if err := s.replicate(ctx, fence); err != nil && ctx.Err() == nil {
 			s.log().WithError(err).Info("replica not written to the journals")
-			s.journalWriteFailed(ctx, fence)
+			s.journalWriteFailed(ctx, fence, started)
 			wake(s.replicaWake)
 		}
 		if left := wait - time.Since(started); left > 0 && !sleep(ctx, left) {
@@ -123,59 +125,132 @@
 	return nil
 }
 
-// writeToJournals writes to all journals of the sets in parallel. It succeeds as soon as
-// enough have acknowledged that a later home will find the replica.
+// writeToJournals writes to the journals of the sets. It succeeds as soon as enough have
+// acknowledged that a later home will find the replica. Changes go to all journals at once. A
+// complete replica is large and needed on a quorum only: it goes to a few of the nearest
+// journals, and to a further one whenever that is slow or fails.
 func (s *shard) writeToJournals(ctx context.Context, replica journal.Replica, sets []journalSet) error {
-	names := journalSet{}
-	for _, set := range sets {
-		for name := range set {
-			names[name] = 0
-		}
+	encoded, err := msgpack.Marshal(replica)
+	if err != nil {
+		return errors.Wrapf(err, "encode replica of shard %d", s.number)
 	}
-	type outcome struct {
-		name  string
-		reply extendReply
-		err   error
-	}
-	outcomes := make(chan outcome, len(names))
-	var calls sync.WaitGroup
-	for name := range names {
-		calls.Go(func() {
-			// Continues in the background after a quorum has acknowledged.
-			ctx, cancel := context.WithTimeout(ctx, s.home.config.JournalWriteTimeout)
-			defer cancel()
-			o := outcome{name: name}
-			o.err = peer.Call(ctx, s.home.dialer, name, methodExtend, replica, &o.reply)
-			outcomes <- o
-		})
-	}
-	go func() {
-		calls.Wait()
-		close(outcomes)
-	}()
 	acknowledged := journalSet{}
 	if s.quorumReached(acknowledged, sets) {
 		return nil
 	}
-	for o := range outcomes {
-		switch {
-		case o.err != nil:
-			s.log().WithError(o.err).WithField("keeper", o.name).Debug("journal did not answer")
-		case o.reply.Refused && o.reply.Held.Number > replica.Fence.Number:
-			s.giveUp(replica.Fence, o.reply.Held.Home, o.reply.Held.Number)
-			return errReplaced
-		case o.reply.Refused:
-			s.log().WithField("keeper", o.name).Warn("journal has lost its fence")
-		default:
-			acknowledged[o.name] = o.reply.Journal
-		}
-		if s.quorumReached(acknowledged, sets) {
-			return nil
+	w := &journalWrite{
+		shard: s, fence: replica.Fence, message: encoded, timeout: s.home.config.JournalWriteTimeout,
+		names: s.nearestFirst(sets),
+	}
+	w.outcomes = make(chan journalOutcome, len(w.names))
+	first := len(w.names)
+	if replica.Complete {
+		w.timeout = s.home.config.ReplicaWriteTimeout
+		first = min(first, s.home.config.LostDisks+firstReplicaSpares)
+	}
+	w.start(ctx, first)
+	further := time.NewTicker(s.home.config.ReplicaWriteStagger)
+	defer further.Stop()
+	for w.inFlight > 0 {
+		select {
+		case <-further.C:
+			w.start(ctx, 1)
+		case o := <-w.outcomes:
+			w.inFlight--
+			done, err := s.applyOutcome(o, replica.Fence, acknowledged)
+			if err != nil {
+				return err
+			}
+			if !done {
+				w.start(ctx, 1)
+			}
+			if s.quorumReached(acknowledged, sets) {
+				return nil
+			}
 		}
 	}
 	return errNoJournalQuorum
 }
 
+// firstReplicaSpares is the number of journals beyond the allowed losses that get a complete
+// replica at once: those of a quorum and one more.
+const firstReplicaSpares = 2
+
+// journalWrite is a write in progress to several journals.
+type journalWrite struct {
+	shard   *shard
+	fence   journal.Fence
+	message msgpack.RawMessage
+	timeout time.Duration
+	// names are the journals that have not been written to yet.
+	names    []string
+	inFlight int
+	outcomes chan journalOutcome
+}
+
+// journalOutcome is the outcome of a write to one journal.
+type journalOutcome struct {
+	name  string
+	reply extendReply
+	err   error
+}
+
+// start writes to the next journals. The writes continue in the background after a quorum has
+// acknowledged.
+func (w *journalWrite) start(ctx context.Context, count int) {
+	count = min(count, len(w.names))
+	for _, name := range w.names[:count] {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, w.timeout)
+			defer cancel()
+			o := journalOutcome{name: name}
+			o.err = peer.Call(ctx, w.shard.home.dialer, name, methodExtend, w.message, &o.reply)
+			w.outcomes <- o
+		}()
+	}
+	w.names = w.names[count:]
+	w.inFlight += count
+}
+
+// applyOutcome adds a journal that has acknowledged a write. It gives the shard up if another
+// home has fenced the journal.
+func (s *shard) applyOutcome(o journalOutcome, fence journal.Fence, acknowledged journalSet) (bool, error) {
+	switch {
+	case o.err != nil:
+		s.log().WithError(o.err).WithField("keeper", o.name).Debug("journal did not answer")
+		return false, nil
+	case o.reply.Refused && o.reply.Held.Number > fence.Number:
+		s.giveUp(fence, o.reply.Held.Home, o.reply.Held.Number)
+		return false, errReplaced
+	case o.reply.Refused:
+		s.log().WithField("keeper", o.name).Warn("journal has lost its fence")
+		return false, nil
+	default:
+		acknowledged[o.name] = o.reply.Journal
+		return true, nil
+	}
+}
+
+// nearestFirst returns the members of the sets in random order, those of this daemon's region
+// first.
+func (s *shard) nearestFirst(sets []journalSet) []string {
+	names := journalSet{}
+	for _, set := range sets {
+		maps.Copy(names, set)
+	}
+	ordered := slices.Collect(maps.Keys(names))
+	rand.Shuffle(len(ordered), func(i, j int) { ordered[i], ordered[j] = ordered[j], ordered[i] })
+	region := s.home.fleet.Self().Region
+	distant := func(name string) int {
+		if instance, known := s.home.fleet.Lookup(name); known && instance.Region == region {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(ordered, func(a, b string) int { return distant(a) - distant(b) })
+	return ordered
+}
+
 // quorumReached reports whether enough journals of every set have acknowledged a write. Sets
 // too small for a replica are ignored.
 func (s *shard) quorumReached(acknowledged journalSet, sets []journalSet) bool {
@@ -188,26 +263,27 @@
 }
 
 // journalWriteFailed fails the waiting reservations if the checkpoint cannot be written
-// either. If only the journals have failed for HandOverAfter, it hands the shard over to
-// another daemon, which may reach more journals.
-func (s *shard) journalWriteFailed(ctx context.Context, fence journal.Fence) {
+// either. If only the journals have failed for HandOverAfter and cannot be reached, it hands
+// the shard over to another daemon, which may reach more journals. Started is the start of the failed write.
+func (s *shard) journalWriteFailed(ctx context.Context, fence journal.Fence, started time.Time) {
 	s.mu.Lock()
 	if !s.holdsUnder(fence) {
 		s.mu.Unlock()
 		return
 	}
-	now := time.Now()
 	if s.replica.failingSince.IsZero() {
-		s.replica.failingSince = now
+		s.replica.failingSince = started
 	}
 	if s.checkpoint.failing {
 		s.writeFailures++
 		s.writesFailing = true
 		s.notify()
 	}
-	handOver := !s.checkpoint.failing && now.Sub(s.replica.failingSince) >= s.home.config.HandOverAfter
+	handOver := !s.checkpoint.failing && time.Since(s.replica.failingSince) >= s.home.config.HandOverAfter
+	sets := append(s.quorumSets(), s.wantedJournals)
 	s.mu.Unlock()
-	if handOver {
+	// Journals that answer a query are only slow, as they would be for another home.
+	if handOver && !s.quorumReached(s.queryFences(ctx, s.home.keepers(), nil).journals, sets) {
 		s.log().Warn("no journal quorum for the replica, handing the shard over to another daemon")
 		// The handover stops the writers of this shard, including the calling goroutine.
 		go s.handOver(context.WithoutCancel(ctx))
--- a/internal/tokenbudget/takeover_test.go
+++ b/internal/tokenbudget/takeover_test.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/fake/objects"
+	"ibisline/internal/fake/peers"
 	"ibisline/internal/tokenbudget"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/tokenbudget/ledger"
@@ -283,3 +284,32 @@
 	require.NoError(t, err)
 	return len(encoded)
 }
+
+// Guards against a new home handing the shard over because its complete replica takes longer
+// than a small write to a journal: the next home is as slow, so that the shard moves on and on.
+func TestSlowCompleteReplicaDoesNotMoveShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 3, 8)
+		defer f.close()
+		const programs = 300
+		for i := range programs {
+			require.NoError(t, f.turn(f.gateways[i%3].daemon, fmt.Sprint("p", i), maxTurnTokens/2, 0))
+		}
+		time.Sleep(2 * time.Second)
+		home := f.homeOf("p0")
+		// At this rate the frames of a complete replica keep its receiver busy for more than half a second.
+		f.network.SetLoad(peers.Load{PerKB: 60 * time.Millisecond})
+		f.gateways[home].crash()
+		f.publishLive()
+		before := f.takeovers()
+		for i := range 20 {
+			if err := f.turn(f.gateways[(home+1+i%2)%3].daemon, fmt.Sprint("p", i), 35, 0); err != nil {
+				require.Less(t, i, 2, "%v", err)
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		require.Equal(t, 1, f.takeovers()-before)
+		f.network.SetLoad(peers.Load{})
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -75,6 +75,10 @@
 	// DefaultJournalWriteTimeout limits one write to a journal. It allows for a disk that is
 	// many times slower than usual.
 	DefaultJournalWriteTimeout = 400 * time.Millisecond
+	// DefaultReplicaWriteTimeout is the same for a write of a complete replica, and
+	// DefaultReplicaWriteStagger the wait for a journal before a further one gets it.
+	DefaultReplicaWriteTimeout = 1200 * time.Millisecond
+	DefaultReplicaWriteStagger = 200 * time.Millisecond
 	// DefaultCheckpointTimeout limits one call to the platform that reads or writes a
 	// checkpoint.
 	DefaultCheckpointTimeout = time.Second
@@ -136,6 +140,8 @@
 	FenceTimeout           time.Duration
 	FenceGrace             time.Duration
 	JournalWriteTimeout    time.Duration
+	ReplicaWriteTimeout    time.Duration
+	ReplicaWriteStagger    time.Duration
 	CheckpointTimeout      time.Duration
 	CheckpointReadTimeout  time.Duration
 	AcquireStagger         time.Duration
@@ -166,6 +172,8 @@
 	defaults.Set(&c.FenceTimeout, DefaultFenceTimeout)
 	defaults.Set(&c.FenceGrace, DefaultFenceGrace)
 	defaults.Set(&c.JournalWriteTimeout, DefaultJournalWriteTimeout)
+	defaults.Set(&c.ReplicaWriteTimeout, DefaultReplicaWriteTimeout)
+	defaults.Set(&c.ReplicaWriteStagger, DefaultReplicaWriteStagger)
 	defaults.Set(&c.CheckpointTimeout, DefaultCheckpointTimeout)
 	defaults.Set(&c.CheckpointReadTimeout, DefaultCheckpointReadTimeout)
 	defaults.Set(&c.AcquireStagger, DefaultAcquireStagger)
