Bound what a server in trouble can send, in bytes and time

A backend server may send bytes that are no answer without end, in a head or a body, until its caller closes. The gateway read a head of any length into memory, up to 8 MB of a body for each request and then forwarded it cut off as if it were complete, and 1 MB of a stream's event for each turn; a head that came byte by byte, or the body of a rejection, kept the request to its deadline.

Heads are now limited to 64 KB and to one second from their first byte, responses to other requests to 1 MB and one second, buffered responses to 1 MB, of which eight over 64 KB at the same time, events and runs of events without an ID to 256 KB. What exceeds a limit is a malformed response: the request may have run, the connection is closed, the server counts as failed, a repeatable request goes to another server, and a stream is resumed only once. Engines' and services' heads are limited in the product's own interface too.

--- a/internal/backend/http.go
+++ b/internal/backend/http.go
@@ -49,6 +49,7 @@
 	idleConnTimeout  = 30 * time.Second
 	idleConnsPerHost = 64
 	maxReplyBytes    = 4 << 20
+	maxHeadBytes     = 64 << 10
 )
 
 // breakerName is the name of the circuit breaker that httpc uses. The breaker is
@@ -68,6 +69,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	client := &http.Client{
 		Transport: transport,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"ibisline/internal/structs"
@@ -83,7 +82,7 @@
 	}
 	defer g.tracker.done(sent.server.Name)
 	defer sent.response.Close()
-	body, err := io.ReadAll(io.LimitReader(sent.response, maxBufferedBytes))
+	body, err := g.readBody(ctx, sent.response)
 	if err != nil {
 		g.tracker.markFailed(sent.server.Name, time.Now())
 		j.recordSendOutcome(sent.server, "answer broke off")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,11 +90,16 @@
 	requestMetrics requestMetrics
 	leaving        atomic.Bool
 	activeRequests atomic.Int64
+	// largeResponses has one element for each large response that is being buffered.
+	largeResponses chan struct{}
 }
 
 // New returns a gateway.
 func New(config Config, deps Deps) *Gateway {
-	g := &Gateway{Deps: deps, config: config, tracker: newTracker(), requestMetrics: newRequestMetrics(deps.Metrics)}
+	g := &Gateway{
+		Deps: deps, config: config, tracker: newTracker(), requestMetrics: newRequestMetrics(deps.Metrics),
+		largeResponses: make(chan struct{}, maxLargeResponses),
+	}
 	deps.Metrics.GetOrCreateGauge("ibisline_gateway_requests_active", func() float64 {
 		return float64(g.activeRequests.Load())
 	})
@@ -108,6 +113,9 @@
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.activeRequests.Load()) }
 
+// LargeResponses returns the number of large responses that are being buffered.
+func (g *Gateway) LargeResponses() int { return len(g.largeResponses) }
+
 // noConfigRetryAfter is the Retry-After of refusals while no configuration is loaded. A
 // daemon that has just started loads one within some hundred milliseconds.
 const noConfigRetryAfter = 200 * time.Millisecond
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -21,7 +21,14 @@
 	// after none accepted the request. It doubles after each round.
 	initialRetryPause = 10 * time.Millisecond
 	// maxBufferedBytes limits a response that is buffered before it is forwarded.
-	maxBufferedBytes = 8 << 20
+	maxBufferedBytes = 1 << 20
+	// smallResponseBytes is the size up to which responses are buffered at any time, and
+	// maxLargeResponses the number of larger ones that are buffered at the same time: faulty
+	// servers may send bytes without end to every request.
+	smallResponseBytes = 64 << 10
+	maxLargeResponses  = 8
+	// maxDiscardedBytes limits the rest of a response that is read to reuse its connection.
+	maxDiscardedBytes = 4 << 10
 )
 
 // serve sends a request to a backend server and forwards the response.
@@ -49,6 +56,26 @@
 	body   []byte
 }
 
+// readBody reads the whole body of a response that is not a stream. A body longer than
+// maxBufferedBytes is an error, as it could only be forwarded incomplete.
+func (g *Gateway) readBody(ctx context.Context, response *upstream.Response) ([]byte, error) {
+	start, err := io.ReadAll(io.LimitReader(response, smallResponseBytes))
+	if err != nil || len(start) < smallResponseBytes {
+		return start, err
+	}
+	select {
+	case g.largeResponses <- struct{}{}:
+		defer func() { <-g.largeResponses }()
+	case <-ctx.Done():
+		return nil, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.BackendTimeout, "no buffer for a large response")
+	}
+	rest, err := response.ReadAll(maxBufferedBytes - smallResponseBytes)
+	if err != nil {
+		return nil, err
+	}
+	return append(start, rest...), nil
+}
+
 // writeBuffered forwards a buffered response to the caller.
 func (g *Gateway) writeBuffered(w http.ResponseWriter, response *bufferedResponse) {
 	g.writeHead(w, response.status, response.header)
@@ -100,7 +127,7 @@
 		g.tracker.done(server.Name)
 		if err == nil {
 			j.markNotRun(server.Name)
-			drain(response)
+			response.Discard(maxDiscardedBytes)
 			continue
 		}
 		g.tracker.markFailed(server.Name, time.Now())
@@ -187,12 +214,6 @@
 	return response, nil
 }
 
-// drain reads the rest of a short response, so that its connection can be reused.
-func drain(response *upstream.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(response, 4<<10))
-	response.Close()
-}
-
 // suppressDefaults keeps net/http from adding fields that the server did not send.
 func suppressDefaults(header http.Header) {
 	for _, name := range []string{"Date", "Content-Type"} {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"mime"
 	"net/http"
 	"strconv"
@@ -19,10 +18,10 @@
 )
 
 const (
-	// eventBufferBytes is the initial buffer size of a stream, maxEventBytes the size of
-	// the largest event.
+	// eventBufferBytes is the initial buffer size of a stream. maxEventBytes is the size of
+	// the largest event, and of all events without an ID in a row.
 	eventBufferBytes = 2 << 10
-	maxEventBytes    = 1 << 20
+	maxEventBytes    = 256 << 10
 )
 
 // isEventStream reports whether a response is a stream of server-sent events.
@@ -81,17 +80,25 @@
 	panic(http.ErrAbortHandler)
 }
 
-// maxResumes limits how often one response is resumed after a broken connection.
-const maxResumes = 4
+const (
+	// maxResumes limits how often one response is resumed after a broken connection.
+	maxResumes = 4
+	// maxMalformedResumes limits the resumes after bytes that were no answer: a server that
+	// sends them is unlikely to recover within the request.
+	maxMalformedResumes = 1
+)
 
 // run relays the response, resuming it after a break where the route allows that.
 func (s *stream) run(ctx context.Context) error {
 	sent, err := s.gateway.send(ctx, s.job)
-	for resumes := 0; ; resumes++ {
+	for resumes, malformed := 0, 0; ; resumes++ {
 		if err == nil {
 			err = s.relay(sent)
 		}
-		if err == nil || resumes == maxResumes || !s.mayResume(ctx, err) {
+		if errors.Is(err, upstream.ErrMalformed) {
+			malformed++
+		}
+		if err == nil || resumes == maxResumes || malformed > maxMalformedResumes || !s.mayResume(ctx, err) {
 			return err
 		}
 		s.job.recordSendOutcome(sent.server, "broke off after event "+strconv.Itoa(s.lastEventID))
@@ -119,14 +126,14 @@
 		return sendResult{server: server, response: response}, nil
 	case err == nil && response.Status != http.StatusMisdirectedRequest:
 		// The server is alive but full. The run must not be resumed elsewhere.
-		drain(response)
+		response.Discard(maxDiscardedBytes)
 		g.tracker.done(server.Name)
 		if !sleep(ctx, fullServerRetryPause) {
 			return sendResult{server: server}, ctx.Err()
 		}
 		return s.resume(ctx, server)
 	case err == nil:
-		drain(response)
+		response.Discard(maxDiscardedBytes)
 	}
 	g.tracker.done(server.Name)
 	if err != nil && !verdict.Is(err, verdict.NotRun) {
@@ -150,6 +157,10 @@
 // errCallerGone is returned when writing to the caller fails.
 var errCallerGone = errors.New("the caller is gone")
 
+// errNoEvents is the cause of a stream's failure when the server sends bytes that are no
+// events of the response.
+var errNoEvents = errors.New("bytes without an event of the response")
+
 // errNoRun is returned when there is no run to resume.
 var errNoRun = errors.New("no run to resume")
 
@@ -165,15 +176,24 @@
 	events := bufio.NewScanner(sent.response)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
 	events.Split(splitEvents(sent.response.Complete))
-	for events.Scan() {
+	withoutID := 0
+	for withoutID <= maxEventBytes && events.Scan() {
 		if err := s.sendHead(sent); err != nil {
 			return err
 		}
 		if err := s.relayEvent(events.Bytes()); err != nil {
 			return err
 		}
+		withoutID += len(events.Bytes())
+		if _, hasID := eventID(events.Bytes()); hasID {
+			withoutID = 0
+		}
+	}
+	err := events.Err()
+	if errors.Is(err, bufio.ErrTooLong) || withoutID > maxEventBytes {
+		err = sent.response.Malformed(errNoEvents)
 	}
-	if err := events.Err(); err != nil {
+	if err != nil {
 		g.tracker.markFailed(sent.server.Name, time.Now())
 		g.checkForCrash(s.ctx, s.job, sent.server, err)
 		return err
@@ -226,8 +246,9 @@
 
 // relayBuffered forwards a response that is not a stream, such as an error of the server.
 func (s *stream) relayBuffered(sent sendResult) error {
-	body, err := io.ReadAll(io.LimitReader(sent.response, maxBufferedBytes))
+	body, err := s.gateway.readBody(s.ctx, sent.response)
 	if err != nil {
+		s.gateway.tracker.markFailed(sent.server.Name, time.Now())
 		return err
 	}
 	if s.headSent {
--- /dev/null
+++ b/internal/upstream/bounded.go
@@ -0,0 +1,119 @@
+package upstream
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/verdict"
+)
+
+const (
+	// maxHeadBytes limits the head of a response.
+	maxHeadBytes = 64 << 10
+	// headTimeout is the time from the first byte of a response head to its end, and that for
+	// the body of a response to another request.
+	headTimeout = time.Second
+	// drainTimeout limits the time for reading the rest of a response that is discarded.
+	drainTimeout = 50 * time.Millisecond
+)
+
+// Causes of malformed responses.
+var (
+	errHeadTooLarge  = errors.New("response head too large")
+	errHeadTooSlow   = errors.New("response head not completed in time")
+	errBodyTooLarge  = errors.New("response body too large")
+	errOtherTooLarge = errors.New("body of a response to another request too large or too slow")
+)
+
+// headLimiter limits the bytes read from a connection while a response head is read, because
+// a faulty server may send bytes without end. A head is parsed in memory as a whole.
+type headLimiter struct {
+	net.Conn
+	// limited is set while a head is read, and left is what may still be read for it.
+	limited bool
+	left    int
+}
+
+// limit starts the limit for the next head.
+func (l *headLimiter) limit() { l.limited, l.left = true, maxHeadBytes }
+
+// lift ends the limit.
+func (l *headLimiter) lift() { l.limited = false }
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.Conn.Read(p)
+	}
+	if l.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.Conn.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// readHead waits for a response and reads its head within the limits. The time starts with
+// the first byte, as a server may take long to respond.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.limiter.limit()
+	defer c.limiter.lift()
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	timer := time.AfterFunc(headTimeout, c.interrupt)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if !timer.Stop() {
+		return nil, errHeadTooSlow
+	}
+	return response, err
+}
+
+// skipBody reads the body of a response to another request.
+func (c *conn) skipBody(response *http.Response) error {
+	timer := time.AfterFunc(headTimeout, c.interrupt)
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes+1))
+	switch {
+	case !timer.Stop() || n > maxForeignBodyBytes:
+		return errOtherTooLarge
+	default:
+		return err
+	}
+}
+
+// isMalformed reports whether an error means that the received bytes are no response.
+func isMalformed(err error) bool {
+	return errors.Is(err, ErrMalformed) || errors.Is(err, errHeadTooLarge) || errors.Is(err, errHeadTooSlow) ||
+		errors.Is(err, errOtherTooLarge)
+}
+
+// ReadAll reads the whole body, of at most limit bytes. A longer one is a malformed response.
+func (r *Response) ReadAll(limit int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, r.Malformed(errors.Wrapf(errBodyTooLarge, "more than %d bytes", limit))
+	}
+	return body, nil
+}
+
+// Malformed returns the error of a response whose bytes are no answer to the request.
+func (r *Response) Malformed(cause error) *verdict.Error {
+	return unknownOutcomeError(r.ctx, errors.Wrap(ErrMalformed, cause.Error()))
+}
+
+// Discard reads the rest of a short response, so that its connection can be reused, and
+// closes it.
+func (r *Response) Discard(limit int64) {
+	timer := time.AfterFunc(drainTimeout, r.conn.interrupt)
+	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
+	if !timer.Stop() {
+		r.complete = false
+	}
+	r.Close()
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,8 +12,9 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	key    poolKey
-	reader *bufio.Reader
+	key     poolKey
+	limiter *headLimiter
+	reader  *bufio.Reader
 	// answeredBefore is set once a response was accepted on the connection. From then on
 	// a response without an identifier may be a late one and is skipped.
 	answeredBefore bool
@@ -24,7 +25,8 @@
 const readBufferBytes = 4 << 10
 
 func newConn(raw net.Conn, key poolKey) *conn {
-	return &conn{Conn: raw, key: key, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	limiter := &headLimiter{Conn: raw}
+	return &conn{Conn: raw, key: key, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes)}
 }
 
 // usable reports whether an idle connection may carry another request: it has not
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -87,7 +87,7 @@
 // readResponse reads response heads until one carries the identifier of the request.
 func (c *Client) readResponse(cn *conn, request Request) (*http.Response, error) {
 	for range maxForeignResponses {
-		response, err := http.ReadResponse(cn.reader, &http.Request{Method: request.Method})
+		response, err := cn.readHead(request.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -99,7 +99,7 @@
 			return response, nil
 		}
 		c.foreignResponses.Inc()
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBodyBytes)); err != nil {
+		if err := cn.skipBody(response); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -154,7 +154,7 @@
 		reason = contextReason(ctx)
 	}
 	kind := ErrBroken
-	if errors.Is(cause, ErrMalformed) {
+	if isMalformed(cause) {
 		kind = ErrMalformed
 	}
 	return verdict.Wrap(&Failure{Kind: kind, Cause: cause}, verdict.MayHaveRun, reason, "request sent, no whole answer")
