Run the scenarios' mutations instead of failing to build them

The seven mutations that run ./test/scenarios were counted as detected though no test had run: the copy of the module left out platform/, which the daemons built by the scenarios import, and a build started by TestMain does not print "[build failed]".

The copy now contains platform/, and a mutation counts as detected only if the output has a failed test.

--- a/test/mutations/mutations_test.go
+++ b/test/mutations/mutations_test.go
@@ -36,12 +36,14 @@
 	output, err := command.CombinedOutput()
 	require.NotContains(t, string(output), "[build failed]", "%s", output)
 	require.Error(t, err, "%s: the tests pass with the mutation applied", p.promise)
+	// A build that a test starts may fail too, before any test has run.
+	require.Contains(t, string(output), "--- FAIL", "no test has failed:\n%s", output)
 	t.Logf("%s\n%s", p.promise, firstFailure(string(output)))
 }
 
 // copyModule copies the files of the module that the tests need.
 func copyModule(t *testing.T, to string) {
-	for _, dir := range []string{"internal", "cmd", "test"} {
+	for _, dir := range []string{"internal", "cmd", "platform", "test"} {
 		require.NoError(t, os.CopyFS(filepath.Join(to, dir), os.DirFS(filepath.Join(moduleRoot, dir))))
 	}
 	for _, name := range []string{"go.mod", "go.sum"} {
