Hand over open reservations, so that no turn is charged twice

Cause: the totals of a handover contain the tokens of turns in progress, but not the turns. A turn whose grant was not durable yet is reserved again at the next home under the same ID, which charged it a second time; each further handover added another. The release of a running turn went to the former home and was lost, so that it stayed charged with all tokens that it had reserved.

A handover now names the open turns. The next home keeps them as reservations, so that a repeated one is charged once, and a former home passes releases on. A program is forgotten even if the release of a handed-over turn was lost.

TestRepeatedReservationAfterHandoverIsChargedOnce (2240 tokens instead of 1680) and TestReleaseAfterHandoverReachesNextHome (560 instead of 35) failed before.

--- a/internal/tokenbudget/handover_test.go
+++ b/internal/tokenbudget/handover_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/tokenbudget"
+	"ibisline/internal/tokenbudget/ledger"
 )
 
 // Guards against a gateway in a planned stop taking a shard over again, because others that do
@@ -85,3 +86,29 @@
 		}
 	})
 }
+
+// Guards against a turn that ends during a planned stop staying charged with all tokens that it
+// had reserved: its release went to the former home.
+func TestReleaseAfterHandoverReachesNextHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 3, 3)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "first", 35, time.Millisecond))
+		stopping := f.gateways[f.homeOf("first")]
+		caller := f.gateways[(f.homeOf("first")+1)%3]
+		grant, err := caller.client.Reserve(t.Context(), ledger.Reservation{
+			Program: "p", ID: "1", Budget: budgetTokens, Tokens: maxTurnTokens, Expected: maxTurnTokens, Lifetime: lifetime,
+		})
+		require.NoError(t, err)
+		require.NoError(t, grant.Confirm(t.Context()))
+		f.setStopping(stopping.Self().Name, true)
+		stopping.home.HandOver(t.Context())
+		grant.Release(35)
+		time.Sleep(time.Second)
+		for _, shard := range f.gateways[f.homeOf("p")].home.Dump().([]tokenbudget.ShardState) {
+			for _, usage := range shard.Usages {
+				require.Equal(t, 35, usage.Total, usage.Program)
+			}
+		}
+	})
+}
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -270,11 +270,30 @@
 // Holds reports whether this daemon believes to be the home of a program.
 func (h *Home) Holds(program string) bool { return h.shard(h.config.shardOf(program)).holds() }
 
-// Release ends a reservation.
+// Release ends a reservation. A former home passes it on to its successor.
 func (h *Home) Release(request releaseRequest) {
-	h.shard(h.config.shardOf(request.Program)).release(request)
+	s := h.shard(h.config.shardOf(request.Program))
+	if s.release(request) || request.Forwards == maxReleaseForwards {
+		return
+	}
+	successor := s.redirectTarget(time.Now())
+	if successor == "" {
+		return
+	}
+	request.Forwards++
+	h.spawn(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, releaseTimeout)
+		defer cancel()
+		if err := peer.Call(ctx, h.dialer, successor, methodRelease, request, &empty{}); err != nil {
+			h.logger.WithError(err).WithField("request", request.ID).WithField("program", request.Program).
+				WithField("home", successor).Info("release of a turn not passed on to the next home")
+		}
+	})
 }
 
+// maxReleaseForwards limits how often a release is passed on.
+const maxReleaseForwards = 2
+
 func (h *Home) serveRelease(_ context.Context, s peer.Stream) error {
 	var request releaseRequest
 	if err := s.Recv(&request); err != nil {
--- a/internal/tokenbudget/ledger/ledger.go
+++ b/internal/tokenbudget/ledger/ledger.go
@@ -68,6 +68,15 @@
 	// Sequence orders the writes of one home about a program. It is 0 in a checkpoint, which
 	// has a sequence of its own.
 	Sequence int64 `msgpack:"q,omitempty"`
+	// Open holds the turns in progress in a handover. Total contains their tokens.
+	Open []OpenTurn `msgpack:"o,omitempty"`
+}
+
+// OpenTurn is a reservation that has not been released.
+type OpenTurn struct {
+	ID       string `msgpack:"i"`
+	Tokens   int    `msgpack:"t"`
+	Expected int    `msgpack:"e,omitempty"`
 }
 
 // Newer returns the newer of two totals of a program.
@@ -117,8 +126,12 @@
 	idle
 )
 
-// openTurn is a turn in progress.
-type openTurn struct{ tokens, expected int }
+// openTurn is a turn in progress. Handed is set if it was reserved at an earlier home, so that
+// its release may be lost.
+type openTurn struct {
+	tokens, expected int
+	handed           bool
+}
 
 // total returns the number of tokens that the program may have used.
 func (a *account) total() int {
@@ -212,6 +225,7 @@
 		switch from {
 		case FromJournals:
 			a.base, a.section = total.Total+l.unrecorded, active
+			a.restoreOpen(total.Open)
 		case FromIdleCheckpoint:
 			a.checkpointed, a.checkpointedExpiry, a.section = total.Total, total.Expires, idle
 		case FromCheckpoint:
@@ -223,7 +237,8 @@
 	l.dirty = l.dirty || from == FromJournals
 }
 
-// RestoreHandover adds the exact totals handed over by the previous home.
+// RestoreHandover adds the exact totals handed over by the previous home. Turns in progress
+// stay reserved under their ID, so that a reservation repeated here is charged once.
 func (l *Ledger) RestoreHandover(totals []ProgramTotal) {
 	for _, total := range totals {
 		a := l.programs[total.Program]
@@ -233,10 +248,19 @@
 		}
 		a.base, a.estimated = total.Total, total.Estimated
 		a.expires = later(a.expires, time.UnixMilli(total.Expires))
+		a.restoreOpen(total.Open)
 	}
 	l.dirty = true
 }
 
+// restoreOpen moves the tokens of turns in progress from the base to open reservations.
+func (a *account) restoreOpen(open []OpenTurn) {
+	for _, t := range open {
+		a.base -= t.Tokens
+		a.open[t.ID] = openTurn{tokens: t.Tokens, expected: t.Expected, handed: true}
+	}
+}
+
 // noWrite is the value of checkpointing and replicating while no write is in progress.
 const noWrite = -1
 
@@ -521,9 +545,13 @@
 	l.forget(now)
 	all := make([]ProgramTotal, 0, len(l.programs))
 	for name, a := range l.programs {
-		all = append(all, ProgramTotal{
+		total := ProgramTotal{
 			Program: name, Total: a.total(), Expires: a.retainUntil(), Estimated: a.estimated || len(a.open) > 0,
-		})
+		}
+		for id, t := range a.open {
+			total.Open = append(total.Open, OpenTurn{ID: id, Tokens: t.tokens, Expected: t.expected})
+		}
+		all = append(all, total)
 	}
 	return all
 }
@@ -531,12 +559,22 @@
 // forget removes programs that have been idle for their lifetime.
 func (l *Ledger) forget(now time.Time) {
 	for name, a := range l.programs {
-		if len(a.open) == 0 && now.After(a.expires) {
+		if now.After(a.expires) && !a.hasOwnTurns() {
 			delete(l.programs, name)
 		}
 	}
 }
 
+// hasOwnTurns reports whether a turn reserved at this home is in progress.
+func (a *account) hasOwnTurns() bool {
+	for _, t := range a.open {
+		if !t.handed {
+			return true
+		}
+	}
+	return false
+}
+
 // Usage is an account in the dump.
 type Usage struct {
 	Program      string `json:"program"`
--- a/internal/tokenbudget/ledger/ledger_test.go
+++ b/internal/tokenbudget/ledger/ledger_test.go
@@ -157,3 +157,38 @@
 	require.Len(t, l.Totals(start.Add(59*time.Second)), 1)
 	require.Empty(t, l.Totals(start.Add(61*time.Second)))
 }
+
+// Guards against a turn that is charged twice because its home hands the shard over before the
+// grant is durable, and its gateway repeats the reservation at the next home: the budget then
+// seemed spent.
+func TestRepeatedReservationAfterHandoverIsChargedOnce(t *testing.T) {
+	l := newCheckpointLedger(0, 560)
+	for _, id := range []string{"1", "2"} {
+		l.Reserve(turn("p", id), start)
+		l.Release("p", id, 560)
+	}
+	l.Reserve(turn("p", "3"), start)
+	require.Equal(t, 1680, l.Total("p"))
+	for range 3 {
+		handed := l.Totals(start)
+		l = newCheckpointLedger(0, 560)
+		l.RestoreHandover(handed)
+		require.NotEqual(t, ledger.Spent, l.Reserve(turn("p", "3"), start))
+		require.Equal(t, 1680, l.Total("p"))
+	}
+	l.Release("p", "3", 100)
+	require.Equal(t, 1220, l.Total("p"), "unused tokens are returned at the last home")
+}
+
+// Guards against programs that are remembered for ever because the release of a turn was lost
+// in a handover.
+func TestHandedOverTurnDoesNotKeepProgram(t *testing.T) {
+	l := newCheckpointLedger(0, 560)
+	l.Reserve(turn("p", "1"), start)
+	handed := l.Totals(start)
+	l = newCheckpointLedger(0, 560)
+	l.RestoreHandover(handed)
+	require.Equal(t, 560, l.Total("p"))
+	l.BeginCheckpoint(start.Add(10 * time.Minute))
+	require.Zero(t, l.Len())
+}
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -288,11 +288,12 @@
 	return verdict.Wrap(cause, verdict.NotRun, verdict.PlatformDown, "the budget's record cannot be written")
 }
 
-// release ends a reservation.
-func (s *shard) release(request releaseRequest) {
+// release ends a reservation and reports whether this daemon holds the shard.
+func (s *shard) release(request releaseRequest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ledger.Release(request.Program, request.ID, request.Used)
+	return s.held
 }
 
 // state returns the shard's state for the dump.
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -232,11 +232,12 @@
 	Leaving     bool   `msgpack:"l,omitempty"`
 }
 
-// releaseRequest ends a reservation.
+// releaseRequest ends a reservation. Forwards counts the former homes that have passed it on.
 type releaseRequest struct {
-	Program string `msgpack:"p"`
-	ID      string `msgpack:"i"`
-	Used    int    `msgpack:"u"`
+	Program  string `msgpack:"p"`
+	ID       string `msgpack:"i"`
+	Used     int    `msgpack:"u"`
+	Forwards int    `msgpack:"f,omitempty"`
 }
 
 // fenceRequest fences a shard in a journal. The reply omits the totals that Known covers.
