--- a/test/platform/callers_test.go
+++ b/test/platform/callers_test.go
@@ -54,6 +54,13 @@
 
 // call sends one attempt to a daemon, after applying changes to the request.
 func (f *testFleet) call(daemon, method, path string, changes ...func(*http.Request)) answer {
+	return f.callWith(f.client, daemon, method, path, changes...)
+}
+
+// callWith is call with the connections of one client.
+func (f *testFleet) callWith(
+	client *http.Client, daemon, method, path string, changes ...func(*http.Request),
+) answer {
 	got := answer{id: "attempt-" + strconv.FormatInt(attemptCount.Add(1), 10)}
 	request, err := http.NewRequest(method, "http://"+f.daemons[daemon].listenAddr+path, strings.NewReader("body of "+got.id))
 	require.NoError(f.t, err)
@@ -63,7 +70,7 @@
 	for _, change := range changes {
 		change(request)
 	}
-	response, err := f.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return got
 	}
@@ -78,7 +85,12 @@
 
 // turn sends one turn of a program with a budget in tokens.
 func (f *testFleet) turn(daemon, program string, budget int) answer {
-	return f.call(daemon, http.MethodPost, "/turn/1", func(r *http.Request) {
+	return f.turnWith(f.client, daemon, program, budget)
+}
+
+// turnWith is turn with the connections of one client.
+func (f *testFleet) turnWith(client *http.Client, daemon, program string, budget int) answer {
+	return f.callWith(client, daemon, http.MethodPost, "/turn/1", func(r *http.Request) {
 		r.Header.Set("Program-Id", program)
 		r.Header.Set("Session-Id", program)
 		r.Header.Set("Token-Budget", strconv.Itoa(budget))
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -105,9 +105,12 @@
 	p.Handler.ServeHTTP(w, r)
 }
 
-// newTestFleet starts a platform with its configuration and backend servers, and a fleet of
-// three gateways and three keepers, and waits until all daemons are ready.
-func newTestFleet(t *testing.T) *testFleet {
+// newTestFleet starts a fleet of three gateways.
+func newTestFleet(t *testing.T) *testFleet { return newTestFleetOf(t, len(gateways)) }
+
+// newTestFleetOf starts a platform with its configuration and backend servers, and a fleet of
+// gateways and three keepers, and waits until all daemons are ready.
+func newTestFleetOf(t *testing.T, gatewayCount int) *testFleet {
 	dir := t.TempDir()
 	f := &testFleet{
 		t:         t,
@@ -125,7 +128,9 @@
 	}
 	for i := range locations {
 		f.addDaemon(fmt.Sprintf("keeper-%d", i), "keeper", i)
-		f.addDaemon(fmt.Sprintf("gateway-%d", i), "gateway", i)
+	}
+	for i := range gatewayCount {
+		f.addDaemon(gatewayName(i), "gateway", i%len(locations))
 	}
 	// Cleanups run last in, first out. The daemons must end before the platform's servers
 	// close, because closing a server waits for the daemons' watches.
@@ -142,6 +147,9 @@
 	return f
 }
 
+// gatewayName returns the name of the gateway with a number.
+func gatewayName(i int) string { return fmt.Sprintf("gateway-%d", i) }
+
 // addDaemon adds a daemon with a platform proxy of its own, without starting it.
 func (f *testFleet) addDaemon(name, duty string, location int) {
 	d := &daemon{name: name, duty: duty, location: location, proxy: &platformProxy{Handler: f.store}}
