--- a/internal/tokenbudget/handover_test.go
+++ b/internal/tokenbudget/handover_test.go
@@ -112,3 +112,21 @@
 		}
 	})
 }
+
+// Guards against a handover that is lost because the next home is in a planned stop too, which
+// the leaving home does not know yet.
+func TestHandoverPassesOverLeavingDaemon(t *testing.T) {
+	for first := range 2 {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleetOf(t, 1, 3, 3)
+			defer f.close()
+			require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+			home := f.homeOf("p")
+			leaving, next := f.gateways[(home+1+first)%3], f.gateways[(home+2-first)%3]
+			leaving.home.HandOver(t.Context())
+			f.gateways[home].home.HandOver(t.Context())
+			require.False(t, leaving.home.Holds("p"), "a leaving daemon has taken the shard over")
+			require.True(t, next.home.Holds("p"), "the next daemon has not taken the shard over")
+		})
+	}
+}
