--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -424,7 +424,7 @@
 			err := peer.Call(ctx, s.home.dialer, keeper, methodHolder, shardRequest{Shard: s.number}, &reply)
 			return reply, err
 		})
-	var grace <-chan time.Time
+	var grace <-chan struct{}
 	for {
 		select {
 		case r, open := <-replies:
@@ -438,7 +438,7 @@
 			return found
 		}
 		if grace == nil && len(wanted) > 0 && wanted.readableBy(found.journals, s.home.config.LostDisks) {
-			grace = time.After(s.home.config.FenceGrace)
+			grace = after(s.home.config.FenceGrace)
 		}
 	}
 }
--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -37,7 +37,7 @@
 // runCheckpointWriter writes the checkpoint until ctx ends: at once if a turn waits for it,
 // else every CheckpointInterval.
 func (s *shard) runCheckpointWriter(ctx context.Context, fence journal.Fence) {
-	ticker := time.NewTicker(s.home.config.CheckpointInterval)
+	ticker := newTicker(s.home.config.CheckpointInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -80,7 +80,7 @@
 
 // Run maintains the shards until ctx ends, then waits for their writers.
 func (h *Home) Run(ctx context.Context) error {
-	ticker := time.NewTicker(h.config.MaintenanceInterval)
+	ticker := newTicker(h.config.MaintenanceInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/idle_checkpoint.go
+++ b/internal/tokenbudget/idle_checkpoint.go
@@ -20,7 +20,7 @@
 // runIdleWriter moves idle programs from the active to the idle checkpoint until ctx ends,
 // so that the active one stays small.
 func (s *shard) runIdleWriter(ctx context.Context, fence journal.Fence) {
-	ticker := time.NewTicker(s.home.config.IdleCheckpointInterval)
+	ticker := newTicker(s.home.config.IdleCheckpointInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -117,7 +117,7 @@
 			err := peer.Call(ctx, s.home.dialer, keeper, methodFence, fenceRequest{Fence: fence, Known: known}, &reply)
 			return reply, err
 		})
-	var grace <-chan time.Time
+	var grace <-chan struct{}
 	for {
 		select {
 		case r, open := <-replies:
@@ -133,7 +133,7 @@
 			return f
 		}
 		if grace == nil && wanted.readableBy(f.accepted(), s.home.config.LostDisks) {
-			grace = time.After(s.home.config.FenceGrace)
+			grace = after(s.home.config.FenceGrace)
 		}
 	}
 }
--- a/internal/tokenbudget/keeper.go
+++ b/internal/tokenbudget/keeper.go
@@ -32,7 +32,7 @@
 
 // Run retries a failed disk until ctx ends, then closes the journal.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := time.NewTicker(k.retry)
+	ticker := newTicker(k.retry)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -30,7 +30,7 @@
 // runJournalWriter writes the replica to the journals until ctx ends: at once if a turn
 // waits for it, else every CheckpointInterval.
 func (s *shard) runJournalWriter(ctx context.Context, fence journal.Fence) {
-	ticker := time.NewTicker(s.home.config.CheckpointInterval)
+	ticker := newTicker(s.home.config.CheckpointInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -149,7 +149,7 @@
 		first = min(first, s.home.config.LostDisks+firstReplicaSpares)
 	}
 	w.start(ctx, first)
-	further := time.NewTicker(s.home.config.ReplicaWriteStagger)
+	further := newTicker(s.home.config.ReplicaWriteStagger)
 	defer further.Stop()
 	for w.inFlight > 0 {
 		select {
