Split the check of an incumbent and of a stream's progress into parts

No change of behaviour, but for the logged answer "none, but stores decisions", which is now "none".

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -176,21 +176,18 @@
 	events := bufio.NewScanner(sent.response)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
 	events.Split(splitEvents(sent.response.Complete))
-	withoutID := 0
-	for withoutID <= maxEventBytes && events.Scan() {
+	var progress eventProgress
+	for !progress.stalled() && events.Scan() {
 		if err := s.sendHead(sent); err != nil {
 			return err
 		}
 		if err := s.relayEvent(events.Bytes()); err != nil {
 			return err
 		}
-		withoutID += len(events.Bytes())
-		if _, hasID := eventID(events.Bytes()); hasID {
-			withoutID = 0
-		}
+		progress.add(events.Bytes())
 	}
 	err := events.Err()
-	if errors.Is(err, bufio.ErrTooLong) || withoutID > maxEventBytes {
+	if errors.Is(err, bufio.ErrTooLong) || progress.stalled() {
 		err = sent.response.Malformed(errNoEvents)
 	}
 	if err != nil {
@@ -202,6 +199,21 @@
 	return s.sendHead(sent)
 }
 
+// eventProgress tells a stream that makes progress from one that only sends bytes.
+type eventProgress struct {
+	// bytesWithoutID is the size of the events without an ID since the last one with an ID.
+	bytesWithoutID int
+}
+
+func (p *eventProgress) add(event []byte) {
+	p.bytesWithoutID += len(event)
+	if _, hasID := eventID(event); hasID {
+		p.bytesWithoutID = 0
+	}
+}
+
+func (p *eventProgress) stalled() bool { return p.bytesWithoutID > maxEventBytes }
+
 // sendHead forwards the status and header once the grant of the tokens is confirmed.
 func (s *stream) sendHead(sent sendResult) error {
 	if s.headSent {
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -140,6 +140,7 @@
 			return a.incumbent, nil
 		}
 		if s.hasOffer() {
+			// The state of the leaving home has arrived meanwhile.
 			continue
 		}
 		err = s.acquireFromCheckpoint(ctx, current, version, a)
@@ -230,10 +231,7 @@
 	a.endStep("restore")
 	s.idleCheckpoint = idleCheckpointState{known: true, version: idleVersion}
 	s.checkpoint = checkpointState{known: true, version: claimed, journals: claim.Journals}
-	s.startDeciding(fence, f, keepers)
-	if a.handed != nil {
-		s.handedBy = a.handed.Fence
-	}
+	s.startDeciding(a, fence, f, keepers)
 	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", s.ledger.Len()).
 		WithField("handed_over", a.handed.supersedes(current)).WithField("journals", len(f.accepted())).
 		Info("budgets of a shard taken over")
@@ -323,8 +321,11 @@
 
 // startDeciding makes this daemon the home under a fence and starts the writers. The caller
 // holds mu and has set the rest of the state.
-func (s *shard) startDeciding(fence journal.Fence, f fencing, keepers []structs.Instance) {
+func (s *shard) startDeciding(a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance) {
 	s.held = true
+	if a.handed != nil {
+		s.handedBy = a.handed.Fence
+	}
 	s.fence = fence
 	s.successor = ""
 	s.highestFence = max(s.highestFence, fence.Number)
@@ -395,10 +396,7 @@
 	s.ledger = ledger.New(unrecorded, from.MaxTurnTokens)
 	s.ledger.Restore(from.Totals, ledger.FromJournals)
 	s.checkpoint = checkpointState{journals: from.Journals, failing: true}
-	s.startDeciding(fence, f, keepers)
-	if a.handed != nil {
-		s.handedBy = a.handed.Fence
-	}
+	s.startDeciding(a, fence, f, keepers)
 	s.log().WithFields(a.fields()).WithField("fence", fence.Number).WithField("programs", len(from.Totals)).
 		Info("budgets of a shard taken over without their record")
 	return nil
--- a/internal/tokenbudget/handover.go
+++ b/internal/tokenbudget/handover.go
@@ -135,17 +135,13 @@
 }
 
 // awaitOffer waits until the home that is handing the shard over to this daemon has sent its
-// state. It returns false after handoverWait.
-func (s *shard) awaitOffer(ctx context.Context) bool {
-	timer := time.NewTimer(handoverWait)
-	defer timer.Stop()
+// state, for at most handoverWait.
+func (s *shard) awaitOffer(ctx context.Context) {
 	select {
 	case <-s.offerArrived:
-		return true
-	case <-timer.C:
+	case <-after(handoverWait):
 	case <-ctx.Done():
 	}
-	return false
 }
 
 // handoverWait is how long a successor waits for the state of its predecessor: several times
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		s := h.shard(number)
-		if target := s.redirectTarget(now); s.holds() || (h.isLive(target) && s.askIncumbent(ctx, target).answer == answerHolds) {
+		if s.holds() || s.successorHolds(ctx, now) {
 			continue
 		}
 		if _, err := s.ensureHeld(ctx, nil); err != nil {
--- a/internal/tokenbudget/incumbent.go
+++ b/internal/tokenbudget/incumbent.go
@@ -42,11 +42,9 @@
 	}
 }
 
-// incumbentDecides reports whether the incumbent decides about the shard, so that this
-// daemon must not take it over. A daemon that does not answer counts as dead only if it has
-// also stored no decision for SilenceLimit, or ClaimLimit if it has just claimed the shard:
-// a home is slowest to answer right after a takeover, and replacing it then would only make
-// its successor as slow. Read returns the present incumbent.
+// incumbentDecides reports whether the incumbent, or the daemon to which it is handing the
+// shard over, decides about the shard, so that this daemon must not take it over. It sets
+// a.incumbent to that daemon. Read returns the present incumbent.
 func (s *shard) incumbentDecides(
 	ctx context.Context, a *acquisition, first incumbent, read func(context.Context) (incumbent, error),
 ) bool {
@@ -55,55 +53,118 @@
 	if first.home == "" || first.home == s.home.fleet.Self().Name || first.activity == a.silent {
 		return false
 	}
-	known, silentSince := first, time.Now()
-	for refusals, changes := 0, 0; s.home.isReachable(first.home); {
+	w := newIncumbentWatch(s.home.config, first, time.Now())
+	for s.home.isReachable(first.home) && ctx.Err() == nil {
 		reply := s.askIncumbent(ctx, first.home)
 		a.incumbentAnswer = reply.answer
-		switch reply.answer {
-		case answerHolds:
-			return true
-		case answerHandsOver:
-			if reply.successor != s.home.fleet.Self().Name {
-				a.incumbent = reply.successor
-				return true
-			}
-			s.awaitOffer(ctx)
-			return false
-		case answerHoldsNot:
-			return false
-		case answerRefused:
-			refusals++
-		}
-		if refusals == maxRefusals || ctx.Err() != nil {
-			return false
+		if reply.answer == answerHandsOver {
+			return s.leaveToSuccessor(ctx, a, reply.successor)
 		}
-		if present, err := read(ctx); err == nil && present.activity != known.activity {
-			if present.home != first.home {
-				// Another daemon has taken the shard over. The claim of this one will fail on
-				// the changed checkpoint.
-				return false
-			}
-			known, silentSince = present, time.Now()
-			changes++
+		w.observeAnswer(reply.answer)
+		if w.standing == unknown {
+			w.readPresent(ctx, read)
+			w.checkSilence(time.Now())
 		}
-		if changes == minChanges {
-			a.incumbentAnswer = answerActive
+		switch w.standing {
+		case decides:
 			return true
-		}
-		if time.Since(silentSince) >= s.silenceLimit(known) || !sleep(ctx, incumbentPollPause) {
-			a.silent = known.activity
+		case replaceable:
+			a.silent = w.known.activity
 			return false
 		}
+		sleep(ctx, incumbentPollPause)
 	}
 	return false
 }
 
-// silenceLimit returns how long an incumbent may be silent before it counts as dead.
-func (s *shard) silenceLimit(i incumbent) time.Duration {
-	if i.claiming {
-		return s.home.config.ClaimLimit
+// leaveToSuccessor reports whether the shard is being handed over to another daemon. If it is
+// being handed over to this one, it waits for the state.
+func (s *shard) leaveToSuccessor(ctx context.Context, a *acquisition, successor string) bool {
+	if successor == s.home.fleet.Self().Name {
+		s.awaitOffer(ctx)
+		return false
+	}
+	a.incumbent = successor
+	return true
+}
+
+// standing is the conclusion about an incumbent.
+type standing uint8
+
+const (
+	unknown standing = iota
+	// decides: it must not be replaced.
+	decides
+	// replaceable: it does not decide, or counts as dead.
+	replaceable
+)
+
+// incumbentWatch concludes from answers and stored decisions whether an incumbent may be
+// replaced. One that does not answer counts as dead only if it has also stored no decision for
+// SilenceLimit, or for ClaimLimit if it has just claimed the shard: a home is slowest to answer
+// right after a takeover, and replacing it then would only make its successor as slow.
+type incumbentWatch struct {
+	config Config
+	// known is the incumbent as read last, silentSince the time of the last sign of activity.
+	known       incumbent
+	silentSince time.Time
+	refusals    int
+	changes     int
+	standing    standing
+}
+
+func newIncumbentWatch(config Config, first incumbent, now time.Time) *incumbentWatch {
+	return &incumbentWatch{config: config, known: first, silentSince: now}
+}
+
+// observeAnswer applies the answer to one question.
+func (w *incumbentWatch) observeAnswer(answer string) {
+	switch answer {
+	case answerHolds:
+		w.standing = decides
+	case answerHoldsNot:
+		w.standing = replaceable
+	case answerRefused:
+		w.refusals++
+	}
+	if w.refusals == maxRefusals {
+		w.standing = replaceable
+	}
+}
+
+// readPresent reads the present incumbent. While it cannot be read, nothing is concluded from it.
+func (w *incumbentWatch) readPresent(ctx context.Context, read func(context.Context) (incumbent, error)) {
+	if present, err := read(ctx); err == nil {
+		w.observePresent(present, time.Now())
+	}
+}
+
+// observePresent applies the present incumbent as read. If another daemon has taken the shard
+// over, a claim of this one fails on the changed checkpoint.
+func (w *incumbentWatch) observePresent(present incumbent, now time.Time) {
+	switch {
+	case present.activity == w.known.activity:
+		return
+	case present.home != w.known.home:
+		w.standing = replaceable
+		return
+	}
+	w.known, w.silentSince = present, now
+	w.changes++
+	if w.changes == minChanges {
+		w.standing = decides
+	}
+}
+
+// checkSilence applies the time without activity.
+func (w *incumbentWatch) checkSilence(now time.Time) {
+	limit := w.config.SilenceLimit
+	if w.known.claiming {
+		limit = w.config.ClaimLimit
+	}
+	if w.standing == unknown && now.Sub(w.silentSince) >= limit {
+		w.standing = replaceable
 	}
-	return s.home.config.SilenceLimit
 }
 
 const (
@@ -124,7 +185,6 @@
 	answerHandsOver = "hands over"
 	answerNone      = "none"
 	answerRefused   = "connection refused"
-	answerActive    = "none, but stores decisions"
 )
 
 // incumbentReply is the answer of an incumbent, and its successor if it is handing the shard
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -139,7 +139,7 @@
 		return nil
 	}
 	w := &journalWrite{
-		shard: s, fence: replica.Fence, message: encoded, timeout: s.home.config.JournalWriteTimeout,
+		shard: s, message: encoded, timeout: s.home.config.JournalWriteTimeout,
 		names: s.nearestFirst(sets),
 	}
 	w.outcomes = make(chan journalOutcome, len(w.names))
@@ -179,7 +179,6 @@
 // journalWrite is a write in progress to several journals.
 type journalWrite struct {
 	shard   *shard
-	fence   journal.Fence
 	message msgpack.RawMessage
 	timeout time.Duration
 	// names are the journals that have not been written to yet.
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -139,6 +139,12 @@
 	return holdsReply{Holds: (s.held && !s.writesFailing) || s.claiming, Successor: s.handingTo}
 }
 
+// successorHolds reports whether the home that recently replaced this one is live and decides.
+func (s *shard) successorHolds(ctx context.Context, now time.Time) bool {
+	successor := s.redirectTarget(now)
+	return s.home.isLive(successor) && s.askIncumbent(ctx, successor).answer == answerHolds
+}
+
 // redirectTo redirects requests about the shard to another home for RedirectDuration. The
 // caller holds mu.
 func (s *shard) redirectTo(home string) {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -203,8 +203,7 @@
 	s.begin("kill of", name, func() { s.restart(name) })
 }
 
-// killKeeper kills a keeper and starts it again. The next one may follow only after the homes
-// use its journal again, as one of three may be lost at a time.
+// killKeeper kills a keeper and starts it again with its disk.
 func (s *soak) killKeeper() {
 	name := fmt.Sprint("keeper-", s.random.IntN(len(locations)))
 	s.begin("kill of", name, func() { s.restart(name) })
