Use the fake platform's header names in the tests of endless responses

internal/gateway/endless_test.go spelled names of the platform's wire, which only platform/ may know.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -20,8 +20,11 @@
 }
 
 const (
-	okHead    = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: %ID%\r\n"
-	otherHead = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nAttempt-Id: other\r\nContent-Length: 99999999\r\n\r\n"
+	stamp     = platformtest.HeaderStamp + ": s\r\n"
+	ownID     = platformtest.HeaderAttempt + ": %ID%\r\n"
+	okHead    = "HTTP/1.1 200 OK\r\n" + stamp + ownID
+	otherHead = "HTTP/1.1 200 OK\r\n" + stamp + platformtest.HeaderAttempt + ": other\r\nContent-Length: 99999999\r\n\r\n"
+	fullHead  = "HTTP/1.1 503 Full\r\n" + platformtest.HeaderNotExecuted + ": 1\r\n" + ownID + "\r\n"
 )
 
 var filler = strings.Repeat("x", 4<<10)
@@ -39,7 +42,7 @@
 	{"chunked body", okHead + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + filler + "\r\n", 0},
 	{"chunk extension", okHead + "Transfer-Encoding: chunked\r\n\r\n1;", filler, 0},
 	{"trailer", okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-Filler: " + filler + "\r\n", 0},
-	{"rejection with a slow body", "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nAttempt-Id: %ID%\r\n\r\n", "x", 100 * time.Millisecond},
+	{"rejection with a slow body", fullHead, "x", 100 * time.Millisecond},
 }
 
 // endlessEvents are those that a stream may get besides.
