--- a/internal/tokenbudget/contention_test.go
+++ b/internal/tokenbudget/contention_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/fake/peers"
+	"ibisline/internal/tokenbudget"
 )
 
 // Size and load of a fleet of small instances before a rolling planned stop.
@@ -45,8 +46,13 @@
 	mu      sync.Mutex
 	turns   int
 	refused []string
+	// late counts the turns that were refused, or whose decision took longer than decisionLimit.
+	late int
 }
 
+// decisionLimit is the latency objective of a turn's first token.
+const decisionLimit = 300 * time.Millisecond
+
 // startWorkload starts the programs, spread over a turn's period.
 func startWorkload(f *fleet) *workload {
 	w := &workload{fleet: f, stop: make(chan struct{})}
@@ -73,6 +79,9 @@
 		err := w.fleet.turn(g, fmt.Sprint("p", i, "-", turn/3), 35, turnLength)
 		w.mu.Lock()
 		w.turns++
+		if err != nil || time.Since(started)-turnLength > decisionLimit {
+			w.late++
+		}
 		if err != nil {
 			w.refused = append(w.refused, fmt.Sprintf("after %v at %s: %v", time.Since(started), g.Self().Name, err))
 		}
@@ -178,6 +187,41 @@
 	})
 }
 
+// Guards against the loss of one instance that interrupts all programs: a single home decided
+// about the turns of the whole fleet, so that callers waited for as long as its silence lasted
+// and returned together.
+func TestSilentLossOfOneGatewayDelaysFewTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, tokenbudget.DefaultShards, largeFleetGateways, largeFleetKeepers)
+		defer f.close()
+		f.network.SetLoad(smallInstance)
+		w := startWorkload(f)
+		time.Sleep(4 * time.Second)
+		lost := f.gateways[f.homeOf("p0-0")]
+		f.setStopping(lost.Self().Name, true) // The balancer sends it no more turns.
+		time.Sleep(turnLength)
+		turns, late := w.counts()
+		for _, other := range f.liveWithout() {
+			f.network.Cut(lost.Self().Name, other, true)
+			f.network.Cut(other, lost.Self().Name, true)
+		}
+		time.Sleep(3 * time.Second)
+		turnsAfter, lateAfter := w.counts()
+		w.end()
+		time.Sleep(releaseTime)
+		t.Logf("%d of %d turns late within 3 s of the loss", lateAfter-late, turnsAfter-turns)
+		require.Less(t, lateAfter-late, (turnsAfter-turns)/4)
+		require.Empty(t, f.overrun())
+	})
+}
+
+// counts returns the number of turns that have ended, and of those that were late.
+func (w *workload) counts() (turns, late int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.turns, w.late
+}
+
 // homeOrder returns the gateways, beginning with the home of the shard and followed by those
 // that replace it, in their order.
 func (f *fleet) homeOrder() []int {
