Take over from journals that an earlier claimant has fenced

Cause: a takeover from the journals fenced them first and found out afterwards whether it could start. If it could not, or if its daemon was lost, the newest replica belonged to an older fence than the one in force, and every later daemon rejected it.

A daemon now queries the journals and fences them only if enough have answered to find every replica as new as the newest one. A replica of an older fence is a valid start, because a claimant grants nothing before its own replica is on a quorum of the journals, which a reader of all but the allowed losses meets. The replica names the other sets of journals that the checkpoint may list, so that the reader also meets the quorum of a claimant that started from such a checkpoint. A claimant says that it is claiming while it fences.

TestClaimOnTooFewJournalsLeavesShardToOthers and TestClaimantLostAtAnyMomentLeavesShardToOthers failed before and pass.

--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -341,28 +341,31 @@
 
 // acquireFromJournals takes the shard over while the platform is unreachable: from the state
 // that a leaving home handed over, or from the replica in the journals. It fences the
-// journals only if there seems to be a replica, so that a home that works without one is not
-// disrupted.
+// journals only if enough of them to start from have answered, so that a home that works
+// without them, or a daemon that reaches more of them, is not disrupted.
 func (s *shard) acquireFromJournals(ctx context.Context, a *acquisition) (string, error) {
 	handed := a.handed
 	keepers := s.home.keepers()
 	seen := s.queryFences(ctx, keepers, nil)
 	a.endStep("query")
-	replicated := seen.fence.Number != 0 && seen.replicaFence == seen.fence
 	handedOver := handed != nil && handed.Journals != nil && seen.fence == handed.Fence
 	switch {
 	case !handedOver && s.incumbentDecides(ctx, a, seen.incumbent(), func(ctx context.Context) (incumbent, error) {
 		return s.queryFences(ctx, keepers, nil).incumbent(), nil
 	}):
 		return a.incumbent, nil
-	case !handedOver && !replicated:
+	case !handedOver && seen.replica.Fence.Number == 0:
 		return "", errNoCheckpoint
+	case !handedOver && !s.replicaReadable(seen.replica, seen.journals):
+		return "", errTooFewJournals
 	}
 	s.mu.Lock()
 	fence := journal.Fence{
 		Shard: s.number, Number: max(seen.fence.Number, s.highestFence) + 1, Home: s.home.fleet.Self().Name,
 	}
 	s.mu.Unlock()
+	s.setClaiming(true)
+	defer s.setClaiming(false)
 	f := s.fenceAll(ctx, fence, keepers, nil, journal.Known{})
 	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
@@ -374,20 +377,36 @@
 		return "", s.startFromReplica(a, fence, f, keepers, from, 0)
 	}
 	found := f.newestReplica()
-	if !found.Complete || found.Fence.Number != f.previousNumber() || len(found.Journals) <= s.home.config.LostDisks {
-		// The replica is incomplete or not that of the last home, which may have granted
-		// turns based on other journals.
+	if !found.Complete || len(found.Journals) <= s.home.config.LostDisks {
+		// The last home may have granted turns based on other journals or the checkpoint alone.
 		return "", errNoCheckpoint
 	}
 	return "", s.startFromReplica(a, fence, f, keepers, found, found.MaxTurnTokens)
 }
 
-// startFromReplica starts deciding from a replica. It grants nothing until this home's own
-// replica is stored on the same journals, because later homes look for it there.
+// replicaReadable reports whether enough journals have answered to find every replica that is
+// as new as the given one or newer: all but the allowed losses of its own journals, and of
+// those that the checkpoint listed when it was written.
+func (s *shard) replicaReadable(replica journal.Replica, answered journalSet) bool {
+	if !s.journalsSuffice(replica.Journals, answered) {
+		return false
+	}
+	for _, listed := range replica.Listed {
+		if !journalSet(listed).readableBy(answered, s.home.config.LostDisks) {
+			return false
+		}
+	}
+	return true
+}
+
+// startFromReplica starts deciding from a replica. The replica may be older than the fence in
+// force: a daemon that fenced the journals later and has not stored its own replica on a
+// quorum of them has granted nothing. This home grants nothing either until its replica is
+// stored on the same journals, because later homes look for it there.
 func (s *shard) startFromReplica(
 	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica, unrecorded int,
 ) error {
-	if !s.journalsSuffice(from.Journals, f.accepted()) {
+	if !s.replicaReadable(from, f.accepted()) {
 		return errTooFewJournals
 	}
 	s.mu.Lock()
@@ -404,12 +423,10 @@
 
 // fenceStatus is the state of a shard in the journals, read without fencing it.
 type fenceStatus struct {
-	// fence is the highest fence found, replicaFence the one under which the newest replica
-	// was written, and replicaSequence the last write to it.
-	fence           journal.Fence
-	replicaFence    journal.Fence
-	replicaSequence int64
-	journals        journalSet
+	// fence is the highest fence found, and replica the newest replica without its totals.
+	fence    journal.Fence
+	replica  journal.Replica
+	journals journalSet
 }
 
 // queryFences asks the journals for the fence in force. If wanted is not empty, it returns
@@ -447,10 +464,7 @@
 	if reply.Fence.Number > f.fence.Number {
 		f.fence = reply.Fence
 	}
-	if reply.Replica.Fence.Number > f.replicaFence.Number {
-		f.replicaFence, f.replicaSequence = reply.Replica.Fence, 0
-	}
-	if reply.Replica.Fence == f.replicaFence {
-		f.replicaSequence = max(f.replicaSequence, reply.Replica.Sequence)
+	if reply.Replica.NewerThan(f.replica) {
+		f.replica = reply.Replica
 	}
 }
--- a/internal/tokenbudget/incumbent.go
+++ b/internal/tokenbudget/incumbent.go
@@ -37,8 +37,8 @@
 // incumbent returns the home whose fence is in force in the journals.
 func (f fenceStatus) incumbent() incumbent {
 	return incumbent{
-		home: f.fence.Home, claiming: f.replicaFence != f.fence,
-		activity: activity{fence: f.fence, sequence: f.replicaSequence},
+		home: f.fence.Home, claiming: f.replica.Fence != f.fence,
+		activity: activity{fence: f.fence, sequence: f.replica.Sequence},
 	}
 }
 
--- a/internal/tokenbudget/journal/journal.go
+++ b/internal/tokenbudget/journal/journal.go
@@ -71,6 +71,9 @@
 	Sequence int64 `msgpack:"q"`
 	// Journals are those that may hold the replica: journal identities by instance name.
 	Journals map[string]int64 `msgpack:"j,omitempty"`
+	// Listed are the sets of journals that the checkpoint may list, and so a home that has
+	// started from it may have written to, if they differ from Journals.
+	Listed []map[string]int64 `msgpack:"l,omitempty"`
 	// MaxTurnTokens is the largest turn in the checkpoint.
 	MaxTurnTokens int                   `msgpack:"m,omitempty"`
 	Totals        []ledger.ProgramTotal `msgpack:"t,omitempty"`
@@ -197,6 +200,12 @@
 	return number < k.Number || (number == k.Number && sequence < k.Sequence)
 }
 
+// NewerThan reports whether a replica was written after another one of the same shard.
+func (r Replica) NewerThan(other Replica) bool {
+	return r.Fence.Number > other.Fence.Number ||
+		(r.Fence.Number == other.Fence.Number && r.Sequence > other.Sequence)
+}
+
 // without returns the replica without the totals that the reader has.
 func (r Replica) without(known Known) Replica {
 	r.Totals = slices.DeleteFunc(r.Totals, func(total ledger.ProgramTotal) bool {
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -60,6 +60,18 @@
 	return append([]journalSet{s.checkpoint.journals}, s.checkpoint.inDoubt...)
 }
 
+// otherListed returns the sets of journals that the checkpoint may list and that differ from
+// those of the replica. The caller holds mu.
+func (s *shard) otherListed(replica journalSet) []map[string]int64 {
+	var others []map[string]int64
+	for _, set := range s.quorumSets() {
+		if len(set) > 0 && !maps.Equal(set, replica) {
+			others = append(others, set)
+		}
+	}
+	return others
+}
+
 // canReplicate reports whether there are enough journals for a replica. The caller holds mu.
 func (s *shard) canReplicate() bool {
 	for _, set := range s.quorumSets() {
@@ -97,7 +109,7 @@
 	s.sequence++
 	totals := s.ledger.BeginReplication(complete, s.sequence, time.Now())
 	next := journal.Replica{
-		Fence: fence, Complete: complete, Sequence: s.sequence, Journals: wanted,
+		Fence: fence, Complete: complete, Sequence: s.sequence, Journals: wanted, Listed: s.otherListed(wanted),
 		MaxTurnTokens: s.ledger.MaxTurnTokens(), Totals: totals,
 	}
 	s.mu.Unlock()
