Send a rejected request again on another connection

A faulty server wrote an earlier rejection once more on a kept connection. Callers were told 503, not run, for requests that the server had run; a broken stream that was being resumed was cut off again.

Cause: a response is told by the identifier of its request, and all sends of one request share it. The second send to the same server used the connection of the first one, so that the repeated rejection passed for its response. resume also called itself without a limit while its server rejected the request.

A connection now remembers the requests whose responses were discarded on it, and is not used for them again; after 32 of them it is not kept. Asking a full server again is a loop that ends with the request's deadline.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -115,28 +115,21 @@
 // resume requests the rest of the response from the same server, and from another one only
 // if that server has ended or cannot be reached.
 func (s *stream) resume(ctx context.Context, server structs.Server) (sendResult, error) {
-	g := s.gateway
 	if server.Name == "" {
 		return sendResult{}, errNoRun
 	}
-	g.tracker.begin(server.Name)
-	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
-	switch {
-	case err == nil && !g.Dialect.NotRun(response.Status, response.Header):
-		return sendResult{server: server, response: response}, nil
-	case err == nil && response.Status != http.StatusMisdirectedRequest:
+	response, err := s.resumeAt(ctx, server)
+	for err == nil && response == nil {
 		// The server is alive but full. The run must not be resumed elsewhere.
-		response.Discard(maxDiscardedBytes)
-		g.tracker.done(server.Name)
 		if !sleep(ctx, fullServerRetryPause) {
 			return sendResult{server: server}, ctx.Err()
 		}
-		return s.resume(ctx, server)
-	case err == nil:
-		response.Discard(maxDiscardedBytes)
+		response, err = s.resumeAt(ctx, server)
 	}
-	g.tracker.done(server.Name)
-	if err != nil && !verdict.Is(err, verdict.NotRun) {
+	switch {
+	case err == nil:
+		return sendResult{server: server, response: response}, nil
+	case !verdict.Is(err, verdict.NotRun):
 		return sendResult{server: server}, err
 	}
 	// Nothing listens at the address any more: the run ended with its server, which no
@@ -145,6 +138,26 @@
 	return s.resumeElsewhere(ctx)
 }
 
+// resumeAt asks a server once for the rest of the response. The response is nil if the server
+// rejects the request for now; the error is NotRun if the run has ended with its server.
+func (s *stream) resumeAt(ctx context.Context, server structs.Server) (*upstream.Response, error) {
+	g := s.gateway
+	g.tracker.begin(server.Name)
+	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
+	if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
+		return response, nil
+	}
+	g.tracker.done(server.Name)
+	if err != nil {
+		return nil, err
+	}
+	response.Discard(maxDiscardedBytes)
+	if response.Status == http.StatusMisdirectedRequest {
+		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "%s has another server at its address", server.Name)
+	}
+	return nil, nil
+}
+
 // fullServerRetryPause is the pause before a full server is asked to resume again.
 const fullServerRetryPause = 25 * time.Millisecond
 
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -107,9 +107,13 @@
 	return unknownOutcomeError(r.ctx, errors.Wrap(ErrMalformed, cause.Error()))
 }
 
-// Discard reads the rest of a short response, so that its connection can be reused, and
-// closes it.
+// Discard reads the rest of a short response to a request that may be sent again, and closes
+// it. Its connection can be reused for other requests.
 func (r *Response) Discard(limit int64) {
+	r.conn.rejected = append(r.conn.rejected, r.requestID)
+	if len(r.conn.rejected) == maxRejected {
+		r.keepAlive = false
+	}
 	timer := time.AfterFunc(drainTimeout, r.conn.interrupt)
 	_, _ = io.Copy(io.Discard, io.LimitReader(r, limit))
 	if !timer.Stop() {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -136,11 +137,12 @@
 	}
 }
 
-// acquire returns an idle connection that is still usable, or a new one.
-func (c *Client) acquire(ctx context.Context, server structs.Server) (*conn, error) {
+// acquire returns an idle connection that is still usable and on which the request was not
+// rejected before, or a new one.
+func (c *Client) acquire(ctx context.Context, server structs.Server, requestID string) (*conn, error) {
 	key := keyOf(server)
 	for {
-		idle := c.takeIdle(key)
+		idle := c.takeIdle(key, requestID)
 		if idle == nil {
 			break
 		}
@@ -172,18 +174,19 @@
 	return nil
 }
 
-// takeIdle removes and returns the most recently used idle connection of a server, nil
-// if there is none.
-func (c *Client) takeIdle(key poolKey) *conn {
+// takeIdle removes and returns the most recently used idle connection of a server on which
+// the request was not rejected before, nil if there is none.
+func (c *Client) takeIdle(key poolKey, requestID string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	idle := c.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for i, cn := range slices.Backward(idle) {
+		if !slices.Contains(cn.rejected, requestID) {
+			c.idle[key] = slices.Delete(idle, i, i+1)
+			return cn
+		}
 	}
-	last := idle[len(idle)-1]
-	c.idle[key] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
 // putIdle keeps a connection for reuse, or closes it if the server already has MaxIdle
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -18,9 +18,16 @@
 	// answeredBefore is set once a response was accepted on the connection. From then on
 	// a response without an identifier may be a late one and is skipped.
 	answeredBefore bool
-	expires        time.Time
+	// rejected holds the identifiers of the requests whose responses were discarded. Such a
+	// request may be sent again, and must not be sent on this connection: a faulty server may
+	// repeat the response, which carries the same identifier.
+	rejected []string
+	expires  time.Time
 }
 
+// maxRejected is the number of discarded responses after which a connection is not reused.
+const maxRejected = 32
+
 // readBufferBytes fits the head of a response or a few events of a stream.
 const readBufferBytes = 4 << 10
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -14,6 +14,7 @@
 	Status int
 	Header http.Header
 
+	requestID     string
 	client        *Client
 	conn          *conn
 	body          io.ReadCloser
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -50,7 +50,7 @@
 // returns and closes the connection, which signals the server to stop. Errors are
 // *verdict.Error: NotRun only if no byte was written to a connection.
 func (c *Client) Send(ctx context.Context, server structs.Server, request Request) (*Response, error) {
-	cn, err := c.acquire(ctx, server)
+	cn, err := c.acquire(ctx, server, request.ID)
 	if err != nil {
 		return nil, notSentError(ctx, ErrConnect, err)
 	}
@@ -74,6 +74,7 @@
 	return &Response{
 		Status:        response.StatusCode,
 		Header:        response.Header,
+		requestID:     request.ID,
 		client:        c,
 		conn:          cn,
 		body:          response.Body,
