End a repeatable request when no other server is left

Found by a test of truncated responses, which never ended under virtual time: a repeatable request whose only server had failed kept the processor busy for the last tenths of its time. call starts another send after each failure that may have run; the search for a server waits for a quarter of the time left at most, so that near the deadline it failed at once, and was started again at once (4.6 million times in the test).

A send that found no other server is no longer repeated; the caller gets its 502 at once instead of at the deadline.

TestRepeatableRequestEndsWithoutAnotherServer does not end without the change and passes with it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -43,7 +43,9 @@
 			if result.err == nil {
 				return result.response, nil
 			}
-			retry := !verdict.Is(result.err, verdict.NotRun) && j.maySendToAnother() && ctx.Err() == nil
+			// Without another server a further send would fail at once, again and again.
+			retry := !verdict.Is(result.err, verdict.NotRun) && !verdict.HasReason(result.err, verdict.NoServer) &&
+				j.maySendToAnother() && ctx.Err() == nil
 			if retry {
 				inFlight++
 				start()
--- a/internal/gateway/faulty_responses_test.go
+++ b/internal/gateway/faulty_responses_test.go
@@ -65,3 +65,14 @@
 		require.Len(t, engine.Runs(), 2, "the stream is resumed once")
 	})
 }
+
+// Guards against a repeatable request that keeps the processor busy until its deadline, because
+// its only server has failed and the search for another one is started again at once.
+func TestRepeatableRequestEndsWithoutAnotherServer(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.addServer(tills, "till-1").Always(platformtest.Reply{Reset: true})
+		got := h.call(http.MethodGet, "/look/1", "r1")
+		require.Equal(t, http.StatusBadGateway, got.status)
+		require.Less(t, got.took, time.Second, "ends before the route's timeout")
+	})
+}
