Forward only the rest of a stream, and take an end inside an event for a break

A stream broke off and the next server answered with an error. Callers found the text of the error in their stream, or the stream ended as if it were complete. A stream without length or chunks that ended inside an event was forwarded as whole.

Cause: relay looked at the content type only, so that an error sent as an event stream, text without event ids and an empty response passed for the rest; what followed the last event was forwarded wherever the connection had been closed in order; the first event of a resumed stream was not checked for a gap.

A resumed run must now answer with the status that the caller has, as an event stream, with events that have ids and follow the last one. Where only the connection's end tells the end, a response that ends inside an event, or before the first one, is broken off. A resume that is rejected in this way is tried once more, as after malformed bytes. An empty rest in a framed response still ends the stream: only its end was lost.

TestErrorInsteadOfRestOfStreamIsNotForwarded (four of eleven answers seen as whole streams, others not looked at) and TestStreamThatEndsInsideEventIsBroken failed before and pass.

--- a/internal/gateway/faulty_responses_test.go
+++ b/internal/gateway/faulty_responses_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,6 +67,143 @@
 	})
 }
 
+// wholeStream are the events "a", "b" and "c" as a caller receives them.
+const wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
+
+func TestResponseThatEndsWithItsConnectionIsForwarded(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done", UntilClose: true})
+		require.Equal(t, "done", h.call(http.MethodPost, "/redeem/1", "r1").body)
+		h.addServer(engines, "engine-1").Always(platformtest.Reply{Events: []string{"a", "b", "c"}, UntilClose: true})
+		got := h.call(http.MethodPost, "/turn/1", "r2")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, wholeStream, got.body)
+	})
+}
+
+// Guards against a stream with neither a length nor chunks that ends inside an event, or before
+// its first one, being forwarded as complete.
+func TestStreamThatEndsInsideEventIsBroken(t *testing.T) {
+	whole := platformtest.Reply{Events: []string{"a", "b", "c"}, UntilClose: true}
+	for missing := 1; missing <= len(wholeStream); missing++ {
+		part := whole
+		part.CutAfter = missing
+		if rest := wholeStream[:len(wholeStream)-missing]; strings.HasSuffix(rest, "\n\n") {
+			continue // It ends between two events, which nothing tells from the end.
+		}
+		withHarness(t, func(t *testing.T, h *harness) {
+			engine := h.addServer(engines, "engine-1")
+			var runs atomic.Int32
+			engine.Script(func(platformtest.Run) platformtest.Reply {
+				if runs.Add(1) == 1 {
+					return part
+				}
+				return whole
+			})
+			got := h.call(http.MethodPost, "/turn/1", "r1")
+			require.Equal(t, http.StatusOK, got.status, "%d bytes missing", missing)
+			require.Equal(t, wholeStream, got.body, "it is resumed")
+			require.Len(t, engine.Runs(), 2)
+		})
+		withHarness(t, func(t *testing.T, h *harness) {
+			h.addServer(engines, "engine-1").Always(part)
+			got := h.call(http.MethodPost, "/turn/1", "r1")
+			require.NotEqual(t, http.StatusOK, got.status, "%d bytes missing", missing)
+		})
+	}
+}
+
+// Guards against what answers the resume of a broken stream being forwarded as its rest: the
+// text of an error, events that do not belong to the stream, or an end without a rest.
+func TestErrorInsteadOfRestOfStreamIsNotForwarded(t *testing.T) {
+	stream := http.Header{"Content-Type": {"text/event-stream"}}
+	for name, reply := range map[string]platformtest.Reply{
+		"error":                      {Status: http.StatusInternalServerError, Body: "engine failed\n"},
+		"error as a stream":          {Status: http.StatusInternalServerError, Body: "engine failed\n\n", Header: stream},
+		"empty error as a stream":    {Status: http.StatusInternalServerError, Header: stream},
+		"error with event ids":       {Status: http.StatusInternalServerError, Body: "id: 2\ndata: failed\n\n", Header: stream},
+		"text as a stream":           {Body: "HTTP/1.1 500 Failed\n\nengine failed\n\n", Header: stream},
+		"plain text":                 {Body: "engine failed\n"},
+		"end of the connection":      {Header: stream, UntilClose: true},
+		"text until the end":         {Body: "engine failed", Header: stream, UntilClose: true},
+		"later events":               {Body: "id: 3\ndata: c\n\n", Header: stream},
+		"redirect":                   {Status: http.StatusFound, Header: http.Header{"Location": {"/elsewhere"}}},
+		"success without a response": {Status: http.StatusNoContent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				first := platformtest.Reply{Events: []string{"a", "b", "c"}, CutAfter: 20}
+				h.addServer(engines, "engine-1").Script(func(run platformtest.Run) platformtest.Reply {
+					if run.Header.Get("Last-Event-Id") == "" {
+						return first
+					}
+					return reply
+				})
+				got := h.call(http.MethodPost, "/turn/1", "r1")
+				require.Zero(t, got.status, "the caller's connection is aborted")
+				require.Equal(t, "id: 1\ndata: a\n\n", got.body)
+			})
+		})
+	}
+}
+
+// Guards against failing a stream of which only the end was lost: the rest is empty.
+func TestResumeAfterLastEventEndsStream(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		events := platformtest.Reply{Events: []string{"a", "b", "c"}}
+		first := events
+		first.CutAfter = len(wholeStream)
+		h.addServer(engines, "engine-1").Script(func(run platformtest.Run) platformtest.Reply {
+			if run.Header.Get("Last-Event-Id") == "" {
+				return first
+			}
+			return events
+		})
+		got := h.call(http.MethodPost, "/turn/1", "r1")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, wholeStream, got.body)
+	})
+}
+
+// Guards against a response whose head or body stops at any byte being forwarded as a whole
+// success, whether its connection is closed or stays open.
+func TestResponseThatStopsAtAnyByteIsNoSuccess(t *testing.T) {
+	replies := map[string]platformtest.Reply{
+		"/redeem/1": {Body: "done", Header: http.Header{"Content-Type": {"text/plain"}}},
+		"/look/1":   {Body: "done"},
+		"/turn/1":   {Events: []string{"a", "b"}},
+	}
+	for path, reply := range replies {
+		service, method := tills, http.MethodPost
+		switch path {
+		case "/turn/1":
+			service = engines
+		case "/look/1":
+			method = http.MethodGet
+		}
+		for _, hang := range []bool{false, true} {
+			for size := 1; ; size++ {
+				whole := false
+				withHarness(t, func(t *testing.T, h *harness) {
+					server := h.addServer(service, "server-1")
+					cut := reply
+					cut.StopAfter, cut.Hang = size, hang
+					server.Always(cut)
+					got := h.call(method, path, "r1")
+					whole = got.status == http.StatusOK
+					if whole {
+						require.Equal(t, "stamp-server-1", got.header.Get(platformtest.HeaderStamp))
+						require.Contains(t, []string{"done", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"}, got.body)
+					}
+				})
+				if whole {
+					break
+				}
+			}
+		}
+	}
+}
+
 // Guards against a repeatable request that keeps the processor busy until its deadline, because
 // its only server has failed and the search for another one is started again at once.
 func TestRepeatableRequestEndsWithoutAnotherServer(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -170,27 +170,50 @@
 // errCallerGone is returned when writing to the caller fails.
 var errCallerGone = errors.New("the caller is gone")
 
-// errNoEvents is the cause of a stream's failure when the server sends bytes that are no
-// events of the response.
-var errNoEvents = errors.New("bytes without an event of the response")
-
-// errNoRun is returned when there is no run to resume.
-var errNoRun = errors.New("no run to resume")
+// Causes of a stream's failure.
+var (
+	// errNoEvents: the server sends bytes that are no events of the response.
+	errNoEvents = errors.New("bytes without an event of the response")
+	// errInsideEvent: the connection ended inside an event, or before the first one.
+	errInsideEvent = errors.New("connection ended inside an event")
+	// errNotRest: the server answered the resume of a stream with something else than its rest.
+	errNotRest = errors.New("not the rest of the stream")
+	// errNoRun: there is no run to resume.
+	errNoRun = errors.New("no run to resume")
+)
 
-// relay relays the events of one run. It skips events that the caller already has, and fails
-// on a gap in the event IDs.
+// relay relays the response of one run. What resumes a stream must be its rest: a stream with
+// the status that the caller has received.
 func (s *stream) relay(sent sendResult) error {
-	g := s.gateway
-	defer g.tracker.done(sent.server.Name)
+	defer s.gateway.tracker.done(sent.server.Name)
+	stream := isEventStream(sent.response)
+	if s.headSent && (!stream || sent.response.Status != s.job.summary.status) {
+		err := sent.response.Malformed(errors.Wrapf(errNotRest, "status %d", sent.response.Status))
+		s.gateway.tracker.markFailed(sent.server.Name, time.Now())
+		sent.response.Discard(maxDiscardedBytes)
+		return err
+	}
 	defer sent.response.Close()
-	if !isEventStream(sent.response) {
+	if !stream {
 		return s.relayBuffered(sent)
 	}
-	events := bufio.NewScanner(sent.response)
+	return s.relayEvents(sent)
+}
+
+// relayEvents relays the events of one run. It skips events that the caller already has, and
+// fails on a gap in the event IDs.
+func (s *stream) relayEvents(sent sendResult) error {
+	g, response, resumed := s.gateway, sent.response, s.headSent
+	events := bufio.NewScanner(response)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
-	events.Split(splitEvents(sent.response.Complete))
+	events.Split(splitEvents(func() bool { return response.Complete() && response.Framed() }))
 	var progress eventProgress
+	empty := true
 	for !progress.stalled() && events.Scan() {
+		empty = false
+		if resumed && !isPartOfStream(events.Bytes()) {
+			return response.Malformed(errNotRest)
+		}
 		if err := s.sendHead(sent); err != nil {
 			return err
 		}
@@ -200,8 +223,11 @@
 		progress.add(events.Bytes())
 	}
 	err := events.Err()
-	if errors.Is(err, bufio.ErrTooLong) || progress.stalled() {
-		err = sent.response.Malformed(errNoEvents)
+	switch {
+	case errors.Is(err, bufio.ErrTooLong) || progress.stalled():
+		err = response.Malformed(errNoEvents)
+	case errors.Is(err, errInsideEvent) || (err == nil && empty && !response.Framed()):
+		err = response.Broken(errInsideEvent)
 	}
 	if err != nil {
 		g.tracker.markFailed(sent.server.Name, time.Now())
@@ -248,7 +274,7 @@
 	switch {
 	case hasID && id <= s.lastEventID:
 		return nil
-	case hasID && s.eventCount > 0 && id != s.lastEventID+1:
+	case hasID && s.lastEventID > 0 && id != s.lastEventID+1:
 		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed, "event %d follows event %d", id, s.lastEventID)
 	}
 	if _, err := s.writer.Write(event); err != nil {
@@ -276,10 +302,6 @@
 		s.gateway.tracker.markFailed(sent.server.Name, time.Now())
 		return err
 	}
-	if s.headSent {
-		return verdict.New(verdict.MayHaveRun, verdict.BackendFailed,
-			"server sent status %d instead of the rest of the stream", sent.response.Status)
-	}
 	s.headSent = true
 	s.job.summary.firstByteTime = time.Since(s.job.Arrived)
 	s.job.summary.status = sent.response.Status
@@ -290,7 +312,8 @@
 }
 
 // splitEvents returns a split function for events, each including the empty line that
-// terminates it. Data after the last event is returned only if the stream is complete.
+// terminates it. Data after the last event is returned only if the stream is complete, and is
+// an error otherwise.
 func splitEvents(complete func() bool) bufio.SplitFunc {
 	return func(data []byte, atEOF bool) (int, []byte, error) {
 		for start := 0; ; {
@@ -304,13 +327,24 @@
 			}
 			start = end
 		}
-		if atEOF && len(data) > 0 && complete() {
+		switch {
+		case !atEOF || len(data) == 0:
+			return 0, nil, nil
+		case complete():
 			return len(data), data, nil
+		default:
+			return 0, nil, errInsideEvent
 		}
-		return 0, nil, nil
 	}
 }
 
+// isPartOfStream reports whether an event has an ID or is a comment. The first run of a stream
+// may send anything, but what resumes it could also be the text of an error.
+func isPartOfStream(event []byte) bool {
+	_, hasID := eventID(event)
+	return hasID || bytes.HasPrefix(event, []byte(":"))
+}
+
 // eventIDPrefix begins the line of an event that holds its ID.
 var eventIDPrefix = []byte("id:")
 
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -6,6 +6,8 @@
 	"net/http"
 
 	"github.com/go-faster/errors"
+
+	"ibisline/internal/verdict"
 )
 
 // Response is the response to one request. Its body must be read by a single goroutine,
@@ -20,6 +22,7 @@
 	body          io.ReadCloser
 	keepAlive     bool
 	complete      bool
+	framed        bool
 	ctx           context.Context
 	stopInterrupt func() bool
 	writer        *requestWriter
@@ -42,6 +45,14 @@
 // Complete reports whether the body was read to its end.
 func (r *Response) Complete() bool { return r.complete }
 
+// Framed reports whether the body has a length or is sent in chunks. The end of another one is
+// that of the connection, which a server that breaks off may have closed.
+func (r *Response) Framed() bool { return r.framed }
+
+// Broken returns the error of a response that was broken off although its connection was closed
+// in order.
+func (r *Response) Broken(cause error) *verdict.Error { return unknownOutcomeError(r.ctx, cause) }
+
 // Close keeps the connection for reuse if the response was read to its end, the request
 // was written completely, the server keeps the connection open and no further data has
 // arrived. Otherwise it closes the connection.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -79,6 +79,7 @@
 		conn:          cn,
 		body:          response.Body,
 		keepAlive:     !response.Close,
+		framed:        response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		ctx:           ctx,
 		stopInterrupt: stopInterrupt,
 		writer:        writer,
