Stop sending requests to servers that say that they are leaving

A server that leaves now says so in all its responses, whatever the list of servers says, and no request that a caller sends drainMs after such a response may reach it. Nothing read the header.

The adapter decodes it; the gateway's tracker remembers the run, by name and start time. It gets only what no other server can take for 1.2 s, the grace of servers that vanish from the list, and nothing afterwards. Waiting and repeated requests choose their server anew, so that the rule covers them; the resume of a stream stays at its server.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	ResponseRequestID(header http.Header) string
 	// NotRun reports whether a response proves that the request did not run.
 	NotRun(status int, header http.Header) bool
+	// Leaving reports whether the server that sent a response says that it is leaving.
+	Leaving(status int, header http.Header) bool
 	// ResponseHeader returns the fields of a response header that are forwarded to the caller.
 	ResponseHeader(header http.Header) http.Header
 	// FailureResponse returns the status and header of the response to a request that failed.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -204,6 +204,10 @@
 		g.requestMetrics.recordSend(kindLabel(j), outcome)
 		return nil, err
 	}
+	if g.Dialect.Leaving(response.Status, response.Header) && g.tracker.markLeaving(server, started) {
+		g.Log.WithField("server", server.Name).WithField("request", j.ID).WithField("listed_as", server.State).
+			Info("backend server says that it is leaving")
+	}
 	notRun := g.Dialect.NotRun(response.Status, response.Header)
 	if !notRun {
 		j.recordAccepted(started)
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"ibisline/internal/policy/balance"
 	"ibisline/internal/policy/retrybudget"
+	"ibisline/internal/servers"
 	"ibisline/internal/structs"
 )
 
@@ -15,8 +17,13 @@
 // check intervals of the platform, which removes a dead server from its list.
 const suspectDuration = time.Second
 
+// leavingGrace is the time for which a server that says in its responses that it is leaving may
+// still get requests that no other server can take. The platform requires that it gets none
+// that a caller sends 2.5 s after such a response.
+const leavingGrace = servers.VanishedGrace
+
 // tracker counts the in-flight requests of this daemon at each backend server and remembers
-// which servers failed recently. It is safe for concurrent use.
+// which servers failed recently and which are leaving. It is safe for concurrent use.
 type tracker struct {
 	mu      sync.Mutex
 	servers map[string]*serverState
@@ -28,6 +35,16 @@
 type serverState struct {
 	inFlight     int
 	suspectUntil time.Time
+	// leavingRun is the start time of the run that says that it is leaving, and leavingSince
+	// when it first did. The list of servers may still call that run ready; a run that has
+	// started later is another one.
+	leavingRun   int64
+	leavingSince time.Time
+}
+
+// leaving reports whether a run of the server says that it is leaving.
+func (s *serverState) leaving(server structs.Server) bool {
+	return !s.leavingSince.IsZero() && s.leavingRun == server.StartedMS
 }
 
 func newTracker() *tracker {
@@ -45,10 +62,14 @@
 }
 
 // pick chooses a server and counts the request as in flight there. The caller must call done
-// when the request ends.
+// when the request ends. pick may reorder candidates.
 func (t *tracker) pick(candidates []structs.Server, from Config, session string, now time.Time) (structs.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool {
+		state := t.stateOf(server.Name)
+		return state.leaving(server) && now.Sub(state.leavingSince) >= leavingGrace
+	})
 	rated := make([]balance.Candidate, len(candidates))
 	for i, server := range candidates {
 		state := t.stateOf(server.Name)
@@ -56,7 +77,7 @@
 			InFlight: float64(state.inFlight),
 			Slots:    server.Slots,
 			Distance: distance(from, server),
-			Unlisted: server.State == structs.StateVanished,
+			Unlisted: server.State == structs.StateVanished || state.leaving(server),
 			Suspect:  now.Before(state.suspectUntil),
 			Affinity: hashFraction(xxhash.Sum64String(session + server.Name)),
 		}
@@ -111,6 +132,19 @@
 	t.stateOf(server).suspectUntil = now.Add(suspectDuration)
 }
 
+// markLeaving records that a run of a server says that it is leaving, and reports whether that
+// is new.
+func (t *tracker) markLeaving(server structs.Server, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.stateOf(server.Name)
+	if state.leaving(server) || server.StartedMS < state.leavingRun {
+		return false
+	}
+	state.leavingRun, state.leavingSince = server.StartedMS, now
+	return true
+}
+
 // markHealthy clears the suspicion of a server that responded.
 func (t *tracker) markHealthy(server string) {
 	t.mu.Lock()
