Do not overwrite the idle checkpoint of a later home

Callers of a program could be granted up to twice its budget: a home that had been replaced without learning of it, because it had nothing to write, overwrote the checkpoint of idle programs that its successor had written, and the home after that knew nothing of the programs in it.

Cause: after a conflict the home read the object's version again and wrote under it, whoever had written the object. It now gives its shard up if that was a later home. An earlier home can only have moved programs that are still in the active checkpoint.

--- a/internal/tokenbudget/idle_checkpoint.go
+++ b/internal/tokenbudget/idle_checkpoint.go
@@ -77,7 +77,8 @@
 
 // reloadIdleVersion reads the version of the idle checkpoint unless it is known. Its content
 // is known from the takeover: a previous home can at most have moved programs that this one
-// still has in the active checkpoint.
+// still has in the active checkpoint. A later home may have moved programs that this one does
+// not know, so that its checkpoint must not be overwritten.
 func (s *shard) reloadIdleVersion(ctx context.Context, fence journal.Fence) error {
 	s.mu.Lock()
 	known := s.idleCheckpoint.known
@@ -85,10 +86,14 @@
 	if known {
 		return nil
 	}
-	_, version, err := s.readIdleCheckpoint(ctx)
+	current, version, err := s.readIdleCheckpoint(ctx)
 	if err != nil {
 		return err
 	}
+	if current.Epoch > fence.Number {
+		s.giveUp(fence, current.Home, current.Epoch)
+		return errReplaced
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holdsUnder(fence) {
