Make a turn wait for the journals only, and write checkpoints from time to time

A total now has to be on a quorum of the journals before its turn is passed on. The checkpoint follows every two seconds and lets a later home read little; that home reads the journals in any case. The replica carries the largest turn, which only the checkpoint did, and the count of decisions by which other daemons see that a slow home is at work. Where there are too few journals, the checkpoint has to hold the total, as before. A home whose writes to the journals fail and that reaches too few of them with a query refuses, says so when asked, and hands over at once.

TestSlowPlatformDoesNotDelayTurns (0.9 s to 1.7 s a turn before) and TestHomeCutOffFromJournalsAndPlatformIsReplacedSoon (the home still held the shard) failed before and pass.

--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -151,10 +151,19 @@
 	return "", errAcquireConflict
 }
 
-// readIncumbent returns the home that the checkpoint names.
+// readIncumbent returns the home that the checkpoint names, with its activity in the journals,
+// to which a home writes more often.
 func (s *shard) readIncumbent(ctx context.Context) (incumbent, error) {
 	current, _, err := s.readCheckpoint(ctx, s.home.config.CheckpointReadTimeout)
-	return current.incumbent(s.number), err
+	if err != nil {
+		return incumbent{}, err
+	}
+	named, seen := current.incumbent(s.number), s.queryFences(ctx, s.home.keepers(), current.Journals)
+	if inJournals := seen.incumbent(); inJournals.activity.fence == named.activity.fence {
+		inJournals.activity.decisions = max(inJournals.activity.decisions, named.activity.decisions)
+		return inJournals, nil
+	}
+	return named, nil
 }
 
 // supersedes reports whether the handed-over state is newer than a checkpoint: no other home
@@ -373,15 +382,15 @@
 		return "", errAcquireConflict
 	}
 	if handedOver && f.previousNumber() == handed.Fence.Number {
-		from := journal.Replica{Journals: handed.Journals, MaxTurnTokens: handed.MaxTurnTokens, Totals: handed.Totals}
-		return "", s.startFromReplica(a, fence, f, keepers, from, 0)
+		from := journal.Replica{Journals: handed.Journals, Totals: handed.Totals}
+		return "", s.startFromReplica(a, fence, f, keepers, from)
 	}
 	found := f.newestReplica()
 	if !found.Complete || len(found.Journals) <= s.home.config.LostDisks {
 		// The last home may have granted turns based on other journals or the checkpoint alone.
 		return "", errNoCheckpoint
 	}
-	return "", s.startFromReplica(a, fence, f, keepers, found, found.MaxTurnTokens)
+	return "", s.startFromReplica(a, fence, f, keepers, found)
 }
 
 // replicaReadable reports whether enough journals have answered to find every replica that is
@@ -404,7 +413,7 @@
 // quorum of them has granted nothing. This home grants nothing either until its replica is
 // stored on the same journals, because later homes look for it there.
 func (s *shard) startFromReplica(
-	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica, unrecorded int,
+	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica,
 ) error {
 	if !s.replicaReadable(from, f.accepted()) {
 		return errTooFewJournals
@@ -412,7 +421,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
-	s.ledger = ledger.New(unrecorded, from.MaxTurnTokens)
+	s.ledger = ledger.New(from.MaxTurnTokens, 0)
 	s.ledger.Restore(from.Totals, ledger.FromJournals)
 	s.checkpoint = checkpointState{journals: from.Journals, failing: true}
 	s.startDeciding(a, fence, f, keepers)
--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -22,20 +22,18 @@
 	// in inDoubt instead.
 	journals journalSet
 	inDoubt  []journalSet
-	// writeStarted is the start of the write in progress, zero without one. failing is set
-	// while writes fail or are late.
-	writeStarted time.Time
-	failing      bool
+	// failing is set while writes fail.
+	failing bool
 }
 
 // Errors of the writers.
 var (
 	errReplaced   = errors.New("checkpoint was written by another home")
-	errNotDurable = errors.New("neither the checkpoint nor the journals could be written")
+	errNotDurable = errors.New("the journals cannot be reached")
 )
 
-// runCheckpointWriter writes the checkpoint until ctx ends: at once if a turn waits for it,
-// else every CheckpointInterval.
+// runCheckpointWriter writes the checkpoint until ctx ends: at once if a turn waits for it or
+// if it lists other journals than those that hold the replica, else every CheckpointInterval.
 func (s *shard) runCheckpointWriter(ctx context.Context, fence journal.Fence) {
 	ticker := newTicker(s.home.config.CheckpointInterval)
 	defer ticker.Stop()
@@ -99,9 +97,6 @@
 func (s *shard) writeCheckpoint(ctx context.Context, fence journal.Fence) error {
 	ctx, cancel := context.WithTimeout(ctx, s.home.config.CheckpointTimeout)
 	defer cancel()
-	s.mu.Lock()
-	s.checkpoint.writeStarted = time.Now()
-	s.mu.Unlock()
 	if err := s.reloadCheckpoint(ctx, fence); err != nil {
 		s.checkpointFailed(fence)
 		return err
@@ -138,11 +133,9 @@
 	if !s.holdsUnder(fence) {
 		return
 	}
-	s.checkpoint.writeStarted = time.Time{}
 	switch {
 	case err == nil:
 		s.ledger.EndCheckpoint(ledger.Written)
-		s.writesFailing = false
 		s.checkpoint = checkpointState{known: true, version: version, journals: journals}
 		s.home.checkpoints.Inc()
 		s.notify()
@@ -166,22 +159,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holdsUnder(fence) {
-		s.checkpoint.writeStarted = time.Time{}
-		s.checkpoint.failing = true
-		s.notify()
-	}
-}
-
-// checkLateCheckpoint marks the checkpoint as failing if the write in progress is late, so
-// that turns are granted on the journals alone.
-func (s *shard) checkLateCheckpoint(fence journal.Fence) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	late := !s.checkpoint.writeStarted.IsZero() &&
-		time.Since(s.checkpoint.writeStarted) >= s.home.config.CheckpointLateAfter
-	if s.holdsUnder(fence) && late && !s.checkpoint.failing {
 		s.checkpoint.failing = true
-		s.log().Info("checkpoint write is late, granting turns on the journals alone")
 		s.notify()
 	}
 }
--- a/internal/tokenbudget/handover.go
+++ b/internal/tokenbudget/handover.go
@@ -86,7 +86,7 @@
 
 // prepareHandover returns the state for the next home. The caller holds mu.
 func (s *shard) prepareHandover() handover {
-	state := handover{Fence: s.fence, MaxTurnTokens: s.ledger.MaxTurnTokens(), Totals: s.ledger.Totals(time.Now())}
+	state := handover{Fence: s.fence, Totals: s.ledger.Totals(time.Now())}
 	if len(s.checkpoint.inDoubt) == 0 {
 		state.Journals = s.checkpoint.journals
 	}
--- a/internal/tokenbudget/incumbent.go
+++ b/internal/tokenbudget/incumbent.go
@@ -23,7 +23,6 @@
 type activity struct {
 	fence     journal.Fence
 	decisions int64
-	sequence  int64
 }
 
 // incumbent returns the home that a checkpoint names.
@@ -36,10 +35,11 @@
 
 // incumbent returns the home whose fence is in force in the journals.
 func (f fenceStatus) incumbent() incumbent {
-	return incumbent{
-		home: f.fence.Home, claiming: f.replica.Fence != f.fence,
-		activity: activity{fence: f.fence, sequence: f.replica.Sequence},
+	found := incumbent{home: f.fence.Home, claiming: f.replica.Fence != f.fence, activity: activity{fence: f.fence}}
+	if !found.claiming {
+		found.activity.decisions = f.replica.Decisions
 	}
+	return found
 }
 
 // incumbentDecides reports whether the incumbent, or the daemon to which it is handing the
@@ -69,7 +69,7 @@
 		case decides:
 			return true
 		case replaceable:
-			a.silent = w.known.activity
+			a.silent = first.activity
 			return false
 		}
 		sleep(ctx, incumbentPollPause)
@@ -106,7 +106,9 @@
 type incumbentWatch struct {
 	config Config
 	// known is the incumbent as read last, silentSince the time of the last sign of activity.
+	// compared is set once known has been read in the same way as the later readings.
 	known       incumbent
+	compared    bool
 	silentSince time.Time
 	refusals    int
 	changes     int
@@ -132,11 +134,19 @@
 	}
 }
 
-// readPresent reads the present incumbent. While it cannot be read, nothing is concluded from it.
+// readPresent reads the present incumbent. While it cannot be read, nothing is concluded from
+// it. The first reading of the known incumbent is what later ones are compared with.
 func (w *incumbentWatch) readPresent(ctx context.Context, read func(context.Context) (incumbent, error)) {
-	if present, err := read(ctx); err == nil {
+	present, err := read(ctx)
+	switch {
+	case err != nil:
+		return
+	case !w.compared && present.activity.fence == w.known.activity.fence:
+		w.known = present
+	default:
 		w.observePresent(present, time.Now())
 	}
+	w.compared = true
 }
 
 // observePresent applies the present incumbent as read. If another daemon has taken the shard
--- a/internal/tokenbudget/journal/journal.go
+++ b/internal/tokenbudget/journal/journal.go
@@ -74,7 +74,11 @@
 	// Listed are the sets of journals that the checkpoint may list, and so a home that has
 	// started from it may have written to, if they differ from Journals.
 	Listed []map[string]int64 `msgpack:"l,omitempty"`
-	// MaxTurnTokens is the largest turn in the checkpoint.
+	// Decisions is the number of reservations of other daemons that the home has decided
+	// about. It shows the others that a home which answers slowly is at work.
+	Decisions int64 `msgpack:"d,omitempty"`
+	// MaxTurnTokens is the largest turn that may have been granted to a program beyond its
+	// total here.
 	MaxTurnTokens int                   `msgpack:"m,omitempty"`
 	Totals        []ledger.ProgramTotal `msgpack:"t,omitempty"`
 }
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -213,7 +213,7 @@
 		}
 	}
 	held := s.held
-	if s.writesFailing {
+	if s.replica.unreachable {
 		wake(s.replicaWake)
 	}
 	s.mu.Unlock()
--- a/internal/tokenbudget/ledger/ledger.go
+++ b/internal/tokenbudget/ledger/ledger.go
@@ -7,9 +7,9 @@
 // later home that knows only the stored totals therefore adds one turn to each program and
 // is never below the real total.
 //
-// Totals are stored twice: in the checkpoint at the platform, and in a replica on the
-// journals of several instances, which replaces the checkpoint while the platform is
-// unreachable.
+// Totals are stored in a replica on the journals of several instances before they are granted,
+// and from time to time in the checkpoint at the platform, which lets a later home read less.
+// Where there are too few journals, they are stored in the checkpoint before they are granted.
 package ledger
 
 import (
@@ -163,13 +163,16 @@
 	// unrecorded is the number of tokens that earlier homes may have granted to any program
 	// beyond the stored totals.
 	unrecorded int
-	// maxTurn is the largest turn that may be granted ahead of the checkpoint, wantedMaxTurn
-	// the largest one seen, and writingMaxTurn the one in a write in progress.
-	maxTurn        int
-	wantedMaxTurn  int
-	writingMaxTurn int
-	durability     Durability
-	dirty          bool
+	// wantedMaxTurn is the largest turn seen. checkpointedMaxTurn and replicatedMaxTurn are the
+	// largest ones that may be granted ahead of the checkpoint and of the journals,
+	// checkpointingMaxTurn and replicatingMaxTurn those in a write in progress.
+	wantedMaxTurn        int
+	checkpointedMaxTurn  int
+	checkpointingMaxTurn int
+	replicatedMaxTurn    int
+	replicatingMaxTurn   int
+	durability           Durability
+	dirty                bool
 }
 
 // Durability selects where a total must be stored before it is granted.
@@ -177,12 +180,10 @@
 
 // Durability levels.
 const (
-	// RequireBoth: in the checkpoint and in the journals, so that a later home can start
-	// from either of them.
-	RequireBoth Durability = iota
-	// RequireJournals: in the journals only, while the checkpoint cannot be written.
-	RequireJournals
-	// RequireCheckpoint: in the checkpoint only, where there are too few journals.
+	// RequireJournals: in the journals. A new home reads them even if it can read the
+	// checkpoint.
+	RequireJournals Durability = iota
+	// RequireCheckpoint: in the checkpoint, where there are too few journals.
 	RequireCheckpoint
 )
 
@@ -192,7 +193,9 @@
 // New returns the ledger of a home whose predecessor may have granted unrecorded tokens to
 // any program beyond the stored totals. MaxTurn is the largest turn in the checkpoint.
 func New(unrecorded, maxTurn int) *Ledger {
-	return &Ledger{programs: map[string]*account{}, unrecorded: unrecorded, maxTurn: maxTurn, wantedMaxTurn: maxTurn}
+	return &Ledger{
+		programs: map[string]*account{}, unrecorded: unrecorded, checkpointedMaxTurn: maxTurn, wantedMaxTurn: maxTurn,
+	}
 }
 
 // Len returns the number of programs.
@@ -246,6 +249,10 @@
 			a = &account{open: map[string]openTurn{}, checkpointing: noWrite, replicating: noWrite}
 			l.programs[total.Program] = a
 		}
+		if total.Total > a.checkpointed {
+			// The program has had turns since it was moved to the idle checkpoint.
+			a.section = active
+		}
 		a.base, a.estimated = total.Total, total.Estimated
 		a.expires = later(a.expires, time.UnixMilli(total.Expires))
 		a.restoreOpen(total.Open)
@@ -318,24 +325,28 @@
 	if _, held := a.open[r.ID]; !held {
 		return Unknown
 	}
-	if r.Tokens <= l.maxTurn && l.isDurable(a) {
+	if r.Tokens <= l.maxTurn() && l.isDurable(a) {
 		return Granted
 	}
 	return NotDurable
 }
 
+// maxTurn returns the largest turn that may be granted ahead of the stored totals. It is 0
+// until a home has written to the journals, so that it grants nothing before.
+func (l *Ledger) maxTurn() int {
+	if l.durability == RequireCheckpoint {
+		return l.checkpointedMaxTurn
+	}
+	return l.replicatedMaxTurn
+}
+
 // isDurable reports whether a program's total, less one turn, is durable.
 func (l *Ledger) isDurable(a *account) bool {
-	durable := 0
-	switch l.durability {
-	case RequireCheckpoint:
+	durable := guaranteed(a.replicated, a.replicating)
+	if l.durability == RequireCheckpoint {
 		durable = guaranteed(a.checkpointed, a.checkpointing)
-	case RequireJournals:
-		durable = guaranteed(a.replicated, a.replicating)
-	case RequireBoth:
-		durable = min(guaranteed(a.checkpointed, a.checkpointing), guaranteed(a.replicated, a.replicating))
 	}
-	return a.total() <= durable+l.maxTurn
+	return a.total() <= durable+l.maxTurn()
 }
 
 // guaranteed returns the total that is stored for certain: the lower one while a write is in
@@ -366,23 +377,26 @@
 
 // BeginCheckpoint returns the totals and the largest turn to store in the checkpoint. The
 // write is in progress until EndCheckpoint. A turn in progress is charged with its expected
-// tokens, because a later home adds the largest turn anyway.
+// tokens, because a later home adds the largest turn anyway. No total is below that in the
+// journals, ahead of which turns are granted: a later home reads only newer ones from there.
 func (l *Ledger) BeginCheckpoint(now time.Time) ([]ProgramTotal, int) {
 	l.forget(now)
+	l.dirty = false
 	totals := make([]ProgramTotal, 0, len(l.programs))
 	for name, a := range l.programs {
 		if a.section == idle {
 			continue
 		}
-		a.checkpointing = a.expectedTotal(l.wantedMaxTurn)
+		expected := a.expectedTotal(l.wantedMaxTurn)
+		a.checkpointing = max(expected, a.replicated, a.replicating)
+		l.dirty = l.dirty || a.checkpointing > expected
 		a.checkpointingExpiry = max(a.retainUntil(), a.checkpointedExpiry)
 		totals = append(totals, ProgramTotal{
 			Program: name, Total: a.checkpointing, Expires: a.checkpointingExpiry, Estimated: a.estimated,
 		})
 	}
-	l.writingMaxTurn = l.wantedMaxTurn
-	l.dirty = false
-	return totals, l.writingMaxTurn
+	l.checkpointingMaxTurn = l.wantedMaxTurn
+	return totals, l.checkpointingMaxTurn
 }
 
 // Outcome is the result of a checkpoint write.
@@ -414,7 +428,7 @@
 		a.checkpointing = noWrite
 	}
 	if outcome == Written {
-		l.maxTurn = max(l.maxTurn, l.writingMaxTurn)
+		l.checkpointedMaxTurn = max(l.checkpointedMaxTurn, l.checkpointingMaxTurn)
 	} else {
 		l.dirty = true
 	}
@@ -433,8 +447,8 @@
 			a.checkpointed, a.checkpointedExpiry, a.inActive = total.Total, total.Expires, true
 		}
 	}
-	l.maxTurn = max(maxTurn, 0)
-	l.wantedMaxTurn = max(l.wantedMaxTurn, l.maxTurn)
+	l.checkpointedMaxTurn = max(maxTurn, 0)
+	l.wantedMaxTurn = max(l.wantedMaxTurn, l.checkpointedMaxTurn)
 	l.dirty = true
 }
 
@@ -485,13 +499,15 @@
 	}
 }
 
-// BeginReplication returns the totals that the journals lack, or all if complete is set.
-// Sequence must be higher than any before. The write is in progress until EndReplication.
-func (l *Ledger) BeginReplication(complete bool, sequence int64, now time.Time) []ProgramTotal {
+// BeginReplication returns the totals that the journals lack, or all if complete is set, and
+// the largest turn to store with them. Sequence must be higher than any before. The write is
+// in progress until EndReplication.
+func (l *Ledger) BeginReplication(complete bool, sequence int64, now time.Time) ([]ProgramTotal, int) {
 	l.forget(now)
+	l.replicatingMaxTurn = l.wantedMaxTurn
 	var totals []ProgramTotal
 	for name, a := range l.programs {
-		total := a.expectedTotal(l.maxTurn)
+		total := a.expectedTotal(l.replicatingMaxTurn)
 		if !complete && total == a.replicated {
 			continue
 		}
@@ -500,12 +516,18 @@
 			Program: name, Total: total, Expires: a.retainUntil(), Estimated: a.estimated, Sequence: sequence,
 		})
 	}
-	return totals
+	return totals, l.replicatingMaxTurn
 }
 
+// MaxTurnReplicated reports whether the journals hold the largest turn seen.
+func (l *Ledger) MaxTurnReplicated() bool { return l.replicatedMaxTurn == l.wantedMaxTurn }
+
 // EndReplication ends the write of BeginReplication. A failed write may have reached some
 // journals, so that the lower of the old and the new total counts.
 func (l *Ledger) EndReplication(written bool) {
+	if written {
+		l.replicatedMaxTurn = l.replicatingMaxTurn
+	}
 	for _, a := range l.programs {
 		if a.replicating == noWrite {
 			continue
@@ -530,7 +552,7 @@
 }
 
 // MaxTurnTokens returns the largest turn in the checkpoint.
-func (l *Ledger) MaxTurnTokens() int { return l.maxTurn }
+func (l *Ledger) MaxTurnTokens() int { return l.checkpointedMaxTurn }
 
 // Total returns the number of tokens that a program may have used, 0 if it is unknown.
 func (l *Ledger) Total(program string) int {
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -20,9 +20,10 @@
 	// journals holds the complete replica, so that writing the changes is enough. It is nil
 	// if no set of journals does.
 	journals journalSet
-	// failingSince is the time of the first failed write in a row, zero after a success.
+	// failingSince is the start of the first failed write in a row, zero after a success.
 	failingSince time.Time
-	// unreachable is set while the journals do not answer queries either.
+	// unreachable is set while the journals do not answer queries either. Nothing is granted
+	// meanwhile.
 	unreachable bool
 }
 
@@ -30,9 +31,9 @@
 var errNoJournalQuorum = errors.New("too few journals acknowledged the replica")
 
 // runJournalWriter writes the replica to the journals until ctx ends: at once if a turn
-// waits for it, else every CheckpointInterval.
+// waits for it, else every ReplicaInterval.
 func (s *shard) runJournalWriter(ctx context.Context, fence journal.Fence) {
-	ticker := newTicker(s.home.config.CheckpointInterval)
+	ticker := newTicker(s.home.config.ReplicaInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -45,7 +46,7 @@
 		wait := s.home.config.JournalWriteMinGap
 		if err := s.replicate(ctx, fence); err != nil && ctx.Err() == nil {
 			s.log().WithError(err).Info("replica not written to the journals")
-			s.journalWriteFailed(ctx, fence)
+			s.journalWriteFailed(ctx, fence, started)
 			wake(s.replicaWake)
 		}
 		if left := wait - time.Since(started); left > 0 && !sleep(ctx, left) {
@@ -85,13 +86,10 @@
 // setDurability selects where totals must be stored before they are granted. The caller
 // holds mu.
 func (s *shard) setDurability() {
-	switch {
-	case !s.canReplicate():
-		s.ledger.SetDurability(ledger.RequireCheckpoint)
-	case s.checkpoint.failing:
+	if s.canReplicate() {
 		s.ledger.SetDurability(ledger.RequireJournals)
-	default:
-		s.ledger.SetDurability(ledger.RequireBoth)
+	} else {
+		s.ledger.SetDurability(ledger.RequireCheckpoint)
 	}
 }
 
@@ -107,14 +105,15 @@
 	wanted := s.wantedJournals
 	complete := s.replica.journals == nil || !maps.Equal(wanted, s.replica.journals)
 	s.sequence++
-	totals := s.ledger.BeginReplication(complete, s.sequence, time.Now())
+	totals, maxTurnTokens := s.ledger.BeginReplication(complete, s.sequence, time.Now())
+	due := complete || len(totals) > 0 || !s.ledger.MaxTurnReplicated()
 	next := journal.Replica{
 		Fence: fence, Complete: complete, Sequence: s.sequence, Journals: wanted, Listed: s.otherListed(wanted),
-		MaxTurnTokens: s.ledger.MaxTurnTokens(), Totals: totals,
+		Decisions: s.decisions, MaxTurnTokens: maxTurnTokens, Totals: totals,
 	}
 	s.mu.Unlock()
 	var err error
-	if complete || len(totals) > 0 {
+	if due {
 		err = s.writeToJournals(ctx, next, sets)
 	}
 	s.mu.Lock()
@@ -129,12 +128,12 @@
 	if complete {
 		s.replica.journals = wanted
 		s.log().WithField("programs", len(totals)).WithField("journals", wanted).Info("bridge built")
+		wake(s.checkpointWake)
 	}
-	if len(totals) > 0 {
+	if due {
 		s.home.replicaWrites.Inc()
 	}
 	s.replica.failingSince, s.replica.unreachable = time.Time{}, false
-	s.writesFailing = false
 	s.notify()
 	return nil
 }
@@ -296,30 +295,25 @@
 	return true
 }
 
-// journalWriteFailed fails the waiting reservations if the checkpoint cannot be written
-// either. If only the journals have failed for HandOverAfter and cannot be reached, it hands
-// the shard over to another daemon, which may reach more journals.
-func (s *shard) journalWriteFailed(ctx context.Context, fence journal.Fence) {
+// journalWriteFailed handles a failed write to the journals that began at started. If writes
+// have failed for HandOverAfter and too few journals answer a query, it fails the waiting
+// reservations and hands the shard over to another daemon, which may reach more journals.
+// Without the platform the other daemon may not be able to start, so this one then keeps the
+// shard until another one takes it.
+func (s *shard) journalWriteFailed(ctx context.Context, fence journal.Fence, started time.Time) {
 	s.mu.Lock()
 	if !s.holdsUnder(fence) {
 		s.mu.Unlock()
 		return
 	}
-	now := time.Now()
 	if s.replica.failingSince.IsZero() {
-		s.replica.failingSince = now
+		s.replica.failingSince = started
 	}
-	if s.checkpoint.failing {
-		s.writeFailures++
-		s.writesFailing = true
-		s.notify()
-	}
-	lasting := now.Sub(s.replica.failingSince) >= s.home.config.HandOverAfter
-	checkpointFailing := s.checkpoint.failing
+	failingSince, checkpointFailing := s.replica.failingSince, s.checkpoint.failing
 	sets := append(s.quorumSets(), s.wantedJournals)
 	s.mu.Unlock()
 	// Journals that answer a query are only slow, as they would be for another home.
-	if !lasting || s.quorumAnswers(ctx, sets) {
+	if s.quorumAnswers(ctx, sets) || time.Since(failingSince) < s.home.config.HandOverAfter {
 		return
 	}
 	s.markJournalsUnreachable(fence)
@@ -330,12 +324,14 @@
 	}
 }
 
-// markJournalsUnreachable makes this home answer other daemons that it does not decide, until
-// the next successful write to the journals.
+// markJournalsUnreachable makes this home refuse reservations, and answer other daemons that it
+// does not decide, until the next successful write to the journals.
 func (s *shard) markJournalsUnreachable(fence journal.Fence) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.holdsUnder(fence) {
 		s.replica.unreachable = true
+		s.writeFailures++
+		s.notify()
 	}
 }
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -35,10 +35,8 @@
 	changed chan struct{}
 	// claiming is set while this daemon takes over a shard that it has claimed.
 	claiming bool
-	// writeFailures counts how often neither the checkpoint nor the journals could be
-	// written, and writesFailing is set while neither can.
+	// writeFailures counts how often the journals were found unreachable.
 	writeFailures int
-	writesFailing bool
 	// stop stops the writers.
 	stop context.CancelFunc
 
@@ -92,7 +90,6 @@
 		s.stop()
 	}
 	s.held = false
-	s.writesFailing = false
 	s.ledger = ledger.New(0, 0)
 	s.checkpoint = checkpointState{}
 	s.idleCheckpoint = idleCheckpointState{}
@@ -136,7 +133,7 @@
 func (s *shard) status() holdsReply {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	canDecide := s.held && !s.writesFailing && !s.replica.unreachable
+	canDecide := s.held && !s.replica.unreachable
 	return holdsReply{Holds: canDecide || s.claiming, Successor: s.handingTo}
 }
 
@@ -199,7 +196,7 @@
 		reply, err := s.reply(r, decision, 0)
 		return reply, nil, err
 	}
-	if s.writesFailing {
+	if s.replica.unreachable {
 		s.ledger.Release(r.Program, r.ID, 0)
 		return reserveReply{}, nil, totalNotDurable(errNotDurable)
 	}
@@ -244,26 +241,21 @@
 	}
 }
 
-// awaitChange wakes the writers and waits for the next change. The caller holds mu, which is
-// released while waiting.
+// awaitChange wakes the writer that the reservations wait for and waits for the next change.
+// The caller holds mu, which is released while waiting.
 func (s *shard) awaitChange(ctx context.Context) error {
-	changed, fence := s.changed, s.fence
+	changed, writer := s.changed, s.replicaWake
+	if !s.canReplicate() {
+		writer = s.checkpointWake
+	}
 	s.mu.Unlock()
 	defer s.mu.Lock()
-	wake(s.checkpointWake)
-	wake(s.replicaWake)
-	// Checkpoints are CheckpointMinGap apart; only a longer wait indicates a late write.
-	timer := time.NewTimer(s.home.config.CheckpointMinGap + s.home.config.CheckpointLateAfter)
-	defer timer.Stop()
-	for {
-		select {
-		case <-changed:
-			return nil
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-timer.C:
-			s.checkLateCheckpoint(fence)
-		}
+	wake(writer)
+	select {
+	case <-changed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
--- a/internal/tokenbudget/takeover_test.go
+++ b/internal/tokenbudget/takeover_test.go
@@ -362,3 +362,63 @@
 		}
 	}
 }
+
+// replacementLimit is the longest time from when a home can store nothing until another one
+// decides: callers wait for a decision as long before they are refused.
+const replacementLimit = tokenbudget.DefaultReserveLimit
+
+// Guards against a home that reaches neither the journals nor the platform, but its callers, and
+// goes on for seconds without being able to grant anything.
+func TestHomeCutOffFromJournalsAndPlatformIsReplacedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 4, 5)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+		time.Sleep(time.Second)
+		home := f.homeOf("p")
+		for _, k := range f.keepers {
+			f.network.Cut(f.gateways[home].Self().Name, k.name, true)
+			f.network.Cut(k.name, f.gateways[home].Self().Name, true)
+		}
+		f.setRejected(f.gateways[home].Self().Name, true)
+		cutAt := time.Now()
+		var callers sync.WaitGroup
+		for i := range 30 {
+			callers.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				// The second turn exceeds what may be granted ahead of the journals.
+				for turns := 0; turns < 2; {
+					if f.turn(f.gateways[(home+1+i%3)%4].daemon, fmt.Sprint("q", i), maxTurnTokens, 0) == nil {
+						turns++
+					}
+					require.Less(t, time.Since(cutAt), replacementLimit)
+				}
+			})
+		}
+		callers.Wait()
+		require.False(t, f.gateways[home].home.Holds("p"))
+	})
+}
+
+// Guards against turns that wait for a slow platform although their totals are in the journals.
+func TestSlowPlatformDoesNotDelayTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 3, 3)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, time.Millisecond))
+		time.Sleep(time.Second)
+		f.store.SetFaults(objects.Faults{Slow: 900 * time.Millisecond})
+		var programs sync.WaitGroup
+		for i := range 12 {
+			programs.Go(func() {
+				for n := range 3 {
+					time.Sleep(time.Duration(i*37) * time.Millisecond)
+					started := time.Now()
+					require.NoError(t, f.turn(f.gateways[n].daemon, fmt.Sprint("q", i), maxTurnTokens, 0))
+					require.Less(t, time.Since(started), decisionLimit/2)
+				}
+			})
+		}
+		programs.Wait()
+	})
+}
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -88,11 +88,15 @@
 	// DefaultAcquireStagger is the delay per daemon that precedes this one in a shard's
 	// order: the usual duration of an acquisition.
 	DefaultAcquireStagger = 100 * time.Millisecond
-	// DefaultCheckpointInterval is the time between two checkpoints that no turn waits for.
-	DefaultCheckpointInterval = 500 * time.Millisecond
-	// DefaultCheckpointMinGap is the shortest time between two checkpoints. Turns run
-	// meanwhile, but some hold back their first token for part of it.
+	// DefaultCheckpointInterval is the time between two checkpoints that no turn waits for. A
+	// new home reads from the journals what is newer.
+	DefaultCheckpointInterval = 2 * time.Second
+	// DefaultCheckpointMinGap is the shortest time between two checkpoints. Where turns wait
+	// for them, they run meanwhile, but hold back their first token.
 	DefaultCheckpointMinGap = 200 * time.Millisecond
+	// DefaultReplicaInterval is the time between two writes to the journals that no turn waits
+	// for.
+	DefaultReplicaInterval = 500 * time.Millisecond
 	// DefaultIdleAfter is how long a program has had no turn before it moves to the idle
 	// checkpoint, and DefaultIdleCheckpointInterval the time between two writes of the idle
 	// checkpoint. Most programs run a turn each second.
@@ -102,9 +106,6 @@
 	DefaultCheckpointRetryDelay = 150 * time.Millisecond
 	// DefaultJournalWriteMinGap is the shortest time between two writes to the journals.
 	DefaultJournalWriteMinGap = 60 * time.Millisecond
-	// DefaultCheckpointLateAfter is how long a checkpoint write may take before turns are
-	// granted on the journals alone: several times its usual duration.
-	DefaultCheckpointLateAfter = 150 * time.Millisecond
 	// DefaultHandOverAfter is how long a home may fail to write to a quorum of journals
 	// before it hands the shard over to another daemon.
 	DefaultHandOverAfter = 500 * time.Millisecond
@@ -151,7 +152,7 @@
 	IdleCheckpointInterval time.Duration
 	CheckpointRetryDelay   time.Duration
 	JournalWriteMinGap     time.Duration
-	CheckpointLateAfter    time.Duration
+	ReplicaInterval        time.Duration
 	HandOverAfter          time.Duration
 	MaintenanceInterval    time.Duration
 	OrphanCheckInterval    time.Duration
@@ -183,7 +184,7 @@
 	defaults.Set(&c.IdleCheckpointInterval, DefaultIdleCheckpointInterval)
 	defaults.Set(&c.CheckpointRetryDelay, DefaultCheckpointRetryDelay)
 	defaults.Set(&c.JournalWriteMinGap, DefaultJournalWriteMinGap)
-	defaults.Set(&c.CheckpointLateAfter, DefaultCheckpointLateAfter)
+	defaults.Set(&c.ReplicaInterval, DefaultReplicaInterval)
 	defaults.Set(&c.HandOverAfter, DefaultHandOverAfter)
 	defaults.Set(&c.MaintenanceInterval, DefaultMaintenanceInterval)
 	defaults.Set(&c.OrphanCheckInterval, DefaultOrphanCheckInterval)
@@ -267,10 +268,8 @@
 type handover struct {
 	Fence  journal.Fence         `msgpack:"f"`
 	Totals []ledger.ProgramTotal `msgpack:"t,omitempty"`
-	// MaxTurnTokens is the largest turn in the checkpoint. Journals are those that the
-	// checkpoint lists, nil if a checkpoint write is in doubt.
-	MaxTurnTokens int        `msgpack:"m,omitempty"`
-	Journals      journalSet `msgpack:"j,omitempty"`
+	// Journals are those that the checkpoint lists, nil if a checkpoint write is in doubt.
+	Journals journalSet `msgpack:"j,omitempty"`
 }
 
 // holderReply holds the fence in force in a journal, and the replica without its totals.
