Wait for enough journals when a shard is taken over from them

Cause: fencing returned 40 ms after the first answer where no set of journals was given, which is the case without the checkpoint. Journals that are slower by more than that, as on a busy instance, counted as unreachable. Each failed attempt had fenced the others' journals, so that further claimants got in each other's way.

The takeover now waits for enough of the journals of the replica that it has found, and of those that its checkpoint listed.

--- a/internal/tokenbudget/abandoned_claim_test.go
+++ b/internal/tokenbudget/abandoned_claim_test.go
@@ -84,3 +84,25 @@
 		})
 	}
 }
+
+// Guards against a daemon that fences journals of different speed, judges by those that answer
+// first that it cannot start, and leaves the shard to daemons that fail in the same way.
+func TestTakeoverFromJournalsWaitsForSlowOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, left := loseHomeInOutage(t)
+		defer f.close()
+		for _, k := range f.keepers[1:] {
+			k.disk.SetDelay(slowSync)
+		}
+		requireHomeWithin(t, f, left[0], takeoverLimit)
+		for _, k := range f.keepers {
+			k.disk.SetDelay(0)
+		}
+		f.store.SetFaults(objects.Faults{})
+		time.Sleep(2 * time.Second)
+		require.Empty(t, f.overrun())
+	})
+}
+
+// slowSync is the duration of a disk sync on a busy instance.
+const slowSync = 100 * time.Millisecond
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -224,7 +224,7 @@
 	}
 	s.setClaiming(true)
 	defer s.setClaiming(false)
-	f := s.fenceAll(ctx, fence, keepers, current.Journals, a.handed.known(current))
+	f := s.fenceAll(ctx, fence, keepers, []journalSet{current.Journals}, a.handed.known(current))
 	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
@@ -373,9 +373,13 @@
 		Shard: s.number, Number: max(seen.fence.Number, s.highestFence) + 1, Home: s.home.fleet.Self().Name,
 	}
 	s.mu.Unlock()
+	wanted := replicaSets(seen.replica)
+	if handedOver {
+		wanted = []journalSet{handed.Journals}
+	}
 	s.setClaiming(true)
 	defer s.setClaiming(false)
-	f := s.fenceAll(ctx, fence, keepers, nil, journal.Known{})
+	f := s.fenceAll(ctx, fence, keepers, wanted, journal.Known{})
 	a.endStep("fence")
 	if other := f.conflicting(); other.Number >= fence.Number {
 		s.noteConflictingFence(other.Number)
@@ -394,18 +398,20 @@
 }
 
 // replicaReadable reports whether enough journals have answered to find every replica that is
-// as new as the given one or newer: all but the allowed losses of its own journals, and of
-// those that the checkpoint listed when it was written.
+// as new as the given one or newer.
 func (s *shard) replicaReadable(replica journal.Replica, answered journalSet) bool {
-	if !s.journalsSuffice(replica.Journals, answered) {
-		return false
-	}
+	return s.journalsSuffice(replica.Journals, answered) &&
+		allReadableBy(replicaSets(replica)[1:], answered, s.home.config.LostDisks)
+}
+
+// replicaSets returns the sets of journals by which replicas as new as the given one are found:
+// its own, and those that the checkpoint listed when it was written.
+func replicaSets(replica journal.Replica) []journalSet {
+	sets := []journalSet{replica.Journals}
 	for _, listed := range replica.Listed {
-		if !journalSet(listed).readableBy(answered, s.home.config.LostDisks) {
-			return false
-		}
+		sets = append(sets, listed)
 	}
-	return true
+	return sets
 }
 
 // startFromReplica starts deciding from a replica. The replica may be older than the fence in
--- a/internal/tokenbudget/journal/journaltest/disk.go
+++ b/internal/tokenbudget/journal/journaltest/disk.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -13,6 +14,7 @@
 	mu      sync.Mutex
 	content []byte
 	failure error
+	delay   time.Duration
 }
 
 // NewDisk returns an empty disk.
@@ -25,6 +27,20 @@
 	d.failure = err
 }
 
+// SetDelay makes each Append of a process take at least a duration.
+func (d *Disk) SetDelay(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.delay = delay
+}
+
+// appendDelay returns the shortest duration of an Append.
+func (d *Disk) appendDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.delay
+}
+
 // Process returns one process's view of the disk.
 func (d *Disk) Process() *Process { return &Process{disk: d} }
 
@@ -60,6 +76,10 @@
 
 // Append implements journal.Disk.
 func (p *Process) Append(part []byte) error {
+	// Not under the mutex: virtual time stands still while a goroutine waits for one.
+	if delay := p.disk.appendDelay(); delay > 0 {
+		time.Sleep(delay)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ended {
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -35,6 +35,11 @@
 	return s.countMatching(answered) >= len(s)-lost || len(s.unreachable(answered)) == 0
 }
 
+// allReadableBy reports whether each of the sets is readable by answered.
+func allReadableBy(sets []journalSet, answered journalSet, lost int) bool {
+	return !slices.ContainsFunc(sets, func(s journalSet) bool { return !s.readableBy(answered, lost) })
+}
+
 // unreachable returns the members that did not answer. A member that answered with another
 // identity has lost its disk and does not count.
 func (s journalSet) unreachable(answered journalSet) []string {
@@ -106,9 +111,9 @@
 }
 
 // fenceAll fences a shard in several journals in parallel and reads the totals that known
-// does not cover. It returns FenceGrace after enough of the wanted journals have answered.
+// does not cover. It returns FenceGrace after enough journals of each wanted set have answered.
 func (s *shard) fenceAll(
-	ctx context.Context, fence journal.Fence, keepers []structs.Instance, wanted journalSet, known journal.Known,
+	ctx context.Context, fence journal.Fence, keepers []structs.Instance, wanted []journalSet, known journal.Known,
 ) fencing {
 	f := fencing{fence: fence, replies: map[string]fenceReply{}}
 	replies := callKeepers(ctx, s.home.config.FenceTimeout, keepers,
@@ -132,7 +137,7 @@
 		case <-grace:
 			return f
 		}
-		if grace == nil && wanted.readableBy(f.accepted(), s.home.config.LostDisks) {
+		if grace == nil && allReadableBy(wanted, f.accepted(), s.home.config.LostDisks) {
 			grace = after(s.home.config.FenceGrace)
 		}
 	}
