--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -260,6 +260,32 @@
 	})
 }
 
+// Guards against giving a stream up, or reporting it as not run, because another server has the
+// address of the one that it broke off at.
+func TestStreamResumesElsewhereAfterItsAddressIsReused(t *testing.T) {
+	for _, otherEngine := range []bool{true, false} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			first := h.addServer(engines, "engine-1")
+			events := platformtest.Reply{Events: []string{"a", "b", "c"}}
+			first.Script(func(platformtest.Run) platformtest.Reply {
+				h.network.Add("engine-1:1", platformtest.NewServer("another"))
+				if otherEngine {
+					h.addServer(engines, "engine-2").Always(events)
+				}
+				broken := events
+				broken.CutAfter = 1
+				return broken
+			})
+			got := h.call(http.MethodPost, "/turn/1", "r1")
+			if otherEngine {
+				require.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n", got.body)
+			} else {
+				require.Equal(t, http.StatusBadGateway, got.status, "it has run at engine-1")
+			}
+		})
+	}
+}
+
 func TestTurnMayHaveRunAfterAllServersCrash(t *testing.T) {
 	withHarness(t, func(t *testing.T, h *harness) {
 		for _, name := range []string{"engine-1", "engine-2"} {
