Spread the budgets over eight shards

Eight shards are possible since turns wait for the journals only: a checkpoint no longer follows each group of turns. A checkpoint every 4 s, and an idle one every 10 s, keep the fleet's calls at 2.8 a second, below those of one shard before that. A loss now interrupts an eighth of the programs, and eight instances share the decisions.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -2,7 +2,11 @@
 // validates every field. Its errors name the key, the value and the allowed values.
 package settings
 
-import "time"
+import (
+	"time"
+
+	"ibisline/internal/tokenbudget"
+)
 
 // Settings contains all settings of a daemon. docs/SETTINGS.md lists them.
 type Settings struct {
@@ -135,7 +139,8 @@
 // Budgets contains the settings of program budgets. All homes of a fleet must use
 // the same values.
 type Budgets struct {
-	// Shards is the number of budget records at the platform. Each has one home.
+	// Shards is the number of shards of programs. Each has one home, and its own checkpoints at
+	// the platform.
 	Shards int `toml:"shards" validate:"min=1,max=4096" allowed:"1 to 4096"`
 	// LostDisks is the number of keeper disks that may be lost at the same time.
 	LostDisks int `toml:"lost_disks" validate:"min=0,max=64" allowed:"0 to 64"`
@@ -181,7 +186,7 @@
 			SweepInterval:    Duration(10 * time.Second),
 		},
 		Gateway: Gateway{ReadyPath: "/readyz"},
-		Budgets: Budgets{Shards: 1, LostDisks: 1},
+		Budgets: Budgets{Shards: tokenbudget.DefaultShards, LostDisks: 1},
 		Stop: Stop{
 			DrainLimit:    Duration(10 * time.Minute),
 			BalancerDelay: Duration(5 * time.Second),
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -2,17 +2,16 @@
 // any time. Each program belongs to a shard, and each shard has a home, a gateway chosen by
 // rendezvous hash, that decides about the turns of its programs.
 //
-// A home stores the totals of its shard in a checkpoint, an object at the platform. One
-// write covers many turns and is conditional on the object's version, so that of two
-// competing homes one learns that it was replaced. Package ledger defines which turns may
-// run before the write.
+// A home stores the totals of its shard in a checkpoint, an object at the platform, every few
+// seconds. A write is conditional on the object's version, so that of two competing homes one
+// learns that it was replaced. Until the next checkpoint a quorum of journals holds what is
+// newer: the home writes it to one more instance with a disk than may be lost at the same
+// time. One write covers many turns, and package ledger defines which turns may run before it.
 //
-// The home also replicates the totals to a quorum of journals, on one more instance with a
-// disk than may be lost at the same time. During an outage of the platform the home
-// continues with the journals alone, and if it dies, another daemon takes over from them. A
-// new home reads all but the allowed losses of the journals that the checkpoint lists, so
+// A new home reads all but the allowed losses of the journals that the checkpoint lists, so
 // that it finds everything newer than the checkpoint. Before it decides, it fences these
-// journals, so that its predecessor can write nothing more.
+// journals, so that its predecessor can write nothing more. During an outage of the platform
+// it takes over from the journals alone.
 package tokenbudget
 
 import (
@@ -44,9 +43,9 @@
 
 // Defaults of Config.
 const (
-	// DefaultShards is 1 to limit the calls to the platform: each shard writes its own
-	// checkpoint.
-	DefaultShards = 1
+	// DefaultShards limits what the loss of one home interrupts to an eighth of the programs,
+	// and spreads the decisions over that many instances. Each shard writes checkpoints of its own.
+	DefaultShards = 8
 	// DefaultReserveTimeout is the wait for a home before the next daemon is asked to
 	// replace it: several times the latency between regions plus a call to the platform.
 	DefaultReserveTimeout = 200 * time.Millisecond
@@ -90,7 +89,7 @@
 	DefaultAcquireStagger = 100 * time.Millisecond
 	// DefaultCheckpointInterval is the time between two checkpoints that no turn waits for. A
 	// new home reads from the journals what is newer.
-	DefaultCheckpointInterval = 2 * time.Second
+	DefaultCheckpointInterval = 4 * time.Second
 	// DefaultCheckpointMinGap is the shortest time between two checkpoints. Where turns wait
 	// for them, they run meanwhile, but hold back their first token.
 	DefaultCheckpointMinGap = 200 * time.Millisecond
@@ -101,7 +100,7 @@
 	// checkpoint, and DefaultIdleCheckpointInterval the time between two writes of the idle
 	// checkpoint. Most programs run a turn each second.
 	DefaultIdleAfter              = 3 * time.Second
-	DefaultIdleCheckpointInterval = 5 * time.Second
+	DefaultIdleCheckpointInterval = 10 * time.Second
 	// DefaultCheckpointRetryDelay is the wait after a failed checkpoint write.
 	DefaultCheckpointRetryDelay = 150 * time.Millisecond
 	// DefaultJournalWriteMinGap is the shortest time between two writes to the journals.
