Take every stream that ends inside an event for broken off

A stream with a length, or with a proper last chunk, that ended inside an event was forwarded as complete, the torn event included.

Such a stream is now resumed, or its caller's connection aborted. The text of a failure is no stream, whatever its content type, so that it is still forwarded whole. The caller no longer gets the length of the first run: what a resumed run adds could not be written beyond it, and the caller's connection was aborted.

TestFramedStreamThatEndsInsideEventIsBroken failed before (the torn event "i" with status 200; with the first half of the change an abort instead of the rest) and passes.

--- a/internal/gateway/faulty_responses_test.go
+++ b/internal/gateway/faulty_responses_test.go
@@ -113,6 +113,39 @@
 	}
 }
 
+// Guards against forwarding a stream as complete that ends inside an event although its length is
+// the announced one, and against breaking off the text of a failure that is sent as a stream.
+func TestFramedStreamThatEndsInsideEventIsBroken(t *testing.T) {
+	streamHeader := http.Header{"Content-Type": {"text/event-stream"}}
+	for size := 1; size < len(wholeStream); size++ {
+		part := platformtest.Reply{Body: wholeStream[:size], Header: streamHeader}
+		if strings.HasSuffix(part.Body, "\n\n") {
+			continue // It ends between two events, which nothing tells from the end.
+		}
+		withHarness(t, func(t *testing.T, h *harness) {
+			engine := h.addServer(engines, "engine-1")
+			var runs atomic.Int32
+			engine.Script(func(platformtest.Run) platformtest.Reply {
+				if runs.Add(1) == 1 {
+					return part
+				}
+				return platformtest.Reply{Events: []string{"a", "b", "c"}}
+			})
+			got := h.call(http.MethodPost, "/turn/1", "r1")
+			require.Equal(t, http.StatusOK, got.status, "%d bytes", size)
+			require.Equal(t, wholeStream, got.body, "it is resumed")
+			require.Len(t, engine.Runs(), 2)
+		})
+	}
+	withHarness(t, func(t *testing.T, h *harness) {
+		failure := platformtest.Reply{Status: http.StatusInternalServerError, Body: "engine failed\n", Header: streamHeader}
+		h.addServer(engines, "engine-1").Always(failure)
+		got := h.call(http.MethodPost, "/turn/1", "r1")
+		require.Equal(t, http.StatusInternalServerError, got.status)
+		require.Equal(t, "engine failed\n", got.body)
+	})
+}
+
 // Guards against what answers the resume of a broken stream being forwarded as its rest: the
 // text of an error, events that do not belong to the stream, or an end without a rest.
 func TestErrorInsteadOfRestOfStreamIsNotForwarded(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,10 +24,11 @@
 	maxEventBytes    = 256 << 10
 )
 
-// isEventStream reports whether a response is a stream of server-sent events.
+// isEventStream reports whether a response is a stream of server-sent events. A failure is
+// none, whatever its content type: its text need not end like an event.
 func isEventStream(response *upstream.Response) bool {
 	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	return err == nil && kind == "text/event-stream"
+	return err == nil && kind == "text/event-stream" && response.Status/100 == 2
 }
 
 // stream relays the response to a turn to the caller. The response may come from several
@@ -174,8 +175,8 @@
 var (
 	// errNoEvents: the server sends bytes that are no events of the response.
 	errNoEvents = errors.New("bytes without an event of the response")
-	// errInsideEvent: the connection ended inside an event, or before the first one.
-	errInsideEvent = errors.New("connection ended inside an event")
+	// errInsideEvent: the response ended inside an event, or its connection before the first one.
+	errInsideEvent = errors.New("ended inside an event")
 	// errNotRest: the server answered the resume of a stream with something else than its rest.
 	errNotRest = errors.New("not the rest of the stream")
 	// errNoRun: there is no run to resume.
@@ -206,7 +207,7 @@
 	g, response, resumed := s.gateway, sent.response, s.headSent
 	events := bufio.NewScanner(response)
 	events.Buffer(make([]byte, eventBufferBytes), maxEventBytes)
-	events.Split(splitEvents(func() bool { return response.Complete() && response.Framed() }))
+	events.Split(splitEvents)
 	var progress eventProgress
 	empty := true
 	for !progress.stalled() && events.Scan() {
@@ -263,6 +264,8 @@
 	}
 	s.job.summary.firstByteTime = time.Since(s.job.Arrived)
 	s.job.summary.status = sent.response.Status
+	// The length is that of one run, and the rest may come from another one.
+	sent.response.Header.Del("Content-Length")
 	s.gateway.writeHead(s.writer, sent.response.Status, sent.response.Header)
 	s.headSent = true
 	return nil
@@ -311,31 +314,25 @@
 	return nil
 }
 
-// splitEvents returns a split function for events, each including the empty line that
-// terminates it. Data after the last event is returned only if the stream is complete, and is
-// an error otherwise.
-func splitEvents(complete func() bool) bufio.SplitFunc {
-	return func(data []byte, atEOF bool) (int, []byte, error) {
-		for start := 0; ; {
-			line := bytes.IndexByte(data[start:], '\n')
-			if line < 0 {
-				break
-			}
-			end := start + line + 1
-			if len(bytes.TrimRight(data[start:end], "\r\n")) == 0 {
-				return end, data[:end], nil
-			}
-			start = end
+// splitEvents is a split function for events, each including the empty line that terminates it.
+// Data after the last event is an error: a stream that ends inside an event is broken off,
+// also if its length or its last chunk says that it is complete.
+func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
+	for start := 0; ; {
+		line := bytes.IndexByte(data[start:], '\n')
+		if line < 0 {
+			break
 		}
-		switch {
-		case !atEOF || len(data) == 0:
-			return 0, nil, nil
-		case complete():
-			return len(data), data, nil
-		default:
-			return 0, nil, errInsideEvent
+		end := start + line + 1
+		if len(bytes.TrimRight(data[start:end], "\r\n")) == 0 {
+			return end, data[:end], nil
 		}
+		start = end
 	}
+	if atEOF && len(data) > 0 {
+		return 0, nil, errInsideEvent
+	}
+	return 0, nil, nil
 }
 
 // isPartOfStream reports whether an event has an ID or is a comment. The first run of a stream
