Find the home of the program under test among eight shards

The tests on real processes took any gateway that holds a shard for the home of the budgets. With eight shards TestBudgetHoldsWhileThePlatformIsOut could have killed a gateway that did not decide about its program, and TestBudgetHoldsAfterTheHomeIsKilled could have begun before the shards of its programs had a home. Both now look for the program's own shard, so that they check as much as with one.

--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -61,9 +61,7 @@
 	f.scriptEngines()
 	const budget = 6 * tokensPerTurn
 	received := map[string]int{}
-	f.waitUntil("the budgets have a home", func() bool {
-		return f.turn("gateway-0", "first", budget).status == http.StatusOK
-	})
+	f.waitForBudgetHomes()
 	for i := range 4 {
 		for range 3 {
 			program := fmt.Sprintf("p%d", i)
@@ -109,7 +107,7 @@
 			return got.status == http.StatusOK || got.status == http.StatusPaymentRequired
 		})
 	}
-	f.kill(f.budgetHome())
+	f.kill(f.budgetHome("p"))
 	var ready []string
 	for _, gateway := range gateways {
 		if f.isReady(gateway) {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -88,7 +88,8 @@
 	})
 	s.phase(true, []func(){s.stopGateway, s.stopGateway, s.stopHome, s.reload, s.configure})
 	s.phase(false, []func(){
-		s.stopGateway, s.stopHome, s.reload, s.configure, s.killGateway, s.killHome, s.pauseGateway, s.killKeeper, s.outage,
+		s.stopGateway, s.stopHome, s.reload, s.configure, s.killGateway, s.killHome, s.killSeveral, s.pauseGateway,
+		s.killKeeper, s.outage,
 	})
 	s.requireRecovery()
 	s.check()
@@ -169,11 +170,11 @@
 // anyGateway returns a random gateway.
 func (s *soak) anyGateway() string { return s.names[s.random.IntN(len(s.names))] }
 
-// home returns the home of the budgets, or a random gateway if none says that it is the home.
+// home returns a home of budgets, or a random gateway if none says that it is one.
 func (s *soak) home() string {
-	for _, name := range s.names {
-		if s.isHome(name) {
-			return name
+	for _, i := range s.random.Perm(len(s.names)) {
+		if s.isHome(s.names[i]) {
+			return s.names[i]
 		}
 	}
 	return s.anyGateway()
@@ -198,6 +199,13 @@
 func (s *soak) killGateway() { s.killAndStart(s.anyGateway()) }
 func (s *soak) killHome()    { s.killAndStart(s.home()) }
 
+// killSeveral kills gateways until half of them are out of service.
+func (s *soak) killSeveral() {
+	for _, i := range s.random.Perm(len(s.names)) {
+		s.killAndStart(s.names[i])
+	}
+}
+
 // killAndStart kills a daemon and starts it again.
 func (s *soak) killAndStart(name string) {
 	s.begin("kill of", name, func() { s.restart(name) })
