Write a complete replica to further journals until every listed set has a quorum

Two of the nearest had lost their disks, so that they acknowledged for the newly selected set of journals but not for the set that the checkpoint lists. The write failed every 60 ms for ever; a home hands over only if the journals do not answer queries, which they did.

The home now writes to further journals until every set has its quorum. If the listed set has lost its quorum altogether, the home stores the replica on the new set and lists that in the next checkpoint, which holds all totals; nothing is granted in between. That is safe because no total has been granted on the new set alone before it is listed.

--- /dev/null
+++ b/internal/tokenbudget/journal_loss_test.go
@@ -0,0 +1,98 @@
+package tokenbudget_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loseDisks restarts keepers with empty disks at the same moment.
+func (f *fleet) loseDisks(keepers ...*keeperNode) {
+	for _, k := range keepers {
+		k.crash()
+		k.disk.Wipe()
+	}
+	for _, k := range keepers {
+		k.start()
+	}
+	f.publishLive()
+}
+
+// keepersNear returns the keepers in the region of a gateway.
+func (f *fleet) keepersNear(g *gatewayNode) []*keeperNode {
+	var near []*keeperNode
+	for _, k := range f.keepers {
+		if dataCentre(k.location) == g.Self().Region {
+			near = append(near, k)
+		}
+	}
+	return near
+}
+
+// requireDecisionsFor runs turns of new programs for a while, after a time in which they may be
+// refused.
+func requireDecisionsFor(t *testing.T, f *fleet, after, length time.Duration) {
+	time.Sleep(after)
+	g := f.gateways[0].daemon
+	for started, i := time.Now(), 0; time.Since(started) < length; i++ {
+		require.NoError(t, f.turn(g, fmt.Sprint("later-", i), 35, 0))
+		require.NoError(t, f.turn(g, "p", 1, 0))
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// repairLimit is the time within which a home that has lost journals has to decide again.
+const repairLimit = 1500 * time.Millisecond
+
+// Guards against a home that decides nothing any more because two of the nearest journals have
+// lost their disks: they acknowledged its complete replica, but not for the set that the
+// checkpoint lists, and no further journal got it.
+func TestHomeDecidesAfterNearJournalsLoseTheirDisks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 4, 9)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, 0))
+		time.Sleep(time.Second)
+		near := f.keepersNear(f.gateways[f.homeOf("p")])
+		require.Len(t, near, 3)
+		f.loseDisks(near[0], near[1])
+		requireDecisionsFor(t, f, repairLimit, 2*time.Second)
+		require.Empty(t, f.overrun())
+	})
+}
+
+// Guards against a home that decides nothing any more because the set of journals that the
+// checkpoint lists has lost its quorum, although the home has all totals and can list other
+// journals.
+func TestHomeListsOtherJournalsAfterQuorumIsLost(t *testing.T) {
+	for _, removed := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleetOf(t, 1, 4, 5)
+			defer f.close()
+			require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, 0))
+			time.Sleep(time.Second)
+			if removed {
+				f.keepers[4].crash()
+			}
+			f.loseDisks(f.keepers[0], f.keepers[1], f.keepers[2], f.keepers[3])
+			requireDecisionsFor(t, f, repairLimit, 2*time.Second)
+			f.gateways[f.homeOf("p")].crash()
+			f.publishLive()
+			requireHomeWithin(t, f, f.servingNode(), takeoverLimit)
+			require.Empty(t, f.overrun())
+		})
+	}
+}
+
+// servingNode returns a gateway that is up.
+func (f *fleet) servingNode() *gatewayNode {
+	for _, g := range f.gateways {
+		if g.up {
+			return g
+		}
+	}
+	return nil
+}
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -112,9 +112,10 @@
 		Decisions: s.decisions, MaxTurnTokens: maxTurnTokens, Totals: totals,
 	}
 	s.mu.Unlock()
+	var acknowledged journalSet
 	var err error
 	if due {
-		err = s.writeToJournals(ctx, next, sets)
+		acknowledged, err = s.writeToJournals(ctx, next, sets)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -122,14 +123,16 @@
 		return errReplaced
 	}
 	s.ledger.EndReplication(err == nil)
-	if err != nil {
-		return err
-	}
-	if complete {
+	if complete && (err == nil || wanted.hasWriteQuorum(acknowledged, s.home.config.LostDisks)) {
+		// If the listed journals have lost their quorum meanwhile, nothing is granted until the
+		// next checkpoint, which holds all totals, lists these instead.
 		s.replica.journals = wanted
 		s.log().WithField("programs", len(totals)).WithField("journals", wanted).Info("bridge built")
 		wake(s.checkpointWake)
 	}
+	if err != nil {
+		return err
+	}
 	if due {
 		s.home.replicaWrites.Inc()
 	}
@@ -141,15 +144,17 @@
 // writeToJournals writes to the journals of the sets. It succeeds as soon as enough have
 // acknowledged that a later home will find the replica. Changes go to all journals at once. A
 // complete replica is large and needed on a quorum only: it goes to a few of the nearest
-// journals, and to a further one whenever that is slow or fails.
-func (s *shard) writeToJournals(ctx context.Context, replica journal.Replica, sets []journalSet) error {
+// journals, and to a further one whenever that is slow or fails, or does not complete the
+// quorum of every set: a journal that has lost its disk counts for the new sets only. It
+// returns the journals that have acknowledged the write.
+func (s *shard) writeToJournals(ctx context.Context, replica journal.Replica, sets []journalSet) (journalSet, error) {
 	encoded, err := msgpack.Marshal(replica)
 	if err != nil {
-		return errors.Wrapf(err, "encode replica of shard %d", s.number)
+		return nil, errors.Wrapf(err, "encode replica of shard %d", s.number)
 	}
 	acknowledged := journalSet{}
 	if s.quorumReached(acknowledged, sets) {
-		return nil
+		return acknowledged, nil
 	}
 	w := &journalWrite{
 		shard: s, message: encoded, timeout: s.home.config.JournalWriteTimeout,
@@ -173,24 +178,24 @@
 	for w.inFlight > 0 {
 		select {
 		case <-unreachable:
-			return errNoJournalQuorum
+			return acknowledged, errNoJournalQuorum
 		case <-further.C:
 			w.start(ctx, 1)
 		case o := <-w.outcomes:
 			w.inFlight--
 			done, err := s.applyOutcome(o, replica.Fence, acknowledged)
 			if err != nil {
-				return err
-			}
-			if !done {
-				w.start(ctx, 1)
+				return acknowledged, err
 			}
 			if s.quorumReached(acknowledged, sets) {
-				return nil
+				return acknowledged, nil
+			}
+			if !done || w.inFlight == 0 {
+				w.start(ctx, 1)
 			}
 		}
 	}
-	return errNoJournalQuorum
+	return acknowledged, errNoJournalQuorum
 }
 
 // probeQuorum closes unreachable if the journals do not answer a query after the time limit of
