Avoid servers that answer with errors of their own

Cause: a 500 counted as a sign of health, and a server that fails at once has the fewest requests in flight, so that it attracts more. The session's affinity sends every retry to it, from every gateway.

It stays the last resort where all servers fail. 503 and 504 do not count: they are no faults of the server.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -91,7 +91,7 @@
 		g.checkForCrash(ctx, j, sent.server, err)
 		return callResult{err: err}
 	}
-	g.tracker.markHealthy(sent.server.Name)
+	g.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
 	return callResult{response: &bufferedResponse{
 		status: sent.response.Status, header: sent.response.Header, body: body,
 	}}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -235,7 +235,7 @@
 		g.checkForCrash(s.ctx, s.job, sent.server, err)
 		return err
 	}
-	g.tracker.markHealthy(sent.server.Name)
+	g.tracker.recordResponse(sent.server.Name, response.Status, time.Now())
 	return s.sendHead(sent)
 }
 
@@ -305,6 +305,7 @@
 		s.gateway.tracker.markFailed(sent.server.Name, time.Now())
 		return err
 	}
+	s.gateway.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
 	s.headSent = true
 	s.job.summary.firstByteTime = time.Since(s.job.Arrived)
 	s.job.summary.status = sent.response.Status
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,10 @@
 // check intervals of the platform, which removes a dead server from its list.
 const suspectDuration = time.Second
 
+// maxErrorSuspectDuration limits how long a server is avoided after errors in a row: about as
+// long as servers take to recover without being replaced.
+const maxErrorSuspectDuration = 4 * time.Second
+
 // leavingGrace is the time for which a server that says in its responses that it is leaving may
 // still get requests that no other server can take. The platform requires that it gets none
 // that a caller sends 2.5 s after such a response.
@@ -35,6 +40,9 @@
 type serverState struct {
 	inFlight     int
 	suspectUntil time.Time
+	// errors counts the responses with an error of the server itself, halved by each other
+	// response.
+	errors int
 	// leavingRun is the start time of the run that says that it is leaving, and leavingSince
 	// when it first did. The list of servers may still call that run ready; a run that has
 	// started later is another one.
@@ -145,9 +153,31 @@
 	return true
 }
 
-// markHealthy clears the suspicion of a server that responded.
-func (t *tracker) markHealthy(server string) {
+// recordResponse records that a server has sent a whole response. A server that answers with
+// errors of its own is avoided for longer each time: it is done sooner than others, and would
+// otherwise look idle and attract requests, among them the retries of those that it has failed.
+func (t *tracker) recordResponse(server string, status int, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.stateOf(server).suspectUntil = time.Time{}
+	state := t.stateOf(server)
+	if isServerError(status) {
+		avoid := min(suspectDuration<<min(state.errors, maxErrorShift), maxErrorSuspectDuration)
+		state.errors++
+		state.suspectUntil = now.Add(avoid)
+		return
+	}
+	state.errors /= 2
+	if state.errors == 0 {
+		state.suspectUntil = time.Time{}
+	}
+}
+
+// maxErrorShift keeps the doubled suspectDuration in range.
+const maxErrorShift = 8
+
+// isServerError reports whether a status means that the server itself has failed. It could not
+// serve the request for now, or not in time, with the other statuses.
+func isServerError(status int) bool {
+	return status >= http.StatusInternalServerError &&
+		status != http.StatusServiceUnavailable && status != http.StatusGatewayTimeout
 }
