Lose several disks at once in random schedules, and say which journals acknowledged

The random schedules lost one disk at a time in a fleet of three keepers, where the nearest journals are all there are, and so passed over a home that can no longer write its replica. They now also run with nine keepers, of which two in one region lose their disks at the same moment.

'replica not written to the journals' now says how many journals of the selected and of the listed set have acknowledged; the line was the only sign of the fault and did not tell unreachable journals from a quorum that cannot be reached.

--- a/internal/tokenbudget/faults_test.go
+++ b/internal/tokenbudget/faults_test.go
@@ -24,11 +24,14 @@
 
 func TestMain(m *testing.M) { testbed.Main(m, ciSchedules) }
 
-// Size of the fleets.
+// Size of the fleets. Faults other than the loss of disks happen to the first randomKeepers.
 const (
 	randomGateways = 3
 	randomKeepers  = 3
 	randomPrograms = 3
+	// manyKeepers gives each region several, of which manyLostDisks may be lost at once.
+	manyKeepers   = 9
+	manyLostDisks = 2
 )
 
 // stepKind is the action of a step.
@@ -88,6 +91,13 @@
 	replaced int
 }
 
+// newScenario starts a fleet of which some disks may be lost at the same time.
+func newScenario(t *testing.T, keepers, lostDisks int) *scenario {
+	config := homeConfig
+	config.LostDisks = lostDisks
+	return &scenario{fleet: newFleetWith(t, config, randomGateways, keepers), cuts: map[[2]string]bool{}}
+}
+
 // diskLossRecovery is the time after which the loss of a disk is repaired, so that another
 // disk may be lost.
 const diskLossRecovery = 5 * time.Second
@@ -108,9 +118,7 @@
 		sc.toggleKeeper(k)
 	case wipeKeeper:
 		sc.settleKeepers()
-		k.crash()
-		k.disk.Wipe()
-		k.start()
+		sc.loseDisks(sc.keepersInRegionOf(k)[:sc.config.LostDisks]...)
 	case replaceKeeper:
 		sc.settleKeepers()
 		sc.replaceKeeper(s.Node % randomKeepers)
@@ -263,13 +271,28 @@
 	sc.publishLive()
 }
 
+// keepersInRegionOf returns a keeper and then the others in its region.
+func (sc *scenario) keepersInRegionOf(k *keeperNode) []*keeperNode {
+	near := []*keeperNode{k}
+	for _, other := range sc.keepers {
+		if other != k && dataCentre(other.location) == dataCentre(k.location) {
+			near = append(near, other)
+		}
+	}
+	return near
+}
+
 // recoveryTime is the time limit after the last fault within which turns are granted again.
 const recoveryTime = 10 * time.Second
 
 // runSchedule runs the steps and returns a description of the first violation, "" if there
 // is none.
 func runSchedule(t *testing.T, steps []step, _ int64) string {
-	sc := &scenario{fleet: newFleet(t, randomGateways, randomKeepers), cuts: map[[2]string]bool{}}
+	return newScenario(t, randomKeepers, homeConfig.LostDisks).run(steps)
+}
+
+// run runs the steps and returns a description of the first violation, "" if there is none.
+func (sc *scenario) run(steps []step) string {
 	defer sc.close()
 	for _, s := range steps {
 		sc.execute(s)
@@ -295,3 +318,12 @@
 func TestBudgetsHoldUnderFaults(t *testing.T) {
 	testbed.Schedules[step]{Shards: shards, Steps: stepGen, MaxSteps: maxSteps, Run: runSchedule}.Check(t)
 }
+
+// Guards against homes that overrun budgets, or decide nothing any more, after several of the
+// journals near them have lost their disks at the same time.
+func TestBudgetsHoldWhenSeveralDisksAreLost(t *testing.T) {
+	run := func(t *testing.T, steps []step, _ int64) string {
+		return newScenario(t, manyKeepers, manyLostDisks).run(steps)
+	}
+	testbed.Schedules[step]{Shards: shards, Steps: stepGen, MaxSteps: maxSteps, Run: run}.Check(t)
+}
--- a/internal/tokenbudget/fleet_test.go
+++ b/internal/tokenbudget/fleet_test.go
@@ -110,9 +110,15 @@
 
 // newFleetOf starts gateways and keepers with a number of shards.
 func newFleetOf(t *testing.T, shards, gateways, keepers int) *fleet {
+	config := homeConfig
+	config.Shards = shards
+	return newFleetWith(t, config, gateways, keepers)
+}
+
+// newFleetWith starts gateways and keepers.
+func newFleetWith(t *testing.T, config tokenbudget.Config, gateways, keepers int) *fleet {
 	f := &fleet{t: t, network: peers.New(latency), store: objects.New(), granted: map[string]int{},
-		decidedAt: map[string]time.Time{}, rejected: map[string]bool{}, stopping: map[string]bool{}, config: homeConfig}
-	f.config.Shards = shards
+		decidedAt: map[string]time.Time{}, rejected: map[string]bool{}, stopping: map[string]bool{}, config: config}
 	for i := range keepers {
 		k := &keeperNode{fleet: f, name: fmt.Sprintf("keeper-%d", i), location: i, disk: journaltest.NewDisk()}
 		f.keepers = append(f.keepers, k)
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -131,7 +131,9 @@
 		wake(s.checkpointWake)
 	}
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "acknowledged by %d of %d selected and %d of %d listed journals",
+			wanted.countMatching(acknowledged), len(wanted),
+			s.checkpoint.journals.countMatching(acknowledged), len(s.checkpoint.journals))
 	}
 	if due {
 		s.home.replicaWrites.Inc()
