Give a shard up that has stored nothing for three seconds

A home whose writes have failed for 3 s now counts as not deciding and hands its shard over, whatever the journals answer. A home that starts elsewhere fences the journals anew and has other journals near it. A busy home is not affected before it has failed several writes of 1.2 s.

TestHomeThatStoresNothingGivesItsShardUp failed before.

--- a/internal/tokenbudget/journal_loss_test.go
+++ b/internal/tokenbudget/journal_loss_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/tokenbudget"
 )
 
 // loseDisks restarts keepers with empty disks at the same moment.
@@ -87,6 +89,30 @@
 	}
 }
 
+// Guards against a home that stores nothing, for whatever cause, and keeps its shard because the
+// journals answer its queries and it answers those of other daemons.
+func TestHomeThatStoresNothingGivesItsShardUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 4, 5)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", maxTurnTokens, 0))
+		time.Sleep(time.Second)
+		home := f.homeOf("p")
+		for _, k := range f.keepers {
+			k.disk.SetDelay(tokenbudget.DefaultJournalWriteTimeout + 50*time.Millisecond)
+		}
+		_ = f.turn(f.gateways[home].daemon, "p", maxTurnTokens, 0)
+		for failingAt := time.Now(); f.homeOf("p") == home; time.Sleep(50 * time.Millisecond) {
+			require.Less(t, time.Since(failingAt), tokenbudget.DefaultStallLimit+time.Second)
+		}
+		for _, k := range f.keepers {
+			k.disk.SetDelay(0)
+		}
+		requireDecisionsFor(t, f, repairLimit, time.Second)
+		require.Empty(t, f.overrun())
+	})
+}
+
 // servingNode returns a gateway that is up.
 func (f *fleet) servingNode() *gatewayNode {
 	for _, g := range f.gateways {
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -22,8 +22,8 @@
 	journals journalSet
 	// failingSince is the start of the first failed write in a row, zero after a success.
 	failingSince time.Time
-	// unreachable is set while the journals do not answer queries either. Nothing is granted
-	// meanwhile.
+	// unreachable is set while the journals do not answer queries either, or writes have failed
+	// for StallLimit. Nothing is granted meanwhile.
 	unreachable bool
 }
 
@@ -303,10 +303,10 @@
 }
 
 // journalWriteFailed handles a failed write to the journals that began at started. If writes
-// have failed for HandOverAfter and too few journals answer a query, it fails the waiting
-// reservations and hands the shard over to another daemon, which may reach more journals.
-// Without the platform the other daemon may not be able to start, so this one then keeps the
-// shard until another one takes it.
+// have failed for HandOverAfter and too few journals answer a query, or if they have failed for
+// StallLimit whatever the cause, it fails the waiting reservations and hands the shard over to
+// another daemon, which may do better. Without the platform the other daemon may not be able to
+// start, so this one then keeps the shard until another one takes it.
 func (s *shard) journalWriteFailed(ctx context.Context, fence journal.Fence, started time.Time) {
 	s.mu.Lock()
 	if !s.holdsUnder(fence) {
@@ -319,13 +319,19 @@
 	failingSince, checkpointFailing := s.replica.failingSince, s.checkpoint.failing
 	sets := append(s.quorumSets(), s.wantedJournals)
 	s.mu.Unlock()
-	// Journals that answer a query are only slow, as they would be for another home.
-	if s.quorumAnswers(ctx, sets) || time.Since(failingSince) < s.home.config.HandOverAfter {
+	// Journals that answer a query may only be slow, as they would be for another home.
+	limit := s.home.config.HandOverAfter
+	if s.quorumAnswers(ctx, sets) {
+		limit = s.home.config.StallLimit
+	}
+	failingFor := time.Since(failingSince)
+	if failingFor < limit {
 		return
 	}
 	s.markJournalsUnreachable(fence)
 	if !checkpointFailing {
-		s.log().Warn("no journal quorum for the replica, handing the shard over to another daemon")
+		s.log().WithField("failing_ms", failingFor.Milliseconds()).
+			Warn("no journal quorum for the replica, handing the shard over to another daemon")
 		// The handover stops the writers of this shard, including the calling goroutine.
 		go s.handOver(context.WithoutCancel(ctx))
 	}
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -108,6 +108,9 @@
 	// DefaultHandOverAfter is how long a home may fail to write to a quorum of journals
 	// before it hands the shard over to another daemon.
 	DefaultHandOverAfter = 500 * time.Millisecond
+	// DefaultStallLimit is how long writes to the journals may fail although enough of them
+	// answer queries: several writes of a complete replica.
+	DefaultStallLimit = 3 * time.Second
 	// DefaultMaintenanceInterval is the time between two checks of the journals.
 	DefaultMaintenanceInterval = 500 * time.Millisecond
 	// DefaultOrphanCheckInterval is the time between two checks, in an unchanged fleet, that
@@ -153,6 +156,7 @@
 	JournalWriteMinGap     time.Duration
 	ReplicaInterval        time.Duration
 	HandOverAfter          time.Duration
+	StallLimit             time.Duration
 	MaintenanceInterval    time.Duration
 	OrphanCheckInterval    time.Duration
 	JournalDropAfter       time.Duration
@@ -185,6 +189,7 @@
 	defaults.Set(&c.JournalWriteMinGap, DefaultJournalWriteMinGap)
 	defaults.Set(&c.ReplicaInterval, DefaultReplicaInterval)
 	defaults.Set(&c.HandOverAfter, DefaultHandOverAfter)
+	defaults.Set(&c.StallLimit, DefaultStallLimit)
 	defaults.Set(&c.MaintenanceInterval, DefaultMaintenanceInterval)
 	defaults.Set(&c.OrphanCheckInterval, DefaultOrphanCheckInterval)
 	defaults.Set(&c.JournalDropAfter, DefaultJournalDropAfter)
