Store the size of a turn that was handed over

Callers got 502 during planned stops: a turn that its home had handed over before storing anything was granted by no later home, and failed after three of them (905 ms to 974 ms). The next home also stored no margin for it, so that a program could have been granted more than one turn beyond its budget after a further loss.

Cause: since a home stores the largest turn with its replica and grants no larger one before; the handover no longer carries it. The repeated reservation of an open turn does not raise it either. On a shard whose first turn was still open the new home considered a largest turn of 0 as stored, and waited for ever.

A home now takes the open turns that are handed over to it into account.

--- a/internal/tokenbudget/handover_test.go
+++ b/internal/tokenbudget/handover_test.go
@@ -132,3 +132,32 @@
 		})
 	}
 }
+
+// Guards against a turn that is handed over before its home has stored anything, and that no
+// later home ever grants: the size of the largest turn was not handed over, so that the new
+// home did not know that it had to be stored.
+func TestTurnHandedOverBeforeFirstWriteIsGranted(t *testing.T) {
+	for after := time.Duration(0); after < 60*time.Millisecond; after += 2 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFleetOf(t, 1, 3, 3)
+			defer f.close()
+			for f.homeOf("p") < 0 {
+				time.Sleep(time.Millisecond)
+			}
+			home := f.gateways[f.homeOf("p")]
+			time.Sleep(50 * time.Millisecond)
+			turn := make(chan error, 1)
+			started := time.Now()
+			go func() { turn <- f.turn(home.daemon, "p", maxTurnTokens, 0) }()
+			time.Sleep(after)
+			f.setStopping(home.Self().Name, true)
+			for _, g := range f.gateways {
+				g.SetLive(f.liveWithout(home.Self().Name)...)
+			}
+			home.home.HandOver(context.Background())
+			require.NoError(t, <-turn, "handed over after %v", after)
+			require.Less(t, time.Since(started), decisionLimit)
+			time.Sleep(releaseTime)
+		})
+	}
+}
--- a/internal/tokenbudget/ledger/ledger.go
+++ b/internal/tokenbudget/ledger/ledger.go
@@ -228,7 +228,7 @@
 		switch from {
 		case FromJournals:
 			a.base, a.section = total.Total+l.unrecorded, active
-			a.restoreOpen(total.Open)
+			l.restoreOpen(a, total.Open)
 		case FromIdleCheckpoint:
 			a.checkpointed, a.checkpointedExpiry, a.section = total.Total, total.Expires, idle
 		case FromCheckpoint:
@@ -255,16 +255,18 @@
 		}
 		a.base, a.estimated = total.Total, total.Estimated
 		a.expires = later(a.expires, time.UnixMilli(total.Expires))
-		a.restoreOpen(total.Open)
+		l.restoreOpen(a, total.Open)
 	}
 	l.dirty = true
 }
 
-// restoreOpen moves the tokens of turns in progress from the base to open reservations.
-func (a *account) restoreOpen(open []OpenTurn) {
+// restoreOpen moves the tokens of turns in progress from the base to open reservations. The
+// previous home may not have stored the largest of them anywhere.
+func (l *Ledger) restoreOpen(a *account, open []OpenTurn) {
 	for _, t := range open {
 		a.base -= t.Tokens
 		a.open[t.ID] = openTurn{tokens: t.Tokens, expected: t.Expected, handed: true}
+		l.wantedMaxTurn = max(l.wantedMaxTurn, t.Tokens)
 	}
 }
 
--- a/internal/tokenbudget/ledger/ledger_test.go
+++ b/internal/tokenbudget/ledger/ledger_test.go
@@ -239,3 +239,18 @@
 	l.BeginCheckpoint(start.Add(10 * time.Minute))
 	require.Zero(t, l.Len())
 }
+
+// Guards against a home that does not store the size of a turn that was handed over to it, and
+// never grants that turn.
+func TestLargestHandedOverTurnIsStored(t *testing.T) {
+	l := newCheckpointLedger(0, 0)
+	l.Reserve(turn("p", "1"), start)
+	handed := l.Totals(start)
+	l = ledger.New(0, 0)
+	l.SetDurability(ledger.RequireJournals)
+	l.RestoreHandover(handed)
+	require.Equal(t, ledger.NotDurable, l.Reserve(turn("p", "1"), start))
+	require.False(t, l.MaxTurnReplicated())
+	replicate(l, true, true)
+	require.Equal(t, ledger.Granted, l.Check(turn("p", "1")))
+}
