Wait without timer channels in the budgets

That is the known hazard of Go 1.26: with the race detector, a select in a synctest bubble must not begin when one of its timer channels is due. An acquisition that has to wait for no other daemon slept for a time of 0. Callers are not affected: the hazard is one of tests.

sleep now waits for a channel that a callback closes, and returns at once for a time of 0. Whether the failed check of the race detector has this cause is suspected only, as both need a timer that fires during a select.

--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -63,18 +63,6 @@
 	}
 }
 
-// sleep waits for d and returns false when ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // checkpointOutdated reports whether the checkpoint has to be written again.
 func (s *shard) checkpointOutdated() bool {
 	s.mu.Lock()
--- a/internal/tokenbudget/timers.go
+++ b/internal/tokenbudget/timers.go
@@ -1,6 +1,7 @@
 package tokenbudget
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -50,3 +51,19 @@
 	time.AfterFunc(d, func() { close(done) })
 	return done
 }
+
+// sleep waits for d and returns false when ctx ends first. Like ticker it uses no timer channel.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	done := make(chan struct{})
+	timer := time.AfterFunc(d, func() { close(done) })
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-done:
+		return true
+	}
+}
