Log each check for a crash and each crash that is counted

The logs could not distinguish the hypotheses about requests that crash servers: a check left no trace unless the third crash of a request was counted at the same daemon. Each check is now logged with the fingerprint, the run of the server and the outcome of the probe, and counted in ibisline_poison_checks_total; each crash with the number counted so far, at every daemon that learns of it. The logic is unchanged.

--- a/internal/crashguard/crash_counts.go
+++ b/internal/crashguard/crash_counts.go
@@ -83,6 +83,14 @@
 	return true
 }
 
+// count returns the number of crashes under a request, refuseAfterCrashes if it is refused.
+func (c *crashCounts) count(request Fingerprint) int {
+	if known := c.suspects[request]; known != nil {
+		return len(known.crashes)
+	}
+	return refuseAfterCrashes
+}
+
 // evict makes room for one more suspect: it drops the expired suspects and, if that is not
 // enough, the oldest one.
 func (c *crashCounts) evict(now time.Time) {
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -64,6 +65,7 @@
 	pendingReports chan Crash
 	pullFrom       chan string
 	probes         singleflight.Group
+	metrics        *metrics.Set
 
 	crashes *metrics.Counter
 	refused *metrics.Counter
@@ -83,6 +85,7 @@
 		logger:         logger,
 		pendingReports: make(chan Crash, maxPendingReports),
 		pullFrom:       make(chan string, 1),
+		metrics:        set,
 		counts:         newCrashCounts(),
 		crashes:        set.GetOrCreateCounter("ibisline_poison_crashes_total"),
 		refused:        set.GetOrCreateCounter("ibisline_poison_refusals_total"),
@@ -125,22 +128,46 @@
 // it ran a request. A server that still accepts connections has not crashed.
 func (g *Guard) CheckCrash(request Fingerprint, server structs.Server) {
 	go func() {
-		if g.hasCrashed(server) {
+		err := g.probeServer(server)
+		crashed := errors.Is(err, syscall.ECONNREFUSED)
+		g.countCheck(err)
+		g.logger.WithField("fingerprint", request).WithField("server", server.Name).
+			WithField("started", server.StartedMS).WithField("probe", probeOutcome(err)).
+			Info("connection broke during a request, server probed")
+		if crashed {
 			g.recordCrash(crashOf(request, server))
 		}
 	}()
 }
 
-// hasCrashed reports whether nothing listens at a server's address. Concurrent checks of one
-// run of a server share one probe.
-func (g *Guard) hasCrashed(server structs.Server) bool {
+// probeOutcome returns the outcome of a probe as text, for the log and for metric labels.
+func probeOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	default:
+		return "no answer"
+	}
+}
+
+// countCheck counts a check of a server by the outcome of its probe.
+func (g *Guard) countCheck(err error) {
+	outcome := strings.ReplaceAll(probeOutcome(err), " ", "_")
+	g.metrics.GetOrCreateCounter(`ibisline_poison_checks_total{probe="` + outcome + `"}`).Inc()
+}
+
+// probeServer connects to a server. A refused connection means that nothing listens at its
+// address. Concurrent checks of one run of a server share one probe.
+func (g *Guard) probeServer(server structs.Server) error {
 	key := server.Name + "/" + strconv.FormatInt(server.StartedMS, 10)
 	_, err, _ := g.probes.Do(key, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		return nil, g.probe(ctx, server)
 	})
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
 }
 
 // recordCrash counts a crash locally and queues it for the daemons that count it fleet-wide.
@@ -161,11 +188,14 @@
 		return
 	}
 	g.crashes.Inc()
-	if g.counts.add(c, time.Now()) {
-		g.logger.WithField("fingerprint", c.Request).WithField("server", c.Server).
-			WithField("crashes", refuseAfterCrashes).
-			Warn("request refused from now on, it crashes servers")
+	refused := g.counts.add(c, time.Now())
+	entry := g.logger.WithField("fingerprint", c.Request).WithField("server", c.Server).
+		WithField("started", c.Started).WithField("crashes", g.counts.count(c.Request))
+	if refused {
+		entry.Warn("request refused from now on, it crashes servers")
+		return
 	}
+	entry.Info("crash counted")
 }
 
 // Run reports crashes and fetches other daemons' refusals until ctx ends.
