Reproduce requests that crash servers without end

The fleet of guards now has servers that are silent, listen, refuse connections or are back as another run.

--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -1,9 +1,8 @@
 package crashguard_test
 
 import (
-	"context"
 	"fmt"
-	"syscall"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,8 +22,7 @@
 	names   []string
 	guards  map[string]*crashguard.Guard
 	loops   map[string]*testbed.Loop
-	// listening makes all servers accept connections.
-	listening bool
+	servers *servers
 }
 
 func newFleet(size int) *fleet {
@@ -32,14 +30,45 @@
 		network: peers.New(func(_, _ structs.Instance) time.Duration { return 8 * time.Millisecond }),
 		guards:  map[string]*crashguard.Guard{},
 		loops:   map[string]*testbed.Loop{},
+		servers: newServers(),
 	}
 	for i := range size {
-		f.names = append(f.names, fmt.Sprintf("gateway-%d", i))
+		f.add(fmt.Sprintf("gateway-%d", i))
+	}
+	return f
+}
+
+// add adds a daemon to the fleet.
+func (f *fleet) add(name string) {
+	f.names = append(f.names, name)
+	f.start(name)
+}
+
+// remove removes a daemon for good.
+func (f *fleet) remove(name string) {
+	f.loops[name].Stop()
+	f.network.Remove(name)
+	delete(f.guards, name)
+	delete(f.loops, name)
+	f.names = slices.DeleteFunc(f.names, func(other string) bool { return other == name })
+}
+
+// restartAll restarts all daemons at the same moment.
+func (f *fleet) restartAll() {
+	for _, loop := range f.loops {
+		loop.Stop()
 	}
 	for _, name := range f.names {
 		f.start(name)
 	}
-	return f
+}
+
+// isolate cuts a daemon from all others, or ends that. The others still consider it live.
+func (f *fleet) isolate(name string, on bool) {
+	for _, other := range f.names {
+		f.network.Cut(name, other, on)
+		f.network.Cut(other, name, on)
+	}
 }
 
 // start starts a daemon, or restarts it with empty state.
@@ -48,13 +77,7 @@
 		old.Stop()
 	}
 	node := f.network.Join(structs.Instance{Name: name, Duty: structs.DutyGateway})
-	probe := func(context.Context, structs.Server) error {
-		if f.listening {
-			return nil
-		}
-		return fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
-	}
-	f.guards[name] = crashguard.New(node, node, node, probe, metrics.NewSet(), testbed.NoLog())
+	f.guards[name] = crashguard.New(node, node, node, f.servers.probe, metrics.NewSet(), testbed.NoLog())
 	f.loops[name] = testbed.Start(f.guards[name].Run)
 }
 
@@ -69,7 +92,7 @@
 	for range seconds {
 		for _, from := range f.names {
 			for _, to := range f.names {
-				if from != to {
+				if from != to && !f.network.IsCut(from, to) {
 					f.guards[to].Learn(from, f.guards[from].Mark())
 				}
 			}
@@ -139,9 +162,9 @@
 // A broken connection to a server that still listens is not a crash.
 func TestListeningServerIsNotCountedAsCrashed(t *testing.T) {
 	withFleet(t, 2, func(t *testing.T, f *fleet) {
-		f.listening = true
 		for i := range 10 {
-			f.breakConnection("gateway-0", request, fmt.Sprintf("engine-%d", i), 1)
+			f.servers.listen(engine(i).Name)
+			f.breakConnection("gateway-0", request, engine(i).Name, 1)
 		}
 		f.exchangeMarks(3)
 		require.Zero(t, f.refusing(request))
--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -79,6 +79,13 @@
 	n.cut[direction{from, to}] = on
 }
 
+// IsCut reports whether the frames from one daemon to another are dropped.
+func (n *Network) IsCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[direction{from, to}]
+}
+
 // SetBandwidth delays each frame by its size divided by bytesPerSecond; 0 disables
 // the delay.
 func (n *Network) SetBandwidth(bytesPerSecond int) {
--- /dev/null
+++ b/test/platform/crashing_request_test.go
@@ -0,0 +1,280 @@
+package platform_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/objectapi"
+	"ibisline/platform/platformtest"
+)
+
+const (
+	// crashLimit is the number of crashes under a request after which it is refused, and
+	// refusalDelay the time within which all gateways refuse it.
+	crashLimit   = 3
+	refusalDelay = 3 * time.Second
+	// maxLateRetries is the number of retries that may reach servers after refusalDelay.
+	maxLateRetries = 3
+	// crashDowntime is the time from a crash to the next run of the server, and entryLapse
+	// that to the removal of the entry of the run that has ended.
+	crashDowntime = 1200 * time.Millisecond
+	entryLapse    = 3600 * time.Millisecond
+	// returnPause is the pause of the caller of a crashing request after an attempt.
+	returnPause = 300 * time.Millisecond
+)
+
+// crashingBody is the body of the request that crashes servers.
+const crashingBody = "body that crashes servers"
+
+// mortalServer is a backend server that crashes when it runs a request with crashingBody, and
+// comes back at its address as another instance.
+type mortalServer struct {
+	fleet    *testFleet
+	location int
+	addr     string
+	silent   bool // ends without closing its connections
+
+	mu       sync.Mutex
+	run      int
+	listener net.Listener
+	server   *platformtest.Server
+	crashes  []time.Time
+}
+
+// addMortalServers starts backend servers of the tills in addition to the existing ones.
+func (f *testFleet) addMortalServers(count int) []*mortalServer {
+	var all []*mortalServer
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(f.t, err)
+		m := &mortalServer{fleet: f, location: i % len(locations), addr: listener.Addr().String()}
+		m.start(fmt.Sprintf("mortal-%d", i), listener)
+		f.t.Cleanup(m.stop)
+		all = append(all, m)
+	}
+	return all
+}
+
+// start serves a listener as a new instance.
+func (m *mortalServer) start(base string, listener net.Listener) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.run++
+	name := fmt.Sprintf("%s-run-%d", base, m.run)
+	server := platformtest.NewServer(name)
+	server.Script(func(run platformtest.Run) platformtest.Reply {
+		if run.Body != crashingBody {
+			return platformtest.Reply{Body: "done " + run.ID}
+		}
+		go m.crash(base)
+		return platformtest.Reply{Silent: true}
+	})
+	m.server, m.listener = server, listener
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.Serve(conn)
+		}
+	}()
+	m.fleet.registerServer(tills, name, m.location, m.addr, "ready")
+}
+
+// crash ends the current instance. The next one starts after crashDowntime, and the entry of the
+// former one lapses after entryLapse.
+func (m *mortalServer) crash(base string) {
+	m.mu.Lock()
+	name := m.server.Name
+	m.crashes = append(m.crashes, time.Now())
+	m.listener.Close()
+	m.server.Crash()
+	m.mu.Unlock()
+	time.AfterFunc(entryLapse, func() { m.fleet.removeEntry("servers/" + name) })
+	time.AfterFunc(crashDowntime, func() {
+		listener, err := net.Listen("tcp", m.addr)
+		if err != nil {
+			m.fleet.t.Errorf("%s does not start again: %v", name, err)
+			return
+		}
+		m.start(base, listener)
+	})
+}
+
+func (m *mortalServer) stop() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.listener.Close()
+}
+
+// removeEntry removes an object from the platform's store.
+func (f *testFleet) removeEntry(key string) {
+	ctx := context.Background()
+	old, err := f.store.Get(ctx, key)
+	if err == nil {
+		err = f.store.Delete(ctx, key, old.Version)
+	}
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		f.t.Errorf("remove %s: %v", key, err)
+	}
+}
+
+// crashesOf returns the times of all crashes of the servers, in order.
+func crashesOf(servers []*mortalServer) []time.Time {
+	var times []time.Time
+	for _, m := range servers {
+		m.mu.Lock()
+		times = append(times, m.crashes...)
+		m.mu.Unlock()
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	return times
+}
+
+// crashingCaller sends the request that crashes servers again and again, at one gateway after
+// the other.
+type crashingCaller struct {
+	fleet   *testFleet
+	servers []*mortalServer
+	next    int
+	// changing makes each attempt that of another program.
+	changing bool
+}
+
+// send sends the request once and returns the status; 0 means no answer.
+func (c *crashingCaller) send() int {
+	gateway := gateways[c.next%len(gateways)]
+	c.next++
+	program := "program"
+	if c.changing {
+		program = fmt.Sprintf("program-%d", c.next)
+	}
+	got := c.fleet.call(gateway, http.MethodPost, "/redeem/1", withBody(crashingBody), func(r *http.Request) {
+		r.Header.Set("Program-Id", program)
+		r.Header.Set("Session-Id", program)
+	})
+	time.Sleep(returnPause)
+	return got.status
+}
+
+// sendUntilCrashes sends the request until a number of servers have crashed under it.
+func (c *crashingCaller) sendUntilCrashes(count int) {
+	c.fleet.waitUntil(fmt.Sprintf("%d servers have crashed", count), func() bool {
+		if len(crashesOf(c.servers)) < count {
+			c.send()
+		}
+		return len(crashesOf(c.servers)) >= count
+	})
+}
+
+// withBody replaces the body of a request.
+func withBody(body string) func(*http.Request) {
+	return func(r *http.Request) {
+		replaced, err := http.NewRequest(r.Method, r.URL.String(), strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		r.Body, r.ContentLength, r.GetBody = replaced.Body, replaced.ContentLength, replaced.GetBody
+	}
+}
+
+// newCrashingFleet starts a fleet whose tills all crash under the request of the caller.
+func newCrashingFleet(t *testing.T) (*testFleet, *crashingCaller) {
+	f := newTestFleet(t)
+	for name := range f.servers {
+		if strings.HasPrefix(name, "till") {
+			f.removeEntry("servers/" + name)
+		}
+	}
+	c := &crashingCaller{fleet: f, servers: f.addMortalServers(6)}
+	f.waitUntil("the gateways use the servers", func() bool {
+		for _, gateway := range gateways {
+			if f.call(gateway, http.MethodPost, "/redeem/1").status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	return f, c
+}
+
+// requireRefused sends the request on for a while after refusalDelay and requires that hardly any
+// attempt reaches a server.
+func (c *crashingCaller) requireRefused() {
+	third := crashesOf(c.servers)[crashLimit-1]
+	for time.Since(third) < refusalDelay {
+		c.send()
+	}
+	before := len(crashesOf(c.servers))
+	for range 12 {
+		c.send()
+	}
+	crashes := crashesOf(c.servers)
+	c.fleet.t.Logf("crashes: %d, of which %d late", len(crashes), len(crashes)-before)
+	require.LessOrEqual(c.fleet.t, len(crashes)-before, maxLateRetries)
+}
+
+// Guards against taking each return of a request for another request because its caller sends it
+// as a new program.
+func TestRequestOfChangingProgramsIsRefused(t *testing.T) {
+	_, c := newCrashingFleet(t)
+	c.changing = true
+	c.sendUntilCrashes(crashLimit)
+	c.requireRefused()
+}
+
+// Guards against losing the crashes counted so far when every gateway is restarted in turn.
+func TestCrashesOutlastRestartOfEveryGateway(t *testing.T) {
+	f, c := newCrashingFleet(t)
+	c.sendUntilCrashes(crashLimit - 1)
+	for _, gateway := range gateways {
+		f.restart(gateway)
+	}
+	c.sendUntilCrashes(crashLimit)
+	c.requireRefused()
+}
+
+// Guards against losing the refusal of a request when all gateways are killed at the same time.
+func TestRefusalOutlastsLossOfAllGateways(t *testing.T) {
+	f, c := newCrashingFleet(t)
+	c.sendUntilCrashes(crashLimit)
+	f.waitUntil("all gateways refuse the request", func() bool {
+		for range gateways {
+			if c.send() != http.StatusServiceUnavailable {
+				return false
+			}
+		}
+		return true
+	})
+	for range 2 {
+		before := len(crashesOf(c.servers))
+		for _, gateway := range gateways {
+			f.kill(gateway)
+		}
+		for _, gateway := range gateways {
+			f.start(gateway)
+		}
+		for _, gateway := range gateways {
+			f.waitReady(gateway)
+		}
+		time.Sleep(refusalDelay)
+		for range 6 {
+			c.send()
+		}
+		crashes := len(crashesOf(c.servers)) - before
+		t.Logf("crashes after the loss of all gateways: %d", crashes)
+		require.LessOrEqual(t, crashes, maxLateRetries)
+		require.Zero(t, crashes)
+	}
+}
