--- a/internal/api/gate.go
+++ b/internal/api/gate.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"ibisline/internal/timers"
 )
 
 // States of a gate, in order.
@@ -80,28 +82,18 @@
 // requests and waits until those in flight have ended or ctx ends.
 func (a *API) Drain(ctx context.Context) error {
 	a.Leave()
-	if !sleep(ctx, a.config.BalancerDelay) {
+	if !timers.Sleep(ctx, a.config.BalancerDelay) {
 		return errors.Wrap(ctx.Err(), "wait for the balancer delay")
 	}
 	a.gate.advance(gateClosed)
 	for a.gate.count() > 0 {
-		if !sleep(ctx, drainPollInterval) {
+		if !timers.Sleep(ctx, drainPollInterval) {
 			return errors.Wrapf(ctx.Err(), "drain: %d requests still in flight", a.gate.count())
 		}
 	}
 	return nil
 }
 
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // healthReply is the JSON body of the health endpoint.
 type healthReply struct {
 	Status string `json:"status"`
--- a/internal/catalogue/probe.go
+++ b/internal/catalogue/probe.go
@@ -10,6 +10,7 @@
 
 	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 )
 
 // probeKey is read to check whether the platform answers. The object need not exist.
@@ -25,11 +26,11 @@
 	for ctx.Err() == nil {
 		age, _ := c.contact.ages(time.Now())
 		if wait := c.config.ProbeAfter - age; age >= 0 && wait > 0 {
-			sleep(ctx, wait+c.jitter())
+			timers.Sleep(ctx, wait+c.jitter())
 			continue
 		}
 		if !c.probeOnce(ctx) {
-			sleep(ctx, watchSettleTime+c.jitter())
+			timers.Sleep(ctx, watchSettleTime+c.jitter())
 		}
 	}
 	return nil
--- a/internal/catalogue/watch.go
+++ b/internal/catalogue/watch.go
@@ -10,6 +10,7 @@
 
 	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 )
 
 // pendingWatch tracks the watch request in progress. It is safe for concurrent use.
@@ -67,7 +68,7 @@
 			continue
 		}
 		c.logger.WithError(err).Debug("catalogue watch failed")
-		sleep(ctx, delays.NextBackOff())
+		timers.Sleep(ctx, delays.NextBackOff())
 	}
 	return nil
 }
@@ -80,16 +81,6 @@
 	return delays
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // listOrPoll performs one list or one watch request.
 func (c *Catalogue) listOrPoll(ctx context.Context, list bool) error {
 	if list {
--- a/internal/dispatch/order_lease.go
+++ b/internal/dispatch/order_lease.go
@@ -10,6 +10,7 @@
 
 	"ibisline/internal/objectapi"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/verdict"
 )
 
@@ -81,7 +82,7 @@
 	if wait <= 0 {
 		return nil
 	}
-	sleep(ctx, wait)
+	timers.Sleep(ctx, wait)
 	if ctx.Err() != nil {
 		return verdict.Refuse(verdict.Canceled,
 			"canceled while waiting for the previous holder of the order lease of %s", engine)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -17,6 +17,7 @@
 	"ibisline/internal/peer"
 	"ibisline/internal/policy/quarantine"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/verdict"
 )
 
@@ -178,7 +179,7 @@
 			q.mergeObjects(objects)
 			q.watchChanges(ctx, revision)
 		}
-		sleep(ctx, retry.NextBackOff())
+		timers.Sleep(ctx, retry.NextBackOff())
 	}
 	return nil
 }
@@ -247,11 +248,3 @@
 	defer q.mu.Unlock()
 	return q.list.All()
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
 )
@@ -111,7 +112,7 @@
 		}
 		server, ok := g.pick(j)
 		if !ok {
-			if time.Now().Add(pause).After(queueUntil) || !sleep(ctx, pause) {
+			if time.Now().Add(pause).After(queueUntil) || !timers.Sleep(ctx, pause) {
 				return sendResult{}, g.noServer(j)
 			}
 			pause *= 2
@@ -154,18 +155,6 @@
 // queueTimeDivisor divides the time left of a request to limit its wait for a server.
 const queueTimeDivisor = 4
 
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // noServer returns the error of a request that no server accepted.
 func (g *Gateway) noServer(j *job) error {
 	if j.mayHaveRun() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
@@ -122,7 +123,7 @@
 	response, err := s.resumeAt(ctx, server)
 	for err == nil && response == nil {
 		// The server is alive but full. The run must not be resumed elsewhere.
-		if !sleep(ctx, fullServerRetryPause) {
+		if !timers.Sleep(ctx, fullServerRetryPause) {
 			return sendResult{server: server}, ctx.Err()
 		}
 		response, err = s.resumeAt(ctx, server)
--- a/internal/limits/reporting.go
+++ b/internal/limits/reporting.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/timers"
 )
 
 // run sends reports to the limiter while the entry is in use.
@@ -16,7 +17,7 @@
 			return nil
 		}
 		if !b.report(ctx, limiter, request) {
-			sleep(ctx, retryDelay)
+			timers.Sleep(ctx, retryDelay)
 			continue
 		}
 		b.waitForReport(ctx, b.reportDelay())
@@ -187,13 +188,3 @@
 	case <-b.wake:
 	}
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/objectcache/peer.go
+++ b/internal/objectcache/peer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/timers"
 )
 
 // changesRequest requests the changes after a revision from a peer. Full requests all
@@ -58,7 +59,7 @@
 		wait = 0
 	}
 	go func() {
-		sleep(ctx, wait)
+		timers.Sleep(ctx, wait)
 		if c.NewestVersion() < version && ctx.Err() == nil {
 			c.pull(ctx, daemon)
 		}
--- a/internal/objectcache/platform.go
+++ b/internal/objectcache/platform.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/objectapi"
+	"ibisline/internal/timers"
 )
 
 // sourcePlatform is the source of a platform change in logs.
@@ -24,7 +25,7 @@
 	list := true
 	for ctx.Err() == nil {
 		if !list && !c.holdsWatch() {
-			sleep(ctx, rankCheckInterval)
+			timers.Sleep(ctx, rankCheckInterval)
 			continue
 		}
 		err := c.listOrWatch(ctx, list)
@@ -41,7 +42,7 @@
 		if ctx.Err() == nil {
 			c.recordFailure(err)
 		}
-		sleep(ctx, backOff.NextBackOff())
+		timers.Sleep(ctx, backOff.NextBackOff())
 	}
 	return nil
 }
@@ -54,7 +55,7 @@
 	for {
 		wait := c.untilRelist()
 		if wait > 0 {
-			sleep(ctx, wait)
+			timers.Sleep(ctx, wait)
 		}
 		if ctx.Err() != nil {
 			return nil
@@ -64,7 +65,7 @@
 		}
 		if err := c.list(ctx); err != nil {
 			c.recordFailure(err)
-			sleep(ctx, c.config.RetryMaxWait)
+			timers.Sleep(ctx, c.config.RetryMaxWait)
 		}
 	}
 }
@@ -117,19 +118,6 @@
 	return backOff
 }
 
-// sleep waits for d or until ctx is done. It returns at once if d is not positive.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // listOrWatch performs one listing or one watch.
 func (c *Cache) listOrWatch(ctx context.Context, list bool) error {
 	if list {
@@ -175,7 +163,7 @@
 		b.Changes = append(b.Changes, c.toChange(event.Object, event.Deleted))
 	}
 	c.publish(c.table.Apply(b), sourcePlatform, c.fromPlatform)
-	sleep(ctx, c.config.MinWatchInterval)
+	timers.Sleep(ctx, c.config.MinWatchInterval)
 	return nil
 }
 
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/yamux"
 
+	"ibisline/internal/timers"
 	"ibisline/internal/verdict"
 )
 
@@ -131,7 +132,7 @@
 		}
 		if err != nil {
 			t.logger.WithError(err).Warn("failed to accept a peer connection")
-			if !sleep(ctx, acceptRetryDelay) {
+			if !timers.Sleep(ctx, acceptRetryDelay) {
 				return nil
 			}
 			continue
@@ -144,16 +145,6 @@
 // is out of file descriptors.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// sleep waits for d. It returns false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // Close closes the listener and all connections and waits for the handlers to
 // return. It may be called more than once.
 func (t *Transport) Close() error {
@@ -169,7 +160,7 @@
 // methods. It returns an error if ctx ends first.
 func (t *Transport) Drain(ctx context.Context) error {
 	for t.activeStreams.Load() > 0 {
-		if !sleep(ctx, drainPollInterval) {
+		if !timers.Sleep(ctx, drainPollInterval) {
 			return errors.Errorf("drain: %d streams still served: %w", t.activeStreams.Load(), ctx.Err())
 		}
 	}
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -11,6 +11,7 @@
 	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/verdict"
@@ -49,7 +50,7 @@
 // even if all of them have given up.
 func (s *shard) acquireOnce(skipped []string) (string, error) {
 	ctx := s.home.ctx
-	sleep(ctx, s.acquireDelay(skipped))
+	timers.Sleep(ctx, s.acquireDelay(skipped))
 	<-s.acquiring
 	defer func() { s.acquiring <- struct{}{} }()
 	if s.holds() {
@@ -468,7 +469,7 @@
 			return found
 		}
 		if grace == nil && len(wanted) > 0 && wanted.readableBy(found.journals, s.home.config.LostDisks) {
-			grace = after(s.home.config.FenceGrace)
+			grace = timers.After(s.home.config.FenceGrace)
 		}
 	}
 }
--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/objectapi"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/tokenbudget/ledger"
 )
@@ -35,7 +36,7 @@
 // runCheckpointWriter writes the checkpoint until ctx ends: at once if a turn waits for it or
 // if it lists other journals than those that hold the replica, else every CheckpointInterval.
 func (s *shard) runCheckpointWriter(ctx context.Context, fence journal.Fence) {
-	ticker := newTicker(s.home.config.CheckpointInterval)
+	ticker := timers.NewTicker(s.home.config.CheckpointInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -54,7 +55,7 @@
 			s.log().WithError(err).Info("record of budgets not written")
 			wait = s.home.config.CheckpointRetryDelay
 		}
-		if wait > 0 && !sleep(ctx, wait) {
+		if wait > 0 && !timers.Sleep(ctx, wait) {
 			return
 		}
 		if err != nil {
--- a/internal/tokenbudget/handover.go
+++ b/internal/tokenbudget/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/verdict"
 )
@@ -139,7 +140,7 @@
 func (s *shard) awaitOffer(ctx context.Context) {
 	select {
 	case <-s.offerArrived:
-	case <-after(handoverWait):
+	case <-timers.After(handoverWait):
 	case <-ctx.Done():
 	}
 }
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -12,6 +12,7 @@
 
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/ledger"
 )
 
@@ -80,7 +81,7 @@
 
 // Run maintains the shards until ctx ends, then waits for their writers.
 func (h *Home) Run(ctx context.Context) error {
-	ticker := newTicker(h.config.MaintenanceInterval)
+	ticker := timers.NewTicker(h.config.MaintenanceInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/idle_checkpoint.go
+++ b/internal/tokenbudget/idle_checkpoint.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/objectapi"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 )
 
@@ -20,7 +21,7 @@
 // runIdleWriter moves idle programs from the active to the idle checkpoint until ctx ends,
 // so that the active one stays small.
 func (s *shard) runIdleWriter(ctx context.Context, fence journal.Fence) {
-	ticker := newTicker(s.home.config.IdleCheckpointInterval)
+	ticker := timers.NewTicker(s.home.config.IdleCheckpointInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/incumbent.go
+++ b/internal/tokenbudget/incumbent.go
@@ -6,6 +6,7 @@
 
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 )
 
@@ -72,7 +73,7 @@
 			a.silent = first.activity
 			return false
 		}
-		sleep(ctx, incumbentPollPause)
+		timers.Sleep(ctx, incumbentPollPause)
 	}
 	return false
 }
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -9,6 +9,7 @@
 
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/tokenbudget/ledger"
 )
@@ -138,7 +139,7 @@
 			return f
 		}
 		if grace == nil && allReadableBy(wanted, f.accepted(), s.home.config.LostDisks) {
-			grace = after(s.home.config.FenceGrace)
+			grace = timers.After(s.home.config.FenceGrace)
 		}
 	}
 }
--- a/internal/tokenbudget/keeper.go
+++ b/internal/tokenbudget/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 )
 
@@ -32,7 +33,7 @@
 
 // Run retries a failed disk until ctx ends, then closes the journal.
 func (k *Keeper) Run(ctx context.Context) error {
-	ticker := newTicker(k.retry)
+	ticker := timers.NewTicker(k.retry)
 	defer ticker.Stop()
 	for {
 		select {
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
 	"ibisline/internal/tokenbudget/ledger"
 )
@@ -33,7 +34,7 @@
 // runJournalWriter writes the replica to the journals until ctx ends: at once if a turn
 // waits for it, else every ReplicaInterval.
 func (s *shard) runJournalWriter(ctx context.Context, fence journal.Fence) {
-	ticker := newTicker(s.home.config.ReplicaInterval)
+	ticker := timers.NewTicker(s.home.config.ReplicaInterval)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
@@ -49,7 +50,7 @@
 			s.journalWriteFailed(ctx, fence, started)
 			wake(s.replicaWake)
 		}
-		if left := wait - time.Since(started); left > 0 && !sleep(ctx, left) {
+		if left := wait - time.Since(started); left > 0 && !timers.Sleep(ctx, left) {
 			return
 		}
 	}
@@ -175,7 +176,7 @@
 		defer stopProbe()
 		go s.probeQuorum(probeCtx, sets, unreachable)
 	}
-	further := newTicker(s.home.config.ReplicaWriteStagger)
+	further := timers.NewTicker(s.home.config.ReplicaWriteStagger)
 	defer further.Stop()
 	for w.inFlight > 0 {
 		select {
@@ -203,7 +204,7 @@
 // probeQuorum closes unreachable if the journals do not answer a query after the time limit of
 // a small write. They are then cut off, while others may only be slow with a large write.
 func (s *shard) probeQuorum(ctx context.Context, sets []journalSet, unreachable chan<- struct{}) {
-	if sleep(ctx, s.home.config.JournalWriteTimeout) && !s.quorumAnswers(ctx, sets) && ctx.Err() == nil {
+	if timers.Sleep(ctx, s.home.config.JournalWriteTimeout) && !s.quorumAnswers(ctx, sets) && ctx.Err() == nil {
 		close(unreachable)
 	}
 }
