Keep every crash at every daemon

Callers whose request crashes servers saw it sent on after restarts of gateways: the crashes counted so far were gone. Cause: a crash was counted by the daemon that saw it and by two daemons chosen by a hash of the request among the live ones; only refusals were exchanged. Restarts in turn, or a change of the fleet, moved the count to daemons that knew nothing, and reports were sent one after the other with 500 ms for each and never again. Now every daemon, keepers included, keeps all crashes and fetches what it is missing from the daemons whose probes carry another digest; three crashes refuse a request, wherever they were seen. No daemon is chosen to count, nothing is reported to a particular one, and a lost message is made up for by the next probe.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -11,87 +11,86 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 	"github.com/go-faster/errors"
+	"golang.org/x/sync/errgroup"
 	"golang.org/x/sync/singleflight"
 
-	"ibisline/internal/member"
 	"ibisline/internal/peer"
+	"ibisline/internal/queue"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 )
 
-// Names of the methods that guards of different daemons call.
 const (
-	methodCrash    = "poison.crash"
-	methodRefusals = "poison.refusals"
+	// probeTimeout limits the probe of a server. It allows for several round trips between
+	// regions.
+	probeTimeout = 500 * time.Millisecond
+	// expiryInterval is the interval at which expired crashes are dropped.
+	expiryInterval = time.Second
 )
 
-const (
-	// countersPerRequest is the number of daemons that count the crashes of a request, so
-	// that losing one of them loses no count.
-	countersPerRequest = 2
-	// callTimeout limits a call to another daemon and a probe of a server. It allows for
-	// several round trips between regions.
-	callTimeout = 500 * time.Millisecond
-	// maxPendingReports limits the queue of crashes to report. Further crashes are not
-	// reported: among that many crashes at once, the request is most likely not the cause.
-	maxPendingReports = 256
-	// minPullInterval is the minimum time between two fetches of other daemons' refusals,
-	// so that differing clocks do not cause a storm of fetches.
-	minPullInterval = 200 * time.Millisecond
-)
+// sourceLocal is the source of a crash that this daemon has seen, in logs.
+const sourceLocal = "this daemon"
 
 // Probe tries to connect to a server and returns the error of the connection.
 type Probe func(ctx context.Context, server structs.Server) error
 
-// crashReply is the reply to a Crash.
-type crashReply struct{}
-
-// refusalsRequest requests the refusals of a daemon.
-type refusalsRequest struct{}
-
-// refusalsReply is the reply to a refusalsRequest.
-type refusalsReply struct {
-	Refusals []Refusal `msgpack:"r"`
+// Deps holds the services that a guard depends on.
+type Deps struct {
+	Dialer peer.Dialer
+	Mux    peer.Mux
+	Probe  Probe
+	// Announce sends the new mark to other daemons at once. It may be nil.
+	Announce func()
+	Metrics  *metrics.Set
+	Log      log.Interface
 }
 
 // Guard detects requests that crash servers and refuses them. It is a kernel service and
 // safe for concurrent use.
 type Guard struct {
-	view           member.View
-	dialer         peer.Dialer
-	probe          Probe
-	logger         log.Interface
-	pendingReports chan Crash
-	pullFrom       chan string
-	probes         singleflight.Group
-	metrics        *metrics.Set
-
-	crashes *metrics.Counter
+	dialer   peer.Dialer
+	probe    Probe
+	announce func()
+	logger   log.Interface
+	metrics  *metrics.Set
+	probes   singleflight.Group
+	// process identifies this process of the daemon towards others.
+	process int64
+	// fetches holds the daemons to fetch crashes from.
+	fetches *queue.Queue[string]
+
+	counted *metrics.Counter
 	refused *metrics.Counter
 
-	mu     sync.Mutex
-	counts *crashCounts
-	// lastPull is the time of the last fetch of another daemon's refusals.
-	lastPull time.Time
+	mu      sync.Mutex
+	crashes *crashSet
+	// fetching holds the daemons in fetches and those with a fetch in progress, and fetched the
+	// next request to each daemon.
+	fetching map[string]bool
+	fetched  map[string]crashesRequest
 }
 
-// New returns a guard and registers its methods with mux.
-func New(view member.View, dialer peer.Dialer, mux peer.Mux, probe Probe, set *metrics.Set, logger log.Interface) *Guard {
+// New returns a guard and registers its method with the mux.
+func New(deps Deps) *Guard {
 	g := &Guard{
-		view:           view,
-		dialer:         dialer,
-		probe:          probe,
-		logger:         logger,
-		pendingReports: make(chan Crash, maxPendingReports),
-		pullFrom:       make(chan string, 1),
-		metrics:        set,
-		counts:         newCrashCounts(),
-		crashes:        set.GetOrCreateCounter("ibisline_poison_crashes_total"),
-		refused:        set.GetOrCreateCounter("ibisline_poison_refusals_total"),
-	}
-	mux.Handle(methodCrash, g.serveCrash)
-	mux.Handle(methodRefusals, g.serveRefusals)
+		dialer:   deps.Dialer,
+		probe:    deps.Probe,
+		announce: deps.Announce,
+		logger:   deps.Log,
+		metrics:  deps.Metrics,
+		process:  time.Now().UnixNano(),
+		fetches:  queue.New[string](deps.Metrics, "poison_fetches", maxPendingFetches),
+		counted:  deps.Metrics.GetOrCreateCounter("ibisline_poison_crashes_total"),
+		refused:  deps.Metrics.GetOrCreateCounter("ibisline_poison_refusals_total"),
+		crashes:  newCrashSet(),
+		fetching: map[string]bool{},
+		fetched:  map[string]crashesRequest{},
+	}
+	if g.announce == nil {
+		g.announce = func() {}
+	}
+	deps.Mux.Handle(methodCrashes, g.serveCrashes)
 	return g
 }
 
@@ -110,14 +109,14 @@
 func (g *Guard) Empty() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.counts.refused) == 0
+	return g.crashes.refusals() == 0
 }
 
 // Refuses reports whether a request must not be sent to a server, and counts refusals.
 func (g *Guard) Refuses(request Fingerprint) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refused := g.counts.isRefused(request, time.Now())
+	refused := g.crashes.isRefused(request, time.Now())
 	if refused {
 		g.refused.Inc()
 	}
@@ -129,17 +128,21 @@
 func (g *Guard) CheckCrash(request Fingerprint, server structs.Server) {
 	go func() {
 		err := g.probeServer(server)
-		crashed := errors.Is(err, syscall.ECONNREFUSED)
 		g.countCheck(err)
 		g.logger.WithField("fingerprint", request).WithField("server", server.Name).
 			WithField("started", server.StartedMS).WithField("probe", probeOutcome(err)).
 			Info("connection broke during a request, server probed")
-		if crashed {
-			g.recordCrash(crashOf(request, server))
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.recordCrash(request, server)
 		}
 	}()
 }
 
+// recordCrash adds a crash that this daemon has seen.
+func (g *Guard) recordCrash(request Fingerprint, server structs.Server) {
+	g.addAll([]Crash{crashOf(request, server, time.Now())}, sourceLocal)
+}
+
 // probeOutcome returns the outcome of a probe as text, for the log and for metric labels.
 func probeOutcome(err error) string {
 	switch {
@@ -163,161 +166,66 @@
 func (g *Guard) probeServer(server structs.Server) error {
 	key := server.Name + "/" + strconv.FormatInt(server.StartedMS, 10)
 	_, err, _ := g.probes.Do(key, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		return nil, g.probe(ctx, server)
 	})
 	return err
 }
 
-// recordCrash counts a crash locally and queues it for the daemons that count it fleet-wide.
-func (g *Guard) recordCrash(c Crash) {
-	g.countCrash(c)
-	select {
-	case g.pendingReports <- c:
-	default:
-		g.logger.WithField("server", c.Server).Warn("crash not reported: report queue is full")
+// addAll adds crashes of which this daemon has learned from a source, and announces them.
+func (g *Guard) addAll(crashes []Crash, source string) {
+	now := time.Now()
+	added := 0
+	g.mu.Lock()
+	for _, c := range crashes {
+		if !g.crashes.add(c, now) {
+			continue
+		}
+		added++
+		g.counted.Inc()
+		g.logCrash(c, source)
+	}
+	g.mu.Unlock()
+	// The membership reads the mark while it holds its own lock, so mu must be free here.
+	if added > 0 {
+		g.announce()
 	}
 }
 
-// countCrash adds a crash to the local counts.
-func (g *Guard) countCrash(c Crash) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.counts.isRefused(c.Request, time.Now()) {
-		return
-	}
-	g.crashes.Inc()
-	refused := g.counts.add(c, time.Now())
+// logCrash logs a crash that was added. The caller holds mu.
+func (g *Guard) logCrash(c Crash, source string) {
+	count := g.crashes.count(c.Request)
 	entry := g.logger.WithField("fingerprint", c.Request).WithField("server", c.Server).
-		WithField("started", c.Started).WithField("crashes", g.counts.count(c.Request))
-	if refused {
+		WithField("started", c.Started).WithField("crashes", count).WithField("from", source)
+	if count == refuseAfterCrashes {
 		entry.Warn("request refused from now on, it crashes servers")
 		return
 	}
 	entry.Info("crash counted")
 }
 
-// Run reports crashes and fetches other daemons' refusals until ctx ends.
+// Run fetches other daemons' crashes and drops expired ones until ctx ends.
 func (g *Guard) Run(ctx context.Context) error {
+	var calls errgroup.Group
+	calls.SetLimit(maxConcurrentFetches)
+	expiry := timers.NewTicker(expiryInterval)
+	defer expiry.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
-		case c := <-g.pendingReports:
-			g.report(ctx, c)
-		case daemon := <-g.pullFrom:
-			g.pull(ctx, daemon)
-		}
-	}
-}
-
-// report sends a crash to the other daemons that count it.
-func (g *Guard) report(ctx context.Context, c Crash) {
-	for _, daemon := range g.countingDaemons(c.Request) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := peer.Call(callCtx, g.dialer, daemon, methodCrash, c, &crashReply{}); err != nil {
-			g.logger.WithError(err).WithField("peer", daemon).WithField("server", c.Server).Info("crash not reported")
-		}
-		cancel()
-	}
-}
-
-// countingDaemons returns the other daemons that count the crashes of a request.
-func (g *Guard) countingDaemons(request Fingerprint) []string {
-	var names []string
-	for _, instance := range g.view.Live() {
-		if instance.Duty == structs.DutyGateway {
-			names = append(names, instance.Name)
-		}
-	}
-	var chosen []string
-	key := strconv.FormatUint(uint64(request), 16)
-	for len(names) > 0 && len(chosen) < countersPerRequest {
-		next := rendezvous.New(names, xxhash.Sum64String).Lookup(key)
-		names = without(names, next)
-		chosen = append(chosen, next)
-	}
-	return without(chosen, g.view.Self().Name)
-}
-
-// without returns names except for dropped.
-func without(names []string, dropped string) []string {
-	var kept []string
-	for _, name := range names {
-		if name != dropped {
-			kept = append(kept, name)
+			return calls.Wait()
+		case <-expiry.C:
+			g.mu.Lock()
+			g.crashes.expire(time.Now())
+			g.mu.Unlock()
+		case daemon := <-g.fetches.Items():
+			calls.Go(func() error {
+				g.fetch(ctx, daemon)
+				return nil
+			})
 		}
 	}
-	return kept
-}
-
-// Mark returns a digest of the local refusals, which probes carry to other daemons. It is 0
-// if no request is refused.
-func (g *Guard) Mark() int64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.counts.mark(time.Now())
-}
-
-// Learn compares the mark of another daemon with the local one. If they differ, Run fetches
-// the refusals of that daemon. Learn does not block.
-func (g *Guard) Learn(daemon string, mark int64) {
-	if mark == 0 || mark == g.Mark() || !g.allowPull(time.Now()) {
-		return
-	}
-	select {
-	case g.pullFrom <- daemon:
-	default:
-		// Another fetch is pending; the next probe carries the mark again.
-	}
-}
-
-// allowPull limits the rate of fetches to one per minPullInterval.
-func (g *Guard) allowPull(now time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if now.Sub(g.lastPull) < minPullInterval {
-		return false
-	}
-	g.lastPull = now
-	return true
-}
-
-// pull fetches the refusals of another daemon and adds them to the local ones.
-func (g *Guard) pull(ctx context.Context, daemon string) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	var reply refusalsReply
-	if err := peer.Call(ctx, g.dialer, daemon, methodRefusals, refusalsRequest{}, &reply); err != nil {
-		g.logger.WithError(err).WithField("peer", daemon).Info("cannot fetch the refused requests of a peer")
-		return
-	}
-	g.mu.Lock()
-	g.counts.merge(reply.Refusals, time.Now())
-	known := len(g.counts.refused)
-	g.mu.Unlock()
-	g.logger.WithField("peer", daemon).WithField("told", len(reply.Refusals)).WithField("known", known).
-		Info("merged the refused requests of a peer")
-}
-
-func (g *Guard) serveCrash(_ context.Context, s peer.Stream) error {
-	var c Crash
-	if err := s.Recv(&c); err != nil {
-		return err
-	}
-	g.countCrash(c)
-	return s.Send(crashReply{})
-}
-
-func (g *Guard) serveRefusals(_ context.Context, s peer.Stream) error {
-	if err := s.Recv(&refusalsRequest{}); err != nil {
-		return err
-	}
-	g.mu.Lock()
-	reply := refusalsReply{Refusals: g.counts.refusals(time.Now())}
-	g.mu.Unlock()
-	return s.Send(reply)
 }
 
 // Status is the dump of a guard's state: the numbers of suspect and refused requests.
@@ -330,5 +238,6 @@
 func (g *Guard) Dump() any {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Status{Suspects: len(g.counts.suspects), Refused: len(g.counts.refused)}
+	refused := g.crashes.refusals()
+	return Status{Suspects: len(g.crashes.suspects) - refused, Refused: refused}
 }
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,9 +18,14 @@
 	"ibisline/internal/structs"
 )
 
+// linkLatency is the delay of a message between two daemons.
+const linkLatency = 8 * time.Millisecond
+
 // fleet is a set of guards that exchange their marks once a second, as probes do.
 type fleet struct {
 	network *peers.Network
+	// mu guards names and guards, which announcements read.
+	mu      sync.Mutex
 	names   []string
 	guards  map[string]*crashguard.Guard
 	loops   map[string]*testbed.Loop
@@ -27,7 +34,7 @@
 
 func newFleet(size int) *fleet {
 	f := &fleet{
-		network: peers.New(func(_, _ structs.Instance) time.Duration { return 8 * time.Millisecond }),
+		network: peers.New(func(_, _ structs.Instance) time.Duration { return linkLatency }),
 		guards:  map[string]*crashguard.Guard{},
 		loops:   map[string]*testbed.Loop{},
 		servers: newServers(),
@@ -40,7 +47,9 @@
 
 // add adds a daemon to the fleet.
 func (f *fleet) add(name string) {
+	f.mu.Lock()
 	f.names = append(f.names, name)
+	f.mu.Unlock()
 	f.start(name)
 }
 
@@ -48,6 +57,8 @@
 func (f *fleet) remove(name string) {
 	f.loops[name].Stop()
 	f.network.Remove(name)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.guards, name)
 	delete(f.loops, name)
 	f.names = slices.DeleteFunc(f.names, func(other string) bool { return other == name })
@@ -77,8 +88,32 @@
 		old.Stop()
 	}
 	node := f.network.Join(structs.Instance{Name: name, Duty: structs.DutyGateway})
-	f.guards[name] = crashguard.New(node, node, node, f.servers.probe, metrics.NewSet(), testbed.NoLog())
-	f.loops[name] = testbed.Start(f.guards[name].Run)
+	guard := crashguard.New(crashguard.Deps{
+		Dialer: node, Mux: node, Probe: f.servers.probe, Metrics: metrics.NewSet(), Log: testbed.NoLog(),
+		Announce: func() { go f.announce(name) },
+	})
+	f.loops[name] = testbed.Start(guard.Run)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.guards[name] = guard
+}
+
+// announceTargets is the number of daemons that a daemon probes.
+const announceTargets = 5
+
+// announce delivers the mark of a daemon to those that it probes, as an immediate probe does.
+func (f *fleet) announce(name string) {
+	f.mu.Lock()
+	names, guards := slices.Clone(f.names), maps.Clone(f.guards)
+	f.mu.Unlock()
+	time.Sleep(linkLatency)
+	at := slices.Index(names, name)
+	for step := 1; at >= 0 && step <= min(announceTargets, len(names)-1); step++ {
+		to := names[(at+step)%len(names)]
+		if !f.network.IsCut(name, to) {
+			guards[to].Learn(name, guards[name].Mark())
+		}
+	}
 }
 
 func (f *fleet) stop() {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -90,21 +90,17 @@
 }
 
 // cacheVersions supplies and receives the versions that membership probes carry:
-// those of the object caches and, at a gateway, of the set of requests that crash
-// servers.
+// those of the object caches and of the crashes under requests.
 type cacheVersions struct {
 	caches map[string]*objectcache.Cache
-	// guard is nil at a keeper.
-	guard *crashguard.Guard
+	guard  *crashguard.Guard
 }
 
 // Versions returns the versions that this daemon sends in its probes.
 func (v *cacheVersions) Versions() member.Versions {
 	versions := make(member.Versions, len(v.caches))
-	if v.guard != nil {
-		if version := v.guard.Mark(); version != 0 {
-			versions[crashGuardKey] = version
-		}
+	if mark := v.guard.Mark(); mark != 0 {
+		versions[crashGuardKey] = mark
 	}
 	for prefix, c := range v.caches {
 		versions[prefix] = c.NewestVersion()
@@ -116,8 +112,7 @@
 	return versions
 }
 
-// crashGuardKey is the key of the version of the set of requests that are refused
-// because they crash servers.
+// crashGuardKey is the key of the digest of the crashes under requests.
 const crashGuardKey = "poison"
 
 // Key suffixes of the number and the age, in milliseconds, of the newest listing of a
@@ -129,9 +124,7 @@
 
 // Observe handles the versions received from another daemon.
 func (v *cacheVersions) Observe(daemon string, versions member.Versions) {
-	if v.guard != nil {
-		v.guard.Learn(daemon, versions[crashGuardKey])
-	}
+	v.guard.Learn(daemon, versions[crashGuardKey])
 	for prefix, c := range v.caches {
 		version, ok := versions[prefix]
 		if !ok {
@@ -200,6 +193,9 @@
 	if err := b.kernel.Register(serviceJournal, tokenbudget.NewKeeper(opened, transport, b.log)); err != nil {
 		return err
 	}
+	if _, err := b.addCrashGuard(nil); err != nil {
+		return err
+	}
 	return b.addRetirement(opened)
 }
 
@@ -240,6 +236,24 @@
 	}))
 }
 
+// addCrashGuard adds the guard against requests that crash servers. A keeper, which has no probe,
+// keeps the crashes that gateways have seen while these are restarted.
+func (b *builder) addCrashGuard(probe crashguard.Probe) (*crashguard.Guard, error) {
+	transport, err := kernel.Lookup[*peer.Transport](b.kernel, servicePeers)
+	if err != nil {
+		return nil, err
+	}
+	members, err := kernel.Lookup[*member.Members](b.kernel, serviceMembers)
+	if err != nil {
+		return nil, err
+	}
+	guard := crashguard.New(crashguard.Deps{
+		Dialer: transport, Mux: transport, Probe: probe, Announce: members.ProbeNow, Metrics: b.metrics, Log: b.log,
+	})
+	b.versions.guard = guard
+	return guard, b.kernel.Register(serviceCrashGuard, guard)
+}
+
 // addGateway adds the gateway that serves callers' requests.
 func (b *builder) addGateway() error {
 	loader, err := kernel.Lookup[*routes.Loader](b.kernel, serviceRoutes)
@@ -263,11 +277,10 @@
 		return err
 	}
 	client := upstream.NewClient(upstream.Config{RequestID: b.adapter.Dialect.ResponseRequestID}, b.metrics)
-	guard := crashguard.New(members, transport, transport, client.Probe, b.metrics, b.log)
-	if err := b.kernel.Register(serviceCrashGuard, guard); err != nil {
+	guard, err := b.addCrashGuard(client.Probe)
+	if err != nil {
 		return err
 	}
-	b.versions.guard = guard
 	config := gateway.Config{Region: b.self.Region, DataCentre: b.self.DataCentre}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect:    b.adapter.Dialect,
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -102,7 +102,9 @@
 	h.metrics = set
 	node := peers.New(nil).Join(structs.Instance{Name: "gateway-1", Duty: structs.DutyGateway})
 	h.backend = upstream.NewClient(upstream.Config{RequestID: adapter.ResponseRequestID, Dial: h.network.Dial}, set)
-	h.guard = crashguard.New(node, node, node, h.backend.Probe, set, testbed.NoLog())
+	h.guard = crashguard.New(crashguard.Deps{
+		Dialer: node, Mux: node, Probe: h.backend.Probe, Metrics: set, Log: testbed.NoLog(),
+	})
 	h.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1"}, gateway.Deps{
 		Dialect:    adapter,
 		Routes:     h,
