Count the crash of a server that is silent or back before it is probed

Callers whose request crashes servers saw it sent on if the servers fell silent at first, or were back within milliseconds. Cause: one probe, 500 ms, right after the connection broke decided about a crash: a time-out counted as no crash, and any server that listened at the address as the one that was asked. One observation decided, and it could be of the wrong process. Now a run of a server that broke off a request is looked at for 10 s: a refused connection, three probes in a row without an answer, a later run of the same name in the platform's list, or a later server at the same address show that it has ended; a probe that is answered shows nothing. A false crash needs a request that is broken off on three runs, each of which is then seen to have ended.

--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -3,17 +3,13 @@
 import (
 	"context"
 	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sync/singleflight"
 
 	"ibisline/internal/objectapi"
 	"ibisline/internal/objectcache"
@@ -23,13 +19,8 @@
 	"ibisline/internal/timers"
 )
 
-const (
-	// probeTimeout limits the probe of a server. It allows for several round trips between
-	// regions.
-	probeTimeout = 500 * time.Millisecond
-	// expiryInterval is the interval at which expired crashes are dropped.
-	expiryInterval = time.Second
-)
+// expiryInterval is the interval at which expired crashes are dropped.
+const expiryInterval = time.Second
 
 // sourceLocal is the source of a crash that this daemon has seen, in logs.
 const sourceLocal = "this daemon"
@@ -37,11 +28,22 @@
 // Probe tries to connect to a server and returns the error of the connection.
 type Probe func(ctx context.Context, server structs.Server) error
 
+// Servers is the platform's list of servers.
+type Servers interface {
+	// Find returns a server by name, and false if there is none.
+	Find(name string) (structs.Server, bool)
+	// AtAddr returns the server that was started last among those at an address, and false if
+	// there is none.
+	AtAddr(addr string) (structs.Server, bool)
+}
+
 // Deps holds the services that a guard depends on.
 type Deps struct {
 	Dialer peer.Dialer
 	Mux    peer.Mux
-	Probe  Probe
+	// Probe and Servers may be nil in a daemon that sends no requests to servers.
+	Probe   Probe
+	Servers Servers
 	// Announce sends the new mark to other daemons at once. It may be nil.
 	Announce func()
 	// Store is the platform's object API, and Cache the local copy of the objects under Prefix.
@@ -59,19 +61,20 @@
 type Guard struct {
 	dialer   peer.Dialer
 	probe    Probe
+	servers  Servers
 	announce func()
 	store    objectapi.Store
 	cache    *objectcache.Cache
 	rank     func() int
 	logger   log.Interface
 	metrics  *metrics.Set
-	probes   singleflight.Group
 	// process identifies this process of the daemon towards others.
 	process int64
 	// fetches holds the daemons to fetch crashes from.
 	fetches *queue.Queue[string]
-	// added signals that crashes were added; it buffers one signal.
-	added chan struct{}
+	// added and checkAdded signal that crashes or checks were added. They buffer one signal.
+	added      chan struct{}
+	checkAdded chan struct{}
 
 	counted *metrics.Counter
 	refused *metrics.Counter
@@ -83,27 +86,31 @@
 	fetching map[string]bool
 	fetched  map[string]crashesRequest
 	stored   storedState
+	checks   map[run]*check
 }
 
 // New returns a guard and registers its method with the mux.
 func New(deps Deps) *Guard {
 	g := &Guard{
-		dialer:   deps.Dialer,
-		probe:    deps.Probe,
-		announce: deps.Announce,
-		store:    deps.Store,
-		cache:    deps.Cache,
-		rank:     deps.Rank,
-		logger:   deps.Log,
-		metrics:  deps.Metrics,
-		process:  time.Now().UnixNano(),
-		fetches:  queue.New[string](deps.Metrics, "poison_fetches", maxPendingFetches),
-		added:    make(chan struct{}, 1),
-		counted:  deps.Metrics.GetOrCreateCounter("ibisline_poison_crashes_total"),
-		refused:  deps.Metrics.GetOrCreateCounter("ibisline_poison_refusals_total"),
-		crashes:  newCrashSet(),
-		fetching: map[string]bool{},
-		fetched:  map[string]crashesRequest{},
+		dialer:     deps.Dialer,
+		probe:      deps.Probe,
+		servers:    deps.Servers,
+		announce:   deps.Announce,
+		store:      deps.Store,
+		cache:      deps.Cache,
+		rank:       deps.Rank,
+		logger:     deps.Log,
+		metrics:    deps.Metrics,
+		process:    time.Now().UnixNano(),
+		fetches:    queue.New[string](deps.Metrics, "poison_fetches", maxPendingFetches),
+		added:      make(chan struct{}, 1),
+		checkAdded: make(chan struct{}, 1),
+		checks:     map[run]*check{},
+		counted:    deps.Metrics.GetOrCreateCounter("ibisline_poison_crashes_total"),
+		refused:    deps.Metrics.GetOrCreateCounter("ibisline_poison_refusals_total"),
+		crashes:    newCrashSet(),
+		fetching:   map[string]bool{},
+		fetched:    map[string]crashesRequest{},
 	}
 	if g.announce == nil {
 		g.announce = func() {}
@@ -141,56 +148,11 @@
 	return refused
 }
 
-// CheckCrash checks in the background whether a server crashed, after its connection broke while
-// it ran a request. A server that still accepts connections has not crashed.
-func (g *Guard) CheckCrash(request Fingerprint, server structs.Server) {
-	go func() {
-		err := g.probeServer(server)
-		g.countCheck(err)
-		g.logger.WithField("fingerprint", request).WithField("server", server.Name).
-			WithField("started", server.StartedMS).WithField("probe", probeOutcome(err)).
-			Info("connection broke during a request, server probed")
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			g.recordCrash(request, server)
-		}
-	}()
-}
-
 // recordCrash adds a crash that this daemon has seen.
 func (g *Guard) recordCrash(request Fingerprint, server structs.Server) {
 	g.addAll([]Crash{crashOf(request, server, time.Now())}, sourceLocal)
 }
 
-// probeOutcome returns the outcome of a probe as text, for the log and for metric labels.
-func probeOutcome(err error) string {
-	switch {
-	case err == nil:
-		return "accepted"
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return "refused"
-	default:
-		return "no answer"
-	}
-}
-
-// countCheck counts a check of a server by the outcome of its probe.
-func (g *Guard) countCheck(err error) {
-	outcome := strings.ReplaceAll(probeOutcome(err), " ", "_")
-	g.metrics.GetOrCreateCounter(`ibisline_poison_checks_total{probe="` + outcome + `"}`).Inc()
-}
-
-// probeServer connects to a server. A refused connection means that nothing listens at its
-// address. Concurrent checks of one run of a server share one probe.
-func (g *Guard) probeServer(server structs.Server) error {
-	key := server.Name + "/" + strconv.FormatInt(server.StartedMS, 10)
-	_, err, _ := g.probes.Do(key, func() (any, error) {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		return nil, g.probe(ctx, server)
-	})
-	return err
-}
-
 // addAll adds crashes of which this daemon has learned from a source, and announces them.
 func (g *Guard) addAll(crashes []Crash, source string) {
 	now := time.Now()
@@ -233,6 +195,7 @@
 	var duties sync.WaitGroup
 	duties.Go(func() { g.follow(ctx) })
 	duties.Go(func() { g.saveCrashes(ctx) })
+	duties.Go(func() { g.watchChecks(ctx) })
 	err := g.exchange(ctx)
 	duties.Wait()
 	return err
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -111,7 +111,7 @@
 	cache := objectcache.New(objectcache.Config{Rank: rank, RelistAfter: crashguard.RelistAfter}, crashguard.Prefix,
 		f.store, node, node, metrics.NewSet(), testbed.NoLog())
 	guard := crashguard.New(crashguard.Deps{
-		Dialer: node, Mux: node, Probe: f.servers.probe, Metrics: metrics.NewSet(), Log: testbed.NoLog(),
+		Dialer: node, Mux: node, Probe: f.servers.probe, Servers: f.servers, Metrics: metrics.NewSet(), Log: testbed.NoLog(),
 		Announce: func() { go f.announce(name) },
 		Store:    f.store, Cache: cache, Rank: func() int { return rank("") },
 	})
@@ -183,7 +183,7 @@
 
 // breakConnection reports to a daemon that a server broke the connection of a request.
 func (f *fleet) breakConnection(daemon string, request crashguard.Fingerprint, server string, started int64) {
-	f.guards[daemon].CheckCrash(request, structs.Server{Name: server, StartedMS: started})
+	f.guards[daemon].CheckCrash(request, structs.Server{Name: server, Addr: server + ":1", StartedMS: started})
 	time.Sleep(100 * time.Millisecond)
 }
 
--- a/internal/crashguard/servers_test.go
+++ b/internal/crashguard/servers_test.go
@@ -60,6 +60,27 @@
 	})
 }
 
+// Find returns a server by name.
+func (s *servers) Find(name string) (structs.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	server, found := s.listed[name]
+	return server, found
+}
+
+// AtAddr returns the server that was started last at an address.
+func (s *servers) AtAddr(addr string) (structs.Server, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var last structs.Server
+	for _, server := range s.listed {
+		if server.Addr == addr && server.StartedMS > last.StartedMS {
+			last = server
+		}
+	}
+	return last, last.Name != ""
+}
+
 // probe connects to a server.
 func (s *servers) probe(ctx context.Context, server structs.Server) error {
 	s.mu.Lock()
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -198,7 +198,7 @@
 	if err := b.kernel.Register(serviceJournal, tokenbudget.NewKeeper(opened, transport, b.log)); err != nil {
 		return err
 	}
-	if _, err := b.addCrashGuard(nil); err != nil {
+	if _, err := b.addCrashGuard(nil, nil); err != nil {
 		return err
 	}
 	return b.addRetirement(opened)
@@ -241,9 +241,9 @@
 	}))
 }
 
-// addCrashGuard adds the guard against requests that crash servers. A keeper, which has no probe,
-// keeps the crashes that gateways have seen while these are restarted.
-func (b *builder) addCrashGuard(probe crashguard.Probe) (*crashguard.Guard, error) {
+// addCrashGuard adds the guard against requests that crash servers. A keeper, which sends
+// nothing to servers, keeps the crashes that gateways have seen while these are restarted.
+func (b *builder) addCrashGuard(probe crashguard.Probe, list crashguard.Servers) (*crashguard.Guard, error) {
 	transport, err := kernel.Lookup[*peer.Transport](b.kernel, servicePeers)
 	if err != nil {
 		return nil, err
@@ -256,6 +256,7 @@
 		Dialer:   transport,
 		Mux:      transport,
 		Probe:    probe,
+		Servers:  list,
 		Announce: members.ProbeNow,
 		Store:    b.store,
 		Cache:    b.versions.caches[crashguard.Prefix],
@@ -290,7 +291,7 @@
 		return err
 	}
 	client := upstream.NewClient(upstream.Config{RequestID: b.adapter.Dialect.ResponseRequestID}, b.metrics)
-	guard, err := b.addCrashGuard(client.Probe)
+	guard, err := b.addCrashGuard(client.Probe, directory)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -16,9 +16,11 @@
 	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/crashguard"
+	"ibisline/internal/fake/objects"
 	"ibisline/internal/fake/peers"
 	"ibisline/internal/fake/testbed"
 	"ibisline/internal/gateway"
+	"ibisline/internal/objectcache"
 	"ibisline/internal/routes"
 	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget/ledger"
@@ -102,8 +104,11 @@
 	h.metrics = set
 	node := peers.New(nil).Join(structs.Instance{Name: "gateway-1", Duty: structs.DutyGateway})
 	h.backend = upstream.NewClient(upstream.Config{RequestID: adapter.ResponseRequestID, Dial: h.network.Dial}, set)
+	store := objects.New()
 	h.guard = crashguard.New(crashguard.Deps{
-		Dialer: node, Mux: node, Probe: h.backend.Probe, Metrics: set, Log: testbed.NoLog(),
+		Dialer: node, Mux: node, Probe: h.backend.Probe, Servers: h, Metrics: set, Log: testbed.NoLog(), Store: store,
+		Cache: objectcache.New(objectcache.Config{}, crashguard.Prefix, store, node, node, metrics.NewSet(), testbed.NoLog()),
+		Rank:  func() int { return 0 },
 	})
 	h.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1"}, gateway.Deps{
 		Dialect:    adapter,
@@ -122,6 +127,7 @@
 		defer close(done)
 		_ = h.server.Run(ctx)
 	}()
+	guarding := testbed.Start(h.guard.Run)
 	h.client = &http.Client{Transport: &http.Transport{
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -141,6 +147,7 @@
 		// net/http keeps a connection open for a while after it has rejected a body, and
 		// crash checks of broken connections may still run.
 		time.Sleep(time.Second)
+		guarding.Stop()
 		h.backend.Close()
 	}
 	return h
@@ -171,6 +178,20 @@
 	return structs.Server{}, false
 }
 
+func (h *harness) AtAddr(addr string) (structs.Server, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var last structs.Server
+	for _, all := range h.servers {
+		for _, server := range all {
+			if server.Addr == addr && server.StartedMS >= last.StartedMS {
+				last = server
+			}
+		}
+	}
+	return last, last.Name != ""
+}
+
 func (h *harness) Loaded() bool { return true }
 
 func (h *harness) Reserve(context.Context, ledger.Reservation) (ledger.Grant, error) {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -37,12 +37,16 @@
 	Loaded() bool
 	// Find returns a server by name, including servers that are leaving.
 	Find(name string) (structs.Server, bool)
+	// AtAddr returns the server that was started last among those at an address, and false if
+	// there is none.
+	AtAddr(addr string) (structs.Server, bool)
 }
 
 // snapshot is an immutable state of the directory.
 type snapshot struct {
 	byService map[string][]structs.Server
 	byName    map[string]structs.Server
+	byAddr    map[string]structs.Server
 }
 
 // Directory maintains the set of backend servers from an object cache. It implements View.
@@ -85,6 +89,11 @@
 	return server, ok
 }
 
+func (d *Directory) AtAddr(addr string) (structs.Server, bool) {
+	server, ok := d.current.Load().byAddr[addr]
+	return server, ok
+}
+
 func (d *Directory) Loaded() bool { return d.loaded.Load() }
 
 // Run applies the changes in the cache until ctx is done.
@@ -176,12 +185,19 @@
 // publish replaces the current snapshot by one of the known servers. The caller must
 // hold mu.
 func (d *Directory) publish() {
-	next := &snapshot{byService: map[string][]structs.Server{}, byName: map[string]structs.Server{}}
+	next := &snapshot{
+		byService: map[string][]structs.Server{},
+		byName:    map[string]structs.Server{},
+		byAddr:    map[string]structs.Server{},
+	}
 	for name, known := range d.entries {
 		if !known.usable {
 			continue
 		}
 		next.byName[name] = known.server
+		if other, found := next.byAddr[known.server.Addr]; !found || known.server.StartedMS > other.StartedMS {
+			next.byAddr[known.server.Addr] = known.server
+		}
 		if known.server.State != structs.StateLeaving {
 			next.byService[known.server.Service] = append(next.byService[known.server.Service], known.server)
 		}
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -170,3 +170,20 @@
 		require.Len(t, d.ForService("engines"), 1)
 	})
 }
+
+// Guards against taking a server for alive because another one has its address now.
+func TestServerThatWasStartedLastIsFoundAtAddress(t *testing.T) {
+	runWithDirectory(t, func(d *testDirectory) {
+		for name, started := range map[string]int64{"till-3": 5, "till-4": 7, "till-5": 6} {
+			value, err := json.Marshal(structs.Server{Name: name, Addr: "10.0.0.9:80", StartedMS: started, State: structs.StateLive})
+			require.NoError(t, err)
+			d.write(name, value)
+		}
+		time.Sleep(time.Second)
+		last, found := d.AtAddr("10.0.0.9:80")
+		require.True(t, found)
+		require.Equal(t, "till-4", last.Name)
+		_, found = d.AtAddr("10.0.0.8:80")
+		require.False(t, found)
+	})
+}
