Check servers for a crash after requests that end by their deadline

Callers whose request crashes servers saw it sent on if the servers fell silent instead of closing their connections. Cause: a server was checked only if its connection broke while the request was alive: not after a deadline, a caller that had left, a hedge that was no longer needed, the head of a response that stops halfway, or a resume that failed. Now each request that may have run and has no whole response is a reason. Unless the connection broke, a check begins only if the server has sent no response to anyone here for 500 ms, so that slow servers are not probed for each request that they are late for.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		g.tracker.markFailed(sent.server.Name, time.Now())
 		j.recordSendOutcome(sent.server, "answer broke off")
-		g.checkForCrash(ctx, j, sent.server, err)
+		g.checkForCrash(ctx, j, sent, err)
 		return callResult{err: err}
 	}
 	g.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	"ibisline/internal/crashguard"
-	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 )
 
@@ -21,11 +21,19 @@
 	return !g.CrashGuard.Empty() && g.CrashGuard.Refuses(j.fingerprint())
 }
 
-// checkForCrash checks whether the server crashed if its connection broke during a request.
-// A connection that ended because the caller disconnected or the deadline passed is no sign
-// of a crash.
-func (g *Gateway) checkForCrash(ctx context.Context, j *job, server structs.Server, err error) {
-	if ctx.Err() == nil && errors.Is(err, upstream.ErrBroken) {
-		g.CrashGuard.CheckCrash(j.fingerprint(), server)
+// quietPeriod is the time without a response of a server after which a request that it has not
+// answered may have crashed it.
+const quietPeriod = 500 * time.Millisecond
+
+// checkForCrash checks whether a server has crashed under a request that was sent to it and that
+// failed with err. A connection that broke is always a reason. A request that has ended otherwise,
+// by its deadline, its caller, a hedge or bytes that are no response, is one only if nothing else
+// was heard of the server either: it may have fallen silent.
+func (g *Gateway) checkForCrash(ctx context.Context, j *job, sent sendResult, err error) {
+	broke := ctx.Err() == nil && errors.Is(err, upstream.ErrBroken)
+	quietSince := time.Now().Add(-quietPeriod)
+	quiet := sent.at.Before(quietSince) && !g.tracker.respondedSince(sent.server.Name, quietSince)
+	if broke || quiet {
+		g.CrashGuard.CheckCrash(j.fingerprint(), sent.server)
 	}
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -95,9 +95,10 @@
 
 // sendResult is the result of a send that got a response or may have run.
 type sendResult struct {
-	server   structs.Server
+	server structs.Server
+	// at is the time at which the request was sent.
+	at       time.Time
 	response *upstream.Response
-	err      error
 }
 
 // send finds a server that accepts the request and returns its response. If a server
@@ -120,10 +121,12 @@
 			continue
 		}
 		j.markSent(server.Name)
+		sent := sendResult{server: server, at: time.Now()}
 		response, err := g.sendTo(ctx, j, server, j.ResumeAfter)
 		if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
 			j.markMayHaveRun()
-			return sendResult{server: server, response: response}, nil
+			sent.response = response
+			return sent, nil
 		}
 		g.tracker.done(server.Name)
 		if err == nil {
@@ -134,8 +137,8 @@
 		g.tracker.markFailed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.markMayHaveRun()
-			g.checkForCrash(ctx, j, server, err)
-			return sendResult{server: server, err: err}, err
+			g.checkForCrash(ctx, j, sent, err)
+			return sent, err
 		}
 		j.markNotRun(server.Name)
 		if ctx.Err() != nil {
@@ -193,6 +196,7 @@
 		g.requestMetrics.recordSend(kindLabel(j), outcome)
 		return nil, err
 	}
+	g.tracker.recordHead(server.Name, time.Now())
 	if g.Dialect.Leaving(response.Status, response.Header) && g.tracker.markLeaving(server, started) {
 		g.Log.WithField("server", server.Name).WithField("request", j.ID).WithField("listed_as", server.State).
 			Info("backend server says that it is leaving")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -120,19 +120,16 @@
 	if server.Name == "" {
 		return sendResult{}, errNoRun
 	}
-	response, err := s.resumeAt(ctx, server)
-	for err == nil && response == nil {
+	sent, err := s.resumeAt(ctx, server)
+	for err == nil && sent.response == nil {
 		// The server is alive but full. The run must not be resumed elsewhere.
 		if !timers.Sleep(ctx, fullServerRetryPause) {
-			return sendResult{server: server}, ctx.Err()
+			return sent, ctx.Err()
 		}
-		response, err = s.resumeAt(ctx, server)
+		sent, err = s.resumeAt(ctx, server)
 	}
-	switch {
-	case err == nil:
-		return sendResult{server: server, response: response}, nil
-	case !verdict.Is(err, verdict.NotRun):
-		return sendResult{server: server}, err
+	if err == nil || !verdict.Is(err, verdict.NotRun) {
+		return sent, err
 	}
 	// Nothing listens at the address any more: the run ended with its server, which no
 	// longer counts against the number of servers that the route allows.
@@ -142,22 +139,26 @@
 
 // resumeAt asks a server once for the rest of the response. The response is nil if the server
 // rejects the request for now; the error is NotRun if the run has ended with its server.
-func (s *stream) resumeAt(ctx context.Context, server structs.Server) (*upstream.Response, error) {
-	g := s.gateway
+func (s *stream) resumeAt(ctx context.Context, server structs.Server) (sendResult, error) {
+	g, sent := s.gateway, sendResult{server: server, at: time.Now()}
 	g.tracker.begin(server.Name)
 	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
 	if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
-		return response, nil
+		sent.response = response
+		return sent, nil
 	}
 	g.tracker.done(server.Name)
 	if err != nil {
-		return nil, err
+		if !verdict.Is(err, verdict.NotRun) {
+			g.checkForCrash(ctx, s.job, sent, err)
+		}
+		return sent, err
 	}
 	response.Discard(maxDiscardedBytes)
 	if response.Status == http.StatusMisdirectedRequest {
-		return nil, verdict.New(verdict.NotRun, verdict.NoServer, "%s has another server at its address", server.Name)
+		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has another server at its address", server.Name)
 	}
-	return nil, nil
+	return sent, nil
 }
 
 // fullServerRetryPause is the pause before a full server is asked to resume again.
@@ -233,7 +234,7 @@
 	}
 	if err != nil {
 		g.tracker.markFailed(sent.server.Name, time.Now())
-		g.checkForCrash(s.ctx, s.job, sent.server, err)
+		g.checkForCrash(s.ctx, s.job, sent, err)
 		return err
 	}
 	g.tracker.recordResponse(sent.server.Name, response.Status, time.Now())
@@ -304,6 +305,7 @@
 	body, err := s.gateway.readBody(s.ctx, sent.response)
 	if err != nil {
 		s.gateway.tracker.markFailed(sent.server.Name, time.Now())
+		s.gateway.checkForCrash(s.ctx, s.job, sent, err)
 		return err
 	}
 	s.gateway.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -40,6 +40,8 @@
 type serverState struct {
 	inFlight     int
 	suspectUntil time.Time
+	// lastHead is the time at which the head of a response was received last.
+	lastHead time.Time
 	// errors counts the responses with an error of the server itself, halved by each other
 	// response.
 	errors int
@@ -140,6 +142,20 @@
 	t.stateOf(server).suspectUntil = now.Add(suspectDuration)
 }
 
+// recordHead records that the head of a response of a server was received.
+func (t *tracker) recordHead(server string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stateOf(server).lastHead = now
+}
+
+// respondedSince reports whether the head of a response of a server was received since a time.
+func (t *tracker) respondedSince(server string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.stateOf(server).lastHead.Before(since)
+}
+
 // markLeaving records that a run of a server says that it is leaving, and reports whether that
 // is new.
 func (t *tracker) markLeaving(server structs.Server, now time.Time) bool {
