Do not resume a stream at its server once it is refused, or when that has restarted

A stream whose request crashes servers was resumed at its own server without a look at the refusals, up to four times for each attempt, and a server that was back under its name was taken for the run that had broken the stream off, so that all its crashes under one attempt counted once. Now a resume is rejected like any other send of a refused request, and goes to another server if the platform lists a later run of its own.

--- a/internal/gateway/silent_crashes_test.go
+++ b/internal/gateway/silent_crashes_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"ibisline/internal/crashguard"
+	"ibisline/internal/structs"
 	"ibisline/platform/platformtest"
 )
 
@@ -81,7 +84,8 @@
 	}
 }
 
-// Guards against resuming a refused request at its own server, which is back under its name.
+// Guards against taking a server that is back under its name for the run that broke a stream off:
+// its crashes count once only, and the stream crashes it again and again.
 func TestRefusedRequestIsNotResumedAtRestartedServer(t *testing.T) {
 	withHarness(t, func(t *testing.T, h *harness) {
 		engine := h.addServer(engines, "engine-1")
@@ -102,3 +106,20 @@
 		require.Len(t, engine.Runs(), before)
 	})
 }
+
+// Guards against resuming a stream at its own server after another daemon has learned that the
+// request crashes servers.
+func TestStreamIsNotResumedOnceItIsRefused(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		engine := h.addServer(engines, "engine-1")
+		engine.Script(func(run platformtest.Run) platformtest.Reply {
+			for i := range crashesToRefusal {
+				h.guard.CheckCrash(crashguard.FingerprintOf([]byte(""), []byte(""), []byte(run.Method), []byte("a.example"),
+					[]byte(run.Target), []byte(run.Body)), structs.Server{Name: "gone-" + strconv.Itoa(i), Addr: "gone:1"})
+			}
+			return platformtest.Reply{Delay: 50 * time.Millisecond, Reset: true}
+		})
+		require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/turn/1", "poison").status)
+		require.Len(t, engine.Runs(), 1)
+	})
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -111,7 +111,7 @@
 // mayResume reports whether the response may be resumed after err.
 func (s *stream) mayResume(ctx context.Context, err error) bool {
 	return s.job.route.Resumable && ctx.Err() == nil && verdict.From(err).Verdict != verdict.NotRun &&
-		!errors.Is(err, errCallerGone) && !errors.Is(err, errGrantLost)
+		!errors.Is(err, errCallerGone) && !errors.Is(err, errGrantLost) && !verdict.HasReason(err, verdict.Quarantined)
 }
 
 // resume requests the rest of the response from the same server, and from another one only
@@ -141,6 +141,12 @@
 // rejects the request for now; the error is NotRun if the run has ended with its server.
 func (s *stream) resumeAt(ctx context.Context, server structs.Server) (sendResult, error) {
 	g, sent := s.gateway, sendResult{server: server, at: time.Now()}
+	if g.isRefused(s.job) {
+		return sent, verdict.New(verdict.MayHaveRun, verdict.Quarantined, "the request crashes the servers that run it")
+	}
+	if listed, found := g.Servers.Find(server.Name); found && listed.StartedMS > server.StartedMS {
+		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has started again", server.Name)
+	}
 	g.tracker.begin(server.Name)
 	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
 	if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
