Recognise a request that crashes servers whichever program sends it

A request that crashes servers was sent on without end if its caller sent it anew as another program each time: 24 crashes in 7 s. Cause: its fingerprint contained program and session. A caller that comes back need not keep either. Now the fingerprint is that of method, host, path and body: what a server works on.

--- a/internal/crashguard/checks.go
+++ b/internal/crashguard/checks.go
@@ -76,10 +76,12 @@
 	c.requests[request] = true
 	c.suspectedAt = time.Now()
 	c.answered = false
-	crashed := c.crashed
+	crashed, completed := c.crashed, g.completedRecently(request, c.suspectedAt)
 	g.mu.Unlock()
 	if crashed {
-		g.recordCrash(request, server)
+		if !completed {
+			g.recordCrash(request, server)
+		}
 		return
 	}
 	g.startProbe(c)
@@ -193,7 +195,9 @@
 	now := time.Now()
 	crashes := make([]Crash, 0, len(c.requests))
 	for request := range c.requests {
-		crashes = append(crashes, crashOf(request, c.server, now))
+		if !g.completedRecently(request, now) {
+			crashes = append(crashes, crashOf(request, c.server, now))
+		}
 	}
 	g.mu.Unlock()
 	g.addAll(crashes, sourceLocal)
--- a/internal/crashguard/crashes.go
+++ b/internal/crashguard/crashes.go
@@ -39,6 +39,8 @@
 	Started int64  `msgpack:"t" json:"started"`
 	// SeenMS is the Unix time in milliseconds at which a daemon noticed the crash.
 	SeenMS int64 `msgpack:"m" json:"seen_ms"`
+	// Cleared is set once a daemon that knew of the crash has seen the request complete.
+	Cleared bool `msgpack:"c,omitempty" json:"cleared,omitempty"`
 }
 
 // crashOf returns the record of a crash of server while it ran request.
@@ -54,9 +56,16 @@
 
 func runOf(server structs.Server) run { return run{server: server.Name, started: server.StartedMS} }
 
-// hash returns a hash of what identifies the crash.
+// identity returns a hash of what identifies the crash.
+func (c Crash) identity() uint64 { return xxhash.Sum64String(c.identityText()) }
+
+// hash returns a hash of the crash and its state.
 func (c Crash) hash() uint64 {
-	return xxhash.Sum64String(strconv.FormatUint(uint64(c.Request), 16) + "/" + strconv.FormatInt(c.Started, 10) + "/" + c.Server)
+	return xxhash.Sum64String(c.identityText() + "/" + strconv.FormatBool(c.Cleared))
+}
+
+func (c Crash) identityText() string {
+	return strconv.FormatUint(uint64(c.Request), 16) + "/" + strconv.FormatInt(c.Started, 10) + "/" + c.Server
 }
 
 // crashSet holds crashes by request. Its content depends only on the crashes that were added, not
@@ -84,8 +93,9 @@
 
 func newCrashSet() *crashSet { return &crashSet{suspects: map[Fingerprint]*suspect{}} }
 
-// add adds a crash and reports whether it is new. An expired one is ignored. The time at which a
-// crash was seen may come from another clock and is taken for now if it is later.
+// add adds a crash, or the fact that it is cleared, and reports whether that is new. An expired one
+// is ignored. The time at which a crash was seen may come from another clock and is taken for now if
+// it is later.
 func (s *crashSet) add(c Crash, now time.Time) bool {
 	seen := time.UnixMilli(min(c.SeenMS, now.UnixMilli()))
 	expires := seen.Add(entryLifetime)
@@ -95,7 +105,11 @@
 	known := s.suspects[c.Request]
 	crashed := run{server: c.Server, started: c.Started}
 	if known != nil {
-		if _, counted := known.crashes[crashed]; counted {
+		if held, counted := known.crashes[crashed]; counted {
+			if c.Cleared && !held.Cleared {
+				s.clear(known, crashed)
+				return true
+			}
 			return false
 		}
 	}
@@ -117,6 +131,34 @@
 	return true
 }
 
+// clear marks a crash under a request as cleared.
+func (s *crashSet) clear(known *suspect, crashed run) {
+	entry := known.crashes[crashed]
+	s.digest ^= entry.hash()
+	entry.Cleared = true
+	s.digest ^= entry.hash()
+	s.sequence++
+	entry.sequence = s.sequence
+	known.crashes[crashed] = entry
+}
+
+// clearAll marks all crashes under a request as cleared, and reports whether there are new ones
+// among them.
+func (s *crashSet) clearAll(request Fingerprint) bool {
+	known := s.suspects[request]
+	if known == nil {
+		return false
+	}
+	changed := false
+	for crashed, entry := range known.crashes {
+		if !entry.Cleared {
+			s.clear(known, crashed)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // evict drops the request whose last crash is the oldest, preferably one that is not refused.
 func (s *crashSet) evict() {
 	var oldest Fingerprint
@@ -154,8 +196,19 @@
 	}
 }
 
+// count returns the number of crashes that are not cleared.
+func (k *suspect) count() int {
+	n := 0
+	for _, entry := range k.crashes {
+		if !entry.Cleared {
+			n++
+		}
+	}
+	return n
+}
+
 // refused reports whether the request is refused until it expires.
-func (k *suspect) refused() bool { return len(k.crashes) >= refuseAfterCrashes }
+func (k *suspect) refused() bool { return k.count() >= refuseAfterCrashes }
 
 // isRefused reports whether a request is refused.
 func (s *crashSet) isRefused(request Fingerprint, now time.Time) bool {
@@ -163,10 +216,10 @@
 	return known != nil && known.refused() && now.Before(known.expires)
 }
 
-// count returns the number of crashes under a request.
+// count returns the number of crashes under a request that are not cleared.
 func (s *crashSet) count(request Fingerprint) int {
 	if known := s.suspects[request]; known != nil {
-		return len(known.crashes)
+		return known.count()
 	}
 	return 0
 }
@@ -182,18 +235,6 @@
 	return n
 }
 
-// any reports whether a condition holds for one of the crashes.
-func (s *crashSet) any(condition func(Crash) bool) bool {
-	for _, known := range s.suspects {
-		for _, entry := range known.crashes {
-			if condition(entry.Crash) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // since returns the crashes that were added after a sequence number, in no particular order.
 func (s *crashSet) since(sequence int64) []Crash {
 	if sequence >= s.sequence {
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -72,8 +72,9 @@
 	process int64
 	// fetches holds the daemons to fetch crashes from.
 	fetches *queue.Queue[string]
-	// added and checkAdded signal that crashes or checks were added. They buffer one signal.
-	added      chan struct{}
+	// changed signals that crashes were added or cleared, and checkAdded that a check was added.
+	// They buffer one signal.
+	changed    chan struct{}
 	checkAdded chan struct{}
 
 	counted *metrics.Counter
@@ -87,6 +88,8 @@
 	fetched  map[string]crashesRequest
 	stored   storedState
 	checks   map[run]*check
+	// completed holds requests that have completed recently, at the remainder of their fingerprint.
+	completed [completedSlots]completion
 }
 
 // New returns a guard and registers its method with the mux.
@@ -103,7 +106,7 @@
 		metrics:    deps.Metrics,
 		process:    time.Now().UnixNano(),
 		fetches:    queue.New[string](deps.Metrics, "poison_fetches", maxPendingFetches),
-		added:      make(chan struct{}, 1),
+		changed:    make(chan struct{}, 1),
 		checkAdded: make(chan struct{}, 1),
 		checks:     map[run]*check{},
 		counted:    deps.Metrics.GetOrCreateCounter("ibisline_poison_crashes_total"),
@@ -156,31 +159,37 @@
 // addAll adds crashes of which this daemon has learned from a source, and announces them.
 func (g *Guard) addAll(crashes []Crash, source string) {
 	now := time.Now()
-	added := 0
+	changed := false
 	g.mu.Lock()
 	for _, c := range crashes {
-		if !g.crashes.add(c, now) {
-			continue
+		if g.crashes.add(c, now) {
+			changed = true
+			g.logCrash(c, source)
 		}
-		added++
-		g.counted.Inc()
-		g.logCrash(c, source)
 	}
 	g.mu.Unlock()
-	if added == 0 {
-		return
+	if changed {
+		g.notifyChanged()
 	}
+}
+
+// notifyChanged announces changed crashes to other daemons, and has them stored.
+func (g *Guard) notifyChanged() {
 	// The membership reads the mark while it holds its own lock, so mu must be free here.
 	g.announce()
 	select {
-	case g.added <- struct{}{}:
+	case g.changed <- struct{}{}:
 	default:
 	}
 }
 
 // logCrash logs a crash that was added. The caller holds mu.
 func (g *Guard) logCrash(c Crash, source string) {
+	if c.Cleared {
+		return
+	}
 	count := g.crashes.count(c.Request)
+	g.counted.Inc()
 	entry := g.logger.WithField("fingerprint", c.Request).WithField("server", c.Server).
 		WithField("started", c.Started).WithField("crashes", count).WithField("from", source)
 	if count == refuseAfterCrashes {
--- a/internal/crashguard/restarts_test.go
+++ b/internal/crashguard/restarts_test.go
@@ -123,6 +123,7 @@
 			f.breakConnection("gateway-0", request, engine(i).Name, 1)
 		}
 		f.exchangeMarks(10)
+		require.LessOrEqual(t, f.store.Counts().Puts, 8*10, "a write a second and daemon at most")
 		f.store.SetFaults(objects.Faults{LoseReplies: 1})
 		time.Sleep(refusalDelay)
 		f.restartAll()
--- a/internal/crashguard/store.go
+++ b/internal/crashguard/store.go
@@ -22,13 +22,15 @@
 )
 
 const (
-	// saveDelay is the time in which the crashes of several requests are collected for one write.
-	// A daemon waits for saveStep times its rank longer, so that usually one daemon writes, and
-	// the next one does if that cannot.
-	saveDelay = 50 * time.Millisecond
-	saveStep  = 250 * time.Millisecond
-	// saveRetryMax is the longest wait after a failed write. It is short enough to save
-	// the crashes of an outage of the platform soon after it.
+	// saveDelay is the time in which the crashes of several requests are collected for one write,
+	// and clearedSaveDelay that in which further cleared ones are. A daemon waits for saveStep times
+	// its rank longer, so that usually one daemon writes, and the next one does if that cannot.
+	saveDelay        = 50 * time.Millisecond
+	clearedSaveDelay = 2 * time.Second
+	saveStep         = 250 * time.Millisecond
+	// saveRetryMin and saveRetryMax limit the wait after a failed write, to which the wait by rank is
+	// added. It is short enough to save the crashes of an outage of the platform soon after it.
+	saveRetryMin = 250 * time.Millisecond
 	saveRetryMax = time.Second
 )
 
@@ -44,8 +46,8 @@
 type storedState struct {
 	// version is that of the newest known state, objectapi.NoVersion if there is none.
 	version int64
-	// hashes are those of its crashes.
-	hashes map[uint64]bool
+	// cleared tells for each of its crashes, by identity, whether it is cleared.
+	cleared map[uint64]bool
 }
 
 // follow adds the crashes stored at the platform until ctx ends.
@@ -84,42 +86,69 @@
 
 // setStored records that the object holds crashes as of a version.
 func (g *Guard) setStored(crashes []Crash, version int64) {
-	hashes := make(map[uint64]bool, len(crashes))
+	cleared := make(map[uint64]bool, len(crashes))
 	for _, c := range crashes {
-		hashes[c.hash()] = true
+		cleared[c.identity()] = c.Cleared
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if version > g.stored.version {
-		g.stored = storedState{version: version, hashes: hashes}
+		g.stored = storedState{version: version, cleared: cleared}
 	}
 }
 
-// unsaved reports whether this daemon knows of crashes that are not stored.
-func (g *Guard) unsaved() bool {
+// saveWait returns how long crashes are collected that are not stored yet, or that are stored as not
+// cleared, before they are written. It returns false if there are none.
+func (g *Guard) saveWait() (time.Duration, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.any(func(c Crash) bool { return !g.stored.hashes[c.hash()] })
+	wait, unsaved := clearedSaveDelay, false
+	for _, c := range g.crashes.since(0) {
+		cleared, stored := g.stored.cleared[c.identity()]
+		switch {
+		case !stored && !c.Cleared:
+			wait, unsaved = saveDelay, true
+		case stored && c.Cleared && !cleared:
+			unsaved = true
+		}
+	}
+	return wait + g.rankWait(), unsaved
 }
 
-// saveCrashes stores the crashes that no other daemon has stored, until ctx ends.
+// rankWait returns how much longer than the daemon of rank 0 this one waits before it writes.
+func (g *Guard) rankWait() time.Duration { return time.Duration(g.rank()) * saveStep }
+
+// saveCrashes stores what no other daemon has stored, until ctx ends.
 func (g *Guard) saveCrashes(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-g.added:
-		}
-		retry := backoff.NewExponentialBackOff()
-		retry.InitialInterval = saveDelay
-		retry.MaxInterval = saveRetryMax
-		for wait := saveDelay + time.Duration(g.rank())*saveStep; g.unsaved(); wait = retry.NextBackOff() {
-			if !timers.Sleep(ctx, wait) {
-				return
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval = saveRetryMin
+	retry.MaxInterval = saveRetryMax
+	// due is the time of the next write, zero if there is nothing to write. A repeated write is not
+	// brought forward by further crashes.
+	var due time.Time
+	repeated := false
+	for ctx.Err() == nil {
+		wait, unsaved := g.saveWait()
+		now := time.Now()
+		switch {
+		case !unsaved:
+			due, repeated = time.Time{}, false
+			retry.Reset()
+			select {
+			case <-ctx.Done():
+			case <-g.changed:
 			}
-			if g.unsaved() {
-				g.save(ctx)
+		case due.IsZero() || !repeated && due.After(now.Add(wait)):
+			due = now.Add(wait)
+		case now.Before(due):
+			select {
+			case <-ctx.Done():
+			case <-g.changed:
+			case <-timers.After(due.Sub(now)):
 			}
+		default:
+			g.save(ctx)
+			due, repeated = time.Now().Add(retry.NextBackOff()+g.rankWait()), true
 		}
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -91,7 +91,7 @@
 		g.checkForCrash(ctx, j, sent, err)
 		return callResult{err: err}
 	}
-	g.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
+	g.recordCompletion(j, sent)
 	return callResult{response: &bufferedResponse{
 		status: sent.response.Status, header: sent.response.Header, body: body,
 	}}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -10,10 +10,10 @@
 	"ibisline/internal/upstream"
 )
 
-// fingerprint identifies the request across all attempts of its caller.
+// fingerprint identifies the request across all attempts of its caller. It contains what a server
+// works on; a caller may send the same request as another program each time.
 func (j *job) fingerprint() crashguard.Fingerprint {
-	return crashguard.FingerprintOf(
-		[]byte(j.Program), []byte(j.Session), []byte(j.Method), []byte(j.Host), []byte(j.Target), j.Body)
+	return crashguard.FingerprintOf([]byte(j.Method), []byte(j.Host), []byte(j.Target), j.Body)
 }
 
 // isRefused reports whether the request must not be sent because it crashes servers.
@@ -21,6 +21,12 @@
 	return !g.CrashGuard.Empty() && g.CrashGuard.Refuses(j.fingerprint())
 }
 
+// recordCompletion records the complete response of a server to a request.
+func (g *Gateway) recordCompletion(j *job, sent sendResult) {
+	g.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
+	g.CrashGuard.RecordCompletion(j.fingerprint())
+}
+
 // quietPeriod is the time without a response of a server after which a request that it has not
 // answered may have crashed it.
 const quietPeriod = 500 * time.Millisecond
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,9 +61,10 @@
 	Empty() bool
 	// Refuses reports whether a request must not be sent.
 	Refuses(request crashguard.Fingerprint) bool
-	// CheckCrash checks whether a server crashed, after its connection broke during a request.
-	// It does not block.
+	// CheckCrash checks whether a server crashed, after it broke off a request. It does not block.
 	CheckCrash(request crashguard.Fingerprint, server structs.Server)
+	// RecordCompletion records that a server has answered a request completely.
+	RecordCompletion(request crashguard.Fingerprint)
 }
 
 // Config is the location of the daemon.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -243,7 +243,7 @@
 		g.checkForCrash(s.ctx, s.job, sent, err)
 		return err
 	}
-	g.tracker.recordResponse(sent.server.Name, response.Status, time.Now())
+	g.recordCompletion(s.job, sent)
 	return s.sendHead(sent)
 }
 
@@ -314,7 +314,7 @@
 		s.gateway.checkForCrash(s.ctx, s.job, sent, err)
 		return err
 	}
-	s.gateway.tracker.recordResponse(sent.server.Name, sent.response.Status, time.Now())
+	s.gateway.recordCompletion(s.job, sent)
 	s.headSent = true
 	s.job.summary.firstByteTime = time.Since(s.job.Arrived)
 	s.job.summary.status = sent.response.Status
