Reject a refused request before its budget is reserved, and say for how long

A refused turn waited for its budget first, up to its deadline while no home decided, and its 503 had no Retry-After, so that its caller came back at once. Cause: refusals were looked up only when a server was about to be chosen. Now they are looked up before anything is reserved, too, and Retry-After is the time for which the refusal lasts. Evidence: TestRefusedRequestIsRejectedBeforeItsBudgetIsReserved got the answer about the budget before.

--- a/internal/crashguard/crashes.go
+++ b/internal/crashguard/crashes.go
@@ -210,10 +210,13 @@
 // refused reports whether the request is refused until it expires.
 func (k *suspect) refused() bool { return k.count() >= refuseAfterCrashes }
 
-// isRefused reports whether a request is refused.
-func (s *crashSet) isRefused(request Fingerprint, now time.Time) bool {
+// refusal returns the time for which a request is still refused, and false if it is not.
+func (s *crashSet) refusal(request Fingerprint, now time.Time) (time.Duration, bool) {
 	known := s.suspects[request]
-	return known != nil && known.refused() && now.Before(known.expires)
+	if known == nil || !known.refused() || !now.Before(known.expires) {
+		return 0, false
+	}
+	return known.expires.Sub(now), true
 }
 
 // count returns the number of crashes under a request that are not cleared.
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -140,15 +140,16 @@
 	return g.crashes.refusals() == 0
 }
 
-// Refuses reports whether a request must not be sent to a server, and counts refusals.
-func (g *Guard) Refuses(request Fingerprint) bool {
+// Refuses reports whether a request must not be sent to a server, and for how much longer, and
+// counts refusals.
+func (g *Guard) Refuses(request Fingerprint) (left time.Duration, refused bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refused := g.crashes.isRefused(request, time.Now())
+	left, refused = g.crashes.refusal(request, time.Now())
 	if refused {
 		g.refused.Inc()
 	}
-	return refused
+	return left, refused
 }
 
 // recordCrash adds a crash that this daemon has seen.
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -191,7 +191,7 @@
 func (f *fleet) refusing(request crashguard.Fingerprint) int {
 	n := 0
 	for _, guard := range f.guards {
-		if !guard.Empty() && guard.Refuses(request) {
+		if _, refused := guard.Refuses(request); refused && !guard.Empty() {
 			n++
 		}
 	}
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -8,6 +8,7 @@
 
 	"ibisline/internal/crashguard"
 	"ibisline/internal/upstream"
+	"ibisline/internal/verdict"
 )
 
 // fingerprint identifies the request across all attempts of its caller. It contains what a server
@@ -16,9 +17,16 @@
 	return crashguard.FingerprintOf([]byte(j.Method), []byte(j.Host), []byte(j.Target), j.Body)
 }
 
-// isRefused reports whether the request must not be sent because it crashes servers.
-func (g *Gateway) isRefused(j *job) bool {
-	return !g.CrashGuard.Empty() && g.CrashGuard.Refuses(j.fingerprint())
+// checkRefused returns an error if the request must not be sent because it crashes servers.
+func (g *Gateway) checkRefused(j *job) error {
+	if g.CrashGuard.Empty() {
+		return nil
+	}
+	left, refused := g.CrashGuard.Refuses(j.fingerprint())
+	if !refused {
+		return nil
+	}
+	return verdict.Refuse(verdict.Quarantined, "the request crashes the servers that run it").RetryIn(left)
 }
 
 // recordCompletion records the complete response of a server to a request.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"ibisline/internal/verdict"
 	"ibisline/platform/platformtest"
 )
 
@@ -79,3 +81,23 @@
 		}
 	})
 }
+
+// Guards against keeping the caller of a refused request waiting for its budget, and against
+// inviting it back while the refusal lasts.
+func TestRefusedRequestIsRejectedBeforeItsBudgetIsReserved(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		addCrashingServers(h, engines, "body of poison", "engine-1", "engine-2", "engine-3", "engine-4", "engine-5")
+		for range 3 {
+			h.call(http.MethodPost, "/turn/1", "poison")
+			time.Sleep(2 * time.Second)
+		}
+		h.reserveErr = verdict.Refuse(verdict.NotHome, "no home decides about the budget")
+		got := h.call(http.MethodPost, "/turn/1", "poison", withHeader("Program-Id", "p1"), withHeader("Token-Budget", "1000"),
+			withHeader("Token-Usage", "10,100"))
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Contains(t, got.body, "crashes the servers")
+		retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Greater(t, retryAfter, time.Minute.Seconds())
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,8 +59,8 @@
 	// Empty reports whether no request is refused, so that fingerprints need not be
 	// computed.
 	Empty() bool
-	// Refuses reports whether a request must not be sent.
-	Refuses(request crashguard.Fingerprint) bool
+	// Refuses reports whether a request must not be sent, and for how much longer.
+	Refuses(request crashguard.Fingerprint) (left time.Duration, refused bool)
 	// CheckCrash checks whether a server crashed, after it broke off a request. It does not block.
 	CheckCrash(request crashguard.Fingerprint, server structs.Server)
 	// RecordCompletion records that a server has answered a request completely.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -36,6 +36,10 @@
 func (g *Gateway) serve(w http.ResponseWriter, r *http.Request, j *job) {
 	ctx, cancel := context.WithDeadline(r.Context(), j.deadline)
 	defer cancel()
+	if err := g.checkRefused(j); err != nil {
+		g.fail(w, r, j, err)
+		return
+	}
 	if j.route.Kind == structs.Stream {
 		g.serveStream(ctx, w, r, j)
 		return
@@ -108,8 +112,8 @@
 	pause := initialRetryPause
 	queueUntil := time.Now().Add(g.maxQueueTime(j))
 	for range maxSendAttempts {
-		if g.isRefused(j) {
-			return sendResult{}, verdict.Refuse(verdict.Quarantined, "the request crashes the servers that run it")
+		if err := g.checkRefused(j); err != nil {
+			return sendResult{}, err
 		}
 		server, ok := g.pick(j)
 		if !ok {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -141,8 +141,8 @@
 // rejects the request for now; the error is NotRun if the run has ended with its server.
 func (s *stream) resumeAt(ctx context.Context, server structs.Server) (sendResult, error) {
 	g, sent := s.gateway, sendResult{server: server, at: time.Now()}
-	if g.isRefused(s.job) {
-		return sent, verdict.New(verdict.MayHaveRun, verdict.Quarantined, "the request crashes the servers that run it")
+	if err := g.checkRefused(s.job); err != nil {
+		return sent, verdict.Wrap(err, verdict.MayHaveRun, verdict.Quarantined, "the stream is not resumed")
 	}
 	if listed, found := g.Servers.Find(server.Name); found && listed.StartedMS > server.StartedMS {
 		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has started again", server.Name)
