Repeat the write of a quarantine notice that the platform did not take

In the product's own path, a request that crashes engines was run again after all daemons were restarted, if the platform had been out when it crashed them. Same class as the crashes at the gateways: the notice was sent once to the daemons that were live, written once to the platform, and a failure was only logged. Now the write is repeated every 2 s under the same key, so that a write whose outcome was unknown is not doubled.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -87,6 +87,7 @@
 	group.Go(func() error { return runPeriodically(ctx, d.config.SweepInterval, d.sweepEngines) })
 	group.Go(func() error { return d.quarantine.watch(ctx) })
 	group.Go(func() error { return runPeriodically(ctx, quarantineCleanupInterval, d.quarantine.removeExpired) })
+	group.Go(func() error { return runPeriodically(ctx, quarantineStoreInterval, d.quarantine.storeUnstored) })
 	return group.Wait()
 }
 
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"ibisline/internal/member"
@@ -32,6 +34,10 @@
 	maxWatchRetryDelay = 15 * time.Second
 	// quarantineCleanupInterval is the time between removals of expired objects.
 	quarantineCleanupInterval = 10 * time.Minute
+	// quarantineStoreInterval is the time between two attempts to store notices whose first write
+	// failed, and maxUnstoredNotices the number that is kept for that.
+	quarantineStoreInterval = 2 * time.Second
+	maxUnstoredNotices      = 64
 )
 
 // quarantineNotice notifies other daemons of a crash. It is also the value of the
@@ -49,10 +55,12 @@
 	deps Deps
 	mu   sync.Mutex
 	list *quarantine.List
+	// unstored holds the notices that are not stored at the platform yet, by key.
+	unstored map[string]quarantineNotice
 }
 
 func newSharedQuarantine(deps Deps) *sharedQuarantine {
-	return &sharedQuarantine{deps: deps, list: quarantine.NewList()}
+	return &sharedQuarantine{deps: deps, list: quarantine.NewList(), unstored: map[string]quarantineNotice{}}
 }
 
 // fingerprint identifies a request by the input of the engine: the model and the
@@ -131,23 +139,47 @@
 			return peer.Call(ctx, q.deps.Dialer, instance.Name, methodQuarantine, notice, &ack)
 		})
 	}
-	group.Go(func() error { return q.store(ctx, engine, notice) })
+	group.Go(func() error {
+		return q.store(ctx, fmt.Sprintf("%s%s-%d", structs.QuarantinePrefix, engine, time.Now().UnixNano()), notice)
+	})
 	if err := group.Wait(); err != nil {
 		q.deps.Log.WithError(err).Warn("quarantine notice not delivered to all daemons and the platform")
 	}
 }
 
-// store writes the notice to the platform.
-func (q *sharedQuarantine) store(ctx context.Context, engine string, notice quarantineNotice) error {
+// store writes the notice to the platform. A write that fails is repeated by storeUnstored.
+func (q *sharedQuarantine) store(ctx context.Context, key string, notice quarantineNotice) error {
 	value, err := json.Marshal(notice)
 	if err != nil {
 		return err
 	}
-	key := fmt.Sprintf("%s%s-%d", structs.QuarantinePrefix, engine, time.Now().UnixNano())
 	_, err = q.deps.Store.Put(ctx, key, value, objectapi.NoVersion)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if err == nil || errors.Is(err, objectapi.ErrConflict) {
+		// After a conflict, an earlier write whose outcome was unknown has stored the notice.
+		delete(q.unstored, key)
+		return nil
+	}
+	if len(q.unstored) < maxUnstoredNotices {
+		q.unstored[key] = notice
+	}
 	return err
 }
 
+// storeUnstored repeats the writes of notices that failed.
+func (q *sharedQuarantine) storeUnstored(ctx context.Context) {
+	q.mu.Lock()
+	unstored := maps.Clone(q.unstored)
+	q.mu.Unlock()
+	for key, notice := range unstored {
+		if err := q.store(ctx, key, notice); err != nil {
+			q.deps.Log.WithError(err).WithField("object", key).Info("quarantine notice not stored")
+			return
+		}
+	}
+}
+
 // merge adds the entries of a notice to the list.
 func (q *sharedQuarantine) merge(notice quarantineNotice) {
 	q.mu.Lock()
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -102,6 +102,27 @@
 	})
 }
 
+// Guards against losing a notice whose write to the platform failed: a daemon that starts later would
+// let the request crash further engines.
+func TestNoticeOfOutageIsStoredAfterIt(t *testing.T) {
+	runCrashFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(objects.Faults{Outage: true})
+		require.Error(t, f.daemons["d1"].generate(context.Background(), poisonCall("p")).err)
+		time.Sleep(10 * time.Second)
+		f.store.SetFaults(objects.Faults{})
+		time.Sleep(10 * time.Second)
+		for _, name := range []string{"d1", "d2", "d3"} {
+			f.killAndRemove(name)
+		}
+		for _, name := range []string{"d1", "d2", "d3"} {
+			f.start(dispatch.Config{}, name)
+		}
+		time.Sleep(time.Second)
+		require.True(t, verdict.HasReason(f.daemons["d2"].generate(context.Background(), poisonCall("q")).err, verdict.Quarantined))
+		require.Equal(t, 2, f.crashes())
+	})
+}
+
 func TestCutConnectionIsNotTreatedAsCrash(t *testing.T) {
 	runFleet(t, dispatch.Config{}, []string{"d1"}, engineServers("e1", "e2"), func(t *testing.T, f *fleet) {
 		f.engines.Change("e1", func(e *scriptedengine.Engine) { e.FailAfter, e.Failure = 0, scriptedengine.Cut() })
