Decode the limits that servers name, log and count them

Nothing showed when a server names a limit, nor how much is sent to one that does. The header is decoded once, in platform/; a value that is no decimal number, or the response of another server at the address, says nothing. Each gateway logs when a server begins, changes and ends to name a limit, and counts the requests that it sends to such servers (ibisline_server_limit_sends_total) and the servers (ibisline_server_limits). Nothing is decided by it yet.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -17,6 +17,7 @@
 	"ibisline/internal/peer"
 	"ibisline/internal/retire"
 	"ibisline/internal/routes"
+	"ibisline/internal/serverlimit"
 	"ibisline/internal/servers"
 	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget"
@@ -303,6 +304,7 @@
 		Client:     client,
 		Budgets:    tokenbudget.NewClient(b.budgetConfig(), members, transport, home, b.log),
 		CrashGuard: guard,
+		Limits:     serverlimit.New(b.metrics, b.log),
 		Metrics:    b.metrics,
 		Log:        b.log,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"ibisline/internal/crashguard"
 	"ibisline/internal/request"
 	"ibisline/internal/routes"
+	"ibisline/internal/serverlimit"
 	"ibisline/internal/servers"
 	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget/ledger"
@@ -40,6 +41,8 @@
 	NotRun(status int, header http.Header) bool
 	// Leaving reports whether the server that sent a response says that it is leaving.
 	Leaving(status int, header http.Header) bool
+	// Limit returns what a response says about the limit of the server that has sent it.
+	Limit(status int, header http.Header) serverlimit.Notice
 	// ResponseHeader returns the fields of a response header that are forwarded to the caller.
 	ResponseHeader(header http.Header) http.Header
 	// FailureResponse returns the status and header of the response to a request that failed.
@@ -67,6 +70,13 @@
 	RecordCompletion(request crashguard.Fingerprint)
 }
 
+// ServerLimits keeps track of the limits that servers name in their responses.
+type ServerLimits interface {
+	// Observe records what the response of a server to a request that was sent at a given time
+	// says about its limit.
+	Observe(server structs.Server, n serverlimit.Notice, sentAt time.Time)
+}
+
 // Config is the location of the daemon.
 type Config struct {
 	Region     string
@@ -81,6 +91,7 @@
 	Client     *upstream.Client
 	Budgets    Budgets
 	CrashGuard CrashGuard
+	Limits     ServerLimits
 	Metrics    *metrics.Set
 	Log        log.Interface
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -22,6 +22,7 @@
 	"ibisline/internal/gateway"
 	"ibisline/internal/objectcache"
 	"ibisline/internal/routes"
+	"ibisline/internal/serverlimit"
 	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/upstream"
@@ -117,6 +118,7 @@
 		Client:     h.backend,
 		Budgets:    h,
 		CrashGuard: h.guard,
+		Limits:     serverlimit.New(set, testbed.NoLog()),
 		Metrics:    set,
 		Log:        testbed.NoLog(),
 	})
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -201,6 +201,7 @@
 		return nil, err
 	}
 	g.tracker.recordHead(server.Name, time.Now())
+	g.Limits.Observe(server, g.Dialect.Limit(response.Status, response.Header), started)
 	if g.Dialect.Leaving(response.Status, response.Header) && g.tracker.markLeaving(server, started) {
 		g.Log.WithField("server", server.Name).WithField("request", j.ID).WithField("listed_as", server.State).
 			Info("backend server says that it is leaving")
