Keep the fleet's requests to a server within the limit that it names

Servers that named a limit got up to 4.7 times what it allows (LIMIT): 70 requests in 4 s where 15 were allowed. Cause: nothing read the header; servers were chosen by load alone. Class: a limit for the whole fleet needs one place that grants, and a rule for when that place is missing. A request is rejected at once, with the time until the next permit, if only permits are missing and none is due within a quarter of its objective.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -38,6 +38,7 @@
 	serviceJournal         = "journal"
 	serviceGateway         = "gateway"
 	serviceCrashGuard      = "poison"
+	serviceServerLimits    = "server-limits"
 	serviceRetirementCache = "retirement-feed"
 	serviceRetirement      = "retirement"
 )
@@ -296,6 +297,12 @@
 	if err != nil {
 		return err
 	}
+	limits := serverlimit.New(serverlimit.Deps{
+		View: members, Dialer: transport, Mux: transport, Listed: directory.Has, Metrics: b.metrics, Log: b.log,
+	})
+	if err := b.kernel.Register(serviceServerLimits, limits); err != nil {
+		return err
+	}
 	config := gateway.Config{Region: b.self.Region, DataCentre: b.self.DataCentre}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect:    b.adapter.Dialect,
@@ -304,7 +311,7 @@
 		Client:     client,
 		Budgets:    tokenbudget.NewClient(b.budgetConfig(), members, transport, home, b.log),
 		CrashGuard: guard,
-		Limits:     serverlimit.New(b.metrics, b.log),
+		Limits:     limits,
 		Metrics:    b.metrics,
 		Log:        b.log,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,8 +70,17 @@
 	RecordCompletion(request crashguard.Fingerprint)
 }
 
-// ServerLimits keeps track of the limits that servers name in their responses.
+// ServerLimits keeps the requests of all daemons to a server within the limit that it names in its
+// responses.
 type ServerLimits interface {
+	// Denied returns the time until a permit for a server may be available, and false if one may
+	// be available now or the server names no limit.
+	Denied(server structs.Server) (time.Duration, bool)
+	// Take takes a permit for one request to a server, to be sent at once. It returns false if
+	// there is none.
+	Take(ctx context.Context, server structs.Server) bool
+	// Charge takes a permit for a request that is sent in any case. It does not block.
+	Charge(server structs.Server)
 	// Observe records what the response of a server to a request that was sent at a given time
 	// says about its limit.
 	Observe(server structs.Server, n serverlimit.Notice, sentAt time.Time)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -118,9 +118,11 @@
 		Client:     h.backend,
 		Budgets:    h,
 		CrashGuard: h.guard,
-		Limits:     serverlimit.New(set, testbed.NoLog()),
-		Metrics:    set,
-		Log:        testbed.NoLog(),
+		Limits: serverlimit.New(serverlimit.Deps{
+			View: node, Dialer: node, Mux: node, Listed: func(string) bool { return true }, Metrics: set, Log: testbed.NoLog(),
+		}),
+		Metrics: set,
+		Log:     testbed.NoLog(),
 	})
 	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway, gateway.StopConfig{})
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,15 +107,23 @@
 
 // send finds a server that accepts the request and returns its response. If a server
 // provably did not run the request, send tries the next one. While no server accepts it,
-// send tries them all again after a pause, for at most maxQueueTime.
+// send tries them all again after a pause, for at most maxQueueTime. If servers could take it
+// but for the limits that they name, send waits for a permit only if one is due soon.
 func (g *Gateway) send(ctx context.Context, j *job) (sendResult, error) {
 	pause := initialRetryPause
 	queueUntil := time.Now().Add(g.maxQueueTime(j))
+	permitUntil := time.Now().Add(j.route.Objective / permitWaitDivisor)
 	for range maxSendAttempts {
 		if err := g.checkRefused(j); err != nil {
 			return sendResult{}, err
 		}
-		server, ok := g.pick(j)
+		server, permitIn, ok := g.pick(ctx, j)
+		if !ok && permitIn > 0 {
+			if time.Now().Add(permitIn).After(permitUntil) || !timers.Sleep(ctx, permitIn) {
+				return sendResult{}, g.noPermit(j, permitIn)
+			}
+			continue
+		}
 		if !ok {
 			if time.Now().Add(pause).After(queueUntil) || !timers.Sleep(ctx, pause) {
 				return sendResult{}, g.noServer(j)
@@ -159,6 +167,9 @@
 	return min(j.route.Objective, time.Until(j.deadline)/queueTimeDivisor)
 }
 
+// permitWaitDivisor divides the latency objective of a route to limit the wait for a permit.
+const permitWaitDivisor = 4
+
 // queueTimeDivisor divides the time left of a request to limit its wait for a server.
 const queueTimeDivisor = 4
 
@@ -171,12 +182,35 @@
 		RetryIn(noServerRetryAfter)
 }
 
-// pick chooses a server that was not tried yet, and returns false if there is none.
-func (g *Gateway) pick(j *job) (structs.Server, bool) {
+// noPermit returns the error of a request that only the limits of servers keep from being sent.
+func (g *Gateway) noPermit(j *job, permitIn time.Duration) error {
+	if j.mayHaveRun() {
+		return verdict.New(verdict.MayHaveRun, verdict.LimitReached, "the servers of %s are at their limits", j.service.Name)
+	}
+	return verdict.Refuse(verdict.LimitReached, "the servers of %s are at their limits", j.service.Name).
+		RetryIn(max(permitIn, noServerRetryAfter))
+}
+
+// pick chooses a server that was not tried yet and takes the permit that it may need. It returns
+// false if there is none, and the time until a permit may be available if only that is missing.
+func (g *Gateway) pick(ctx context.Context, j *job) (server structs.Server, permitIn time.Duration, ok bool) {
 	candidates := slices.DeleteFunc(slices.Clone(g.Servers.ForService(j.service.Name)), func(s structs.Server) bool {
 		return j.triedServer(s.Name)
 	})
-	return g.tracker.pick(candidates, g.config, j.Session, time.Now())
+	for {
+		candidates = slices.DeleteFunc(candidates, func(s structs.Server) bool {
+			wait, denied := g.Limits.Denied(s)
+			if denied && (permitIn == 0 || wait < permitIn) {
+				permitIn = wait
+			}
+			return denied
+		})
+		server, ok := g.tracker.pick(candidates, g.config, j.Session, time.Now())
+		if !ok || g.Limits.Take(ctx, server) {
+			return server, permitIn, ok
+		}
+		g.tracker.done(server.Name)
+	}
 }
 
 // sendTo sends the request to one server. A resumeAfter other than 0 resumes the stream
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -148,6 +148,7 @@
 		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has started again", server.Name)
 	}
 	g.tracker.begin(server.Name)
+	g.Limits.Charge(server)
 	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
 	if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
 		sent.response = response
--- a/internal/serverlimit/knowledge.go
+++ b/internal/serverlimit/knowledge.go
@@ -1,7 +1,7 @@
 package serverlimit
 
 import (
-	"math"
+	"maps"
 	"time"
 
 	"ibisline/internal/structs"
@@ -81,10 +81,15 @@
 }
 
 // limitOf returns the limit that a run names, and false if it names none.
-func (k *knowledge) limitOf(of run) (float64, bool) {
+func (k *knowledge) limitOf(of run) (namedLimit, bool) {
 	known := k.limits[of]
 	if known == nil {
-		return math.Inf(1), false
+		return namedLimit{}, false
 	}
-	return known.perSecond, true
+	return *known, true
+}
+
+// retain drops the limits of the runs for which keep returns false.
+func (k *knowledge) retain(keep func(run) bool) {
+	maps.DeleteFunc(k.limits, func(of run, _ *namedLimit) bool { return !keep(of) })
 }
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -1,48 +1,163 @@
-// Package serverlimit keeps track of the requests a second that backend servers in need take from
-// all daemons together. A server names its limit in its responses for as long as it holds.
+// Package serverlimit keeps the requests of the whole fleet to a backend server within the requests
+// a second that the server takes from all daemons together. A server in need names its limit in its
+// responses, for as long as it holds.
+//
+// A daemon that has heard of a limit needs a permit for each request to that server. The permits for
+// one run of a server are issued by one daemon, the issuer, which is chosen by rendezvous hashing
+// among the live gateways of the server's region. It keeps a token bucket for the run, and learns
+// the limit from the daemons that ask. The limit holds as follows:
+//   - A permit is used at once. A daemon that is denied one asks again only after the time that the
+//     issuer has named.
+//   - While the issuer does not answer, a daemon uses a share of the limit for itself: the limit
+//     divided by the number of gateways.
+//   - Gateways that cannot reach each other have issuers of their own. Each issues the part of the
+//     limit that corresponds to the gateways it reaches.
+//   - The bucket of a new issuer is empty, and a daemon issues nothing right after its start.
+//   - A request that cannot be avoided, such as the resume of a stream, is charged.
 package serverlimit
 
 import (
+	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
 
+	"ibisline/internal/peer"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 )
 
-// Limits holds the limits that servers name. It is safe for concurrent use.
+const (
+	methodTake = "serverlimit.take"
+	// askTimeout limits a call to the issuer. It allows for several round trips between regions.
+	askTimeout = 200 * time.Millisecond
+	// silentIssuerPause is the time for which an issuer that did not answer is not asked again, and
+	// otherIssuerPause that for one which says that it does not issue: the views of the membership
+	// will soon agree.
+	silentIssuerPause = time.Second
+	otherIssuerPause  = 100 * time.Millisecond
+	// minDenial is the shortest time between two requests for permits after a denial.
+	minDenial = 5 * time.Millisecond
+	// permitLifetime is the time within which a permit must be used.
+	permitLifetime = 250 * time.Millisecond
+	// departureMemory is the time for which a gateway that is not live any more counts as one that
+	// may be cut off rather than gone.
+	departureMemory = time.Minute
+	// maintenanceInterval is the interval at which the gateways are counted, and the state of servers
+	// that are no longer listed is dropped.
+	maintenanceInterval = 2 * time.Second
+)
+
+// View is the membership of the daemons.
+type View interface {
+	Self() structs.Instance
+	// Live returns the daemons that are considered alive and not leaving.
+	Live() []structs.Instance
+	// Lookup returns a known daemon, live or leaving, and false if there is none.
+	Lookup(name string) (structs.Instance, bool)
+}
+
+// Deps holds the services that Limits depend on.
+type Deps struct {
+	View   View
+	Dialer peer.Dialer
+	Mux    peer.Mux
+	// Listed reports whether a server is listed by the platform, under a name.
+	Listed  func(name string) bool
+	Metrics *metrics.Set
+	Log     log.Interface
+}
+
+// Limits issues and takes the permits of the servers that name limits. It is a kernel service and
+// safe for concurrent use.
 type Limits struct {
-	logger log.Interface
+	deps Deps
 
 	limitedSends *metrics.Counter
+	denied       *metrics.Counter
+	unanswered   *metrics.Counter
+
+	mu     sync.Mutex
+	known  *knowledge
+	issuer *issuer
+	// stocks holds what this daemon has of the permits of each run.
+	stocks map[run]*stock
+	// silentUntil holds the issuers that did not answer, and the time until which they are not asked.
+	silentUntil map[string]time.Time
+	// seen holds the gateways that were live, and when they were seen last.
+	seen map[string]time.Time
+}
 
-	mu    sync.Mutex
-	known *knowledge
+// stock is what a daemon has of the permits of one run.
+type stock struct {
+	permits int
+	expires time.Time
+	// deniedUntil is the time before which the issuer has no permit for this daemon.
+	deniedUntil time.Time
+	// own is this daemon's share of the limit while the issuer is silent, and ownUsedAt the time at
+	// which it was used last.
+	own       *bucket
+	ownUsedAt time.Time
 }
 
-// New returns Limits without any.
-func New(set *metrics.Set, logger log.Interface) *Limits {
+// New returns Limits and registers their method with the mux.
+func New(deps Deps) *Limits {
 	l := &Limits{
-		logger:       logger,
-		limitedSends: set.GetOrCreateCounter("ibisline_server_limit_sends_total"),
+		deps:         deps,
+		limitedSends: deps.Metrics.GetOrCreateCounter("ibisline_server_limit_sends_total"),
+		denied:       deps.Metrics.GetOrCreateCounter("ibisline_server_limit_denied_total"),
+		unanswered:   deps.Metrics.GetOrCreateCounter("ibisline_server_limit_unanswered_total"),
 		known:        newKnowledge(),
+		issuer:       newIssuer(time.Now()),
+		stocks:       map[run]*stock{},
+		silentUntil:  map[string]time.Time{},
+		seen:         map[string]time.Time{},
 	}
-	set.GetOrCreateGauge("ibisline_server_limits", func() float64 {
+	deps.Metrics.GetOrCreateGauge("ibisline_server_limits", func() float64 {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return float64(len(l.known.limits))
 	})
+	deps.Mux.Handle(methodTake, l.serveTake)
 	return l
 }
 
+// Run drops the state of servers that are gone until ctx ends.
+func (l *Limits) Run(ctx context.Context) error {
+	maintenance := timers.NewTicker(maintenanceInterval)
+	defer maintenance.Stop()
+	for {
+		l.maintain()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-maintenance.C:
+		}
+	}
+}
+
+// maintain counts the gateways and drops the state of servers that are no longer listed.
+func (l *Limits) maintain() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.countGateways(time.Now())
+	listed := func(of run) bool { return l.deps.Listed(of.Server) }
+	l.known.retain(listed)
+	l.issuer.retain(listed)
+	maps.DeleteFunc(l.stocks, func(of run, _ *stock) bool { return !listed(of) })
+}
+
 // Observe records what the response of a server says about its limit. The request was sent at the
 // given time.
 func (l *Limits) Observe(server structs.Server, n Notice, sentAt time.Time) {
 	l.mu.Lock()
 	changed := l.known.observe(runOf(server), n, sentAt, time.Now())
-	perSecond, limited := l.known.limitOf(runOf(server))
+	named, limited := l.known.limitOf(runOf(server))
 	l.mu.Unlock()
 	if limited {
 		l.limitedSends.Inc()
@@ -50,10 +165,235 @@
 	if !changed {
 		return
 	}
-	entry := l.logger.WithField("server", server.Name).WithField("started", server.StartedMS)
+	entry := l.deps.Log.WithField("server", server.Name).WithField("started", server.StartedMS)
 	if limited {
-		entry.WithField("per_second", perSecond).Info("backend server names a limit")
+		entry.WithField("per_second", named.perSecond).Info("backend server names a limit")
 		return
 	}
 	entry.Info("backend server names no limit any more")
 }
+
+// Denied returns the time until a permit for a server may be available, and false if one may be
+// available now or the server names no limit.
+func (l *Limits) Denied(server structs.Server) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, limited := l.known.limitOf(runOf(server)); !limited {
+		return 0, false
+	}
+	held := l.stocks[runOf(server)]
+	if held == nil {
+		return 0, false
+	}
+	wait := time.Until(held.deniedUntil)
+	return wait, wait > 0
+}
+
+// Take takes a permit for one request to a server, which is to be sent at once. It returns true if
+// there is one or the server names no limit, and false after it was denied.
+func (l *Limits) Take(ctx context.Context, server structs.Server) bool {
+	of := runOf(server)
+	l.mu.Lock()
+	named, limited := l.known.limitOf(of)
+	if !limited {
+		l.mu.Unlock()
+		return true
+	}
+	now := time.Now()
+	held := l.stock(of)
+	if held.permits > 0 && now.Before(held.expires) {
+		held.permits--
+		l.mu.Unlock()
+		return true
+	}
+	if now.Before(held.deniedUntil) {
+		l.mu.Unlock()
+		return false
+	}
+	l.mu.Unlock()
+	reply := l.ask(ctx, server, takeRequest{PerSecond: named.perSecond, HeardAgo: now.Sub(named.heardAt)})
+	return l.use(of, reply)
+}
+
+// use takes one of the permits of a reply, and keeps the others.
+func (l *Limits) use(of run, reply takeReply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held, now := l.stock(of), time.Now()
+	if reply.Granted > 0 {
+		held.permits, held.expires = reply.Granted-1, now.Add(permitLifetime)
+		held.deniedUntil = time.Time{}
+		return true
+	}
+	held.deniedUntil = now.Add(max(reply.RetryIn, minDenial))
+	l.denied.Inc()
+	return false
+}
+
+// Charge takes a permit for a request that is sent to a server in any case. It does not block.
+func (l *Limits) Charge(server structs.Server) {
+	l.mu.Lock()
+	named, limited := l.known.limitOf(runOf(server))
+	l.mu.Unlock()
+	if !limited {
+		return
+	}
+	go l.ask(context.Background(), server, takeRequest{
+		PerSecond: named.perSecond, HeardAgo: time.Since(named.heardAt), Charge: true,
+	})
+}
+
+// stock returns the stock of a run. The caller holds mu.
+func (l *Limits) stock(of run) *stock {
+	held := l.stocks[of]
+	if held == nil {
+		held = &stock{}
+		l.stocks[of] = held
+	}
+	return held
+}
+
+// ask asks the issuer of a server for permits, or uses this daemon's own share while that does not
+// answer.
+func (l *Limits) ask(ctx context.Context, server structs.Server, r takeRequest) takeReply {
+	r.From, r.Run, r.Region = l.deps.View.Self().Name, runOf(server), server.Region
+	issuer, found := l.issuerOf(r.Region, r.Run)
+	var reply takeReply
+	answered := false
+	switch {
+	case !found:
+	case issuer == r.From:
+		reply = l.issue(r)
+		answered = !reply.NotIssuer
+	default:
+		reply, answered = l.call(ctx, issuer, r)
+	}
+	if answered {
+		return reply
+	}
+	return l.takeOwnShare(r)
+}
+
+// call asks a daemon for permits. It returns false if that is not the issuer or does not answer.
+func (l *Limits) call(ctx context.Context, issuer string, r takeRequest) (takeReply, bool) {
+	l.mu.Lock()
+	silent := time.Now().Before(l.silentUntil[issuer])
+	l.mu.Unlock()
+	if silent {
+		return takeReply{}, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var reply takeReply
+	err := peer.Call(callCtx, l.deps.Dialer, issuer, methodTake, r, &reply)
+	pause := otherIssuerPause
+	switch {
+	case err == nil && !reply.NotIssuer:
+		return reply, true
+	case ctx.Err() != nil:
+		// The request has ended, which says nothing about the issuer.
+		return takeReply{}, false
+	case err != nil:
+		pause = silentIssuerPause
+		l.unanswered.Inc()
+		l.deps.Log.WithError(err).WithField("peer", issuer).WithField("server", r.Run.Server).
+			Info("no permits from the issuer, own share is used")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silentUntil[issuer] = time.Now().Add(pause)
+	return takeReply{}, false
+}
+
+// takeOwnShare takes a permit of this daemon's own share of a limit.
+func (l *Limits) takeOwnShare(r takeRequest) takeReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	_, known := l.countGateways(now)
+	perSecond := clampRate(r.PerSecond) / float64(known)
+	held := l.stock(r.Run)
+	if held.own == nil || now.Sub(held.ownUsedAt) > 2*silentIssuerPause {
+		// What has accumulated while the issuer answered was granted by it.
+		held.own = newBucket(perSecond, now)
+	}
+	held.own.setRate(perSecond, now)
+	held.ownUsedAt = now
+	if r.Charge {
+		held.own.charge(now)
+		return takeReply{}
+	}
+	if held.own.take(1, now) == 1 {
+		return takeReply{Granted: 1}
+	}
+	return takeReply{RetryIn: min(held.own.untilNext(now), otherIssuerPause)}
+}
+
+// issue answers a request as the issuer.
+func (l *Limits) issue(r takeRequest) takeReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	live, known := l.countGateways(now)
+	return l.issuer.take(r, float64(live)/float64(known), live, now)
+}
+
+// issuerOf returns the daemon that issues the permits of a run of a server in a region, and false if
+// there is none.
+func (l *Limits) issuerOf(region string, of run) (string, bool) {
+	var all, near []string
+	for _, instance := range l.deps.View.Live() {
+		if instance.Duty != structs.DutyGateway {
+			continue
+		}
+		all = append(all, instance.Name)
+		if instance.Region == region {
+			near = append(near, instance.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return "", false
+	}
+	return rendezvous.New(near, xxhash.Sum64String).Lookup(of.Server), true
+}
+
+// countGateways returns the number of live gateways, and that of live ones and those that may be cut
+// off: they were live a while ago and have not announced that they leave. Both are at least 1. The
+// caller holds mu.
+func (l *Limits) countGateways(now time.Time) (live, known int) {
+	for _, instance := range l.deps.View.Live() {
+		if instance.Duty == structs.DutyGateway {
+			l.seen[instance.Name] = now
+			live++
+		}
+	}
+	for name, at := range l.seen {
+		_, present := l.deps.View.Lookup(name)
+		switch {
+		case at.Equal(now):
+			known++
+		case now.Sub(at) > departureMemory, present:
+			// It is gone, or leaving.
+			delete(l.seen, name)
+		default:
+			known++
+		}
+	}
+	return max(live, 1), max(known, 1)
+}
+
+// serveTake handles methodTake.
+func (l *Limits) serveTake(_ context.Context, s peer.Stream) error {
+	var r takeRequest
+	if err := s.Recv(&r); err != nil {
+		return err
+	}
+	issuer, found := l.issuerOf(r.Region, r.Run)
+	if !found || issuer != l.deps.View.Self().Name {
+		return s.Send(takeReply{NotIssuer: true})
+	}
+	return s.Send(l.issue(r))
+}
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -89,6 +89,12 @@
 	return server, ok
 }
 
+// Has reports whether a server is known under a name.
+func (d *Directory) Has(name string) bool {
+	_, found := d.Find(name)
+	return found
+}
+
 func (d *Directory) AtAddr(addr string) (structs.Server, bool) {
 	server, ok := d.current.Load().byAddr[addr]
 	return server, ok
