Use half of the own share of a limit while an issuer is silent

A server with a limit of 8 a second could get 57 requests in 4 s where 53 are allowed. Cause: an issuer that hears the others, but does not answer them, issues the whole limit to itself, while all others use their shares of it: 1.8 times the limit for as long as that lasts. Now the shares make up half of the limit, so that both together stay within one and a half times.

--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -8,8 +8,8 @@
 // the limit from the daemons that ask. The limit holds as follows:
 //   - A permit is used at once. A daemon that is denied one asks again only after the time that the
 //     issuer has named.
-//   - While the issuer does not answer, a daemon uses a share of the limit for itself: the limit
-//     divided by the number of gateways.
+//   - While the issuer does not answer, a daemon uses a share of the limit for itself: half of the
+//     limit divided by the number of gateways, as the issuer may still issue the limit to others.
 //   - Gateways that cannot reach each other have issuers of their own. Each issues the part of the
 //     limit that corresponds to the gateways it reaches.
 //   - The bucket of a new issuer is empty, and a daemon issues nothing right after its start.
@@ -43,6 +43,8 @@
 	otherIssuerPause  = 100 * time.Millisecond
 	// minDenial is the shortest time between two requests for permits after a denial.
 	minDenial = 5 * time.Millisecond
+	// ownShareFactor is the part of the limit that all daemons together use while an issuer is silent.
+	ownShareFactor = 0.5
 	// permitLifetime is the time within which a permit must be used.
 	permitLifetime = 250 * time.Millisecond
 	// departureMemory is the time for which a gateway that is not live any more counts as one that
@@ -311,7 +313,7 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	_, known := l.countGateways(now)
-	perSecond := clampRate(r.PerSecond) / float64(known)
+	perSecond := clampRate(r.PerSecond) * ownShareFactor / float64(known)
 	held := l.stock(r.Run)
 	if held.own == nil || now.Sub(held.ownUsedAt) > 2*silentIssuerPause {
 		// What has accumulated while the issuer answered was granted by it.
