Hear of the end of a limit from other daemons

Now a daemon reports a response without a limit to the issuer, which takes two reports of any daemons for the end and tells the next daemons that ask; and a daemon that is denied asks again after 2 s and the wait for the next permit at most. Evidence: TestEndOfLowLimitIsHeardSoon (24 daemons, limit of 1) fails without either; TestOneResponseDoesNotEndLimit and TestNextRunOfServerNamesItsOwnLimit guard the other side.

--- a/internal/serverlimit/issuer.go
+++ b/internal/serverlimit/issuer.go
@@ -12,22 +12,37 @@
 	issueDelay = time.Second
 	// askerMemory is the time for which a daemon counts as one that asks for permits of a run.
 	askerMemory = time.Second
+	// maxSpread limits the time over which the daemons that ask are spread. With a later answer they
+	// would hear late that the limit has ended.
+	maxSpread = 2 * time.Second
 	// batchPeriod is the time for which a daemon may get permits at once, if the limit is high.
 	batchPeriod = 400 * time.Millisecond
 )
 
-// takeRequest asks for permits for a run of a server, and passes on what the sender knows about
-// its limit.
+// purpose is what a takeRequest asks for.
+type purpose uint8
+
+const (
+	// takePermits asks for permits.
+	takePermits purpose = iota
+	// chargePermit takes a permit for a request that is sent in any case.
+	chargePermit
+	// reportUnlimited says that the server has answered a later request without naming a limit.
+	reportUnlimited
+)
+
+// takeRequest asks for permits for a run of a server, or passes on what the sender has heard of its
+// limit.
 type takeRequest struct {
-	From string `msgpack:"f"`
-	Run  run    `msgpack:"r"`
+	Purpose purpose `msgpack:"p,omitempty"`
+	From    string  `msgpack:"f"`
+	Run     run     `msgpack:"r"`
 	// Region is that of the server.
 	Region string `msgpack:"g"`
-	// PerSecond is the limit that the sender has heard HeardAgo.
+	// PerSecond is the limit that the sender has heard HeardAgo. With reportUnlimited, HeardAgo is
+	// the age of the response without a limit.
 	PerSecond float64       `msgpack:"l"`
 	HeardAgo  time.Duration `msgpack:"h"`
-	// Charge takes a permit for a request that is sent in any case.
-	Charge bool `msgpack:"c,omitempty"`
 }
 
 // takeReply holds permits, or the time after which to ask again.
@@ -36,6 +51,8 @@
 	NotIssuer bool          `msgpack:"n,omitempty"`
 	Granted   int           `msgpack:"g"`
 	RetryIn   time.Duration `msgpack:"w"`
+	// Ended says that the limit has ended since the sender heard of it.
+	Ended bool `msgpack:"e,omitempty"`
 }
 
 // issuer issues the permits of the runs that are assigned to this daemon. It is a state machine
@@ -51,6 +68,10 @@
 	// perSecond is the newest limit that an asking daemon has heard, at heardAt.
 	perSecond float64
 	heardAt   time.Time
+	// unlimited is the number of later responses without a limit that daemons have reported, the last
+	// one at unlimitedAt.
+	unlimited   int
+	unlimitedAt time.Time
 	// askers holds the daemons that have asked for permits, and when they did last.
 	askers map[string]time.Time
 }
@@ -63,8 +84,15 @@
 	if now.Sub(i.startedAt) < issueDelay {
 		return takeReply{NotIssuer: true}
 	}
+	if r.Purpose == reportUnlimited {
+		i.recordUnlimited(r, now)
+		return takeReply{}
+	}
 	a := i.account(r, share, now)
-	if r.Charge {
+	if a.unlimited >= endConfirmations {
+		return takeReply{Ended: true}
+	}
+	if r.Purpose == chargePermit {
 		a.bucket.charge(now)
 		return takeReply{}
 	}
@@ -93,10 +121,23 @@
 	if heardAt.After(a.heardAt) {
 		a.perSecond, a.heardAt = clampRate(r.PerSecond), heardAt
 	}
+	if heardAt.After(a.unlimitedAt) {
+		a.unlimited = 0
+	}
 	a.bucket.setRate(a.perSecond*share, now)
 	return a
 }
 
+// recordUnlimited records that a response named no limit. Several daemons together confirm the end of
+// a limit sooner than each of them could.
+func (i *issuer) recordUnlimited(r takeRequest, now time.Time) {
+	at := now.Add(-r.HeardAgo)
+	if a := i.accounts[r.Run]; a != nil && at.After(a.heardAt) {
+		a.unlimited++
+		a.unlimitedAt = at
+	}
+}
+
 func (a *account) recordAsker(daemon string, now time.Time) {
 	a.askers[daemon] = now
 	for name, askedAt := range a.askers {
@@ -110,7 +151,8 @@
 // over the intervals in which they get one permit each.
 func (a *account) retryIn(now time.Time) time.Duration {
 	interval := time.Duration(float64(time.Second) / float64(a.bucket.limiter.Limit()))
-	return a.bucket.untilNext(now) + rand.N(interval*time.Duration(max(len(a.askers)-1, 0))+1)/2
+	spread := min(interval*time.Duration(max(len(a.askers)-1, 0))/2, maxSpread)
+	return a.bucket.untilNext(now) + rand.N(spread+1)
 }
 
 // retain drops the accounts of the runs for which keep returns false.
--- a/internal/serverlimit/knowledge.go
+++ b/internal/serverlimit/knowledge.go
@@ -89,6 +89,16 @@
 	return *known, true
 }
 
+// end drops the limit of a run, unless it was heard after the given time, and reports whether it did.
+func (k *knowledge) end(of run, heardAt time.Time) bool {
+	known := k.limits[of]
+	if known == nil || known.heardAt.After(heardAt) {
+		return false
+	}
+	delete(k.limits, of)
+	return true
+}
+
 // retain drops the limits of the runs for which keep returns false.
 func (k *knowledge) retain(keep func(run) bool) {
 	maps.DeleteFunc(k.limits, func(of run, _ *namedLimit) bool { return !keep(of) })
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -14,6 +14,7 @@
 //     limit that corresponds to the gateways it reaches.
 //   - The bucket of a new issuer is empty, and a daemon issues nothing right after its start.
 //   - A request that cannot be avoided, such as the resume of a stream, is charged.
+//   - A limit ends after two responses without one to later requests, of any daemons.
 package serverlimit
 
 import (
@@ -157,13 +158,18 @@
 // Observe records what the response of a server says about its limit. The request was sent at the
 // given time.
 func (l *Limits) Observe(server structs.Server, n Notice, sentAt time.Time) {
+	now := time.Now()
 	l.mu.Lock()
-	changed := l.known.observe(runOf(server), n, sentAt, time.Now())
+	before, wasLimited := l.known.limitOf(runOf(server))
+	changed := l.known.observe(runOf(server), n, sentAt, now)
 	named, limited := l.known.limitOf(runOf(server))
 	l.mu.Unlock()
 	if limited {
 		l.limitedSends.Inc()
 	}
+	if wasLimited && n.Kind == Unlimited && sentAt.After(before.heardAt) {
+		go l.report(server, now)
+	}
 	if !changed {
 		return
 	}
@@ -175,6 +181,21 @@
 	entry.Info("backend server names no limit any more")
 }
 
+// report tells the issuer of a server that a response named no limit.
+func (l *Limits) report(server structs.Server, heardAt time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	l.ask(ctx, server, takeRequest{Purpose: reportUnlimited, HeardAgo: time.Since(heardAt)})
+}
+
+// Limited reports whether a server names a limit.
+func (l *Limits) Limited(server structs.Server) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, limited := l.known.limitOf(runOf(server))
+	return limited
+}
+
 // Denied returns the time until a permit for a server may be available, and false if one may be
 // available now or the server names no limit.
 func (l *Limits) Denied(server structs.Server) (time.Duration, bool) {
@@ -214,9 +235,24 @@
 	}
 	l.mu.Unlock()
 	reply := l.ask(ctx, server, takeRequest{PerSecond: named.perSecond, HeardAgo: now.Sub(named.heardAt)})
+	if reply.Ended {
+		l.end(of, named)
+		return true
+	}
 	return l.use(of, reply)
 }
 
+// end forgets a limit that has ended, unless it was heard again meanwhile.
+func (l *Limits) end(of run, named namedLimit) {
+	l.mu.Lock()
+	ended := l.known.end(of, named.heardAt)
+	l.mu.Unlock()
+	if ended {
+		l.deps.Log.WithField("server", of.Server).WithField("started", of.Started).
+			Info("backend server names no limit any more, as others have heard")
+	}
+}
+
 // use takes one of the permits of a reply, and keeps the others.
 func (l *Limits) use(of run, reply takeReply) bool {
 	l.mu.Lock()
@@ -241,7 +277,7 @@
 		return
 	}
 	go l.ask(context.Background(), server, takeRequest{
-		PerSecond: named.perSecond, HeardAgo: time.Since(named.heardAt), Charge: true,
+		Purpose: chargePermit, PerSecond: named.perSecond, HeardAgo: time.Since(named.heardAt),
 	})
 }
 
@@ -270,7 +306,7 @@
 	default:
 		reply, answered = l.call(ctx, issuer, r)
 	}
-	if answered {
+	if answered || r.Purpose == reportUnlimited {
 		return reply
 	}
 	return l.takeOwnShare(r)
@@ -321,7 +357,7 @@
 	}
 	held.own.setRate(perSecond, now)
 	held.ownUsedAt = now
-	if r.Charge {
+	if r.Purpose == chargePermit {
 		held.own.charge(now)
 		return takeReply{}
 	}
--- a/internal/serverlimit/serverlimit_test.go
+++ b/internal/serverlimit/serverlimit_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/serverlimit"
 )
 
 // runTime is the time for which daemons send requests.
@@ -153,3 +155,49 @@
 		f.requireWithinLimits(t)
 	})
 }
+
+// Guards against keeping to a low limit for long after its end, because each daemon hears of the
+// server once in a while only.
+func TestEndOfLowLimitIsHeardSoon(t *testing.T) {
+	withFleet(t, 24, 100*time.Millisecond, serversWith(1), func(f *fleet) {
+		server := f.servers[0]
+		time.Sleep(60 * time.Second)
+		server.setLimit(0)
+		time.Sleep(6 * time.Second)
+		for _, name := range f.names {
+			_, denied := f.processes[name].limits.Denied(server.Server)
+			require.False(t, denied, "%s is free to send", name)
+		}
+	})
+}
+
+// Guards against ending a limit because of a single response without it, or of one to a request that
+// was sent before the server named the limit.
+func TestOneResponseDoesNotEndLimit(t *testing.T) {
+	withFleet(t, 1, time.Hour, serversWith(5), func(f *fleet) {
+		limits, server := f.processes["gateway-0"].limits, f.servers[0].Server
+		none := serverlimit.Notice{Kind: serverlimit.Unlimited}
+		limits.Observe(server, serverlimit.Notice{Kind: serverlimit.Limited, PerSecond: 5}, time.Now())
+		before := time.Now()
+		time.Sleep(time.Second)
+		for range 5 {
+			limits.Observe(server, none, before.Add(-time.Millisecond))
+		}
+		require.True(t, limits.Limited(server), "requests from before the limit")
+		limits.Observe(server, none, time.Now())
+		limits.Observe(server, serverlimit.Notice{}, time.Now())
+		require.True(t, limits.Limited(server), "one response")
+		limits.Observe(server, none, time.Now())
+		require.False(t, limits.Limited(server))
+	})
+}
+
+// Guards against applying the limit of a run to the next run of the server.
+func TestNextRunOfServerNamesItsOwnLimit(t *testing.T) {
+	withFleet(t, 1, time.Hour, serversWith(5), func(f *fleet) {
+		limits, server := f.processes["gateway-0"].limits, f.servers[0].Server
+		limits.Observe(server, serverlimit.Notice{Kind: serverlimit.Limited, PerSecond: 5}, time.Now())
+		server.StartedMS++
+		require.False(t, limits.Limited(server))
+	})
+}
