Serve programs whole or not at all while servers name limits

Cause: permits went to whoever asked first, so that each turn of a program had the same small chance. Now each gateway admits the fraction of the programs for which it finds servers in time, by a rank that all gateways compute alike; the fraction falls by 15 in 100 when an admitted request finds no permit, no server or a late one, and rises by 25 in 100 a second. A program that is not admitted is rejected at once, with the time after which it may be. This is in force only while a server of the service names a limit.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -73,6 +73,8 @@
 // ServerLimits keeps the requests of all daemons to a server within the limit that it names in its
 // responses.
 type ServerLimits interface {
+	// Limited reports whether a server names a limit.
+	Limited(server structs.Server) bool
 	// Denied returns the time until a permit for a server may be available, and false if one may
 	// be available now or the server names no limit.
 	Denied(server structs.Server) (time.Duration, bool)
@@ -110,6 +112,7 @@
 	Deps
 	config         Config
 	tracker        *tracker
+	admission      *admission
 	requestMetrics requestMetrics
 	leaving        atomic.Bool
 	activeRequests atomic.Int64
@@ -120,7 +123,7 @@
 // New returns a gateway.
 func New(config Config, deps Deps) *Gateway {
 	g := &Gateway{
-		Deps: deps, config: config, tracker: newTracker(), requestMetrics: newRequestMetrics(deps.Metrics),
+		Deps: deps, config: config, tracker: newTracker(), admission: newAdmission(), requestMetrics: newRequestMetrics(deps.Metrics),
 		largeResponses: make(chan struct{}, maxLargeResponses),
 	}
 	deps.Metrics.GetOrCreateGauge("ibisline_gateway_requests_active", func() float64 {
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -119,3 +119,53 @@
 		require.Greater(t, refused, 40)
 	})
 }
+
+// runProgram sends the turns of a program one after the other, each up to three times, and returns
+// the number of turns that were served.
+func (h *harness) runProgram(program string, turns int) int {
+	for turn := range turns {
+		served := false
+		for attempt := 0; attempt < 3 && !served; attempt++ {
+			id := program + "-" + strconv.Itoa(turn) + "-" + strconv.Itoa(attempt)
+			served = h.call(http.MethodPost, "/turn/1", id, withHeader("Program-Id", program)).status == http.StatusOK
+			time.Sleep(200 * time.Millisecond)
+		}
+		if !served {
+			return turn
+		}
+	}
+	return turns
+}
+
+// Guards against spending the permits of servers on a few turns of many programs, of which hardly any
+// is served whole.
+func TestProgramsAreServedWholeWithinLimits(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		const turns, seconds, programsPerSecond = 6, 40, 10
+		for _, name := range []string{"engine-1", "engine-2", "engine-3"} {
+			h.addServer(engines, name).Always(platformtest.Reply{
+				Events: []string{"a"}, Delay: 100 * time.Millisecond, Header: limitHeader(3),
+			})
+		}
+		var programs sync.WaitGroup
+		var mu sync.Mutex
+		whole, part := 0, 0
+		for i := range seconds * programsPerSecond {
+			programs.Go(func() {
+				served := h.runProgram("program-"+strconv.Itoa(i), turns)
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case i < seconds*programsPerSecond/2:
+				case served == turns:
+					whole++
+				case served > 0:
+					part++
+				}
+			})
+			time.Sleep(time.Second / programsPerSecond)
+		}
+		programs.Wait()
+		require.Greater(t, whole, 3*3*seconds/2/turns/2, "half of the permits serve whole programs; %d in part", part)
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -107,25 +107,29 @@
 
 // send finds a server that accepts the request and returns its response. If a server
 // provably did not run the request, send tries the next one. While no server accepts it,
-// send tries them all again after a pause, for at most maxQueueTime. If servers could take it
-// but for the limits that they name, send waits for a permit only if one is due soon.
+// send tries them all again after a pause, for at most maxQueueTime. If only a permit
+// is missing and none is due within that time, the request is rejected at once.
 func (g *Gateway) send(ctx context.Context, j *job) (sendResult, error) {
 	pause := initialRetryPause
 	queueUntil := time.Now().Add(g.maxQueueTime(j))
-	permitUntil := time.Now().Add(j.route.Objective / permitWaitDivisor)
 	for range maxSendAttempts {
 		if err := g.checkRefused(j); err != nil {
 			return sendResult{}, err
 		}
+		if err := g.checkAdmission(j); err != nil {
+			return sendResult{}, err
+		}
 		server, permitIn, ok := g.pick(ctx, j)
 		if !ok && permitIn > 0 {
-			if time.Now().Add(permitIn).After(permitUntil) || !timers.Sleep(ctx, permitIn) {
+			if time.Now().Add(permitIn).After(queueUntil) || !timers.Sleep(ctx, permitIn) {
+				g.recordDenial(j)
 				return sendResult{}, g.noPermit(j, permitIn)
 			}
 			continue
 		}
 		if !ok {
 			if time.Now().Add(pause).After(queueUntil) || !timers.Sleep(ctx, pause) {
+				g.recordDenial(j)
 				return sendResult{}, g.noServer(j)
 			}
 			pause *= 2
@@ -167,9 +171,6 @@
 	return min(j.route.Objective, time.Until(j.deadline)/queueTimeDivisor)
 }
 
-// permitWaitDivisor divides the latency objective of a route to limit the wait for a permit.
-const permitWaitDivisor = 4
-
 // queueTimeDivisor divides the time left of a request to limit its wait for a server.
 const queueTimeDivisor = 4
 
@@ -243,6 +244,9 @@
 	notRun := g.Dialect.NotRun(response.Status, response.Header)
 	if !notRun {
 		j.recordAccepted(started)
+		if time.Since(started) > j.route.Objective {
+			g.recordDenial(j)
+		}
 	}
 	outcome := sendOutcome(response.Status, nil, notRun)
 	j.recordSendOutcome(server, outcome)
