Read a listing and a watch despite an entry that cannot be read

As another operator reported of a system like ours, one odd entry among those of the servers kept daemons from following the list: with a spec nested deeper than 10,000, a name that is a number or a revision out of range, no listing and no watch event could be decoded any more, so that servers that left or came were not noticed. It did not end the process. Cause: the page was decoded as a whole, and one element decided about all.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -78,6 +78,9 @@
 	retries   *rate.Limiter
 	set       *metrics.Set
 	logger    log.Interface
+
+	unreadable     *metrics.Counter
+	unreadableLogs *rate.Limiter
 }
 
 var _ Store = (*Client)(nil)
@@ -93,6 +96,9 @@
 		retries: rate.NewLimiter(rate.Limit(config.RetryRate), defaultRetryBurst),
 		set:     set,
 		logger:  logger,
+
+		unreadable:     set.GetOrCreateCounter("ibisline_platform_unreadable_objects_total"),
+		unreadableLogs: rate.NewLimiter(rate.Every(unreadableLogInterval), 1),
 	}
 }
 
@@ -167,6 +173,7 @@
 		page, err = c.config.Protocol.DecodePage(prefix, body)
 		return err
 	})
+	c.reportUnreadable(prefix, page.Unreadable)
 	return page, err
 }
 
@@ -178,10 +185,9 @@
 		request: c.config.Protocol.Watch(prefix, after, c.config.WatchTimeout-watchMargin),
 		timeout: c.config.WatchTimeout,
 	}
-	var events []Event
-	var revision int64
+	var changes Changes
 	err := readError(c.attempt(ctx, apiCall, func(body []byte) (err error) {
-		events, revision, err = c.config.Protocol.DecodeEvents(prefix, body)
+		changes, err = c.config.Protocol.DecodeEvents(prefix, body)
 		return err
 	}))
 	if err != nil && ctx.Err() != nil {
@@ -190,7 +196,23 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return events, revision, nil
+	c.reportUnreadable(prefix, changes.Unreadable)
+	return changes.Events, changes.Revision, nil
+}
+
+// unreadableLogInterval is the minimum time between two log lines about unreadable objects, which
+// every listing contains again.
+const unreadableLogInterval = time.Minute
+
+// reportUnreadable counts objects that were left out, and logs them from time to time.
+func (c *Client) reportUnreadable(prefix string, unreadable int) {
+	if unreadable == 0 {
+		return
+	}
+	c.unreadable.Add(unreadable)
+	if c.unreadableLogs.Allow() {
+		c.logger.WithField("prefix", prefix).WithField("objects", unreadable).Warn("unreadable objects of the platform left out")
+	}
 }
 
 // read sends a call until it succeeds, fails permanently, runs out of attempts or
--- a/internal/objectapi/native.go
+++ b/internal/objectapi/native.go
@@ -60,10 +60,10 @@
 	return Page{Objects: reply.Objects, Revision: reply.Revision}, err
 }
 
-func (Native) DecodeEvents(_ string, body []byte) ([]Event, int64, error) {
+func (Native) DecodeEvents(_ string, body []byte) (Changes, error) {
 	var reply WatchReply
 	err := json.Unmarshal(body, &reply)
-	return reply.Events, reply.Revision, err
+	return Changes{Events: reply.Events, Revision: reply.Revision}, err
 }
 
 // objectPath returns the URL path of an object.
--- a/internal/objectapi/protocol.go
+++ b/internal/objectapi/protocol.go
@@ -16,11 +16,21 @@
 }
 
 // Page is one page of a listing. Next is the argument after for the next page, and
-// empty on the last page.
+// empty on the last page. Unreadable is the number of objects that were left out because
+// not even their names can be read.
 type Page struct {
-	Objects  []Object
-	Revision int64
-	Next     string
+	Objects    []Object
+	Revision   int64
+	Next       string
+	Unreadable int
+}
+
+// Changes are the events of a watch and the revision to continue from. Unreadable is
+// the number of events that were left out.
+type Changes struct {
+	Events     []Event
+	Revision   int64
+	Unreadable int
 }
 
 // Protocol encodes the calls of a Store as HTTP requests and decodes their
@@ -42,5 +52,5 @@
 	// DecodePut returns the version that a Put has written.
 	DecodePut(body []byte) (int64, error)
 	DecodePage(prefix string, body []byte) (Page, error)
-	DecodeEvents(prefix string, body []byte) ([]Event, int64, error)
+	DecodeEvents(prefix string, body []byte) (Changes, error)
 }
