--- a/test/platform/platform_test.go
+++ b/test/platform/platform_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"ibisline/platform/platformtest"
 )
 
 var gateways = []string{"gateway-0", "gateway-1", "gateway-2"}
@@ -164,6 +166,42 @@
 	}
 }
 
+// TestGatewaysFollowListDespiteOddEntries guards against gateways that end, stop following the list
+// or send requests to nowhere because of entries that another writer has left.
+func TestGatewaysFollowListDespiteOddEntries(t *testing.T) {
+	f := newTestFleet(t)
+	f.scriptTills()
+	entry, err := f.store.Get(t.Context(), "servers/till-0")
+	require.NoError(t, err)
+	till := string(entry.Value)
+	for i, change := range [][2]string{
+		{`"born":1`, `"born":1e300`}, {`"slots":16`, `"slots":9223372036854775807`}, {`"slots":16`, `"slots":1e999`},
+		{`"address":"127.0.0.1:`, `"address":"127.0.0.1:9`}, {`"address":"127.0.0.1:`, `"address":"[::]:`}, {`"service"`, `"sevrice"`},
+	} {
+		odd := strings.Replace(till, change[0], change[1], 1)
+		require.NotEqual(t, till, odd)
+		f.put(fmt.Sprintf("servers/odd-%d", i), odd)
+	}
+	f.put("servers/odd-text", `"[[[["`)
+	for i := range locations {
+		name := fmt.Sprintf("till-late-%d", i)
+		f.addServer(tills, name, i)
+		f.servers[name].Always(platformtest.Reply{Body: "late"})
+	}
+	for _, gateway := range gateways {
+		session := 0
+		f.waitUntil(gateway+" uses the server that came after the odd entries", func() bool {
+			session++
+			return f.call(gateway, http.MethodPost, "/redeem/1", func(r *http.Request) {
+				r.Header.Set("Session-Id", fmt.Sprint(session))
+			}).body == "late"
+		})
+		for range 20 {
+			require.Equal(t, http.StatusOK, f.call(gateway, http.MethodPost, "/redeem/1").status)
+		}
+	}
+}
+
 // TestDrainingServerGetsNoRequests checks that the gateways stop sending to a server once
 // they have learned that it is draining.
 func TestDrainingServerGetsNoRequests(t *testing.T) {
