Answer all requests before the end of a planned stop

In a planned stop, a request that lasted longer than the grace was cut off without an answer at its end, also one that came during the stop and one that runs at most once, as another operator reported of a system like ours. Cause: a stopping gateway took requests whatever time it had left, and ended with its connections open.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -391,7 +391,8 @@
 // Drain announces the planned stop and hands over the budgets held here.
 func (a *platformStopAnnouncer) Drain(ctx context.Context) error {
 	if a.gatewayServer != nil {
-		a.gatewayServer.Leave()
+		processEnd, _ := ctx.Deadline()
+		a.gatewayServer.Leave(processEnd)
 	}
 	a.members.Leave()
 	if a.home != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,6 +115,11 @@
 	admission      *admission
 	requestMetrics requestMetrics
 	leaving        atomic.Bool
+	// endOfService is the time by which requests must be answered once leaving is set; zero means no
+	// limit. ending ends at that time.
+	endOfService   atomic.Pointer[time.Time]
+	ending         context.Context
+	end            context.CancelFunc
 	activeRequests atomic.Int64
 	// largeResponses has one element for each large response that is being buffered.
 	largeResponses chan struct{}
@@ -126,15 +131,36 @@
 		Deps: deps, config: config, tracker: newTracker(), admission: newAdmission(), requestMetrics: newRequestMetrics(deps.Metrics),
 		largeResponses: make(chan struct{}, maxLargeResponses),
 	}
+	g.ending, g.end = context.WithCancel(context.Background())
 	deps.Metrics.GetOrCreateGauge("ibisline_gateway_requests_active", func() float64 {
 		return float64(g.activeRequests.Load())
 	})
 	return g
 }
 
-// Leave makes every further response close its connection, so that callers reconnect to
-// another daemon.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// answerMargin is the time before the end of the process by which all requests are answered.
+const answerMargin = 500 * time.Millisecond
+
+// Leave begins a planned stop, after which the process ends at the given time. Every further response
+// closes its connection, so that callers reconnect to another daemon. A request that may last longer
+// is rejected, and those in progress are answered before the end.
+func (g *Gateway) Leave(processEnd time.Time) {
+	if g.leaving.Swap(true) || processEnd.IsZero() {
+		return
+	}
+	end := processEnd.Add(-answerMargin)
+	g.endOfService.Store(&end)
+	time.AfterFunc(time.Until(end), g.end)
+}
+
+// checkStop returns an error if a request may not be answered before the end of the process.
+func (g *Gateway) checkStop(j *job) error {
+	end := g.endOfService.Load()
+	if end == nil || !j.deadline.After(*end) {
+		return nil
+	}
+	return verdict.Refuse(verdict.Stopping, "the daemon stops before the deadline of the request")
+}
 
 // Active returns the number of requests in progress.
 func (g *Gateway) Active() int { return int(g.activeRequests.Load()) }
@@ -181,6 +207,9 @@
 	j.route = route
 	j.service = table.Services[routes.PickService(route, splitFraction(decoded))]
 	j.deadline = decoded.Deadline(route.Timeout)
+	if err := g.checkStop(j); err != nil {
+		return j, err
+	}
 	j.Body, err = readBody(w, r, table.Limits.BodyBytes)
 	return j, err
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -43,6 +44,8 @@
 	guard   *crashguard.Guard
 	metrics *metrics.Set
 	stop    func()
+	// endServer closes all connections of the gateway, as at the end of its process.
+	endServer func()
 
 	mu      sync.Mutex
 	table   *routes.Table
@@ -53,8 +56,13 @@
 	// Confirm blocks until confirmGate is closed, unless it is nil, and returns confirmErr.
 	confirmGate chan struct{}
 	confirmErr  error
+	// statuses holds the statuses that recordStatus has recorded, by request ID.
+	statuses map[string]int
 }
 
+// balancerDelay is the time for which a gateway that stops accepts connections.
+const balancerDelay = 2500 * time.Millisecond
+
 // The services and routes of the tests.
 const (
 	engines = "engines"
@@ -124,7 +132,8 @@
 		Metrics: set,
 		Log:     testbed.NoLog(),
 	})
-	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway, gateway.StopConfig{})
+	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway,
+		gateway.StopConfig{BalancerDelay: balancerDelay})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -144,6 +153,7 @@
 			}
 		},
 	}}
+	h.endServer = stop
 	h.stop = func() {
 		h.client.CloseIdleConnections()
 		stop()
@@ -260,6 +270,36 @@
 	h.servers[service] = listed
 }
 
+// recordStatus records the status of the response to a request.
+func (h *harness) recordStatus(id string, status int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.statuses == nil {
+		h.statuses = map[string]int{}
+	}
+	h.statuses[id] = status
+}
+
+// recordedStatuses returns the recorded statuses by request ID.
+func (h *harness) recordedStatuses() map[string]int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.statuses)
+}
+
+// allowLongCalls sets the timeout of the route for calls that run at most once.
+func (h *harness) allowLongCalls(timeout time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	table := defaultRoutes()
+	for i := range table.Routes {
+		if table.Routes[i].Kind == structs.AtMostOnce {
+			table.Routes[i].Timeout = timeout
+		}
+	}
+	h.table = routes.NewTable(table)
+}
+
 // pipeListener accepts the server ends of in-memory connections.
 type pipeListener struct {
 	conns  chan net.Conn
@@ -276,8 +316,13 @@
 }
 
 func (l pipeListener) Close() error {
-	close(l.closed)
-	return nil
+	select {
+	case <-l.closed:
+		return net.ErrClosed
+	default:
+		close(l.closed)
+		return nil
+	}
 }
 
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -80,7 +80,8 @@
 // Drain keeps serving for BalancerDelay, so that the balancer notices the stop. It then
 // accepts no new connections and waits for the requests in progress.
 func (s *Server) Drain(ctx context.Context) error {
-	s.Leave()
+	processEnd, _ := ctx.Deadline()
+	s.Leave(processEnd)
 	timer := time.NewTimer(s.stop.BalancerDelay)
 	defer timer.Stop()
 	select {
