Answer requests that come late in a planned stop on open connections

A request that came on a connection opened before the listener closed, but first used after that, was read and dropped without an answer, which a caller that may not repeat it can only take for a failure (LOST). Cause: http.Server.Shutdown reads such a request and then closes the connection, as its server is shutting down. Now a planned stop closes the listener and the idle connections, and waits for requests in progress by the state of the connections; whatever still arrives is answered, with a closing connection, or rejected if too little time is left.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,9 +4,12 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"ibisline/internal/timers"
 )
 
 const (
@@ -18,6 +21,8 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes limits the size of a request header.
 	maxHeaderBytes = 64 << 10
+	// drainPollInterval is the interval at which a planned stop checks for requests in progress.
+	drainPollInterval = 20 * time.Millisecond
 )
 
 // StopConfig configures the planned stop.
@@ -33,6 +38,8 @@
 	stop     StopConfig
 	listener net.Listener
 	http     http.Server
+	conns    *connTracker
+	draining atomic.Bool
 }
 
 // Listen binds addr, given as IP:port, and returns a server for g.
@@ -46,11 +53,12 @@
 
 // NewServer returns a server for g on a listener.
 func NewServer(listener net.Listener, g *Gateway, stop StopConfig) *Server {
-	s := &Server{Gateway: g, stop: stop, listener: listener}
+	s := &Server{Gateway: g, stop: stop, listener: listener, conns: newConnTracker()}
 	s.http.Handler = g
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
 	s.http.MaxHeaderBytes = maxHeaderBytes
+	s.http.ConnState = s.conns.record
 	return s
 }
 
@@ -62,7 +70,7 @@
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
 	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
 		return nil
 	}
@@ -78,18 +86,22 @@
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
 // Drain keeps serving for BalancerDelay, so that the balancer notices the stop. It then
-// accepts no new connections and waits for the requests in progress.
+// accepts no new connections, closes the idle ones and waits for the requests in progress. A
+// request that arrives later on an open connection is still answered, unlike with
+// http.Server.Shutdown, which drops requests that it has read.
 func (s *Server) Drain(ctx context.Context) error {
 	processEnd, _ := ctx.Deadline()
 	s.Leave(processEnd)
-	timer := time.NewTimer(s.stop.BalancerDelay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	timers.Sleep(ctx, s.stop.BalancerDelay)
+	s.draining.Store(true)
+	if err := s.listener.Close(); err != nil {
+		s.Log.WithError(err).Warn("listener for callers not closed")
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Wrap(err, "drain: callers still connected")
+	s.http.SetKeepAlivesEnabled(false)
+	for s.conns.busy(time.Now()) {
+		if !timers.Sleep(ctx, drainPollInterval) {
+			return errors.Errorf("drain: %d requests of callers still in progress", s.Active())
+		}
 	}
 	return nil
 }
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -1,7 +1,10 @@
 package gateway_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -25,6 +28,77 @@
 	time.AfterFunc(grace, h.endServer)
 }
 
+// connect opens a connection without sending anything.
+func (h *harness) connect() net.Conn {
+	near, far := net.Pipe()
+	h.conns <- far
+	return near
+}
+
+// notRead is the status of a request of which the connection was closed before it was read.
+const notRead = -1
+
+// sendOn sends a request on an open connection and returns the status of the response, 0 if the
+// connection is closed without one after the request was read.
+func (h *harness) sendOn(conn net.Conn, path, id string) (status int, closes bool) {
+	defer conn.Close()
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n",
+		path, id)
+	if err != nil {
+		return notRead, true
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, true
+	}
+	defer response.Body.Close()
+	return response.StatusCode, response.Close
+}
+
+// Guards against passing on a request that comes so late in the grace of a planned stop that it may be
+// cut off at its end, and against reading one without an answer, which a caller may not repeat.
+func TestRequestThatMayOutlastTheGraceIsNotPassedOn(t *testing.T) {
+	for name, path := range map[string]string{"at most once": "/redeem/1", "repeatable": "/look/1", "stream": "/turn/1"} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				service := tills
+				if path == "/turn/1" {
+					service = engines
+				}
+				server := h.addServer(service, "server-1")
+				server.Always(platformtest.Reply{Delay: 900 * time.Millisecond, Events: []string{"a"}})
+				h.beginStop()
+				const opened = 2400 * time.Millisecond
+				time.Sleep(opened)
+				for at := opened; at < grace; at += 200 * time.Millisecond {
+					id, conn := fmt.Sprint("sent at ", at), h.connect()
+					time.AfterFunc(at-opened, func() {
+						status, closes := h.sendOn(conn, path, id)
+						require.True(t, closes, "the caller reconnects to another daemon")
+						h.recordStatus(id, status)
+					})
+				}
+				time.Sleep(grace)
+				ran := map[string]bool{}
+				for _, run := range server.Runs() {
+					ran[run.ID] = true
+				}
+				served := 0
+				for id, status := range h.recordedStatuses() {
+					switch {
+					case ran[id]:
+						require.Equal(t, http.StatusOK, status, "%s ran", id)
+						served++
+					default:
+						require.Contains(t, []int{http.StatusServiceUnavailable, notRead}, status, "%s did not run", id)
+					}
+				}
+				require.Positive(t, served, "requests that fit are served")
+			})
+		})
+	}
+}
+
 // Guards against cutting off a request without an answer at the end of the grace, because it may take
 // longer than that.
 func TestLongRequestIsAnsweredBeforeTheEndOfTheGrace(t *testing.T) {
