Soak crashing servers, limits and late connections

The soak of real processes had servers that never end and name no limits. Now its tills crash under a request that two clients send again and again, as another program each time, come back as other instances, and name limits that rise, fall and end; another writer leaves an odd entry; a client uses connections late, also after its gateway has closed its listener; six more press on the tills. All of that overlaps with the stops, kills, pauses, reloads and outages that were there. It requires that at most three late retries reach servers, and that no till gets more than its limit allows from gateways that had heard of it.

--- a/test/platform/callers_test.go
+++ b/test/platform/callers_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,14 +77,20 @@
 		return got
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(response.Body)
-	got.body, got.header, got.events = string(body), response.Header, strings.Count(string(body), "\n\n")
+	body, err := readAll(response)
+	got.body, got.header, got.events = body, response.Header, strings.Count(body, "\n\n")
 	if err == nil {
 		got.status = response.StatusCode
 	}
 	return got
 }
 
+// readAll returns the body of a response.
+func readAll(response *http.Response) (string, error) {
+	body, err := io.ReadAll(response.Body)
+	return string(body), err
+}
+
 // turn sends one turn of a program with a budget in tokens.
 func (f *testFleet) turn(daemon, program string, budget int) answer {
 	return f.turnWith(f.client, daemon, program, budget)
@@ -122,7 +130,7 @@
 // runsByAttempt returns the number of runs at all backend servers by Attempt-Id.
 func (f *testFleet) runsByAttempt() map[string]int {
 	counted := map[string]int{}
-	for _, server := range f.servers {
+	for _, server := range f.allServers() {
 		for _, run := range server.Runs() {
 			counted[run.ID]++
 		}
@@ -130,6 +138,17 @@
 	return counted
 }
 
+// allServers returns the backend servers, former runs included.
+func (f *testFleet) allServers() []*platformtest.Server {
+	all := slices.Collect(maps.Values(f.servers))
+	for _, m := range f.mortal {
+		m.mu.Lock()
+		all = append(all, m.former...)
+		m.mu.Unlock()
+	}
+	return all
+}
+
 // answerLog collects the answers of concurrent callers.
 type answerLog struct {
 	mu      sync.Mutex
--- a/test/platform/crashing_request_test.go
+++ b/test/platform/crashing_request_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -43,13 +44,30 @@
 	fleet    *testFleet
 	location int
 	addr     string
-	silent   bool // ends without closing its connections
 
 	mu       sync.Mutex
 	run      int
 	listener net.Listener
 	server   *platformtest.Server
-	crashes  []time.Time
+	crashes  []crash
+	// limit is the requests a second that it names, 0 for none. receipts holds what it got.
+	limit    float64
+	receipts []receipt
+	former   []*platformtest.Server
+}
+
+// crash is the end of a run under an attempt.
+type crash struct {
+	at      time.Time
+	attempt string
+}
+
+// receipt is a request that a server got while it named a limit, 0 for none.
+type receipt struct {
+	at      time.Time
+	attempt string
+	limit   float64
+	run     int
 }
 
 // addMortalServers starts backend servers of the tills in addition to the existing ones.
@@ -63,6 +81,7 @@
 		f.t.Cleanup(m.stop)
 		all = append(all, m)
 	}
+	f.mortal = append(f.mortal, all...)
 	return all
 }
 
@@ -73,14 +92,17 @@
 	m.run++
 	name := fmt.Sprintf("%s-run-%d", base, m.run)
 	server := platformtest.NewServer(name)
+	number := m.run
 	server.Script(func(run platformtest.Run) platformtest.Reply {
+		header := m.receive(run, number)
 		if run.Body != crashingBody {
-			return platformtest.Reply{Body: "done " + run.ID}
+			return platformtest.Reply{Body: "done " + run.ID, Header: header}
 		}
-		go m.crash(base)
+		go m.crash(base, number, run.ID)
 		return platformtest.Reply{Silent: true}
 	})
 	m.server, m.listener = server, listener
+	m.former = append(m.former, server)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -90,19 +112,40 @@
 			go server.Serve(conn)
 		}
 	}()
-	m.fleet.registerServer(tills, name, m.location, m.addr, "ready")
+	go m.fleet.retry("register "+name, func() error {
+		return m.fleet.tryPut("servers/"+name, serverEntry(tills, m.location, m.addr, "ready"))
+	})
+}
+
+// receive records a request that a run has got, and returns the header of the response.
+func (m *mortalServer) receive(run platformtest.Run, number int) http.Header {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.receipts = append(m.receipts, receipt{at: run.At, attempt: run.ID, limit: m.limit, run: number})
+	if m.limit == 0 {
+		return nil
+	}
+	return http.Header{platformtest.HeaderLimit: {strconv.FormatFloat(m.limit, 'f', -1, 64)}}
 }
 
-// crash ends the current instance. The next one starts after crashDowntime, and the entry of the
-// former one lapses after entryLapse.
-func (m *mortalServer) crash(base string) {
+// crash ends a run under an attempt, unless that has ended already. The next one starts after
+// crashDowntime, and the entry of the former one lapses after entryLapse.
+func (m *mortalServer) crash(base string, number int, attempt string) {
 	m.mu.Lock()
+	if m.run != number || len(m.crashes) == number {
+		m.mu.Unlock()
+		return
+	}
 	name := m.server.Name
-	m.crashes = append(m.crashes, time.Now())
+	m.crashes = append(m.crashes, crash{at: time.Now(), attempt: attempt})
 	m.listener.Close()
-	m.server.Crash()
+	server := m.server
 	m.mu.Unlock()
-	time.AfterFunc(entryLapse, func() { m.fleet.removeEntry("servers/" + name) })
+	// The server calls its script, which locks mu, with a lock of its own.
+	server.Crash()
+	time.AfterFunc(entryLapse, func() {
+		m.fleet.retry("remove "+name, func() error { return m.fleet.tryRemove("servers/" + name) })
+	})
 	time.AfterFunc(crashDowntime, func() {
 		listener, err := net.Listen("tcp", m.addr)
 		if err != nil {
@@ -120,27 +163,42 @@
 }
 
 // removeEntry removes an object from the platform's store.
-func (f *testFleet) removeEntry(key string) {
+func (f *testFleet) removeEntry(key string) { require.NoError(f.t, f.tryRemove(key)) }
+
+// tryRemove is removeEntry that fails while the store is unavailable.
+func (f *testFleet) tryRemove(key string) error {
 	ctx := context.Background()
 	old, err := f.store.Get(ctx, key)
 	if err == nil {
 		err = f.store.Delete(ctx, key, old.Version)
 	}
-	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
-		f.t.Errorf("remove %s: %v", key, err)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return nil
 	}
+	return err
 }
 
-// crashesOf returns the times of all crashes of the servers, in order.
-func crashesOf(servers []*mortalServer) []time.Time {
-	var times []time.Time
+// retry repeats a write of a server to the store until the store is available.
+func (f *testFleet) retry(what string, write func() error) {
+	err := write()
+	for end := time.Now().Add(conditionTimeout); err != nil && time.Now().Before(end); err = write() {
+		time.Sleep(pollInterval)
+	}
+	if err != nil {
+		f.t.Errorf("%s: %v", what, err)
+	}
+}
+
+// crashesOf returns all crashes of the servers, in order.
+func crashesOf(servers []*mortalServer) []crash {
+	var all []crash
 	for _, m := range servers {
 		m.mu.Lock()
-		times = append(times, m.crashes...)
+		all = append(all, m.crashes...)
 		m.mu.Unlock()
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times
+	slices.SortFunc(all, func(a, b crash) int { return a.at.Compare(b.at) })
+	return all
 }
 
 // crashingCaller sends the request that crashes servers again and again, at one gateway after
@@ -213,7 +271,7 @@
 // requireRefused sends the request on for a while after refusalDelay and requires that hardly any
 // attempt reaches a server.
 func (c *crashingCaller) requireRefused() {
-	third := crashesOf(c.servers)[crashLimit-1]
+	third := crashesOf(c.servers)[crashLimit-1].at
 	for time.Since(third) < refusalDelay {
 		c.send()
 	}
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -63,6 +63,7 @@
 	processes *fleet.Fleet
 	client    *http.Client
 	servers   map[string]*platformtest.Server
+	mortal    []*mortalServer
 
 	daemons map[string]*daemon
 	version int64
@@ -257,14 +258,17 @@
 func (f *testFleet) setOutage(on bool) { f.store.SetFaults(objects.Faults{Outage: on}) }
 
 // put writes an object to the platform's store, as an operator or a backend server does.
-func (f *testFleet) put(key, value string) {
+func (f *testFleet) put(key, value string) { require.NoError(f.t, f.tryPut(key, value)) }
+
+// tryPut is put that fails while the store is unavailable.
+func (f *testFleet) tryPut(key, value string) error {
 	ctx := context.Background()
 	expected := objectapi.NoVersion
 	if old, err := f.store.Get(ctx, key); err == nil {
 		expected = old.Version
 	}
 	_, err := f.store.Put(ctx, key, []byte(value), expected)
-	require.NoError(f.t, err)
+	return err
 }
 
 // putConfiguration writes the next version of the configuration.
@@ -294,6 +298,11 @@
 
 // registerServer writes the entry of a backend server to the platform's store.
 func (f *testFleet) registerServer(service, name string, location int, addr, state string) {
-	f.put("servers/"+name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":1}`,
-		service, addr, locations[location].dataCentre, state))
+	f.put("servers/"+name, serverEntry(service, location, addr, state))
+}
+
+// serverEntry returns the entry of a backend server.
+func serverEntry(service string, location int, addr, state string) string {
+	return fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":16,"state":%q,"born":1}`,
+		service, addr, locations[location].dataCentre, state)
 }
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -50,6 +50,9 @@
 	answers  []soakAnswer
 	stopping []string // errors of planned stops
 	log      []string
+	// sentTo holds the gateway of each attempt, and disturbed the events at each daemon.
+	sentTo    map[string]string
+	disturbed map[string][]period
 }
 
 // soakAnswer is an answer with the kind of request and the phase in which it was sent.
@@ -71,7 +74,7 @@
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
 		testFleet: newTestFleetOf(t, *soakGateways), random: rand.New(rand.NewPCG(seed, 0)),
-		busy: map[string]bool{}, received: map[string]int{},
+		busy: map[string]bool{}, received: map[string]int{}, sentTo: map[string]string{}, disturbed: map[string][]period{},
 	}
 	for i := range *soakGateways {
 		s.names = append(s.names, gatewayName(i))
@@ -82,23 +85,33 @@
 		}
 	})
 	s.scriptEngines()
-	s.scriptTills()
+	s.replaceTills()
 	s.waitUntil("the budgets have a home", func() bool {
 		return s.turn(s.names[0], "first", tokensPerTurn).status == http.StatusOK
 	})
-	s.phase(true, []func(){s.stopGateway, s.stopGateway, s.stopHome, s.reload, s.configure})
+	s.phase(true, []func(){
+		s.stopGateway, s.stopGateway, s.stopHome, s.reload, s.configure, s.limitServer, s.limitServer,
+	})
 	s.phase(false, []func(){
 		s.stopGateway, s.stopHome, s.reload, s.configure, s.killGateway, s.killHome, s.killSeveral, s.pauseGateway,
-		s.killKeeper, s.outage,
-	})
+		s.killKeeper, s.outage, s.limitServer, s.limitServer, s.leaveOddEntry,
+	}, s.runCrashingClient, s.runCrashingClient)
 	s.requireRecovery()
 	s.check()
 }
 
-// phase runs clients and random events for soakPhase, and waits for both to end.
-func (s *soak) phase(planned bool, events []func()) {
+// phase runs clients, further ones among them, and random events for soakPhase, and waits for all to
+// end.
+func (s *soak) phase(planned bool, events []func(), further ...func(stop <-chan struct{})) {
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
+	clients.Go(func() { s.runLateClient(planned, stop) })
+	for i := range len(s.names) {
+		clients.Go(func() { s.runCaller(i, planned, stop) })
+	}
+	for _, run := range further {
+		clients.Go(func() { run(stop) })
+	}
 	for i := range 2 * len(s.names) {
 		clients.Go(func() { s.runClient(fmt.Sprint(planned, "-", i), i, planned, stop) })
 	}
@@ -128,7 +141,7 @@
 		name := s.names[gateway%len(s.names)]
 		var got answer
 		if n%4 == 3 {
-			got = s.callWith(client, name, http.MethodPost, "/redeem/1")
+			got = s.callWith(client, name, http.MethodPost, "/redeem/1", s.recordAttempt(name))
 		} else {
 			program := fmt.Sprintf("%s-%d", id, n/10)
 			got = s.turnWith(client, name, program, soakBudgetTurns*tokensPerTurn)
@@ -158,12 +171,14 @@
 		return
 	}
 	s.busy[name] = true
+	began := time.Now()
 	s.log = append(s.log, fmt.Sprintf("%s %s %s", time.Now().Format("05.000"), what, name))
 	s.events.Go(func() {
 		event()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.busy, name)
+		s.disturbed[name] = append(s.disturbed[name], period{what: what, from: began, to: time.Now()})
 	})
 }
 
@@ -228,10 +243,13 @@
 	})
 }
 
+// soakReload is the event of a daemon that reloads its settings.
+const soakReload = "reload of"
+
 // reload sends SIGHUP to a gateway.
 func (s *soak) reload() {
 	name := s.anyGateway()
-	s.begin("reload of", name, func() { _ = syscall.Kill(s.process(name).PID(), syscall.SIGHUP) })
+	s.begin(soakReload, name, func() { _ = syscall.Kill(s.process(name).PID(), syscall.SIGHUP) })
 }
 
 // configure writes the next version of the configuration, unless the platform is unavailable.
@@ -270,6 +288,8 @@
 // check checks the promises for all answers.
 func (s *soak) check() {
 	require.Empty(s.t, s.stopping, "planned stops end in time")
+	s.checkCrashes()
+	s.checkLimits()
 	runs := s.runsByAttempt()
 	statuses := map[int]int{}
 	for _, a := range s.answers {
