Resend a broken request on a new connection only

Cause: its resumes went over idle connections to servers that were gone already, whose news had not arrived yet; each broke after the request was written, and counted as a crash under it. Now a request that may have run is sent on over a new connection: one to a server that is gone is refused, which proves that nothing was sent, and the next server is tried.

--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -101,3 +101,30 @@
 		require.Greater(t, retryAfter, time.Minute.Seconds())
 	})
 }
+
+// Guards against refusing a stream that was in flight when several servers crashed at the same moment:
+// its resumes reach servers that are gone already, over connections that were idle.
+func TestServersThatAreGoneAlreadyDoNotCountAsCrashed(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		var servers []*platformtest.Server
+		for _, name := range []string{"engine-1", "engine-2", "engine-3", "engine-4", "engine-5"} {
+			server := h.addServer(engines, name)
+			server.Always(platformtest.Reply{Events: []string{"a", "b"}, EventGap: 100 * time.Millisecond})
+			servers = append(servers, server)
+		}
+		for _, id := range requestIDs(40) {
+			h.call(http.MethodPost, "/turn/1", id, withHeader("Session-Id", id))
+		}
+		time.AfterFunc(150*time.Millisecond, func() {
+			for _, server := range servers {
+				server.CrashLate(20 * time.Millisecond)
+			}
+		})
+		require.NotEqual(t, http.StatusOK, h.call(http.MethodPost, "/turn/1", "innocent").status)
+		time.Sleep(2 * time.Second)
+		for _, server := range servers {
+			h.restart(engines, server)
+		}
+		require.Equal(t, http.StatusOK, h.call(http.MethodPost, "/turn/1", "innocent").status)
+	})
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -229,6 +229,9 @@
 		Target: j.Target,
 		Header: g.Dialect.ForwardHeader(j.Request, server.Name, left, resumeAfter),
 		Body:   j.Body,
+		// Servers may crash several at once. One that is gone already must not count as crashed by a
+		// request that comes from another one.
+		NewConnection: j.mayHaveRun(),
 	})
 	if err != nil {
 		outcome := sendOutcome(0, err, false)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -139,10 +139,10 @@
 
 // acquire returns an idle connection that is still usable and on which the request was not
 // rejected before, or a new one.
-func (c *Client) acquire(ctx context.Context, server structs.Server, requestID string) (*conn, error) {
+func (c *Client) acquire(ctx context.Context, server structs.Server, request Request) (*conn, error) {
 	key := keyOf(server)
-	for {
-		idle := c.takeIdle(key, requestID)
+	for !request.NewConnection {
+		idle := c.takeIdle(key, request.ID)
 		if idle == nil {
 			break
 		}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -24,6 +24,9 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// NewConnection forbids the reuse of an idle connection, whose server may be gone already. A
+	// request that fails on a new one has failed while its server was alive.
+	NewConnection bool
 }
 
 // Kinds of send failures. They are causes of the *verdict.Error values that Send and
@@ -50,7 +53,7 @@
 // returns and closes the connection, which signals the server to stop. Errors are
 // *verdict.Error: NotRun only if no byte was written to a connection.
 func (c *Client) Send(ctx context.Context, server structs.Server, request Request) (*Response, error) {
-	cn, err := c.acquire(ctx, server, request.ID)
+	cn, err := c.acquire(ctx, server, request)
 	if err != nil {
 		return nil, notSentError(ctx, ErrConnect, err)
 	}
