Keep the number of refused requests, and pass the guard's services as they are

Each request asked whether any request is refused, which counted the suspects each time; after a crash there are hundreds. The number is kept now. The guard embeds its services like the gateway does.

--- a/internal/crashguard/checks.go
+++ b/internal/crashguard/checks.go
@@ -67,7 +67,7 @@
 	if c == nil {
 		if len(g.checks) >= maxChecks {
 			g.mu.Unlock()
-			g.logger.WithField("server", server.Name).Warn("crash not checked: too many servers are being checked")
+			g.Log.WithField("server", server.Name).Warn("crash not checked: too many servers are being checked")
 			return
 		}
 		c = &check{server: server, requests: map[Fingerprint]bool{}}
@@ -136,10 +136,10 @@
 
 // evidenceInList returns what the list of servers says about the end of a run.
 func (g *Guard) evidenceInList(server structs.Server) evidence {
-	if listed, found := g.servers.Find(server.Name); found && listed.StartedMS > server.StartedMS {
+	if listed, found := g.Servers.Find(server.Name); found && listed.StartedMS > server.StartedMS {
 		return restarted
 	}
-	other, found := g.servers.AtAddr(server.Addr)
+	other, found := g.Servers.AtAddr(server.Addr)
 	if found && other.Name != server.Name && other.StartedMS > server.StartedMS {
 		return replaced
 	}
@@ -163,7 +163,7 @@
 func (g *Guard) runProbe(c *check, suspectedAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	err := g.probe(ctx, c.server)
+	err := g.Probe(ctx, c.server)
 	g.mu.Lock()
 	c.probing = false
 	switch {
@@ -206,7 +206,7 @@
 // endCheck logs and counts the result of a check. The caller holds mu.
 func (g *Guard) endCheck(c *check, found evidence) {
 	label := strings.ReplaceAll(string(found), " ", "_")
-	g.metrics.GetOrCreateCounter(`ibisline_poison_checks_total{evidence="` + label + `"}`).Inc()
-	g.logger.WithField("server", c.server.Name).WithField("started", c.server.StartedMS).
+	g.Metrics.GetOrCreateCounter(`ibisline_poison_checks_total{evidence="` + label + `"}`).Inc()
+	g.Log.WithField("server", c.server.Name).WithField("started", c.server.StartedMS).
 		WithField("requests", len(c.requests)).WithField("evidence", found).Info("server checked for a crash")
 }
--- a/internal/crashguard/completions.go
+++ b/internal/crashguard/completions.go
@@ -25,7 +25,7 @@
 	changed := g.crashes.clearAll(request)
 	g.mu.Unlock()
 	if changed {
-		g.logger.WithField("fingerprint", request).Info("request completed, its crashes are cleared")
+		g.Log.WithField("fingerprint", request).Info("request completed, its crashes are cleared")
 		g.notifyChanged()
 	}
 }
--- a/internal/crashguard/crashes.go
+++ b/internal/crashguard/crashes.go
@@ -73,7 +73,9 @@
 // without a clock or I/O, and is not safe for concurrent use.
 type crashSet struct {
 	suspects map[Fingerprint]*suspect
-	size     int
+	// size is the number of crashes, and refused that of the requests that are refused.
+	size    int
+	refused int
 	// digest is a hash of all crashes, and sequence counts the additions.
 	digest   uint64
 	sequence int64
@@ -82,6 +84,8 @@
 // suspect holds the crashes under one request.
 type suspect struct {
 	crashes map[run]crashEntry
+	// count is the number of crashes that are not cleared.
+	count   int
 	expires time.Time
 }
 
@@ -128,15 +132,31 @@
 	s.size++
 	s.digest ^= c.hash()
 	known.crashes[crashed] = crashEntry{Crash: c, sequence: s.sequence}
+	if !c.Cleared {
+		s.changeCount(known, 1)
+	}
 	return true
 }
 
+// changeCount changes the number of crashes of a suspect that are not cleared.
+func (s *crashSet) changeCount(known *suspect, by int) {
+	before := known.refused()
+	known.count += by
+	switch {
+	case known.refused() && !before:
+		s.refused++
+	case before && !known.refused():
+		s.refused--
+	}
+}
+
 // clear marks a crash under a request as cleared.
 func (s *crashSet) clear(known *suspect, crashed run) {
 	entry := known.crashes[crashed]
 	s.digest ^= entry.hash()
 	entry.Cleared = true
 	s.digest ^= entry.hash()
+	s.changeCount(known, -1)
 	s.sequence++
 	entry.sequence = s.sequence
 	known.crashes[crashed] = entry
@@ -184,6 +204,7 @@
 		s.size--
 		s.digest ^= entry.hash()
 	}
+	s.changeCount(known, -known.count)
 	delete(s.suspects, request)
 }
 
@@ -196,19 +217,8 @@
 	}
 }
 
-// count returns the number of crashes that are not cleared.
-func (k *suspect) count() int {
-	n := 0
-	for _, entry := range k.crashes {
-		if !entry.Cleared {
-			n++
-		}
-	}
-	return n
-}
-
 // refused reports whether the request is refused until it expires.
-func (k *suspect) refused() bool { return k.count() >= refuseAfterCrashes }
+func (k *suspect) refused() bool { return k.count >= refuseAfterCrashes }
 
 // refusal returns the time for which a request is still refused, and false if it is not.
 func (s *crashSet) refusal(request Fingerprint, now time.Time) (time.Duration, bool) {
@@ -222,22 +232,11 @@
 // count returns the number of crashes under a request that are not cleared.
 func (s *crashSet) count(request Fingerprint) int {
 	if known := s.suspects[request]; known != nil {
-		return known.count()
+		return known.count
 	}
 	return 0
 }
 
-// refusals returns the number of refused requests.
-func (s *crashSet) refusals() int {
-	n := 0
-	for _, known := range s.suspects {
-		if known.refused() {
-			n++
-		}
-	}
-	return n
-}
-
 // since returns the crashes that were added after a sequence number, in no particular order.
 func (s *crashSet) since(sequence int64) []Crash {
 	if sequence >= s.sequence {
--- a/internal/crashguard/exchange.go
+++ b/internal/crashguard/exchange.go
@@ -64,7 +64,7 @@
 	request := g.fetched[daemon]
 	g.mu.Unlock()
 	var reply crashesReply
-	err := peer.Call(ctx, g.dialer, daemon, methodCrashes, request, &reply)
+	err := peer.Call(ctx, g.Dialer, daemon, methodCrashes, request, &reply)
 	g.mu.Lock()
 	delete(g.fetching, daemon)
 	if err == nil {
@@ -72,7 +72,7 @@
 	}
 	g.mu.Unlock()
 	if err != nil {
-		g.logger.WithError(err).WithField("peer", daemon).Info("cannot fetch the crashes known to a peer")
+		g.Log.WithError(err).WithField("peer", daemon).Info("cannot fetch the crashes known to a peer")
 		return
 	}
 	g.addAll(reply.Crashes, daemon)
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -44,7 +44,7 @@
 	// Probe and Servers may be nil in a daemon that sends no requests to servers.
 	Probe   Probe
 	Servers Servers
-	// Announce sends the new mark to other daemons at once. It may be nil.
+	// Announce sends the new mark to other daemons at once.
 	Announce func()
 	// Store is the platform's object API, and Cache the local copy of the objects under Prefix.
 	Store objectapi.Store
@@ -59,15 +59,7 @@
 // Guard detects requests that crash servers and refuses them. It is a kernel service and
 // safe for concurrent use.
 type Guard struct {
-	dialer   peer.Dialer
-	probe    Probe
-	servers  Servers
-	announce func()
-	store    objectapi.Store
-	cache    *objectcache.Cache
-	rank     func() int
-	logger   log.Interface
-	metrics  *metrics.Set
+	Deps
 	// process identifies this process of the daemon towards others.
 	process int64
 	// fetches holds the daemons to fetch crashes from.
@@ -95,15 +87,7 @@
 // New returns a guard and registers its method with the mux.
 func New(deps Deps) *Guard {
 	g := &Guard{
-		dialer:     deps.Dialer,
-		probe:      deps.Probe,
-		servers:    deps.Servers,
-		announce:   deps.Announce,
-		store:      deps.Store,
-		cache:      deps.Cache,
-		rank:       deps.Rank,
-		logger:     deps.Log,
-		metrics:    deps.Metrics,
+		Deps:       deps,
 		process:    time.Now().UnixNano(),
 		fetches:    queue.New[string](deps.Metrics, "poison_fetches", maxPendingFetches),
 		changed:    make(chan struct{}, 1),
@@ -115,9 +99,6 @@
 		fetching:   map[string]bool{},
 		fetched:    map[string]crashesRequest{},
 	}
-	if g.announce == nil {
-		g.announce = func() {}
-	}
 	deps.Mux.Handle(methodCrashes, g.serveCrashes)
 	return g
 }
@@ -137,7 +118,7 @@
 func (g *Guard) Empty() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.crashes.refusals() == 0
+	return g.crashes.refused == 0
 }
 
 // Refuses reports whether a request must not be sent to a server, and for how much longer, and
@@ -177,7 +158,7 @@
 // notifyChanged announces changed crashes to other daemons, and has them stored.
 func (g *Guard) notifyChanged() {
 	// The membership reads the mark while it holds its own lock, so mu must be free here.
-	g.announce()
+	g.Announce()
 	select {
 	case g.changed <- struct{}{}:
 	default:
@@ -191,7 +172,7 @@
 	}
 	count := g.crashes.count(c.Request)
 	g.counted.Inc()
-	entry := g.logger.WithField("fingerprint", c.Request).WithField("server", c.Server).
+	entry := g.Log.WithField("fingerprint", c.Request).WithField("server", c.Server).
 		WithField("started", c.Started).WithField("crashes", count).WithField("from", source)
 	if count == refuseAfterCrashes {
 		entry.Warn("request refused from now on, it crashes servers")
@@ -244,6 +225,6 @@
 func (g *Guard) Dump() any {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	refused := g.crashes.refusals()
+	refused := g.crashes.refused
 	return Status{Suspects: len(g.crashes.suspects) - refused, Refused: refused}
 }
--- a/internal/crashguard/store.go
+++ b/internal/crashguard/store.go
@@ -53,8 +53,8 @@
 // follow adds the crashes stored at the platform until ctx ends.
 func (g *Guard) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		changed := g.cache.Changed()
-		if held, ok := g.cache.Snapshot(); ok {
+		changed := g.Cache.Changed()
+		if held, ok := g.Cache.Snapshot(); ok {
 			for _, c := range held {
 				if c.Name == objectName {
 					g.addStored(*c.Value, c.Version)
@@ -78,7 +78,7 @@
 	}
 	var read storedCrashes
 	if err := json.Unmarshal(value, &read); err != nil {
-		g.logger.WithError(err).WithField("version", version).Warn("stored crashes not readable")
+		g.Log.WithError(err).WithField("version", version).Warn("stored crashes not readable")
 	}
 	g.setStored(read.Crashes, version)
 	g.addAll(read.Crashes, sourcePlatform)
@@ -116,7 +116,7 @@
 }
 
 // rankWait returns how much longer than the daemon of rank 0 this one waits before it writes.
-func (g *Guard) rankWait() time.Duration { return time.Duration(g.rank()) * saveStep }
+func (g *Guard) rankWait() time.Duration { return time.Duration(g.Rank()) * saveStep }
 
 // saveCrashes stores what no other daemon has stored, until ctx ends.
 func (g *Guard) saveCrashes(ctx context.Context) {
@@ -162,24 +162,24 @@
 	g.mu.Unlock()
 	value, err := json.Marshal(storedCrashes{Crashes: crashes})
 	if err != nil {
-		g.logger.WithError(err).Error("crashes not encoded")
+		g.Log.WithError(err).Error("crashes not encoded")
 		return
 	}
-	version, err := g.store.Put(ctx, Prefix+objectName, value, expected)
+	version, err := g.Store.Put(ctx, Prefix+objectName, value, expected)
 	switch {
 	case err == nil:
 		g.setStored(crashes, version)
-		g.logger.WithField("crashes", len(crashes)).WithField("version", version).Info("crashes stored")
+		g.Log.WithField("crashes", len(crashes)).WithField("version", version).Info("crashes stored")
 	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrNotFound):
 		g.reload(ctx)
 	default:
-		g.logger.WithError(err).Info("crashes not stored")
+		g.Log.WithError(err).Info("crashes not stored")
 	}
 }
 
 // reload reads the object.
 func (g *Guard) reload(ctx context.Context) {
-	object, err := g.store.Get(ctx, Prefix+objectName)
+	object, err := g.Store.Get(ctx, Prefix+objectName)
 	switch {
 	case err == nil:
 		g.addStored(object.Value, object.Version)
@@ -188,6 +188,6 @@
 		g.stored = storedState{}
 		g.mu.Unlock()
 	default:
-		g.logger.WithError(err).Info("stored crashes not read")
+		g.Log.WithError(err).Info("stored crashes not read")
 	}
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -93,7 +93,7 @@
 		}
 		h.reserveErr = verdict.Refuse(verdict.NotHome, "no home decides about the budget")
 		got := h.call(http.MethodPost, "/turn/1", "poison", withHeader("Program-Id", "p1"), withHeader("Token-Budget", "1000"),
-			withHeader("Token-Usage", "10,100"))
+			withHeader(platformtest.HeaderTokens, "10,100"))
 		require.Equal(t, http.StatusServiceUnavailable, got.status)
 		require.Contains(t, got.body, "crashes the servers")
 		retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -117,7 +117,7 @@
 	h.guard = crashguard.New(crashguard.Deps{
 		Dialer: node, Mux: node, Probe: h.backend.Probe, Servers: h, Metrics: set, Log: testbed.NoLog(), Store: store,
 		Cache: objectcache.New(objectcache.Config{}, crashguard.Prefix, store, node, node, metrics.NewSet(), testbed.NoLog()),
-		Rank:  func() int { return 0 },
+		Rank:  func() int { return 0 }, Announce: func() {},
 	})
 	h.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1"}, gateway.Deps{
 		Dialect:    adapter,
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -42,8 +42,8 @@
 // connection is closed without one after the request was read.
 func (h *harness) sendOn(conn net.Conn, path, id string) (status int, closes bool) {
 	defer conn.Close()
-	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n",
-		path, id)
+	_, err := fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n",
+		path, platformtest.HeaderAttempt, id)
 	if err != nil {
 		return notRead, true
 	}
