Do not shed a request that has begun

A stream whose server crashed midway could be rejected by the admission of programs when it was to be resumed at another server: the caller had a part of it, and the tokens were spent. Found by reading the change; there is no test of its own, as the resume competes for permits with the load that lowers the fraction.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -70,7 +70,8 @@
 // checkAdmission returns an error if a server of the request's service names a limit and the program
 // of the request is not admitted to the service.
 func (g *Gateway) checkAdmission(j *job) error {
-	if !g.inNeed(j) {
+	if j.mayHaveRun() || !g.inNeed(j) {
+		// A request that has begun is not given up halfway.
 		return nil
 	}
 	retryIn, admitted := g.admission.admit(j, time.Now())
