--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -234,7 +234,9 @@
 		return false
 	}
 	l.mu.Unlock()
-	reply := l.ask(ctx, server, takeRequest{PerSecond: named.perSecond, HeardAgo: now.Sub(named.heardAt)})
+	reply := l.ask(ctx, server, takeRequest{
+		Purpose: takePermits, PerSecond: named.perSecond, HeardAgo: now.Sub(named.heardAt),
+	})
 	if reply.Ended {
 		l.end(of, named)
 		return true
