--- a/internal/tokenbudget/journal/journal.go
+++ b/internal/tokenbudget/journal/journal.go
@@ -9,17 +9,16 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"ibisline/internal/record"
 	"ibisline/internal/tokenbudget/ledger"
 )
 
@@ -44,14 +43,8 @@
 	Close() error
 }
 
-const (
-	// compactBytes is the size at which the file is compacted.
-	compactBytes = 4 << 20
-	// headerBytes is the size of a record's length and checksum.
-	headerBytes = 4 + 8
-	// maxRecordBytes limits a record. A higher length is taken for a torn header.
-	maxRecordBytes = 8 << 20
-)
+// compactBytes is the size at which the file is compacted.
+const compactBytes = 4 << 20
 
 // Fence is the right of a home to write to a shard.
 type Fence struct {
@@ -83,8 +76,8 @@
 	Totals        []ledger.ProgramTotal `msgpack:"t,omitempty"`
 }
 
-// record is one record of the file. Exactly one field is set.
-type record struct {
+// entry is one record of the file. Exactly one field is set.
+type entry struct {
 	ID      int64    `msgpack:"i,omitempty"`
 	Fence   *Fence   `msgpack:"f,omitempty"`
 	Replica *Replica `msgpack:"b,omitempty"`
@@ -141,24 +134,22 @@
 
 // replay applies all intact records.
 func (j *Journal) replay(content []byte) {
-	for len(content) >= headerBytes {
-		size := binary.BigEndian.Uint32(content)
-		sum := binary.BigEndian.Uint64(content[4:])
-		if size > maxRecordBytes || int(size) > len(content)-headerBytes {
+	for {
+		body, rest, ok := record.Next(content)
+		if !ok {
 			return
 		}
-		body := content[headerBytes : headerBytes+int(size)]
-		var r record
-		if xxhash.Sum64(body) != sum || msgpack.Unmarshal(body, &r) != nil {
+		var r entry
+		if msgpack.Unmarshal(body, &r) != nil {
 			return
 		}
 		j.apply(r)
-		content = content[headerBytes+int(size):]
+		content = rest
 	}
 }
 
 // apply applies a record to the state.
-func (j *Journal) apply(r record) {
+func (j *Journal) apply(r entry) {
 	switch {
 	case r.ID != 0:
 		j.id = r.ID
@@ -253,7 +244,7 @@
 	previous := s.fence
 	s.fence = f
 	replica := s.withTotals(now).without(known)
-	done := j.enqueue(record{Fence: &f})
+	done := j.enqueue(entry{Fence: &f})
 	j.mu.Unlock()
 	return previous, replica, <-done
 }
@@ -279,13 +270,13 @@
 		return ErrFenced
 	}
 	s.apply(replica)
-	done := j.enqueue(record{Replica: &replica})
+	done := j.enqueue(entry{Replica: &replica})
 	j.mu.Unlock()
 	return <-done
 }
 
 // enqueue adds a record to the next sync. The caller holds mu.
-func (j *Journal) enqueue(r record) <-chan error {
+func (j *Journal) enqueue(r entry) <-chan error {
 	done := make(chan error, 1)
 	if j.failed != nil {
 		done <- j.failed
@@ -304,16 +295,12 @@
 }
 
 // encode appends a record with its length and checksum.
-func encode(out *bytes.Buffer, r record) error {
+func encode(out *bytes.Buffer, r entry) error {
 	body, err := msgpack.Marshal(r)
 	if err != nil {
 		return errors.Wrap(err, "encode record")
 	}
-	var header [headerBytes]byte
-	binary.BigEndian.PutUint32(header[:], uint32(len(body)))
-	binary.BigEndian.PutUint64(header[4:], xxhash.Sum64(body))
-	out.Write(header[:])
-	out.Write(body)
+	out.Write(record.Append(nil, body))
 	return nil
 }
 
@@ -385,16 +372,16 @@
 }
 
 // snapshot returns the records that reproduce the current state.
-func (j *Journal) snapshot(now time.Time) []record {
-	all := []record{{ID: j.id}}
+func (j *Journal) snapshot(now time.Time) []entry {
+	all := []entry{{ID: j.id}}
 	for _, s := range j.shards {
 		if s.fence.Number == 0 {
 			continue
 		}
 		fence, replica := s.fence, s.withTotals(now)
-		all = append(all, record{Fence: &fence})
+		all = append(all, entry{Fence: &fence})
 		if replica.Fence.Number != 0 {
-			all = append(all, record{Replica: &replica})
+			all = append(all, entry{Replica: &replica})
 		}
 	}
 	return all
