Take the first copy of the platform's objects from a peer

Cause: a daemon lists routes, servers, crashes by itself before it asks anybody; it knows nobody then, so its rank is 0, and it holds watches and lists again until it has met the others. Keepers each listed and watched the retirement requests for themselves.

A daemon now waits for the copy of a peer, 0.6 s and 20 ms per rank at most, unless it is one of the three that hold a watch, and has no rank before it knows others. Retirement requests are one more cache of all daemons. A copy that a peer supplies counts with that peer's listing, so that it is not listed again at once, and an empty listing is a copy too. The list of daemons is read a second time only if it was short.

TestSilentDaemonDoesNotDelayRefusal lets all daemons read the platform before one is cut off: otherwise that one lists later and knows the crashes as well (8 of 8 refuse instead of 7).

--- a/internal/crashguard/restarts_test.go
+++ b/internal/crashguard/restarts_test.go
@@ -64,6 +64,8 @@
 // Guards against a late refusal because one daemon is silent while many requests are suspects.
 func TestSilentDaemonDoesNotDelayRefusal(t *testing.T) {
 	withFleet(t, 8, func(t *testing.T, f *fleet) {
+		// All daemons have read the platform's objects before one of them becomes silent.
+		f.exchangeMarks(1)
 		f.silence("gateway-7")
 		for server := range 3 {
 			daemon := fmt.Sprintf("gateway-%d", server)
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -92,8 +92,10 @@
 		serviceRouteCache:  {b.adapter.RoutesPrefix, objectcache.DefaultRelistAfter},
 		serviceServerCache: {b.adapter.ServersPrefix, objectcache.DefaultRelistAfter},
 		serviceCrashCache:  {crashguard.Prefix, crashguard.RelistAfter},
+		// Gateways hold it too, because changes spread from daemon to daemon.
+		serviceRetirementCache: {b.adapter.RetirementsPrefix, retirementRelistAfter},
 	} {
-		config := objectcache.Config{Rank: members.Rank, RelistAfter: of.relistAfter}
+		config := objectcache.Config{Rank: members.Rank, Joined: members.Joined, RelistAfter: of.relistAfter}
 		cache := objectcache.New(config, of.prefix, b.store, transport, transport, b.metrics, b.log)
 		b.versions.caches[of.prefix] = cache
 		if err := b.kernel.Register(name, cache); err != nil {
@@ -299,14 +301,13 @@
 	return daemons, nil
 }
 
-// retirementVerifyAfter is the age of the last listing of retirement requests after
-// which a keeper lists them again. A watch may miss a request that an operator is
-// waiting for.
-const retirementVerifyAfter = 5 * time.Second
+// retirementRelistAfter is the age of the last listing of retirement requests after which
+// they are listed again. A watch may miss a request that an operator is waiting for.
+const retirementRelistAfter = 3 * time.Second
 
 // addRetirement adds the service that empties this instance on an operator's request.
 func (b *builder) addRetirement(own *journal.Journal, turns *history.Keeper) error {
-	transport, err := kernel.Lookup[*peer.Transport](b.kernel, servicePeers)
+	requests, err := kernel.Lookup[*objectcache.Cache](b.kernel, serviceRetirementCache)
 	if err != nil {
 		return err
 	}
@@ -314,11 +315,6 @@
 	if err != nil {
 		return err
 	}
-	requests := objectcache.New(objectcache.Config{RelistAfter: retirementVerifyAfter}, b.adapter.RetirementsPrefix,
-		b.store, transport, transport, b.metrics, b.log)
-	if err := b.kernel.Register(serviceRetirementCache, requests); err != nil {
-		return err
-	}
 	return b.kernel.Register(serviceRetirement, retire.New(retire.Config{}, b.self.Name, retire.Deps{
 		Dialect:  b.adapter.Retirements,
 		Requests: requests,
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -47,9 +47,13 @@
 	return true
 }
 
-// joinList merges the platform's list and adds this daemon to it. Then it reads the
-// list again, so that of two daemons that start at the same time at least the one
-// added later discovers the other.
+// enoughListed is the number of other listed daemons with which the list is not read again: one of them
+// is live, and daemons that start at the same time meet through it.
+const enoughListed = 8
+
+// joinList merges the platform's list and adds this daemon to it. If the list was short, it reads
+// it again, so that of two daemons that start at the same time at least the one added later
+// discovers the other.
 func (m *Members) joinList() error {
 	found, err := m.fetchList()
 	if err != nil || m.registered.Load() {
@@ -64,7 +68,7 @@
 	_, listedBefore := found[key]
 	m.newcomer.Store(!listedBefore)
 	m.registered.Store(true)
-	if added {
+	if added && len(found) < enoughListed {
 		_, err = m.fetchList()
 	}
 	return err
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -40,6 +40,7 @@
 	versions  VersionExchange
 
 	snapshot         atomic.Pointer[snapshot]
+	startedAt        time.Time
 	ctx              context.Context // bounds all goroutines
 	stop             context.CancelFunc
 	tasks            sync.WaitGroup
@@ -79,6 +80,7 @@
 		self:            self,
 		store:           store,
 		dialer:          dialer,
+		startedAt:       now,
 		logger:          logger,
 		machine:         gossip.New(config.machine(), self, incarnation, rand.New(rand.NewPCG(incarnation, 0)), now),
 		probers:         map[string]*prober{},
@@ -128,6 +130,14 @@
 // have both been read.
 func (m *Members) Listed() bool { return m.initialListsRead.Load() == platformLists }
 
+// joinPatience is the time after which a daemon that has found no other one is taken to be the first.
+const joinPatience = 600 * time.Millisecond
+
+// Joined returns true once other daemons are known, or none were found.
+func (m *Members) Joined() bool {
+	return m.initialListsRead.Load() > 0 || !m.alone() || time.Since(m.startedAt) > joinPatience
+}
+
 // spawn runs f in a goroutine that Run waits for, unless Run is shutting down.
 func (m *Members) spawn(f func()) {
 	m.mu.Lock()
--- a/internal/objectcache/cache.go
+++ b/internal/objectcache/cache.go
@@ -54,6 +54,12 @@
 	// DefaultMinWatchInterval is the minimum delay between two watches, so that a
 	// burst of changes costs one call.
 	DefaultMinWatchInterval = 100 * time.Millisecond
+	// DefaultFirstListDelay is how long a daemon without a copy waits for that of a peer before it lists
+	// for the first time, and DefaultFirstListStep the time that it waits longer per rank. Otherwise the
+	// calls to the platform after a loss of power grow with the fleet. Daemons that hold a
+	// watch do not wait.
+	DefaultFirstListDelay = 600 * time.Millisecond
+	DefaultFirstListStep  = 20 * time.Millisecond
 )
 
 // Config holds the timing parameters of a Cache. Zero fields take their default.
@@ -67,6 +73,11 @@
 	RelistAfter      time.Duration
 	RelistLag        time.Duration
 	RelistStep       time.Duration
+	FirstListDelay   time.Duration
+	FirstListStep    time.Duration
+	// Joined reports whether this daemon knows other daemons, or that there are none. Before, its rank
+	// means nothing.
+	Joined func() bool
 	// Rank returns the rank of this daemon among the live daemons for the objects
 	// under prefix, starting at 0. Two daemons with the same view of the live
 	// daemons have different ranks.
@@ -83,6 +94,11 @@
 	defaults.Set(&c.RelistAfter, DefaultRelistAfter)
 	defaults.Set(&c.RelistLag, DefaultRelistLag)
 	defaults.Set(&c.RelistStep, DefaultRelistStep)
+	defaults.Set(&c.FirstListDelay, DefaultFirstListDelay)
+	defaults.Set(&c.FirstListStep, DefaultFirstListStep)
+	if c.Joined == nil {
+		c.Joined = func() bool { return true }
+	}
 	if c.Rank == nil {
 		c.Rank = func(string) int { return 0 }
 	}
--- a/internal/objectcache/cache_test.go
+++ b/internal/objectcache/cache_test.go
@@ -1,6 +1,7 @@
 package objectcache_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,6 +122,27 @@
 	})
 }
 
+// TestStartOfFleetMakesFewCalls guards against listings that grow with the fleet when all daemons start at
+// once, as after a loss of power. Without an object, too, daemons take the listing of a peer.
+func TestStartOfFleetMakesFewCalls(t *testing.T) {
+	for _, objectsBefore := range []int{0, 3} {
+		runInFleet(t, func(t *testing.T, f *fleet) {
+			for i := range objectsBefore {
+				f.edit(fmt.Sprint(i), false)
+			}
+			const started = 2 * time.Second
+			time.Sleep(started)
+			counts := f.store.Counts()
+			relists := int(started / objectcache.DefaultRelistAfter)
+			require.LessOrEqual(t, counts.Lists, objectcache.DefaultWatchers*(1+relists), "only daemons with a watch list")
+			for _, d := range f.daemons {
+				_, loaded := d.cache.Snapshot()
+				require.True(t, loaded, d.name)
+			}
+		})
+	}
+}
+
 // stepKind is the action of a step of a schedule.
 type stepKind string
 
--- a/internal/objectcache/peer.go
+++ b/internal/objectcache/peer.go
@@ -50,22 +50,27 @@
 		// A listing counts only for a daemon that has all the changes it contained.
 		c.mergePeerListing(listing, time.Now().Add(-listing.Age))
 	}
-	if version <= c.newest || c.pullRunning {
+	missesListing := !c.isLoaded() && listing.Number > 0
+	if (version <= c.newest && !missesListing) || c.pullRunning {
 		return
 	}
 	c.pullRunning = true
 	wait := c.config.PullDelay
-	if c.newest == 0 || !holdsWatch {
+	if missesListing || !holdsWatch {
 		wait = 0
 	}
+	listedAt := time.Now().Add(-listing.Age)
 	go func() {
 		timers.Sleep(ctx, wait)
-		if c.NewestVersion() < version && ctx.Err() == nil {
+		if (c.NewestVersion() < version || !c.isLoaded()) && ctx.Err() == nil {
 			c.pull(ctx, daemon)
 		}
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.pullRunning = false
-		c.mu.Unlock()
+		if version <= c.newest && c.isLoaded() {
+			c.mergePeerListing(listing, listedAt)
+		}
 	}()
 }
 
--- a/internal/objectcache/platform.go
+++ b/internal/objectcache/platform.go
@@ -19,10 +19,31 @@
 // requires one.
 const rankCheckInterval = 250 * time.Millisecond
 
-// follow lists once and then watches as long as the rank of this daemon requires it.
+// awaitPeer waits for the copy of a peer. It returns once one has arrived, or this daemon has to list by
+// itself.
+func (c *Cache) awaitPeer(ctx context.Context) {
+	started := time.Now()
+	for ctx.Err() == nil && !c.isLoaded() && !c.holdsWatch() {
+		wait := c.config.FirstListDelay
+		if c.config.Joined() {
+			wait += time.Duration(c.config.Rank(c.prefix)) * c.config.FirstListStep
+		}
+		if time.Since(started) >= wait {
+			return
+		}
+		timers.Sleep(ctx, firstListPoll)
+	}
+}
+
+// firstListPoll is how often a daemon without a copy checks whether it has to list.
+const firstListPoll = 20 * time.Millisecond
+
+// follow lists once, unless a peer supplies its copy, and then watches as long as the rank of this
+// daemon requires it.
 func (c *Cache) follow(ctx context.Context) error {
 	backOff := c.newBackoff()
-	list := true
+	c.awaitPeer(ctx)
+	list := !c.isLoaded()
 	for ctx.Err() == nil {
 		if !list && !c.holdsWatch() {
 			timers.Sleep(ctx, rankCheckInterval)
@@ -43,12 +64,18 @@
 			c.recordFailure(err)
 		}
 		timers.Sleep(ctx, backOff.NextBackOff())
+		if list {
+			c.awaitPeer(ctx)
+			list = !c.isLoaded()
+		}
 	}
 	return nil
 }
 
 // holdsWatch reports whether the rank of this daemon requires a watch.
-func (c *Cache) holdsWatch() bool { return c.config.Rank(c.prefix) < c.config.Watchers }
+func (c *Cache) holdsWatch() bool {
+	return c.config.Joined() && c.config.Rank(c.prefix) < c.config.Watchers
+}
 
 // relist lists whenever the newest known listing is too old, until ctx is done.
 func (c *Cache) relist(ctx context.Context) error {
@@ -73,8 +100,8 @@
 // untilRelist returns the time until this daemon has to list if no other daemon does.
 func (c *Cache) untilRelist() time.Duration {
 	rank := c.config.Rank(c.prefix)
-	if !c.isLoaded() {
-		// The first listing is still in progress.
+	if !c.isLoaded() || !c.config.Joined() {
+		// The first listing is still in progress, or another daemon may list.
 		return rankCheckInterval
 	}
 	c.mu.Lock()
