Mend two tests of the gateway that the kept turns had broken

TestHedgingRespectsServerLimit addresses routes by their place, and the route of the new tests stood before; TestTurnsThatCannotBeContinuedAreRefused had a conversation of 1,022 bytes, below its limit of 1,024. No check changes.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -81,12 +81,6 @@
 				Objective: 300 * time.Millisecond, GapObjective: 250 * time.Millisecond, MaxServers: 1,
 				Retention: time.Minute,
 			},
-			{
-				Name: "chat", Host: "a.example", PathPrefix: "/chat/", Kind: structs.Stream,
-				Targets: []structs.Target{{Service: engines, Weight: 1}}, Timeout: 3 * time.Second,
-				Objective: 300 * time.Millisecond, GapObjective: 250 * time.Millisecond, MaxServers: 1,
-				Retention: time.Minute, KeepsTurns: true,
-			},
 			{
 				Name: "look", Host: "a.example", PathPrefix: "/look/", Kind: structs.Repeatable,
 				Targets: []structs.Target{{Service: tills, Weight: 1}}, Timeout: time.Second,
@@ -97,6 +91,12 @@
 				Targets: []structs.Target{{Service: tills, Weight: 1}}, Timeout: 1500 * time.Millisecond,
 				Objective: 150 * time.Millisecond, MaxServers: 1,
 			},
+			{
+				Name: "chat", Host: "a.example", PathPrefix: "/chat/", Kind: structs.Stream,
+				Targets: []structs.Target{{Service: engines, Weight: 1}}, Timeout: 3 * time.Second,
+				Objective: 300 * time.Millisecond, GapObjective: 250 * time.Millisecond, MaxServers: 1,
+				Retention: time.Minute, KeepsTurns: true,
+			},
 		},
 		Services: map[string]structs.Service{
 			engines: {Name: engines, TokensPerEvent: 35, Batch: 16},
--- a/internal/gateway/history_test.go
+++ b/internal/gateway/history_test.go
@@ -111,7 +111,7 @@
 func TestTurnsThatCannotBeContinuedAreRefused(t *testing.T) {
 	withHarness(t, func(t *testing.T, h *harness) {
 		engine := h.addServer(engines, "engine-1")
-		engine.Always(platformtest.Reply{Events: []string{strings.Repeat("x", 1000)}})
+		engine.Always(platformtest.Reply{Events: []string{strings.Repeat("x", 1010)}})
 		require.Equal(t, http.StatusOK, h.call(http.MethodPost, "/chat/", "t0").status)
 		for _, refusal := range []struct {
 			path, previous string
