Send requests about one object to the server that handled it

Routes with sticky have servers that are faster with an object that they handled recently. Requests to plain services followed their session, which is new with each program. They now follow the value that callers give to the object; it breaks ties between servers that are equally busy and near, as the session does.

Evidence: TestRequestsAboutOneObjectGoToOneServer.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -497,3 +498,33 @@
 		require.Regexp(t, `ibisline_gateway_sends_total\{kind="at_most_once",outcome="not_run_503"\} [1-9]`, text.String())
 	})
 }
+
+// TestRequestsAboutOneObjectGoToOneServer guards against losing what a server remembers of an object
+// when other sessions ask about it.
+func TestRequestsAboutOneObjectGoToOneServer(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		table := defaultRoutes()
+		for i := range table.Routes {
+			table.Routes[i].PrefersAffinity = true
+		}
+		h.table = routes.NewTable(table)
+		for _, name := range []string{"till-1", "till-2", "till-3"} {
+			h.addServer(tills, name)
+		}
+		usedBy := map[string]map[string]bool{"object-1": {}, "object-2": {}, "object-3": {}, "object-4": {}}
+		all := map[string]bool{}
+		for i := range 20 {
+			for object, used := range usedBy {
+				got := h.call(http.MethodPost, "/redeem/1", fmt.Sprint(object, i), withHeader("Cookie", "Affinity-Key="+object),
+					withHeader("Session-Id", fmt.Sprint("session-", i)))
+				require.Equal(t, http.StatusOK, got.status)
+				used[got.body] = true
+				all[got.body] = true
+			}
+		}
+		for object, used := range usedBy {
+			require.Len(t, used, 1, object)
+		}
+		require.Greater(t, len(all), 1)
+	})
+}
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -35,6 +35,14 @@
 	return &job{Request: r, sentTo: map[string]bool{}, notRunOn: map[string]bool{}, summary: summary{sends: []string{}}}
 }
 
+// affinity returns what requests have in common that should go to the same server.
+func (j *job) affinity() string {
+	if j.route.PrefersAffinity && j.Affinity != "" {
+		return j.Affinity
+	}
+	return j.Session
+}
+
 // triedServer reports whether the request was already sent to a server.
 func (j *job) triedServer(server string) bool {
 	j.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -151,7 +151,7 @@
 			}
 			return denied
 		})
-		server, ok := g.tracker.pick(candidates, g.config, j.Session, time.Now())
+		server, ok := g.tracker.pick(candidates, g.config, j.affinity(), time.Now())
 		if !ok || g.Limits.Take(ctx, server) {
 			return server, permitIn, ok
 		}
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -73,7 +73,7 @@
 
 // pick chooses a server and counts the request as in flight there. The caller must call done
 // when the request ends. pick may reorder candidates.
-func (t *tracker) pick(candidates []structs.Server, from Config, session string, now time.Time) (structs.Server, bool) {
+func (t *tracker) pick(candidates []structs.Server, from Config, affinity string, now time.Time) (structs.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool {
@@ -89,7 +89,7 @@
 			Distance: distance(from, server),
 			Unlisted: server.State == structs.StateVanished || state.leaving(server),
 			Suspect:  now.Before(state.suspectUntil),
-			Affinity: hashFraction(xxhash.Sum64String(session + server.Name)),
+			Affinity: hashFraction(xxhash.Sum64String(affinity + server.Name)),
 		}
 	}
 	best := balance.Choose(rated)
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -37,7 +37,7 @@
 	Suspect  bool
 	Unlisted bool
 	// Affinity is a number from 0 to 1 that is the same for all requests of a
-	// session. It breaks ties, so that a session stays on the same server.
+	// session or about one object. It breaks ties, so that these stay on the same server.
 	Affinity float64
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -29,6 +29,8 @@
 	// Program and Session identify the agent program and its sequence of turns.
 	Program string
 	Session string
+	// Affinity is the same for all requests about one object, empty if unknown.
+	Affinity string
 	// PreviousTurn is the ID of the turn that this one continues, empty for none. On routes whose
 	// turns are kept, Body then holds the new input only.
 	PreviousTurn string
--- a/internal/structs/route.go
+++ b/internal/structs/route.go
@@ -51,6 +51,8 @@
 	// Retention is the time for which the budget of a program is retained after its last
 	// request, and a turn after its response.
 	Retention time.Duration
+	// PrefersAffinity is set if servers are faster with an object that they have handled recently.
+	PrefersAffinity bool
 	// KeepsTurns is set if a turn carries its new input only and names the turn that it continues.
 	KeepsTurns bool
 }
