Show a kept turn and the keepers that hold it

On-call engineers could not see where a conversation is, or why a turn got 404 or 503. ibisctl turn ID [KEEPER...] shows a turn, the turns before it and the keepers that hold each, and names keepers that are silent or have not restored a lost disk. Content is not shown.

Evidence: TestConversationSurvivesLossOfDiskAndPower reads the copies of all turns with it.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -31,6 +31,7 @@
 	Dump   *DumpArgs   `arg:"subcommand:dump" help:"show the state of daemons as JSON"`
 	Status *StatusArgs `arg:"subcommand:status" help:"show the live daemons and the catalogue revision that each has in force"`
 	Server *ServerArgs `arg:"subcommand:server" help:"show backend servers"`
+	Turn   *TurnArgs   `arg:"subcommand:turn" help:"show a turn that is kept, the turns before it, and the keepers that hold them"`
 	Order  *OrderArgs  `arg:"subcommand:order" help:"send an order to an engine"`
 
 	Explain *ExplainArgs `arg:"subcommand:explain" help:"reconstruct the timeline of one request from the log files of all daemons"`
@@ -88,6 +89,12 @@
 	}
 }
 
+// TurnArgs are the arguments of turn.
+type TurnArgs struct {
+	ID      string   `arg:"positional,required" help:"identifier of the turn, as sent by its caller"`
+	Keepers []string `arg:"positional" help:"IP:port of the keepers; those registered with the platform when none is given" placeholder:"ADDR"`
+}
+
 // StatusArgs are the arguments of status.
 type StatusArgs struct{}
 
--- a/internal/ctl/daemons.go
+++ b/internal/ctl/daemons.go
@@ -24,6 +24,7 @@
 	pathStatus = "/v1/status"
 	pathShares = "/v1/shares"
 	pathDump   = "/v1/dump"
+	pathTurns  = "/v1/turns/"
 )
 
 // serviceName identifies the daemons to httpc and its circuit breaker.
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -43,7 +43,7 @@
 	if args.Explain != nil {
 		return explainRequest(args.Explain, streams, args.JSON)
 	}
-	if len(args.Platform) == 0 {
+	if len(args.Platform) == 0 && (args.Turn == nil || len(args.Turn.Keepers) == 0) {
 		return usageError("--platform or IBISCTL_PLATFORM is needed")
 	}
 	ctx, cancel := context.WithTimeout(ctx, args.Timeout)
@@ -80,6 +80,8 @@
 		return c.status(ctx)
 	case c.args.Dump != nil:
 		return c.dump(ctx, c.args.Dump.Daemons)
+	case c.args.Turn != nil:
+		return c.turn(ctx, c.args.Turn)
 	case c.args.Server != nil:
 		return c.listServers(ctx)
 	case c.args.Order != nil:
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -451,6 +451,9 @@
 			}
 		},
 	})
+	if keeper, err := kernel.Lookup[*history.Keeper](b.kernel, serviceHistories); err == nil {
+		operator.RegisterTurns(server.Rest(), operator.Deps{Turn: keeper.Describe})
+	}
 	if err := server.Listen(b.settings.Instance.HTTPAddr); err != nil {
 		return err
 	}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -133,6 +133,38 @@
 	}
 }
 
+// TurnInfo describes a turn that is held, without its content.
+type TurnInfo struct {
+	ID          string    `json:"id"`
+	Previous    string    `json:"previous,omitempty"`
+	InputBytes  int       `json:"input_bytes"`
+	OutputBytes int       `json:"output_bytes"`
+	Expires     time.Time `json:"expires"`
+}
+
+// ChainInfo describes a turn and all turns before it, oldest first. It has no turns if the turn is not
+// held.
+type ChainInfo struct {
+	Turns []TurnInfo `json:"turns"`
+	// Complete is set if the keeper holds everything that it should.
+	Complete bool `json:"complete"`
+}
+
+// Describe returns a description of a turn and of all turns before it.
+func (k *Keeper) Describe(id string) (ChainInfo, error) {
+	info := ChainInfo{Turns: []TurnInfo{}, Complete: k.Log.Complete()}
+	turns, err := k.Log.Chain(id)
+	if err != nil && !errors.Is(err, turnlog.ErrNotFound) {
+		return info, err
+	}
+	for _, t := range turns {
+		info.Turns = append(info.Turns, TurnInfo{
+			ID: t.ID, Previous: t.Previous, InputBytes: len(t.Input), OutputBytes: len(t.Output), Expires: time.UnixMilli(t.Expires),
+		})
+	}
+	return info, nil
+}
+
 func (k *Keeper) serveAppend(_ context.Context, s peer.Stream) error {
 	var request appendRequest
 	if err := s.Recv(&request); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 	"github.com/zeromicro/go-zero/rest/httpx"
 
 	"ibisline/internal/backend"
+	"ibisline/internal/history"
 	"ibisline/internal/structs"
 )
 
@@ -34,6 +35,8 @@
 	// Shares returns the share granted to each entry and the service it received at
 	// this daemon.
 	Shares func() any
+	// Turn describes a turn that this daemon keeps; nil for a daemon that keeps none.
+	Turn func(id string) (history.ChainInfo, error)
 	// Order sends an order to an engine. Errors are *verdict.Error.
 	Order func(ctx context.Context, engine string, order backend.Order) error
 }
@@ -47,6 +50,11 @@
 	})
 }
 
+// RegisterTurns adds the route of a daemon that keeps turns.
+func RegisterTurns(server *rest.Server, deps Deps) {
+	server.AddRoute(rest.Route{Method: http.MethodGet, Path: "/v1/turns/:id", Handler: turnHandler(deps.Turn)})
+}
+
 // Register adds the routes of a daemon that serves programs: those of RegisterCommon,
 // shares and orders.
 func Register(server *rest.Server, deps Deps) {
@@ -57,6 +65,28 @@
 	})
 }
 
+// turnRequest names a turn in the path of a request.
+type turnRequest struct {
+	ID string `path:"id"`
+}
+
+// turnHandler writes the description of a turn as JSON.
+func turnHandler(describe func(id string) (history.ChainInfo, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var request turnRequest
+		if err := httpx.ParsePath(r, &request); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		info, err := describe(request.ID)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		httpx.OkJsonCtx(r.Context(), w, info)
+	}
+}
+
 // metricsHandler writes the metrics in set and those of the process.
 func metricsHandler(set *metrics.Set) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/test/platform/history_test.go
+++ b/test/platform/history_test.go
@@ -1,8 +1,10 @@
 package platform_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -65,6 +67,15 @@
 	for _, gateway := range gateways {
 		next(gateway)
 	}
+	output, err := exec.Command(filepath.Join(binDir, "ibisctl"), "--json", "turn", last, f.daemons["keeper-0"].httpAddr,
+		f.daemons["keeper-1"].httpAddr, f.daemons["keeper-2"].httpAddr).CombinedOutput()
+	require.NoError(t, err, "%s", output)
+	var shown struct{ Turns []struct{ Keepers []string } }
+	require.NoError(t, json.Unmarshal(output, &shown))
+	require.Len(t, shown.Turns, 2*len(gateways))
+	for _, turn := range shown.Turns {
+		require.GreaterOrEqual(t, len(turn.Keepers), 2, "%s", output)
+	}
 	f.waitUntil("an unknown turn is not found", func() bool {
 		got, received := f.chat("gateway-0", "never")
 		require.Empty(t, received)
