Store turns without the platform after a loss of power

Callers would have got no end of a turn from the moment at which all machines lost power until the platform was back: a keeper takes no turns before the platform's list contains it, and learned that from the platform only, at each start. It is now recorded on its disk. Found by reading, in the question what each mechanism does if those who know are cut off.

--- a/internal/history/fleet_test.go
+++ b/internal/history/fleet_test.go
@@ -133,11 +133,16 @@
 
 func (f *fleet) startKeeper(k *keeper, firstStart bool) {
 	k.node = f.network.Join(k.instance)
+	// A process learns that it is listed from the platform.
+	registered := false
 	var err error
 	k.log, err = turnlog.Open(k.disk.Start(), firstStart)
 	require.NoError(f.t, err)
 	k.service = history.NewKeeper(f.config, history.KeeperDeps{
-		Log: k.log, View: k.node, Dialer: k.node, Mux: k.node, Registered: func() bool { return true },
+		Log: k.log, View: k.node, Dialer: k.node, Mux: k.node, Registered: func() bool {
+			registered = registered || !f.store.Faults().Outage
+			return registered
+		},
 		Newcomer:    func() bool { return k.lastLoss.IsZero() },
 		ListDaemons: f.listDaemons, Metrics: metrics.NewSet(), Logger: testbed.NoLog(),
 	})
@@ -491,3 +496,18 @@
 		require.Empty(t, f.failure)
 	})
 }
+
+// TestTurnsAreStoredWithoutThePlatformAfterLossOfPower guards against keepers that take no turns after a restart
+// until the platform is back.
+func TestTurnsAreStoredWithoutThePlatformAfterLossOfPower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3, 1, 1)
+		f.runTurn(0, 0)
+		f.store.SetFaults(objects.Faults{Outage: true})
+		f.restartAll()
+		f.runTurn(1, 1)
+		require.Len(t, f.kept, 2)
+		f.finish()
+		require.Empty(t, f.failure)
+	})
+}
--- a/internal/history/keeper.go
+++ b/internal/history/keeper.go
@@ -173,7 +173,7 @@
 	// Counted before retiring is read: evacuate sees either the append or its turns.
 	k.appending.Add(1)
 	defer k.appending.Add(-1)
-	if k.retiring.Load() || !k.Registered() {
+	if k.retiring.Load() || !k.listed() {
 		k.refused.Inc()
 		return verdict.Refuse(verdict.Stopping, "the keeper takes no turns")
 	}
@@ -190,6 +190,21 @@
 	return s.Send(appendReply{})
 }
 
+// listed reports whether the platform's list contains this daemon. Once it has, it does, also while the
+// platform is out.
+func (k *Keeper) listed() bool {
+	if k.Log.Listed() {
+		return true
+	}
+	if !k.Registered() {
+		return false
+	}
+	if err := k.Log.MarkListed(); err != nil {
+		k.Logger.WithError(err).Error("listing of this keeper not recorded on disk")
+	}
+	return true
+}
+
 func (k *Keeper) serveChain(_ context.Context, s peer.Stream) error {
 	var request chainRequest
 	if err := s.Recv(&request); err != nil {
--- a/internal/history/turnlog/log.go
+++ b/internal/history/turnlog/log.go
@@ -93,8 +93,10 @@
 	// completeMarker is the name of the file that exists once the log has held everything that it
 	// should: it is missing on a disk that was replaced.
 	completeMarker = "complete"
+	// listedMarker is the name of the file that exists once other daemons can know of this log.
+	listedMarker = "listed"
 	// maxPendingBytes limits the records that wait for the disk.
-	maxPendingBytes = 16 << 20
+	maxPendingBytes = 4 << 20
 )
 
 // Log is safe for concurrent use.
@@ -106,6 +108,7 @@
 	segments []*segment
 	next     int
 	complete bool
+	listed   bool
 	// pending is what the next write will append.
 	pending *batch
 	writing bool
@@ -132,6 +135,8 @@
 		switch {
 		case name == completeMarker:
 			l.complete = true
+		case name == listedMarker:
+			l.listed = true
 		case strings.HasSuffix(name, segmentSuffix):
 			intact, err := l.replay(name)
 			if err != nil {
@@ -219,17 +224,31 @@
 }
 
 // MarkComplete records that everything was restored.
-func (l *Log) MarkComplete() error {
-	marker, err := l.dir.Create(completeMarker)
+func (l *Log) MarkComplete() error { return l.mark(completeMarker, &l.complete) }
+
+// Listed reports whether other daemons can know of this log, as recorded by MarkListed in this or
+// an earlier process.
+func (l *Log) Listed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listed
+}
+
+// MarkListed records that other daemons can know of this log.
+func (l *Log) MarkListed() error { return l.mark(listedMarker, &l.listed) }
+
+// mark creates a marker and then sets its flag.
+func (l *Log) mark(name string, flag *bool) error {
+	marker, err := l.dir.Create(name)
 	if err == nil {
 		err = marker.Close()
 	}
 	if err != nil && !errors.Is(err, os.ErrExist) {
-		return errors.Wrap(err, "mark the log of turns as complete")
+		return errors.Wrapf(err, "create the marker %q of the log of turns", name)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.complete = true
+	*flag = true
 	return nil
 }
 
