Soak conversations on real processes, with keepers that lose their disks

Two callers continue conversations, also from earlier turns, at changing gateways, while gateways and keepers are killed, paused and stopped, keepers lose their disks one at a time, and the platform is out. Each turn that ran must have had the whole conversation before it, and no turn that ended may be said not to exist. A keeper is not killed while the disk of another one is being restored: one may be lost at once in this fleet.

--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -53,6 +53,10 @@
 	// sentTo holds the gateway of each attempt, and disturbed the events at each daemon.
 	sentTo    map[string]string
 	disturbed map[string][]period
+	// conversations are all turns on the route that keeps turns, with what a server must receive. lastLoss
+	// is the time at which a keeper last lost its disk.
+	conversations []soakTurn
+	lastLoss      time.Time
 }
 
 // soakAnswer is an answer with the kind of request and the phase in which it was sent.
@@ -94,8 +98,8 @@
 	})
 	s.phase(false, []func(){
 		s.stopGateway, s.stopHome, s.reload, s.configure, s.killGateway, s.killHome, s.killSeveral, s.pauseGateway,
-		s.killKeeper, s.outage, s.limitServer, s.limitServer, s.leaveOddEntry,
-	}, s.runCrashingClient, s.runCrashingClient)
+		s.killKeeper, s.loseDisk, s.outage, s.limitServer, s.limitServer, s.leaveOddEntry,
+	}, s.runCrashingClient, s.runCrashingClient, s.runConversation(0), s.runConversation(1))
 	s.requireRecovery()
 	s.check()
 }
@@ -226,10 +230,15 @@
 	s.begin("kill of", name, func() { s.restart(name) })
 }
 
-// killKeeper kills a keeper and starts it again with its disk.
+// killKeeper kills a keeper and starts it again with its disk, unless another disk is being restored.
 func (s *soak) killKeeper() {
 	name := fmt.Sprint("keeper-", s.random.IntN(len(locations)))
-	s.begin("kill of", name, func() { s.restart(name) })
+	s.mu.Lock()
+	recovering := time.Since(s.lastLoss) < soakDiskRecovery
+	s.mu.Unlock()
+	if !recovering {
+		s.begin("kill of", name, func() { s.restart(name) })
+	}
 }
 
 // pauseGateway suspends a gateway for a moment.
@@ -290,6 +299,7 @@
 	require.Empty(s.t, s.stopping, "planned stops end in time")
 	s.checkCrashes()
 	s.checkLimits()
+	s.checkConversations()
 	runs := s.runsByAttempt()
 	statuses := map[int]int{}
 	for _, a := range s.answers {
