Name the reason of a response that ends because its turn is not stored

The log and the metrics said reason=internal for a response that was broken off at its end, against docs/OPERATIONS.md: the error lost its verdict on the way. Evidence: TestEndOfTurnWaitsUntilItIsStored reads the metric, which had no such sample before. The sync of a directory stood twice and is shared.

--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -5,6 +5,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/history"
 	"ibisline/internal/verdict"
 )
@@ -80,11 +82,15 @@
 	})
 	j.summary.storeTime = time.Since(started)
 	if err != nil {
-		return verdict.Wrap(err, verdict.MayHaveRun, verdict.HistoryUnavailable, "the turn was not stored")
+		return verdict.Wrap(errors.Wrap(errNotKept, err.Error()), verdict.MayHaveRun, verdict.HistoryUnavailable,
+			"the response was not ended")
 	}
 	return nil
 }
 
+// errNotKept is returned when a response was relayed, but its turn could not be stored.
+var errNotKept = errors.New("the turn is not stored")
+
 // dataField begins a line of an event that holds data.
 var dataField = []byte("data:")
 
--- a/internal/gateway/history_test.go
+++ b/internal/gateway/history_test.go
@@ -103,6 +103,9 @@
 		got = h.call(http.MethodPost, "/chat/", "t1")
 		require.Zero(t, got.status, "the response must not look complete")
 		require.Contains(t, got.body, "one")
+		var text strings.Builder
+		h.metrics.WritePrometheus(&text)
+		require.Contains(t, text.String(), `ibisline_gateway_failures_total{reason="history_unavailable",verdict="may_have_run"} 1`)
 	})
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -113,7 +113,8 @@
 // mayResume reports whether the response may be resumed after err.
 func (s *stream) mayResume(ctx context.Context, err error) bool {
 	return s.job.route.Resumable && ctx.Err() == nil && verdict.From(err).Verdict != verdict.NotRun &&
-		!errors.Is(err, errCallerGone) && !errors.Is(err, errNotKept) && !errors.Is(err, errGrantLost) && !verdict.HasReason(err, verdict.Quarantined)
+		!errors.Is(err, errCallerGone) && !errors.Is(err, errGrantLost) && !errors.Is(err, errNotKept) &&
+		!verdict.HasReason(err, verdict.Quarantined)
 }
 
 // resume requests the rest of the response from the same server, and from another one only
@@ -190,8 +191,6 @@
 	errInsideEvent = errors.New("ended inside an event")
 	// errNotRest: the server answered the resume of a stream with something else than its rest.
 	errNotRest = errors.New("not the rest of the stream")
-	// errNotKept: the response was relayed, but the turn could not be stored.
-	errNotKept = errors.New("the turn is not kept")
 	// errNoRun: there is no run to resume.
 	errNoRun = errors.New("no run to resume")
 )
@@ -252,10 +251,7 @@
 	if err := s.sendHead(sent); err != nil {
 		return err
 	}
-	if err := g.keepTurn(s.ctx, s.job, s.output); err != nil {
-		return errors.Wrap(errNotKept, err.Error())
-	}
-	return nil
+	return g.keepTurn(s.ctx, s.job, s.output)
 }
 
 // eventProgress tells a stream that makes progress from one that only sends bytes.
@@ -331,7 +327,7 @@
 	s.gateway.recordCompletion(s.job, sent)
 	if sent.response.Status/100 == 2 {
 		if err := s.gateway.keepTurn(s.ctx, s.job, nil); err != nil {
-			return errors.Wrap(errNotKept, err.Error())
+			return err
 		}
 	}
 	s.headSent = true
--- a/internal/history/turnlog/dir.go
+++ b/internal/history/turnlog/dir.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/go-faster/errors"
+
+	"ibisline/internal/record"
 )
 
 // Dir is a directory on the disk of an instance.
@@ -39,7 +41,7 @@
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, errors.Wrap(err, "create the directory of turns")
 	}
-	if err := syncDir(filepath.Dir(path)); err != nil {
+	if err := record.SyncDir(filepath.Dir(path)); err != nil {
 		return nil, errors.Wrap(err, "sync the parent of the directory of turns")
 	}
 	return osDir{path}, nil
@@ -63,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := syncDir(d.path); err != nil {
+	if err := record.SyncDir(d.path); err != nil {
 		return nil, errors.Join(err, file.Close())
 	}
 	return osFile{file}, nil
@@ -89,11 +91,3 @@
 	}
 	return info.Size(), nil
 }
-
-func syncDir(path string) error {
-	dir, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(dir.Sync(), dir.Close())
-}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -1,5 +1,5 @@
 // Package record frames the records of a file on disk, each with its length and a checksum,
-// so that a reader finds the end of what was written whole.
+// so that a reader finds the end of what was written whole, and syncs directories.
 package record
 
 import (
--- a/internal/tokenbudget/journal/file.go
+++ b/internal/tokenbudget/journal/file.go
@@ -5,6 +5,8 @@
 	"path/filepath"
 
 	"github.com/go-faster/errors"
+
+	"ibisline/internal/record"
 )
 
 // fileName is the name of the journal file in its directory.
@@ -75,16 +77,7 @@
 	if err := os.Rename(temporary, f.path()); err != nil {
 		return err
 	}
-	return syncDir(f.dir)
-}
-
-func syncDir(path string) error {
-	dir, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	defer dir.Close()
-	return dir.Sync()
+	return record.SyncDir(f.dir)
 }
 
 // Close closes the file if it is open.
