Do not close a connection of which a request is being read in a planned stop

Cause: 2.5 s after the SIGTERM the gateway calls SetKeepAlivesEnabled(false), which closes all idle connections. net/http counts a connection as idle until the whole header was read and parsed, so one of which a request has just been read is closed too. Ruled out: the end of the process, as the request was in progress and the drain waits for those; the balancer, as the connection was open before.

Connections now know when bytes were last read. Evidence: TestRequestThatIsBeingReadAsConnectionsCloseIsAnswered fails before ('read/write on closed pipe').

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,7 +69,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(trackedListener{s.listener})
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
 		return nil
@@ -88,7 +88,8 @@
 // Drain keeps serving for BalancerDelay, so that the balancer notices the stop. It then
 // accepts no new connections, closes the idle ones and waits for the requests in progress. A
 // request that arrives later on an open connection is still answered, unlike with
-// http.Server.Shutdown, which drops requests that it has read.
+// http.Server's Shutdown and SetKeepAlivesEnabled, which close connections of which a request is being
+// read. Responses since Leave end their connections.
 func (s *Server) Drain(ctx context.Context) error {
 	processEnd, _ := ctx.Deadline()
 	s.Leave(processEnd)
@@ -97,8 +98,7 @@
 	if err := s.listener.Close(); err != nil {
 		s.Log.WithError(err).Warn("listener for callers not closed")
 	}
-	s.http.SetKeepAlivesEnabled(false)
-	for s.conns.busy(time.Now()) {
+	for s.conns.closeIdle(time.Now()) {
 		if !timers.Sleep(ctx, drainPollInterval) {
 			return errors.Errorf("drain: %d requests of callers still in progress", s.Active())
 		}
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -130,3 +131,45 @@
 		time.Sleep(grace)
 	})
 }
+
+// Guards against closing a kept connection of which a request is being read when the daemon ceases to
+// accept connections: the request would be passed on and not answered.
+func TestRequestThatIsBeingReadAsConnectionsCloseIsAnswered(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done"})
+		quiet, used := h.connect(), h.connect()
+		responses := bufio.NewReader(used)
+		post := func(id string) string {
+			return fmt.Sprintf("POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n",
+				platformtest.HeaderAttempt, id)
+		}
+		for _, conn := range []net.Conn{quiet, used} {
+			_, err := conn.Write([]byte(post("first")))
+			require.NoError(t, err)
+			reader := responses
+			if conn == quiet {
+				reader = bufio.NewReader(conn)
+			}
+			response, err := http.ReadResponse(reader, nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, response.StatusCode)
+			_, err = io.Copy(io.Discard, response.Body)
+			require.NoError(t, err)
+		}
+		h.beginStop()
+		time.Sleep(balancerDelay - time.Millisecond)
+		second := post("second")
+		_, err := used.Write([]byte(second[:len(second)/2]))
+		require.NoError(t, err)
+		time.Sleep(2 * time.Millisecond)
+		_, err = used.Write([]byte(second[len(second)/2:]))
+		require.NoError(t, err)
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.True(t, response.Close)
+		_, err = quiet.Write([]byte("x"))
+		require.Error(t, err, "a connection without a request is closed")
+		time.Sleep(grace)
+	})
+}
