Leave connections without a first request open in a planned stop

A request that arrived at the same instant was read and dropped: its connection ended without an answer, so that a caller may not repeat it. Such connections stay open until the process ends, as before.

--- a/internal/gateway/conns.go
+++ b/internal/gateway/conns.go
@@ -92,20 +92,18 @@
 	}
 }
 
-// closeIdle closes the connections without a request, and reports whether others are left: those with a
-// request in progress, or on which one may be on its way.
+// closeIdle closes the connections on which requests have ended, and reports whether others are left:
+// those with a request in progress, or on which one may be on its way.
 func (t *connTracker) closeIdle(now time.Time) (left bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for conn, acceptedAt := range t.fresh {
-		if now.Sub(acceptedAt) >= requestGrace && conn.(*trackedConn).closeUnlessReceiving(now) {
-			delete(t.fresh, conn)
-		}
-	}
 	for conn := range t.idle {
 		if conn.(*trackedConn).closeUnlessReceiving(now) {
 			delete(t.idle, conn)
 		}
 	}
-	return len(t.fresh)+len(t.idle)+len(t.active) > 0
+	for _, acceptedAt := range t.fresh {
+		left = left || now.Sub(acceptedAt) < requestGrace
+	}
+	return left || len(t.idle)+len(t.active) > 0
 }
