--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"ibisline/internal/fake/stalled"
+	"ibisline/internal/gateway"
 	"ibisline/platform/platformtest"
 )
 
@@ -173,3 +175,50 @@
 		time.Sleep(grace)
 	})
 }
+
+// Guards against closing a kept connection on which a request has arrived that the daemon, which was not
+// scheduled for a while, has not read yet: its caller would get no answer.
+func TestRequestUnreadAsConnectionsCloseIsAnswered(t *testing.T) {
+	h := newHarness(t)
+	defer h.stop()
+	h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done"})
+	listener := stalled.Listen(t)
+	const delay = 1200 * time.Millisecond
+	server := gateway.NewServer(listener, h.gateway, gateway.StopConfig{BalancerDelay: delay})
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go func() { _ = server.Run(ctx) }()
+	conn, err := net.Dial("tcp", server.Addr())
+	require.NoError(t, err)
+	defer conn.Close()
+	responses := bufio.NewReader(conn)
+	post := func(id string) {
+		_, err := fmt.Fprintf(conn, "POST /redeem/1 HTTP/1.1\r\nHost: a.example\r\n%s: %s\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n",
+			platformtest.HeaderAttempt, id)
+		require.NoError(t, err)
+	}
+	receive := func() *http.Response {
+		response, err := http.ReadResponse(responses, nil)
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+		return response
+	}
+	post("first")
+	require.Equal(t, http.StatusOK, receive().StatusCode)
+	drained := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		drained <- server.Drain(ctx)
+	}()
+	time.Sleep(delay / 2)
+	listener.Stall()
+	post("second")
+	time.Sleep(delay)
+	listener.Resume()
+	response := receive()
+	require.Equal(t, http.StatusOK, response.StatusCode)
+	require.True(t, response.Close, "the caller reconnects to another daemon")
+	require.NoError(t, <-drained)
+}
