Let the reader of a connection end it in a planned stop

What callers saw: a request on a kept connection was reset if it arrived while the leaving gateway was not scheduled, shortly before the balancer delay ended. It did not run, but its caller cannot know that.

Cause: the drain closed connections by the time of their last read. Bytes that wait in the kernel are not read yet, so that this state lags behind the connection. Class: a state that lags behind what it describes, used for a decision that cannot be taken back; mended it for bytes that were read and not parsed.

Now the drain only interrupts the read of a connection without a request, and the goroutine that reads decides: if nothing has arrived, the read reports the end of the connection; otherwise it goes on. So no request is dropped after it was read either, and connections without a first request can be closed again, which had to leave open. What remains is a request that crosses the close on the network.

--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/httpconn"
 	"ibisline/internal/timers"
 )
 
@@ -21,8 +22,6 @@
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes limits the size of a request header.
 	maxHeaderBytes = 64 << 10
-	// drainPollInterval is the interval at which a planned stop checks for requests in progress.
-	drainPollInterval = 20 * time.Millisecond
 )
 
 // StopConfig configures the planned stop.
@@ -38,7 +37,7 @@
 	stop     StopConfig
 	listener net.Listener
 	http     http.Server
-	conns    *connTracker
+	conns    *httpconn.Tracker
 	draining atomic.Bool
 }
 
@@ -53,12 +52,12 @@
 
 // NewServer returns a server for g on a listener.
 func NewServer(listener net.Listener, g *Gateway, stop StopConfig) *Server {
-	s := &Server{Gateway: g, stop: stop, listener: listener, conns: newConnTracker()}
+	s := &Server{Gateway: g, stop: stop, listener: listener}
 	s.http.Handler = g
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
 	s.http.MaxHeaderBytes = maxHeaderBytes
-	s.http.ConnState = s.conns.record
+	s.conns = httpconn.Track(&s.http)
 	return s
 }
 
@@ -69,7 +68,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
-	err := s.http.Serve(trackedListener{s.listener})
+	err := s.http.Serve(s.conns.Listener(s.listener))
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
 		return nil
@@ -87,9 +86,8 @@
 
 // Drain keeps serving for BalancerDelay, so that the balancer notices the stop. It then
 // accepts no new connections, closes the idle ones and waits for the requests in progress. A
-// request that arrives later on an open connection is still answered, unlike with
-// http.Server's Shutdown and SetKeepAlivesEnabled, which close connections of which a request is being
-// read. Responses since Leave end their connections.
+// request that arrives before its connection is closed is still answered. Responses since Leave end their
+// connections.
 func (s *Server) Drain(ctx context.Context) error {
 	processEnd, _ := ctx.Deadline()
 	s.Leave(processEnd)
@@ -98,10 +96,8 @@
 	if err := s.listener.Close(); err != nil {
 		s.Log.WithError(err).Warn("listener for callers not closed")
 	}
-	for s.conns.closeIdle(time.Now()) {
-		if !timers.Sleep(ctx, drainPollInterval) {
-			return errors.Errorf("drain: %d requests of callers still in progress", s.Active())
-		}
+	if err := s.conns.Drain(ctx); err != nil {
+		return errors.Wrapf(err, "%d requests of callers still in progress", s.Active())
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/httpconn/httpconn.go
@@ -0,0 +1,180 @@
+// Package httpconn ends the connections of an http.Server in a planned stop without dropping a request.
+//
+// net/http cannot do that: it counts a connection as idle until it has parsed the header of the next
+// request, so that http.Server's Shutdown and SetKeepAlivesEnabled close connections on which a request
+// has arrived, or is being read. Here only the goroutine that reads from a connection decides to
+// end it, after it has found that nothing was received.
+package httpconn
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/timers"
+)
+
+const (
+	// firstRequestGrace is the time that a caller has for its first request on a connection.
+	firstRequestGrace = time.Second
+	// pollInterval is the interval at which Drain checks for connections that are left.
+	pollInterval = 20 * time.Millisecond
+)
+
+// Tracker knows the connections of one http.Server. It is safe for concurrent use.
+type Tracker struct {
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+}
+
+// Track makes server report its connections to a new tracker. The server must serve a listener that
+// is returned by Listener, and may not have a ConnState hook of its own.
+func Track(server *http.Server) *Tracker {
+	t := &Tracker{conns: map[*conn]struct{}{}}
+	server.ConnState = t.setState
+	return t
+}
+
+// Listener returns l with connections that Drain can end.
+func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
+
+// Drain ends each connection as soon as it has no request in progress, and returns when none is left.
+// Requests that arrive until then are served. The listener must be closed before. The error is
+// that of ctx, if it ends first; the connections that are left must then be closed by the server.
+func (t *Tracker) Drain(ctx context.Context) error {
+	for {
+		left := t.endIdle(time.Now())
+		if left == 0 {
+			return nil
+		}
+		if !timers.Sleep(ctx, pollInterval) {
+			return errors.Wrapf(ctx.Err(), "drain: %d connections left", left)
+		}
+	}
+}
+
+// setState is the http.Server's ConnState hook.
+func (t *Tracker) setState(c net.Conn, state http.ConnState) {
+	tracked := c.(*conn)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch state {
+	case http.StateNew:
+		t.conns[tracked] = struct{}{}
+	case http.StateIdle:
+		tracked.requestEnded()
+	case http.StateClosed, http.StateHijacked:
+		delete(t.conns, tracked)
+	}
+}
+
+// endIdle begins to end the connections without a request, and returns how many connections are left.
+func (t *Tracker) endIdle(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		c.endIfIdle(now)
+	}
+	return len(t.conns)
+}
+
+// listener accepts connections as conn.
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: c, idle: true, idleUntil: time.Now().Add(firstRequestGrace)}, nil
+}
+
+// conn is a connection that is ended by its reader: Read returns io.EOF, upon which net/http closes it.
+type conn struct {
+	net.Conn
+	mu sync.Mutex
+	// idle is set while no byte of the next request was read. It must not be ended before idleUntil.
+	idle      bool
+	idleUntil time.Time
+	// interrupted is set while the read deadline is in the past to make Read return.
+	interrupted bool
+	// readDeadline is the deadline that net/http has set.
+	readDeadline time.Time
+}
+
+// requestEnded records that the response to a request was written.
+func (c *conn) requestEnded() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle = true
+}
+
+// endIfIdle interrupts a Read that waits for a request. It reports nothing, as only the reader knows
+// whether a request has arrived in the meantime.
+func (c *conn) endIfIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.idle || now.Before(c.idleUntil) {
+		return
+	}
+	c.interrupted = true
+	// An error means that the connection is closed already, and then Read returns anyway.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// SetReadDeadline and SetDeadline are used by net/http. They must not undo an interruption, which the
+// reader undoes itself.
+func (c *conn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = at
+	if c.interrupted {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(at)
+}
+
+func (c *conn) SetDeadline(at time.Time) error {
+	if err := c.SetReadDeadline(at); err != nil {
+		return err
+	}
+	return c.Conn.SetWriteDeadline(at)
+}
+
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		again, err := c.afterRead(n, err)
+		if !again {
+			return n, err
+		}
+	}
+}
+
+// afterRead evaluates the result of a read. It reports whether to read again, after an interruption
+// during which bytes have arrived.
+func (c *conn) afterRead(n int, err error) (again bool, _ error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	wasIdle := c.idle
+	if n > 0 {
+		c.idle = false
+	}
+	if !c.interrupted {
+		return false, err
+	}
+	c.interrupted = false
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && wasIdle && !hasUnread(c.Conn) {
+		return false, io.EOF
+	}
+	if deadlineErr := c.Conn.SetReadDeadline(c.readDeadline); deadlineErr != nil && err == nil {
+		return false, errors.Wrap(deadlineErr, "restore read deadline")
+	}
+	return n == 0 && errors.Is(err, os.ErrDeadlineExceeded), err
+}
