Refuse the last requests before the server of the product's own interface stops

What callers saw: a request that had arrived but that no handler counted yet, or a response that net/http had not flushed when its handler returned, was cut off as the daemon stopped; a request without an answer may not be repeated.

Cause: API.Drain counts requests in handlers, and the server then closed all connections.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/rest"
 
+	"ibisline/internal/httpconn"
 	"ibisline/internal/verdict"
 )
 
@@ -17,6 +18,9 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle keep-alive connection is closed.
 	idleTimeout = 2 * time.Minute
+	// stopLimit bounds the time for refusing the last requests when the server stops. It exceeds the
+	// time that a caller has for its first request on a connection.
+	stopLimit = 2 * time.Second
 )
 
 // RestConf returns the configuration of a go-zero rest server that rejects no
@@ -42,6 +46,7 @@
 	rest     *rest.Server
 	listener net.Listener
 	http     http.Server
+	conns    *httpconn.Tracker
 }
 
 // NewServer returns a server without routes.
@@ -72,22 +77,35 @@
 	s.http.Handler = http.HandlerFunc(handler.Serve)
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	s.http.IdleTimeout = idleTimeout
+	s.conns = httpconn.Track(&s.http)
 	return nil
 }
 
 // Addr returns the address bound by Listen.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// Run serves until ctx ends and then closes the remaining connections. A planned
-// stop calls API.Drain first.
+// Run serves until ctx ends. It then closes each connection once it has no request in progress, which
+// takes stopLimit at most. A planned stop calls API.Drain first.
 func (s *Server) Run(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { s.http.Close() })
-	defer stop()
-	err := s.http.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(s.conns.Listener(s.listener)) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "serve callers") // never nil
+	case <-ctx.Done():
 	}
-	return errors.Wrap(err, "serve callers")
+	if err := s.listener.Close(); err != nil {
+		return errors.Wrap(err, "stop listening for callers")
+	}
+	<-served // an error, as the listener is closed
+	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	drainErr := s.conns.Drain(limit)
+	// Cuts off the connections that are left after the limit.
+	if err := errors.Join(drainErr, s.http.Close()); err != nil {
+		return errors.Wrap(err, "close connections of callers")
+	}
+	return nil
 }
 
 // notFound refuses a request to an unknown path.
