Do not cancel a request in progress that was read with the one before it

What callers saw: of two requests that were sent together on a connection, the second was cancelled by a planned stop while it ran.

Cause: took a connection as idle from the end of a response until the next read. The second request is parsed from net/http's buffer without one; the drain interrupted net/http's read in the background, which reported the end of the connection. Found by review.

The connection counts as in use when net/http has parsed a header, too.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -88,7 +88,7 @@
 // takes stopLimit at most. A planned stop calls API.Drain first.
 func (s *Server) Run(ctx context.Context) error {
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.conns.Listener(s.listener)) }()
+	go func() { served <- s.conns.Serve(s.listener) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers") // never nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -68,7 +68,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
-	err := s.http.Serve(s.conns.Listener(s.listener))
+	err := s.conns.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
 		return nil
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -29,20 +29,22 @@
 
 // Tracker knows the connections of one http.Server. It is safe for concurrent use.
 type Tracker struct {
+	server *http.Server
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 }
 
-// Track makes server report its connections to a new tracker. The server must serve a listener that
-// is returned by Listener, and may not have a ConnState hook of its own.
+// Track makes server report its connections to a new tracker. The server must be run by Serve, and may
+// not have a ConnState hook of its own.
 func Track(server *http.Server) *Tracker {
-	t := &Tracker{conns: map[*conn]struct{}{}}
+	t := &Tracker{server: server, conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
 	return t
 }
 
-// Listener returns l with connections that Drain can end.
-func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
+// Serve serves l until it is closed, and returns the error of http.Server's Serve. It is called once.
+func (t *Tracker) Serve(l net.Listener) error { return t.server.Serve(listener{l}) }
 
 // Drain ends each connection as soon as it has no request in progress, and returns when none is left.
 // Requests that arrive until then are served. The listener must be closed before. The error is
@@ -67,8 +69,10 @@
 	switch state {
 	case http.StateNew:
 		t.conns[tracked] = struct{}{}
+	case http.StateActive:
+		tracked.setIdle(false) // also for a request that was read together with the one before
 	case http.StateIdle:
-		tracked.requestEnded()
+		tracked.setIdle(true)
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, tracked)
 	}
@@ -108,11 +112,10 @@
 	readDeadline time.Time
 }
 
-// requestEnded records that the response to a request was written.
-func (c *conn) requestEnded() {
+func (c *conn) setIdle(idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = true
+	c.idle = idle
 }
 
 // endIfIdle interrupts a Read that waits for a request. It reports nothing, as only the reader knows
--- /dev/null
+++ b/internal/httpconn/httpconn_test.go
@@ -0,0 +1,116 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/httpconn"
+)
+
+// drainLimit is the time that a drain may take in the tests.
+const drainLimit = 8 * time.Second
+
+// slowPath is handled in slowTime, other paths at once.
+const (
+	slowPath = "/slow"
+	slowTime = 3 * time.Second
+)
+
+// pipeListener accepts connections that connect makes in memory, after the time acceptDelay.
+type pipeListener struct {
+	conns       chan net.Conn
+	closed      chan struct{}
+	close       sync.Once
+	acceptDelay time.Duration
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		time.Sleep(l.acceptDelay)
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (l *pipeListener) Close() error {
+	l.close.Do(func() { close(l.closed) })
+	return nil
+}
+
+// connect opens a connection on which text is sent.
+func (l *pipeListener) connect(t *testing.T, text string) net.Conn {
+	near, far := net.Pipe()
+	l.conns <- far
+	send(t, near, text)
+	return near
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+}
+
+// withServer runs test in virtual time with a server, which drain drains. It returns the error of the drain.
+func withServer(t *testing.T, acceptDelay time.Duration, test func(t *testing.T, l *pipeListener, drain func() error)) {
+	synctest.Test(t, func(t *testing.T) {
+		server := &http.Server{ReadHeaderTimeout: drainLimit, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == slowPath {
+				select {
+				case <-time.After(slowTime):
+				case <-r.Context().Done():
+					w.WriteHeader(http.StatusInternalServerError)
+				}
+			}
+		})}
+		tracker := httpconn.Track(server)
+		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{}), acceptDelay: acceptDelay}
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			_ = tracker.Serve(l) // net.ErrClosed
+		}()
+		test(t, l, func() error {
+			require.NoError(t, l.Close())
+			ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
+			defer cancel()
+			return tracker.Drain(ctx)
+		})
+		require.NoError(t, server.Close())
+		<-served
+	})
+}
+
+func requireOK(t *testing.T, responses *bufio.Reader) {
+	response, err := http.ReadResponse(responses, nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n" }
+
+// Guards against cancelling a request in progress that was read together with the one before it.
+func TestPipelinedRequestIsNotCancelledByDrain(t *testing.T) {
+	withServer(t, 0, func(t *testing.T, l *pipeListener, drain func() error) {
+		conn := l.connect(t, get("/")+get(slowPath))
+		responses := bufio.NewReader(conn)
+		requireOK(t, responses)
+		time.Sleep(slowTime / 2)
+		drained := make(chan error, 1)
+		go func() { drained <- drain() }()
+		requireOK(t, responses)
+		require.NoError(t, <-drained)
+	})
+}
