Wait for connections that are being accepted before a drain ends

What callers saw: the request of a connection that was accepted just before the listener closed was cut off at the end of the process, although it had been read and perhaps passed on.

Cause: the gateway's drain looked for connections while http.Server had accepted one and not reported it yet. Found by review.

Drain waits until Serve has returned; then each accepted connection is known.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -97,7 +97,6 @@
 	if err := s.listener.Close(); err != nil {
 		return errors.Wrap(err, "stop listening for callers")
 	}
-	<-served // an error, as the listener is closed
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	drainErr := s.conns.Drain(limit)
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -30,6 +30,8 @@
 // Tracker knows the connections of one http.Server. It is safe for concurrent use.
 type Tracker struct {
 	server *http.Server
+	// accepted is closed once no further connection is accepted.
+	accepted chan struct{}
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -38,18 +40,26 @@
 // Track makes server report its connections to a new tracker. The server must be run by Serve, and may
 // not have a ConnState hook of its own.
 func Track(server *http.Server) *Tracker {
-	t := &Tracker{server: server, conns: map[*conn]struct{}{}}
+	t := &Tracker{server: server, accepted: make(chan struct{}), conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
 	return t
 }
 
 // Serve serves l until it is closed, and returns the error of http.Server's Serve. It is called once.
-func (t *Tracker) Serve(l net.Listener) error { return t.server.Serve(listener{l}) }
+func (t *Tracker) Serve(l net.Listener) error {
+	defer close(t.accepted)
+	return t.server.Serve(listener{l})
+}
 
 // Drain ends each connection as soon as it has no request in progress, and returns when none is left.
 // Requests that arrive until then are served. The listener must be closed before. The error is
 // that of ctx, if it ends first; the connections that are left must then be closed by the server.
 func (t *Tracker) Drain(ctx context.Context) error {
+	select {
+	case <-t.accepted:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "drain: connections are still accepted")
+	}
 	for {
 		left := t.endIdle(time.Now())
 		if left == 0 {
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -114,3 +114,24 @@
 		require.NoError(t, <-drained)
 	})
 }
+
+// Guards against ending the drain before a connection that was just accepted is known.
+func TestDrainWaitsForConnectionThatWasJustAccepted(t *testing.T) {
+	const acceptDelay = 500 * time.Millisecond
+	withServer(t, acceptDelay, func(t *testing.T, l *pipeListener, drain func() error) {
+		status := make(chan int, 1)
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(l.connect(t, get("/"))), nil)
+			if err != nil {
+				status <- 0
+				return
+			}
+			status <- response.StatusCode
+		}()
+		synctest.Wait()
+		require.NoError(t, drain())
+		synctest.Wait()
+		require.Len(t, status, 1, "answered when the drain ends")
+		require.Equal(t, http.StatusOK, <-status)
+	})
+}
