End a connection with a part of a header within a second in a drain

What callers saw: a caller that sent a line feed after a request, or a part of a header, kept the planned stop of its daemon waiting until the limit; the services that stop after the gateway then had no time left.

Cause: ended connections only if no byte of a next request was read, and net/http reads up to four of them under the idle time-out. Found by review (8.0 s of 8 s).

A connection with a part of a header is kept for a second after its last bytes. Its reader closes it itself, as net/http would respond 400 to the part. Evidence: TestDrainEndsConnectionWithPartOfHeader failed before (deadline exceeded, 1 connection left), 30 of 30 race runs pass.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -8,7 +8,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -21,8 +20,9 @@
 )
 
 const (
-	// firstRequestGrace is the time that a caller has for its first request on a connection.
-	firstRequestGrace = time.Second
+	// requestGrace is the time that a caller has during a drain for its first request on a connection, or
+	// for the rest of a header.
+	requestGrace = time.Second
 	// pollInterval is the interval at which Drain checks for connections that are left.
 	pollInterval = 20 * time.Millisecond
 )
@@ -61,7 +61,7 @@
 		return errors.Wrap(ctx.Err(), "drain: connections are still accepted")
 	}
 	for {
-		left := t.endIdle(time.Now())
+		left := t.interruptIdle(time.Now())
 		if left == 0 {
 			return nil
 		}
@@ -80,20 +80,21 @@
 	case http.StateNew:
 		t.conns[tracked] = struct{}{}
 	case http.StateActive:
-		tracked.setIdle(false) // also for a request that was read together with the one before
+		tracked.setActive(true) // also for a request that was read together with the one before
 	case http.StateIdle:
-		tracked.setIdle(true)
+		tracked.setActive(false)
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, tracked)
 	}
 }
 
-// endIdle begins to end the connections without a request, and returns how many connections are left.
-func (t *Tracker) endIdle(now time.Time) int {
+// interruptIdle interrupts the readers of connections without a request, and returns how many connections
+// are left.
+func (t *Tracker) interruptIdle(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for c := range t.conns {
-		c.endIfIdle(now)
+		c.interruptIfIdle(now)
 	}
 	return len(t.conns)
 }
@@ -106,34 +107,36 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, idle: true, idleUntil: time.Now().Add(firstRequestGrace)}, nil
+	return &conn{Conn: c, keepUntil: time.Now().Add(requestGrace)}, nil
 }
 
-// conn is a connection that is ended by its reader: Read returns io.EOF, upon which net/http closes it.
+// conn is a connection that is ended by its reader.
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// idle is set while no byte of the next request was read. It must not be ended before idleUntil.
-	idle      bool
-	idleUntil time.Time
+	// active is set while a request is in progress, from its header to the end of the response.
+	active bool
+	// keepUntil is the time until which a request is expected. The connection must not be ended before.
+	keepUntil time.Time
 	// interrupted is set while the read deadline is in the past to make Read return.
 	interrupted bool
 	// readDeadline is the deadline that net/http has set.
 	readDeadline time.Time
 }
 
-func (c *conn) setIdle(idle bool) {
+func (c *conn) setActive(active bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.active = active
+	c.keepUntil = time.Time{}
 }
 
-// endIfIdle interrupts a Read that waits for a request. It reports nothing, as only the reader knows
+// interruptIfIdle interrupts a Read that waits for a request. It reports nothing, as only the reader knows
 // whether a request has arrived in the meantime.
-func (c *conn) endIfIdle(now time.Time) {
+func (c *conn) interruptIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle || now.Before(c.idleUntil) {
+	if c.active || now.Before(c.keepUntil) {
 		return
 	}
 	c.interrupted = true
@@ -175,16 +178,16 @@
 func (c *conn) afterRead(n int, err error) (again bool, _ error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wasIdle := c.idle
-	if n > 0 {
-		c.idle = false
+	if n > 0 && !c.active {
+		c.keepUntil = time.Now().Add(requestGrace)
 	}
 	if !c.interrupted {
 		return false, err
 	}
 	c.interrupted = false
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && wasIdle && !hasUnread(c.Conn) {
-		return false, io.EOF
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.active && !hasUnread(c.Conn) {
+		// net/http would respond to a part of a header, and its callers take that for a refusal.
+		return false, errors.Join(err, c.Conn.Close())
 	}
 	if deadlineErr := c.Conn.SetReadDeadline(c.readDeadline); deadlineErr != nil && err == nil {
 		return false, errors.Wrap(deadlineErr, "restore read deadline")
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -135,3 +135,23 @@
 		require.Equal(t, http.StatusOK, <-status)
 	})
 }
+
+// Guards against a drain that lasts until its limit because of a caller that has sent part of a header, or
+// a line feed after a request.
+func TestDrainEndsConnectionWithPartOfHeader(t *testing.T) {
+	for _, part := range []string{"\r\n", "GET / HTTP/1.1\r\nHo"} {
+		withServer(t, 0, func(t *testing.T, l *pipeListener, drain func() error) {
+			conn := l.connect(t, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 0\r\n\r\n")
+			responses := bufio.NewReader(conn)
+			requireOK(t, responses)
+			send(t, conn, part)
+			begin := time.Now()
+			drained := make(chan error, 1)
+			go func() { drained <- drain() }()
+			_, err := responses.ReadByte()
+			require.ErrorIs(t, err, io.EOF, "a request that did not arrive has no response")
+			require.NoError(t, <-drained)
+			require.Less(t, time.Since(begin), drainLimit/4)
+		})
+	}
+}
