End the sending direction of a tracked connection when net/http asks for it

What callers saw: after a response to a request whose body was not read, the connection ended 0.5 s later than before. Found by review. Also, a request that is refused because the gate has closed in the same instant now gets 'Connection: close' in any case.

--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -107,15 +107,18 @@
 		defer func() { seconds.UpdateDuration(start) }()
 		x := &exchange{w: w, r: r, requestID: requestID(r), program: pathvar.Vars(r)["id"]}
 		w.Header().Set(HeaderRequestID, x.requestID)
+		admitted := a.gate.enter()
+		if admitted {
+			defer a.gate.leave()
+		}
 		if a.gate.leaving() {
 			// Makes the caller reconnect, so that its next request reaches another daemon.
 			w.Header().Set("Connection", "close")
 		}
-		if !a.gate.enter() {
+		if !admitted {
 			writeFailure(w, x.requestID, verdict.Refuse(verdict.Stopping, "daemon is stopping"))
 			return
 		}
-		defer a.gate.leave()
 		if err := serve(x); err != nil {
 			a.fail(x, route, err)
 		}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -163,6 +163,14 @@
 	return c.Conn.SetWriteDeadline(at)
 }
 
+// CloseWrite is used by net/http to end a response whose request was not read to its end.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -155,3 +155,24 @@
 		})
 	}
 }
+
+// Guards against ending a connection later than needed after a response to a request whose body was not
+// read: its caller waits for that end.
+func TestResponseBeforeBodyEndsConnectionAtOnce(t *testing.T) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() { _ = httpconn.Track(server).Serve(l) }() // http.ErrServerClosed
+	defer server.Close()
+	conn, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	send(t, conn, "POST / HTTP/1.1\r\nHost: test\r\nContent-Length: 1000000\r\n\r\npart")
+	// net/http closes both directions 500 ms after the one in which it sends.
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(400*time.Millisecond)))
+	_, err = io.Copy(io.Discard, conn)
+	require.NoError(t, err)
+}
