--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -88,7 +88,7 @@
 // takes stopLimit at most. A planned stop calls API.Drain first.
 func (s *Server) Run(ctx context.Context) error {
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.conns.Listener(s.listener)) }()
+	go func() { served <- s.conns.Serve(s.listener) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers") // never nil
@@ -97,7 +97,6 @@
 	if err := s.listener.Close(); err != nil {
 		return errors.Wrap(err, "stop listening for callers")
 	}
-	<-served // an error, as the listener is closed
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
 	drainErr := s.conns.Drain(limit)
