Keep a connection between daemons that short calls use all the time

What callers saw: between daemons a call could be cut off as its connection was closed as idle, which is an outcome unknown; and connections in constant use were dialled again and again.

Cause: the monitor looked at intervals whether a stream was open, and took a connection for idle on which none was open at those moments. A call could also begin between the look and the close. Found by review.

A link records when it was last wanted, and is taken out of use under the lock that hands it out, before it is closed.

--- a/internal/peer/fault_test.go
+++ b/internal/peer/fault_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -248,3 +249,32 @@
 		return connections() > 2
 	}, waitLimit, 100*time.Millisecond)
 }
+
+// Guards against closing a connection as idle that short calls use all the time, none of which happens to be
+// open when the connection is looked at: a call that begins at that moment is cut off.
+func TestConnectionInUseByShortCallsIsKept(t *testing.T) {
+	var dials atomic.Int32
+	config := shortTimeouts
+	config.PingInterval = 100 * time.Millisecond
+	config.IdleTimeout = 500 * time.Millisecond
+	config.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		dials.Add(1)
+		return new(net.Dialer).DialContext(ctx, "tcp", addr)
+	}
+	p := connect(t, config, serveEcho)
+	var before int32
+	// Starts again after a pause that is long enough for the connection to be idle.
+	for last, begin := (time.Time{}), time.Now(); time.Since(begin) < 4*config.IdleTimeout; {
+		if time.Since(last) > config.IdleTimeout/2 {
+			before, begin = 0, time.Now()
+		}
+		last = time.Now()
+		var got note
+		require.NoError(t, peer.Call(t.Context(), p.a, "b", "echo", note{}, &got))
+		if before == 0 {
+			before = dials.Load()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Equal(t, before, dials.Load())
+}
--- a/internal/peer/session.go
+++ b/internal/peer/session.go
@@ -149,16 +149,15 @@
 	return h, nil
 }
 
-// monitor closes the session when the connection is lost or, with closeIdle, when
-// it had no streams for IdleTimeout. It pings a connection that has streams but
+// monitor closes the session when the connection is lost, or when retire, which is
+// called at intervals, returns true. It pings a connection that has streams but
 // received nothing for PingInterval, which detects a network failure that drops
-// all packets. Only the connecting side closes idle connections, because only it
-// opens streams.
-func (t *Transport) monitor(ctx context.Context, session *yamux.Session, conn *meteredConn, closeIdle bool) {
+// all packets. Only the connecting side retires idle connections, because only it
+// opens streams; retire is nil on the other side.
+func (t *Transport) monitor(ctx context.Context, session *yamux.Session, conn *meteredConn, retire func() bool) {
 	ticker := time.NewTicker(t.config.PingInterval)
 	defer ticker.Stop()
 	defer session.Close()
-	lastUsed := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -167,13 +166,12 @@
 			return
 		case <-ticker.C:
 		}
+		if retire != nil && retire() {
+			return
+		}
 		if session.NumStreams() == 0 {
-			if closeIdle && time.Since(lastUsed) > t.config.IdleTimeout {
-				return
-			}
 			continue
 		}
-		lastUsed = time.Now()
 		if conn.readWithin(t.config.PingInterval) {
 			continue
 		}
@@ -202,7 +200,7 @@
 		t.logger.WithError(err).Error("failed to start peer session")
 		return
 	}
-	t.group.Go(func() { t.monitor(ctx, session, metered, false) })
+	t.group.Go(func() { t.monitor(ctx, session, metered, nil) })
 	for {
 		raw, err := session.AcceptStream()
 		if err != nil {
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -66,6 +66,9 @@
 	session *yamux.Session
 	conn    *meteredConn
 	err     error
+	// usedAt is the time at which the link was last wanted for a stream, or seen with one. It is
+	// protected by Transport.mu.
+	usedAt time.Time
 }
 
 // NewTransport returns a transport for the daemon named self. resolve may be
@@ -217,9 +220,10 @@
 	defer t.mu.Unlock()
 	l := t.links[daemon]
 	if l != nil && l.usable() {
+		l.usedAt = time.Now()
 		return l
 	}
-	l = &link{ready: make(chan struct{})}
+	l = &link{ready: make(chan struct{}), usedAt: time.Now()}
 	t.links[daemon] = l
 	t.group.Go(func() { t.connect(daemon, l) })
 	return l
@@ -244,11 +248,28 @@
 	}
 	close(l.ready)
 	if l.err == nil {
-		t.monitor(t.ctx, l.session, l.conn, true)
+		t.monitor(t.ctx, l.session, l.conn, func() bool { return t.retireIdle(daemon, l) })
 	}
 	t.removeLink(daemon, l)
 }
 
+// retireIdle removes l if it was not wanted for IdleTimeout and has no streams, and reports whether it
+// did. Nobody can be about to open a stream on it then, as linkTo records the use under the same lock.
+func (t *Transport) retireIdle(daemon string, l *link) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l.session.NumStreams() > 0 {
+		l.usedAt = time.Now()
+	}
+	if time.Since(l.usedAt) <= t.config.IdleTimeout {
+		return false
+	}
+	if t.links[daemon] == l {
+		delete(t.links, daemon)
+	}
+	return true
+}
+
 // removeLink removes l unless a newer link has replaced it.
 func (t *Transport) removeLink(daemon string, l *link) {
 	t.mu.Lock()
