Make the poison test independent of which stream ends first

Traced by the text that the failed calls had emitted, and by the programs that each engine started: in each traced run the call had emitted two of its three tokens and ran beside the suspect that crashed its engine, at 3.000 s of virtual time. There the suspect had waited behind another suspect, whose third token, like that of the harmless calls, is due at the same instant. Which of the two comes first is not defined. A call without its first token was moved in every run; one that has emitted text is not repeated, as a second answer may differ from the text that the caller has. So the dispatcher did what it states, and the test took for granted that no text was out at the second crash.

The test now has answers of one token, emitted at the end, so that all harmless calls are without text at both crashes, and all must succeed with their whole text. TestCrashesInterruptOnlyTheStreamsOfTheCrashedEngines covers the streams with text: exactly those of the two crashed engines fail, with may_have_run and the text that they had.

By hand: without retries after a crash, and with suspects side by side, the first test fails; with calls repeated after text, the second one does.

--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -43,15 +43,27 @@
 	return total
 }
 
+// harmlessCalls starts ten calls at each daemon and returns the channels of their outcomes, by program.
+func (f *fleet) harmlessCalls() map[string]<-chan outcome {
+	calls := map[string]<-chan outcome{}
+	for _, d := range f.daemons {
+		for i := range 10 {
+			program := fmt.Sprint(d.name, i)
+			calls[program] = d.generateLater(context.Background(), modelCall(program))
+		}
+	}
+	synctest.Wait()
+	return calls
+}
+
+// Guards against a third crash, and against failing a harmless request that was interrupted before its first
+// token. An answer here is one token, because a call that has emitted text is not repeated.
 func TestPoisonCrashesTwoEnginesAndIsRefusedEverywhere(t *testing.T) {
 	runCrashFleet(t, func(t *testing.T, f *fleet) {
-		var harmless []<-chan outcome
-		for _, d := range f.daemons {
-			for i := range 10 {
-				harmless = append(harmless, d.generateLater(context.Background(), modelCall(fmt.Sprint(d.name, i))))
-			}
+		for _, server := range engineServers("e1", "e2", "e3", "e4", "e5") {
+			f.engines.Change(server.Name, func(e *scriptedengine.Engine) { e.Tokens, e.PieceInterval = 1, 3*time.Second })
 		}
-		synctest.Wait()
+		harmless := f.harmlessCalls()
 		got := f.daemons["d1"].generate(context.Background(), poisonCall("p"))
 		require.Error(t, got.err)
 		for i := range 5 {
@@ -65,7 +77,9 @@
 		}
 		require.Equal(t, 2, f.crashes())
 		for _, call := range harmless {
-			require.NoError(t, (<-call).err)
+			got := <-call
+			require.NoError(t, got.err)
+			require.Equal(t, "x", got.text)
 		}
 		for _, d := range f.daemons {
 			refused := 0
@@ -79,6 +93,35 @@
 	})
 }
 
+// Guards against repeating a call whose text the caller has, and against failing one on an engine that did not crash.
+func TestCrashesInterruptOnlyTheStreamsOfTheCrashedEngines(t *testing.T) {
+	runCrashFleet(t, func(t *testing.T, f *fleet) {
+		harmless := f.harmlessCalls()
+		time.Sleep(1500 * time.Millisecond) // each has one token
+		require.True(t, verdict.HasReason(f.daemons["d1"].generate(context.Background(), poisonCall("p")).err, verdict.Quarantined))
+		require.Equal(t, 2, f.crashes())
+		for _, server := range engineServers("e1", "e2", "e3", "e4", "e5") {
+			e := f.engines.Get(server.Name)
+			for _, program := range e.ProgramOrder {
+				if program == "p" {
+					continue
+				}
+				got := <-harmless[program]
+				delete(harmless, program)
+				if e.Crashes == 0 {
+					require.NoError(t, got.err)
+					require.Equal(t, "xxx", got.text)
+					continue
+				}
+				require.True(t, verdict.HasReason(got.err, verdict.BackendFailed), got.err)
+				require.True(t, verdict.Is(got.err, verdict.MayHaveRun), got.err)
+				require.Equal(t, "x", got.text)
+			}
+		}
+		require.Empty(t, harmless)
+	})
+}
+
 func TestQuarantineReachesNewDaemonsAndExpires(t *testing.T) {
 	runCrashFleet(t, func(t *testing.T, f *fleet) {
 		require.Error(t, f.daemons["d1"].generate(context.Background(), poisonCall("p")).err)
