Accept the connections that wait before the listener closes in a planned stop

Callers saw connections reset in a planned stop under load that they had opened, and sent requests on, while the daemon still listened. Closing a listening socket resets the connections that the kernel has completed and the process has not accepted; a process with a fraction of a core has such connections when its balancer delay ends.

Now the goroutine that accepts closes the socket, after it has found no connection waiting, as the reader of a connection does since. Stop interrupts it with a deadline and returns once the listener is closed; the last connection is known to the tracker by then, so that the drain waits for its first request. Both servers use it. A connection that is completed between the last look and the close is still reset: the kernel offers no way to refuse new connections and keep the queue.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -88,21 +88,20 @@
 // takes stopLimit at most. A planned stop calls API.Drain first.
 func (s *Server) Run(ctx context.Context) error {
 	served := make(chan error, 1)
-	go func() { served <- s.http.Serve(s.conns.Listener(s.listener)) }()
+	listener := httpconn.NewListener(s.listener)
+	go func() { served <- s.http.Serve(listener) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "serve callers") // never nil
 	case <-ctx.Done():
 	}
-	if err := s.listener.Close(); err != nil {
-		return errors.Wrap(err, "stop listening for callers")
-	}
-	<-served // an error, as the listener is closed
 	limit, cancel := context.WithTimeout(context.Background(), stopLimit)
 	defer cancel()
+	stopErr := listener.Stop(limit)
+	<-served // an error, as the listener is closed
 	drainErr := s.conns.Drain(limit)
 	// Cuts off the connections that are left after the limit.
-	if err := errors.Join(drainErr, s.http.Close()); err != nil {
+	if err := errors.Join(stopErr, drainErr, s.http.Close()); err != nil {
 		return errors.Wrap(err, "close connections of callers")
 	}
 	return nil
--- a/internal/fake/stalled/stalled.go
+++ b/internal/fake/stalled/stalled.go
@@ -27,7 +27,7 @@
 	return &Listener{TCPListener: l}
 }
 
-// Stall holds back reads until Resume. A read that has not received anything waits for the connection
+// Stall holds back reads and accepts until Resume. One connection may leave the kernel's queue meanwhile. A read that has not received anything waits for the connection
 // as before, and can be interrupted by a deadline.
 func (l *Listener) Stall() {
 	l.mu.Lock()
@@ -35,7 +35,7 @@
 	l.held = make(chan struct{})
 }
 
-// Resume lets reads continue.
+// Resume lets reads and accepts continue.
 func (l *Listener) Resume() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,6 +55,7 @@
 // Accept accepts a connection whose reads are held back by Stall.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
+	l.wait()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -35,7 +35,7 @@
 type Server struct {
 	*Gateway
 	stop     StopConfig
-	listener net.Listener
+	listener *httpconn.Listener
 	http     http.Server
 	conns    *httpconn.Tracker
 	draining atomic.Bool
@@ -52,7 +52,7 @@
 
 // NewServer returns a server for g on a listener.
 func NewServer(listener net.Listener, g *Gateway, stop StopConfig) *Server {
-	s := &Server{Gateway: g, stop: stop, listener: listener}
+	s := &Server{Gateway: g, stop: stop, listener: httpconn.NewListener(listener)}
 	s.http.Handler = g
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
@@ -68,7 +68,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
-	err := s.http.Serve(s.conns.Listener(s.listener))
+	err := s.http.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
 		return nil
@@ -85,7 +85,7 @@
 func (s *Server) Leaving() bool { return s.leaving.Load() }
 
 // Drain keeps serving for BalancerDelay, so that the balancer notices the stop. It then
-// accepts no new connections, closes the idle ones and waits for the requests in progress. A
+// accepts the connections that wait and no later ones, closes the idle ones and waits for the requests in progress. A
 // request that arrives before its connection is closed is still answered. Responses since Leave end their
 // connections.
 func (s *Server) Drain(ctx context.Context) error {
@@ -93,8 +93,8 @@
 	s.Leave(processEnd)
 	timers.Sleep(ctx, s.stop.BalancerDelay)
 	s.draining.Store(true)
-	if err := s.listener.Close(); err != nil {
-		s.Log.WithError(err).Warn("listener for callers not closed")
+	if err := s.listener.Stop(ctx); err != nil {
+		s.Log.WithError(err).Warn("listener for callers not stopped in order")
 	}
 	if err := s.conns.Drain(ctx); err != nil {
 		return errors.Wrapf(err, "%d requests of callers still in progress", s.Active())
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -222,3 +223,43 @@
 	require.True(t, response.Close, "the caller reconnects to another daemon")
 	require.NoError(t, <-drained)
 }
+
+// Guards against resetting connections that the kernel has completed and the daemon has not accepted when
+// it stops listening: their callers have sent requests already.
+func TestRequestsUnacceptedAsListenerClosesAreAnswered(t *testing.T) {
+	h := newHarness(t)
+	defer h.stop()
+	h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done"})
+	listener := stalled.Listen(t)
+	const delay = 200 * time.Millisecond
+	server := gateway.NewServer(listener, h.gateway, gateway.StopConfig{BalancerDelay: delay})
+	ctx, end := context.WithCancel(context.Background())
+	defer end()
+	go func() { _ = server.Run(ctx) }()
+	drained := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), grace)
+		defer cancel()
+		drained <- server.Drain(ctx)
+	}()
+	time.Sleep(delay / 2)
+	listener.Stall()
+	const callers = 5
+	statuses := make(chan int, callers)
+	for i := range callers {
+		conn, err := net.Dial("tcp", server.Addr())
+		require.NoError(t, err)
+		go func() {
+			status, _ := h.sendOn(conn, "/redeem/1", fmt.Sprint("r", i))
+			statuses <- status
+		}()
+	}
+	time.Sleep(2 * delay)
+	listener.Resume()
+	for range callers {
+		require.Equal(t, http.StatusOK, <-statuses)
+	}
+	require.NoError(t, <-drained)
+	_, err := net.Dial("tcp", server.Addr())
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+}
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -34,18 +34,15 @@
 }
 
 // Track makes server report its connections to a new tracker. The server must serve a listener that
-// is returned by Listener, and may not have a ConnState hook of its own.
+// is returned by NewListener, and may not have a ConnState hook of its own.
 func Track(server *http.Server) *Tracker {
 	t := &Tracker{conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
 	return t
 }
 
-// Listener returns l with connections that Drain can end.
-func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
-
 // Drain ends each connection as soon as it has no request in progress, and returns when none is left.
-// Requests that arrive until then are served. The listener must be closed before. The error is
+// Requests that arrive until then are served. The listener must be stopped before. The error is
 // that of ctx, if it ends first; the connections that are left must then be closed by the server.
 func (t *Tracker) Drain(ctx context.Context) error {
 	for {
@@ -84,17 +81,6 @@
 	return len(t.conns)
 }
 
-// listener accepts connections as conn.
-type listener struct{ net.Listener }
-
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, idle: true, idleUntil: time.Now().Add(firstRequestGrace)}, nil
-}
-
 // conn is a connection that is ended by its reader: Read returns io.EOF, upon which net/http closes it.
 type conn struct {
 	net.Conn
