--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -46,13 +46,13 @@
 }
 
 // Serve serves l until it is closed, and returns the error of http.Server's Serve. It is called once.
-func (t *Tracker) Serve(l net.Listener) error {
+func (t *Tracker) Serve(l *Listener) error {
 	defer close(t.accepted)
-	return t.server.Serve(listener{l})
+	return t.server.Serve(l)
 }
 
 // Drain ends each connection as soon as it has no request in progress, and returns when none is left.
-// Requests that arrive until then are served. The listener must be closed before. The error is
+// Requests that arrive until then are served. The listener must be stopped before. The error is
 // that of ctx, if it ends first; the connections that are left must then be closed by the server.
 func (t *Tracker) Drain(ctx context.Context) error {
 	select {
@@ -99,17 +99,6 @@
 	return len(t.conns)
 }
 
-// listener accepts connections as conn.
-type listener struct{ net.Listener }
-
-func (l listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &conn{Conn: c, keepUntil: time.Now().Add(requestGrace)}, nil
-}
-
 // conn is a connection that is ended by its reader.
 type conn struct {
 	net.Conn
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -77,15 +77,16 @@
 		})}
 		tracker := httpconn.Track(server)
 		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{}), acceptDelay: acceptDelay}
+		listener := httpconn.NewListener(l)
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
-			_ = tracker.Serve(l) // net.ErrClosed
+			_ = tracker.Serve(listener) // net.ErrClosed
 		}()
 		test(t, l, func() error {
-			require.NoError(t, l.Close())
 			ctx, cancel := context.WithTimeout(context.Background(), drainLimit)
 			defer cancel()
+			require.NoError(t, listener.Stop(ctx))
 			return tracker.Drain(ctx)
 		})
 		require.NoError(t, server.Close())
@@ -165,7 +166,7 @@
 	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = httpconn.Track(server).Serve(l) }() // http.ErrServerClosed
+	go func() { _ = httpconn.Track(server).Serve(httpconn.NewListener(l)) }() // http.ErrServerClosed
 	defer server.Close()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
