Limit the output of a kept turn that is held in memory

A backend server that sends events without end filled a gateway's memory until the route's timeout on routes that keep turns: the output is held until it is stored. It is now broken off beyond 4 MiB, the default limit of a prompt. Tests for late copies, slow streams and stalled streams passed without a change; late copies and stalled streams were checked by hand mutations, slow streams were not.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -155,3 +156,41 @@
 		}
 	})
 }
+
+// Guards against a stalled stream that sends a byte now and then and never ends: a byte is no progress, and
+// the route's timeout holds.
+func TestStalledStreamEndsAtRouteTimeout(t *testing.T) {
+	for _, e := range []endlessResponse{
+		{"comments", okHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n", ":\n\n", 100 * time.Millisecond},
+		{"one event", okHead + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: ", "x", 100 * time.Millisecond},
+		{"body", okHead + "\r\n", "x", 100 * time.Millisecond},
+	} {
+		t.Run(e.name, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				stalled := h.addServer(engines, "engine-1")
+				sendEndless(stalled, e)
+				got := h.call(http.MethodPost, "/turn/1", "r1", withHeader("Deadline-Ms", "60000"))
+				require.Equal(t, 3*time.Second, got.took)
+				require.NotEqual(t, http.StatusOK, got.status, "the response does not look complete")
+				<-stalled.Runs()[0].Disconnected
+			})
+		})
+	}
+}
+
+// Guards against a kept turn whose events come without end filling the memory until the route's timeout.
+func TestEndlessKeptTurnIsBrokenOff(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		sick := h.addServer(engines, "engine-1")
+		var sent atomic.Int64
+		sick.Always(platformtest.Reply{EndlessGap: time.Millisecond, Endless: func(run platformtest.Run) (string, func() string) {
+			head := strings.ReplaceAll(okHead, "%ID%", run.ID) + "Content-Type: text/event-stream\r\n\r\n"
+			return head, func() string { return fmt.Sprintf("id: %d\ndata: %s\n\n", sent.Add(1), filler) }
+		}})
+		got := h.call(http.MethodPost, "/chat/", "t0")
+		require.Zero(t, got.status, "the response does not look complete")
+		require.Less(t, sent.Load()*int64(len(filler)), int64(5<<20))
+		<-sick.Runs()[0].Disconnected
+		require.Empty(t, h.histories.chains)
+	})
+}
--- a/internal/gateway/faulty_responses_test.go
+++ b/internal/gateway/faulty_responses_test.go
@@ -67,6 +67,43 @@
 	})
 }
 
+// Guards against a second copy of a response that arrives late, on a connection that is in use for the next
+// request, being taken for the response to that.
+func TestLateCopyIsNoResponseToNextRequest(t *testing.T) {
+	stream := platformtest.Reply{Events: []string{"a", "b", "c"}, DuplicateLate: true}
+	for name, reply := range map[string]platformtest.Reply{
+		"with ID":        {DuplicateLate: true},
+		"without ID":     {DuplicateLate: true, OmitID: true},
+		"failure":        {DuplicateLate: true, Status: http.StatusInternalServerError},
+		"of a stream":    stream,
+		"with long body": {DuplicateLate: true, Header: http.Header{"X-Filler": {filler}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				server := h.addServer(engines, "server-1")
+				h.servers[tills] = h.servers[engines]
+				server.Script(func(run platformtest.Run) platformtest.Reply {
+					if strings.HasSuffix(run.ID, "-0") {
+						first := reply
+						first.Body = "copy"
+						return first
+					}
+					if run.Target == "/turn/1" {
+						return platformtest.Reply{Events: []string{run.ID}}
+					}
+					return platformtest.Reply{Body: run.ID}
+				})
+				ids := requestIDs(3)
+				h.call(http.MethodPost, "/redeem/1", ids[0])
+				require.Contains(t, h.call(http.MethodPost, "/turn/1", ids[1]).body, ids[1])
+				require.Equal(t, ids[2], h.call(http.MethodPost, "/redeem/1", ids[2]).body)
+				require.Len(t, server.Runs(), 3)
+				require.Equal(t, 1, server.Connections(), "the connection was in use again")
+			})
+		})
+	}
+}
+
 // wholeStream are the events "a", "b" and "c" as a caller receives them.
 const wholeStream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
@@ -237,6 +274,25 @@
 	}
 }
 
+// Guards against cutting a slow but sound stream, or starting it elsewhere, because its server was silent
+// for longer than the route's objective or is no longer listed.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		slow := h.addServer(engines, "engine-1")
+		slow.Always(platformtest.Reply{Events: []string{"a", "b", "c"}, EventGap: 950 * time.Millisecond})
+		time.AfterFunc(time.Second, func() {
+			h.mu.Lock()
+			h.servers[engines] = nil
+			h.mu.Unlock()
+			h.addServer(engines, "engine-2")
+		})
+		got := h.call(http.MethodPost, "/turn/1", "r1")
+		require.Equal(t, http.StatusOK, got.status)
+		require.Equal(t, wholeStream, got.body)
+		require.Len(t, slow.Runs(), 1)
+	})
+}
+
 // Guards against a repeatable request that keeps the processor busy until its deadline, because
 // its only server has failed and the search for another one is started again at once.
 func TestRepeatableRequestEndsWithoutAnotherServer(t *testing.T) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,6 +23,9 @@
 	// the largest event, and of all events without an ID in a row.
 	eventBufferBytes = 2 << 10
 	maxEventBytes    = 256 << 10
+	// maxOutputBytes limits the output of a kept turn, which is held in memory until it is stored. The next
+	// turn has to send it as a part of its prompt, for which this is the default limit.
+	maxOutputBytes = defaultMaxBodyBytes
 )
 
 // isEventStream reports whether a response is a stream of server-sent events. A failure is
@@ -187,6 +190,8 @@
 var (
 	// errNoEvents: the server sends bytes that are no events of the response.
 	errNoEvents = errors.New("bytes without an event of the response")
+	// errOutputTooLarge: the server sends more than a turn may hold that is kept.
+	errOutputTooLarge = errors.New("output of a kept turn too large")
 	// errInsideEvent: the response ended inside an event, or its connection before the first one.
 	errInsideEvent = errors.New("ended inside an event")
 	// errNotRest: the server answered the resume of a stream with something else than its rest.
@@ -222,7 +227,7 @@
 	events.Split(splitEvents)
 	var progress eventProgress
 	empty := true
-	for !progress.stalled() && events.Scan() {
+	for !progress.stalled() && len(s.output) <= maxOutputBytes && events.Scan() {
 		empty = false
 		if resumed && !isPartOfStream(events.Bytes()) {
 			return response.Malformed(errNotRest)
@@ -239,6 +244,8 @@
 	switch {
 	case errors.Is(err, bufio.ErrTooLong) || progress.stalled():
 		err = response.Malformed(errNoEvents)
+	case len(s.output) > maxOutputBytes:
+		err = response.Malformed(errOutputTooLarge)
 	case errors.Is(err, errInsideEvent) || (err == nil && empty && !response.Framed()):
 		err = response.Broken(errInsideEvent)
 	}
