Send no request after its deadline when a suspended gateway wakes

Callers saw an order twice: it waited at a gateway for a server, the gateway was suspended past the deadline of the order, the caller sent it again elsewhere, and the first gateway sent it when it woke.

Cause: the deadline of a request was known as the end of its context only. In a process that wakes, the timers of the context and of the pause before the next try fire together, and whichever is seen first decides.

The client of the backend servers compares the deadline with the clock right before the first byte is written. A request that has ended is not sent (ErrEnded, "not run"), and no server is suspected for it. What remains is the moment between that comparison and the write.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"ibisline/internal/structs"
 	"ibisline/internal/timers"
 	"ibisline/internal/upstream"
@@ -53,6 +55,10 @@
 			response.Discard(maxDiscardedBytes)
 			continue
 		}
+		if errors.Is(err, upstream.ErrEnded) {
+			j.markNotRun(server.Name)
+			return sendResult{}, err
+		}
 		g.tracker.markFailed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.markMayHaveRun()
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -34,6 +34,8 @@
 var (
 	// ErrConnect means that no connection could be established, so nothing was sent.
 	ErrConnect = errors.New("no connection to the backend server")
+	// ErrEnded means that the context had ended before the request was written, so nothing was sent.
+	ErrEnded = errors.New("the request has ended")
 	// ErrUnwritten means that no byte of the request was written to the connection.
 	ErrUnwritten = errors.New("request not written")
 	// ErrBroken means that the connection failed after the request was sent.
@@ -59,13 +61,17 @@
 	}
 	stopInterrupt := context.AfterFunc(ctx, cn.interrupt)
 	writer := newRequestWriter(cn, request)
-	if err := writer.start(); err != nil {
+	if err := writer.start(ctx); err != nil {
 		stopInterrupt()
 		cn.close()
-		if writer.bytesWritten.Load() == 0 {
+		switch {
+		case writer.bytesWritten.Load() > 0:
+			return nil, unknownOutcomeError(ctx, err)
+		case ended(ctx) != nil:
+			return nil, notSentError(ctx, ErrEnded, err)
+		default:
 			return nil, notSentError(ctx, ErrUnwritten, err)
 		}
-		return nil, unknownOutcomeError(ctx, err)
 	}
 	response, err := c.readResponse(cn, request)
 	if err != nil {
@@ -143,11 +149,20 @@
 // headSizeHintBytes is the typical size of a request head.
 const headSizeHintBytes = 1 << 10
 
+// ended returns the error of a context that has ended, also if only its deadline has passed: in a
+// process that was suspended its timer may not have fired yet.
+func ended(ctx context.Context) error {
+	if deadline, limited := ctx.Deadline(); limited && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
 // notSentError returns the error of a send that did not reach the server.
 func notSentError(ctx context.Context, kind, cause error) *verdict.Error {
 	reason := verdict.BackendFailed
-	if ctx.Err() != nil {
-		reason = contextReason(ctx)
+	if err := ended(ctx); err != nil {
+		reason = contextReason(err)
 	}
 	return verdict.Wrap(&Failure{Kind: kind, Cause: cause}, verdict.NotRun, reason, "request not sent")
 }
@@ -155,8 +170,8 @@
 // unknownOutcomeError returns the error of a send whose request may have run.
 func unknownOutcomeError(ctx context.Context, cause error) *verdict.Error {
 	reason := verdict.BackendFailed
-	if ctx.Err() != nil {
-		reason = contextReason(ctx)
+	if err := ctx.Err(); err != nil {
+		reason = contextReason(err)
 	}
 	kind := ErrBroken
 	if isMalformed(cause) {
@@ -166,8 +181,8 @@
 }
 
 // contextReason distinguishes an exceeded deadline from a cancellation by the caller.
-func contextReason(ctx context.Context) verdict.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+func contextReason(err error) verdict.Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
 		return verdict.BackendTimeout
 	}
 	return verdict.Canceled
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 )
@@ -23,9 +24,13 @@
 	return &requestWriter{conn: cn, request: request, done: make(chan struct{})}
 }
 
-// start writes up to inlineBytes of the request and the rest in the background.
-func (w *requestWriter) start() error {
+// start writes up to inlineBytes of the request and the rest in the background. It writes nothing if ctx
+// has ended.
+func (w *requestWriter) start(ctx context.Context) error {
 	encoded, err := w.request.encode()
+	if err == nil {
+		err = ended(ctx)
+	}
 	if err != nil {
 		close(w.done)
 		return err
--- a/test/platform/freeze_test.go
+++ b/test/platform/freeze_test.go
@@ -215,3 +215,74 @@
 	require.NotZero(f.t, statuses[http.StatusBadGateway], "no connection was reset with an order in flight")
 	require.Greater(f.t, statuses[http.StatusOK], len(answers)/5)
 }
+
+// Guards against a gateway that wakes and sends orders that were given up while it was frozen: the caller
+// has sent the order again elsewhere, so that it would happen twice.
+func TestOrdersGivenUpDuringAFreezeAreNotSent(t *testing.T) {
+	f := newTestFleet(t)
+	f.putConfiguration(baseRoutes + "," + orderRoute)
+	var full atomic.Bool
+	var rejected sync.Map // the orders that servers have rejected
+	for _, server := range f.servers {
+		server.Script(func(run platformtest.Run) platformtest.Reply {
+			rejecting := full.Load()
+			if rejecting {
+				rejected.Store(run.ID, true)
+			}
+			return platformtest.Reply{Body: "done " + run.ID, NotExecuted: rejecting}
+		})
+	}
+	gateway := gateways[0]
+	f.waitUntil("orders are taken", func() bool { return f.call(gateway, http.MethodPost, "/order/1").status == http.StatusOK })
+	const limit, orders = time.Second, 40
+	for _, c := range []struct {
+		name string
+		// full lets the orders wait at the gateway for a server when it freezes. Otherwise they arrive while
+		// it is frozen, and their callers close their connections at the deadline.
+		full bool
+		// begun is the number of orders whose write may begin as the gateway freezes.
+		begun int
+	}{{"waiting for a server", true, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			p := f.process(gateway)
+			client := &http.Client{Transport: &http.Transport{}, Timeout: patience}
+			full.Store(c.full)
+			if !c.full {
+				client.Timeout = limit
+				require.NoError(t, p.Pause())
+			}
+			var answers answerLog
+			var callers sync.WaitGroup
+			for range orders {
+				callers.Go(func() {
+					answers.add(f.callWith(client, gateway, http.MethodPost, "/order/1", withDeadline(limit)))
+				})
+			}
+			if c.full {
+				f.waitUntil("orders wait", func() bool {
+					waiting := 0
+					rejected.Range(func(any, any) bool { waiting++; return true })
+					return waiting >= orders/2
+				})
+				require.NoError(t, p.Pause())
+			}
+			if c.full {
+				time.Sleep(limit + limit/10)
+				full.Store(false)
+			} else {
+				callers.Wait()
+			}
+			require.NoError(t, p.Resume())
+			callers.Wait()
+			f.waitUntil("the gateway serves again", func() bool { return f.call(gateway, http.MethodPost, "/order/1").status == http.StatusOK })
+			runs, late := f.runsByAttempt(), 0
+			for _, a := range answers.snapshot() {
+				// Orders that the gateway had not read are given up only by callers that leave.
+				if _, waited := rejected.Load(a.id); waited || !c.full {
+					late += runs[a.id]
+				}
+			}
+			require.LessOrEqual(t, late, c.begun, "orders were sent after their callers had given them up")
+		})
+	}
+}
