Do not send a request whose caller left while the gateway was suspended

Callers saw an order twice: they sent it to a suspended gateway, gave it up at its deadline and sent it again to another gateway. The first one woke, took the order for a new one and sent it.

Cause: net/http cancels the context of a request whose caller has left from another goroutine, which runs after the handler has begun. By then the order was written to an idle connection of a server. Its deadline does not help, as that counts from when the gateway reads the request.

The gateway now asks the kernel, right before each send, whether the caller has closed the connection (one recv with MSG_PEEK). Such a request is refused as not run, which nobody reads.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/httpconn"
 	"ibisline/internal/structs"
 	"ibisline/internal/timers"
 	"ibisline/internal/upstream"
@@ -41,6 +42,10 @@
 		if err != nil {
 			return sendResult{}, err
 		}
+		if httpconn.Closed(ctx) {
+			g.tracker.done(server.Name)
+			return sendResult{}, callerLeft(j)
+		}
 		j.markSent(server.Name)
 		sent := sendResult{server: server, at: time.Now()}
 		response, err := g.sendTo(ctx, j, server, j.ResumeAfter)
@@ -125,6 +130,14 @@
 // queueTimeDivisor divides the time left of a request to limit its wait for a server.
 const queueTimeDivisor = 4
 
+// callerLeft returns the error of a request whose caller is found to have left before a send.
+func callerLeft(j *job) error {
+	if j.mayHaveRun() {
+		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "the caller has left")
+	}
+	return verdict.Refuse(verdict.Canceled, "the caller left before its request was sent")
+}
+
 // noServer returns the error of a request that no server accepted.
 func (g *Gateway) noServer(j *job) error {
 	if j.mayHaveRun() {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -34,13 +34,25 @@
 }
 
 // Track makes server report its connections to a new tracker. The server must serve a listener that
-// is returned by Listener, and may not have a ConnState hook of its own.
+// is returned by Listener, and may not have ConnState and ConnContext hooks of its own.
 func Track(server *http.Server) *Tracker {
 	t := &Tracker{conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	return t
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// Closed reports whether the caller has closed the connection on which a request came; ctx is derived
+// from the context of the request. net/http cancels that context too, but some time after: in a process that
+// was suspended the handler of a request may run before.
+func Closed(ctx context.Context) bool {
+	c, tracked := ctx.Value(connKey{}).(*conn)
+	return tracked && closedByPeer(c.Conn)
+}
+
 // Listener returns l with connections that Drain can end.
 func (t *Tracker) Listener(l net.Listener) net.Listener { return listener{l} }
 
--- a/test/platform/freeze_test.go
+++ b/test/platform/freeze_test.go
@@ -242,7 +242,7 @@
 		full bool
 		// begun is the number of orders whose write may begin as the gateway freezes.
 		begun int
-	}{{"waiting for a server", true, 1}} {
+	}{{"waiting for a server", true, 1}, {"not read yet", false, 0}} {
 		t.Run(c.name, func(t *testing.T) {
 			p := f.process(gateway)
 			client := &http.Client{Transport: &http.Transport{}, Timeout: patience}
