--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,9 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"ibisline/internal/httpconn"
 	"ibisline/internal/structs"
 	"ibisline/internal/timers"
 	"ibisline/internal/upstream"
@@ -39,6 +42,10 @@
 		if err != nil {
 			return sendResult{}, err
 		}
+		if httpconn.Closed(ctx) {
+			g.tracker.done(server.Name)
+			return sendResult{}, callerLeft(j)
+		}
 		j.markSent(server.Name)
 		sent := sendResult{server: server, at: time.Now()}
 		response, err := g.sendTo(ctx, j, server, j.ResumeAfter)
@@ -53,6 +60,10 @@
 			response.Discard(maxDiscardedBytes)
 			continue
 		}
+		if errors.Is(err, upstream.ErrEnded) {
+			j.markNotRun(server.Name)
+			return sendResult{}, err
+		}
 		g.tracker.markFailed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.markMayHaveRun()
@@ -119,6 +130,14 @@
 // queueTimeDivisor divides the time left of a request to limit its wait for a server.
 const queueTimeDivisor = 4
 
+// callerLeft returns the error of a request whose caller is found to have left before a send.
+func callerLeft(j *job) error {
+	if j.mayHaveRun() {
+		return verdict.New(verdict.MayHaveRun, verdict.Canceled, "the caller has left")
+	}
+	return verdict.Refuse(verdict.Canceled, "the caller left before its request was sent")
+}
+
 // noServer returns the error of a request that no server accepted.
 func (g *Gateway) noServer(j *job) error {
 	if j.mayHaveRun() {
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -38,13 +38,25 @@
 }
 
 // Track makes server report its connections to a new tracker. The server must be run by Serve, and may
-// not have a ConnState hook of its own.
+// not have ConnState and ConnContext hooks of its own.
 func Track(server *http.Server) *Tracker {
 	t := &Tracker{server: server, accepted: make(chan struct{}), conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	return t
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// Closed reports whether the caller has closed the connection on which a request came; ctx is derived
+// from the context of the request. net/http cancels that context too, but some time after: in a process that
+// was suspended the handler of a request may run before.
+func Closed(ctx context.Context) bool {
+	c, tracked := ctx.Value(connKey{}).(*conn)
+	return tracked && closedByPeer(c.Conn)
+}
+
 // Serve serves l until it is closed, and returns the error of http.Server's Serve. It is called once.
 func (t *Tracker) Serve(l *Listener) error {
 	defer close(t.accepted)
