--- a/internal/fake/stalled/stalled.go
+++ b/internal/fake/stalled/stalled.go
@@ -27,8 +27,8 @@
 	return &Listener{TCPListener: l}
 }
 
-// Stall holds back reads and accepts until Resume. One connection may leave the kernel's queue meanwhile. A read that has not received anything waits for the connection
-// as before, and can be interrupted by a deadline.
+// Stall holds back reads and accepts until Resume. One connection may leave the kernel's queue meanwhile. A
+// read or an accept that has nothing to return waits as before, and can be interrupted by a deadline.
 func (l *Listener) Stall() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -55,10 +55,10 @@
 // Accept accepts a connection whose reads are held back by Stall.
 func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.AcceptTCP()
-	l.wait()
 	if err != nil {
 		return nil, err
 	}
+	l.wait()
 	return &conn{TCPConn: c, listener: l}, nil
 }
 
