Choose servers by how late they respond, too

What callers saw: in bursts before a large fleet turns wait at a few servers while others have free slots. Cause: a gateway knows its own requests only, 0 or 1 a server.

Each gateway compares the time to a response's head with a baseline, by server and data centre, and adds the excess to the cost.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -192,6 +193,10 @@
 	notRun := g.Dialect.NotRun(response.Status, response.Header)
 	if !notRun {
 		j.recordAccepted(started)
+		if resumeAfter == 0 && response.Status < http.StatusInternalServerError {
+			// Errors and the rest of a stream come sooner or later than what the server works for.
+			g.tracker.recordTime(server, j.route.Kind, time.Since(started), time.Now())
+		}
 		if time.Since(started) > j.route.Objective {
 			g.recordDenial(j)
 		}
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"ibisline/internal/policy/balance"
+	"ibisline/internal/policy/congestion"
 	"ibisline/internal/policy/retrybudget"
 	"ibisline/internal/servers"
 	"ibisline/internal/structs"
@@ -34,6 +35,25 @@
 	servers map[string]*serverState
 	// hedges limits hedged requests, so that they cannot worsen an overload.
 	hedges *retrybudget.Budget
+	// baselines and groups hold how long responses take in general, and how much longer at the
+	// servers of a service in a data centre.
+	baselines map[workload]*congestion.Baseline
+	groups    map[serverGroup]*congestion.Average
+}
+
+// workload is what requests have in common that take similar times.
+type workload struct {
+	service string
+	kind    structs.WorkKind
+}
+
+// serverGroup is the servers of a service in a data centre.
+type serverGroup struct {
+	service, dataCentre string
+}
+
+func groupOf(server structs.Server) serverGroup {
+	return serverGroup{service: server.Service, dataCentre: server.DataCentre}
 }
 
 // serverState is the load and health of one server as seen by this daemon.
@@ -42,6 +62,8 @@
 	suspectUntil time.Time
 	// lastHead is the time at which the head of a response was received last.
 	lastHead time.Time
+	// ratios holds how much longer than usual its responses took recently.
+	ratios congestion.Average
 	// errors counts the responses with an error of the server itself, halved by each other
 	// response.
 	errors int
@@ -58,7 +80,10 @@
 }
 
 func newTracker() *tracker {
-	return &tracker{servers: map[string]*serverState{}, hedges: retrybudget.New(time.Now())}
+	return &tracker{
+		servers: map[string]*serverState{}, hedges: retrybudget.New(time.Now()),
+		baselines: map[workload]*congestion.Baseline{}, groups: map[serverGroup]*congestion.Average{},
+	}
 }
 
 // stateOf returns the state of a server, creating it if needed. The caller holds mu.
@@ -91,6 +116,9 @@
 			Suspect:  now.Before(state.suspectUntil),
 			Affinity: hashFraction(xxhash.Sum64String(affinity + server.Name)),
 		}
+		if group := t.groups[groupOf(server)]; group != nil {
+			rated[i].Congestion = congestion.Load(&state.ratios, group, now)
+		}
 	}
 	best := balance.Choose(rated)
 	if best < 0 {
@@ -142,6 +170,26 @@
 	t.stateOf(server).suspectUntil = now.Add(suspectDuration)
 }
 
+// recordTime records how long a server took to begin its response to a request of a kind.
+func (t *tracker) recordTime(server structs.Server, kind structs.WorkKind, took time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	of := workload{service: server.Service, kind: kind}
+	baseline := t.baselines[of]
+	if baseline == nil {
+		baseline = &congestion.Baseline{}
+		t.baselines[of] = baseline
+	}
+	group := t.groups[groupOf(server)]
+	if group == nil {
+		group = &congestion.Average{}
+		t.groups[groupOf(server)] = group
+	}
+	ratio := baseline.Ratio(took)
+	group.Record(ratio, now)
+	t.stateOf(server.Name).ratios.Record(ratio, now)
+}
+
 // recordHead records that the head of a response of a server was received.
 func (t *tracker) recordHead(server string, now time.Time) {
 	t.mu.Lock()
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -1,8 +1,8 @@
 // Package balance chooses the backend server for a request among the servers of
 // its service. It is meant for many short requests that arrive at several daemons
-// at once. A daemon has exact counts only of its own requests; the counts of the
-// other daemons come from their load reports. Nearby servers are preferred unless
-// they are much busier than remote ones.
+// at once. A daemon has exact counts only of its own requests; the load that other daemons
+// cause comes from estimates. Nearby servers are preferred unless they are much busier than
+// remote ones.
 package balance
 
 // Distance is the network distance class of a server.
@@ -29,6 +29,9 @@
 type Candidate struct {
 	// InFlight is the known number of requests in flight at the server.
 	InFlight float64
+	// Congestion is the load of the server that InFlight does not show, in requests in flight; 0 if
+	// none is known.
+	Congestion float64
 	// Slots is the number of requests that the server processes concurrently.
 	Slots    int
 	Distance Distance
@@ -57,7 +60,7 @@
 
 // cost returns the cost of a candidate in requests in flight; lower is better.
 func (c Candidate) cost() float64 {
-	cost := c.InFlight + c.Affinity
+	cost := c.InFlight + c.Congestion + c.Affinity
 	switch c.Distance {
 	case SameRegion:
 		cost += regionPenalty
