Expect the answer of the order from every server in the freeze test

The order was served by a server that the fleet starts with and that answers with its name; the faulty ones were busy.

--- a/test/platform/freeze_test.go
+++ b/test/platform/freeze_test.go
@@ -135,6 +135,11 @@
 func TestFreezesAndResetsNeitherDoubleNorLoseOrders(t *testing.T) {
 	f := newTestFleet(t)
 	var faulty atomic.Bool
+	for name, server := range f.servers {
+		if strings.HasPrefix(name, "till-") {
+			server.Script(func(run platformtest.Run) platformtest.Reply { return platformtest.Reply{Body: "done " + run.ID} })
+		}
+	}
 	listeners := f.addFaultyTills(2*len(locations), &faulty)
 	f.putConfiguration(baseRoutes + "," + orderRoute)
 	for _, gateway := range gateways {
