--- a/internal/httpconn/unread.go
+++ b/internal/httpconn/unread.go
@@ -8,8 +8,8 @@
 )
 
 // hasUnread reports whether the kernel has received bytes on c that were not read. It is false for
-// connections that are not sockets, which hold no bytes, and for those closed by the other side of this
-// process, the only cause of an error.
+// connections that are not sockets, which hold no bytes, and for those that this process has closed,
+// the only cause of an error.
 func hasUnread(c net.Conn) bool {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
