--- /dev/null
+++ b/review/scene/runner.go
@@ -0,0 +1,131 @@
+//go:build review
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// runner is a stand-in of a sound runner: an engine, which streams events, or a plain server.
+type runner struct {
+	id, service, zone, addr string
+	slots, queue            int
+	born                    int64
+	// gap is the time before each event of a stream, and work that of another request.
+	gap, work time.Duration
+	log       *record
+
+	mu       sync.Mutex
+	admitted int
+	places   chan struct{}
+	sequence int
+	server   *http.Server
+}
+
+// tokensPerEvent is the engine's chunkTokens.
+const tokensPerEvent = 35
+
+func newRunner(id, service, zone string, slots, queue int, log *record) *runner {
+	return &runner{
+		id: id, service: service, zone: zone, slots: slots, queue: queue, born: time.Now().UnixMilli(),
+		gap: 20 * time.Millisecond, work: 10 * time.Millisecond, places: make(chan struct{}, slots), log: log,
+	}
+}
+
+func (r *runner) start() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	r.addr = listener.Addr().String()
+	r.server = &http.Server{Handler: r, IdleTimeout: 20 * time.Second}
+	go r.server.Serve(listener)
+	return nil
+}
+
+// entry is what the runner writes about itself into the store.
+func (r *runner) entry(state string) map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	return map[string]any{
+		"service": r.service, "address": r.addr, "zone": r.zone, "version": 1, "slots": r.slots, "state": state,
+		"coldLeftMs": 0, "sequence": r.sequence, "born": r.born,
+	}
+}
+
+func (r *runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	id := q.Header.Get("Attempt-Id")
+	header := w.Header()
+	header.Set("Attempt-Id", id)
+	header.Set("Instance-Id", r.id)
+	header.Set("Server-Stamp", "stamp."+r.id+"."+id)
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	if expected := q.Header.Get("Expect-Instance"); expected != "" && expected != r.id {
+		header.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if q.URL.Path == "/healthz" {
+		return
+	}
+	r.mu.Lock()
+	full := r.admitted >= r.slots+r.queue
+	if !full {
+		r.admitted++
+	}
+	r.mu.Unlock()
+	if full {
+		header.Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer func() {
+		r.mu.Lock()
+		r.admitted--
+		r.mu.Unlock()
+	}()
+	select {
+	case r.places <- struct{}{}:
+	case <-q.Context().Done():
+		return
+	}
+	defer func() { <-r.places }()
+	r.log.run(r.id, id, len(body))
+	if r.service != engineService {
+		select {
+		case <-time.After(r.work):
+			fmt.Fprintf(w, "answer of %s to %s\n", r.id, id)
+		case <-q.Context().Done():
+		}
+		return
+	}
+	r.stream(w, q)
+}
+
+// stream sends one event for each tokensPerEvent of the request's most tokens.
+func (r *runner) stream(w http.ResponseWriter, q *http.Request) {
+	_, most, _ := strings.Cut(q.Header.Get("Token-Usage"), ",")
+	tokens, _ := strconv.Atoi(most)
+	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	for id := after + 1; id <= tokens/tokensPerEvent; id++ {
+		select {
+		case <-time.After(r.gap):
+		case <-q.Context().Done():
+			return
+		}
+		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", id, id, q.Header.Get("Attempt-Id"))
+		w.(http.Flusher).Flush()
+	}
+}
