--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -70,13 +72,22 @@
 	return f, nil
 }
 
+// Free ports are drawn outside the range from which the kernel takes those of outgoing connections.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", addr)
+		if err == nil {
+			listener.Close()
+			return addr, nil
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port found")
 }
 
 func (f *fleet) addMachine(name, duty string, zone int) error {
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -19,6 +19,7 @@
 // scenes are the scripts by name. A scene returns whether the rule held.
 var scenes = map[string]func(log *record, trouble bool) (bool, error){
 	"retirement": retirement,
+	"fullrunner": fullRunner,
 }
 
 func main() {
--- a/review/scene/record.go
+++ b/review/scene/record.go
@@ -14,12 +14,18 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
-	runs  map[string][]string
+	runs  map[string][]*work
+}
+
+// work is the work of a runner on a request. end is zero while it lasts.
+type work struct {
+	runner, id string
+	start, end time.Time
 }
 
 func newRecord(path string) (*record, error) {
 	file, err := os.Create(path)
-	return &record{file: file, start: time.Now(), runs: map[string][]string{}}, err
+	return &record{file: file, start: time.Now(), runs: map[string][]*work{}}, err
 }
 
 // note writes a line with the time since the start.
@@ -36,9 +42,19 @@
 }
 
 // run notes that a runner began to work on a request.
-func (r *record) run(runner, id string, body int) {
+func (r *record) run(runner, id string, body int) *work {
 	r.note("run      %s at %s (%d bytes)", id, runner, body)
+	w := &work{runner: runner, id: id, start: time.Now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[id] = append(r.runs[id], w)
+	return w
+}
+
+// endRun notes that a runner's work has ended.
+func (r *record) endRun(w *work) {
+	r.note("run ends %s at %s", w.id, w.runner)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.runs[id] = append(r.runs[id], runner)
+	w.end = time.Now()
 }
--- a/review/scene/runner.go
+++ b/review/scene/runner.go
@@ -21,12 +21,19 @@
 	// gap is the time before each event of a stream, and work that of another request.
 	gap, work time.Duration
 	log       *record
+	// longQueue is the number of waiting requests from which on new connections are reset; 0: never.
+	longQueue int
+	// loses decides for a run of the engine after how many events its answer is lost by a reset of the
+	// connection; 0: it is not. The run goes on.
+	loses func() int
 
 	mu       sync.Mutex
 	admitted int
-	places   chan struct{}
-	sequence int
-	server   *http.Server
+	// running is the number of requests that have a slot, resets that of the connections that were reset.
+	running, resets int
+	places          chan struct{}
+	sequence        int
+	server          *http.Server
 }
 
 // tokensPerEvent is the engine's chunkTokens.
@@ -46,7 +53,7 @@
 	}
 	r.addr = listener.Addr().String()
 	r.server = &http.Server{Handler: r, IdleTimeout: 20 * time.Second}
-	go r.server.Serve(listener)
+	go r.server.Serve(&cappedListener{Listener: listener, runner: r})
 	return nil
 }
 
@@ -101,7 +108,10 @@
 		return
 	}
 	defer func() { <-r.places }()
-	r.log.run(r.id, id, len(body))
+	r.changeRunning(1)
+	defer r.changeRunning(-1)
+	work := r.log.run(r.id, id, len(body))
+	defer r.log.endRun(work)
 	if r.service != engineService {
 		select {
 		case <-time.After(r.work):
@@ -119,7 +129,18 @@
 	tokens, _ := strconv.Atoi(most)
 	after, _ := strconv.Atoi(q.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	lostAfter := 0
+	if r.loses != nil {
+		lostAfter = r.loses()
+	}
 	for id := after + 1; id <= tokens/tokensPerEvent; id++ {
+		if lostAfter > 0 && id > lostAfter {
+			if id == lostAfter+1 {
+				r.lose(w, q)
+			}
+			time.Sleep(r.gap)
+			continue
+		}
 		select {
 		case <-time.After(r.gap):
 		case <-q.Context().Done():
@@ -129,3 +150,48 @@
 		w.(http.Flusher).Flush()
 	}
 }
+
+// lose resets the connection of a request.
+func (r *runner) lose(w http.ResponseWriter, q *http.Request) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	r.log.note("lost     the answer to %s at %s, which works on", q.Header.Get("Attempt-Id"), r.id)
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
+func (r *runner) changeRunning(by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running += by
+}
+
+// takesConnections reports whether the runner accepts a further connection.
+func (r *runner) takesConnections() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.longQueue == 0 || r.admitted-r.running < r.longQueue {
+		return true
+	}
+	r.resets++
+	return false
+}
+
+// cappedListener resets the connections beyond those that the runner accepts.
+type cappedListener struct {
+	net.Listener
+	runner *runner
+}
+
+func (l *cappedListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil || l.runner.takesConnections() {
+			return conn, err
+		}
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
