--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -203,12 +203,31 @@
 	f.store.put("servers", r.id, r.entry("ready"))
 	go func() {
 		for range time.Tick(1200 * time.Millisecond) {
-			f.store.put("servers", r.id, r.entry("ready"))
+			state, ended := r.state()
+			if ended {
+				return
+			}
+			f.store.put("servers", r.id, r.entry(state))
 		}
 	}()
 	return nil
 }
 
+// drain makes a runner leave: its entry says so, and it goes on serving for a time, exits and is removed.
+// It returns once the store has accepted the report.
+func (f *fleet) drain(r *runner, serves time.Duration) {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	f.store.put("servers", r.id, r.entry("draining"))
+	f.log.note("draining %s", r.id)
+	time.AfterFunc(serves, func() {
+		f.log.note("exit     %s", r.id)
+		r.exit()
+		f.store.remove("servers", r.id)
+	})
+}
+
 // configure writes a configuration.
 func (f *fleet) configure(version int, routes []map[string]any) {
 	f.store.put("config", "main", map[string]any{
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -20,6 +20,7 @@
 var scenes = map[string]func(log *record, trouble bool) (bool, error){
 	"retirement": retirement,
 	"fullrunner": fullRunner,
+	"leaving":    leaving,
 }
 
 func main() {
--- a/review/scene/runner.go
+++ b/review/scene/runner.go
@@ -26,9 +26,13 @@
 	// loses decides for a run of the engine after how many events its answer is lost by a reset of the
 	// connection; 0: it is not. The run goes on.
 	loses func() int
+	// arrived, if set, is told of each request for this runner.
+	arrived func(id, lastEvent string)
 
 	mu       sync.Mutex
 	admitted int
+	// draining is set once the runner is leaving, and ended once it has exited.
+	draining, ended bool
 	// running is the number of requests that have a slot, resets that of the connections that were reset.
 	running, resets int
 	places          chan struct{}
@@ -74,6 +78,9 @@
 	header.Set("Attempt-Id", id)
 	header.Set("Instance-Id", r.id)
 	header.Set("Server-Stamp", "stamp."+r.id+"."+id)
+	if state, _ := r.state(); state == "draining" {
+		header.Set("Connection", "close")
+	}
 	body, err := io.ReadAll(q.Body)
 	if err != nil {
 		return
@@ -86,6 +93,9 @@
 	if q.URL.Path == "/healthz" {
 		return
 	}
+	if r.arrived != nil {
+		r.arrived(id, q.Header.Get("Last-Event-Id"))
+	}
 	r.mu.Lock()
 	full := r.admitted >= r.slots+r.queue
 	if !full {
@@ -133,7 +143,13 @@
 	if r.loses != nil {
 		lostAfter = r.loses()
 	}
-	for id := after + 1; id <= tokens/tokensPerEvent; id++ {
+	last := tokens / tokensPerEvent
+	defer func() {
+		if lostAfter >= last {
+			r.lose(w, q)
+		}
+	}()
+	for id := after + 1; id <= last; id++ {
 		if lostAfter > 0 && id > lostAfter {
 			if id == lostAfter+1 {
 				r.lose(w, q)
@@ -157,7 +173,7 @@
 	if err != nil {
 		return
 	}
-	r.log.note("lost     the answer to %s at %s, which works on", q.Header.Get("Attempt-Id"), r.id)
+	r.log.note("lost     the answer to %s at %s", q.Header.Get("Attempt-Id"), r.id)
 	_ = conn.(*net.TCPConn).SetLinger(0)
 	_ = conn.Close()
 }
@@ -195,3 +211,20 @@
 		_ = conn.Close()
 	}
 }
+
+// exit ends the runner and its connections.
+func (r *runner) exit() {
+	r.mu.Lock()
+	r.ended = true
+	r.mu.Unlock()
+	_ = r.server.Close()
+}
+
+func (r *runner) state() (state string, ended bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return "draining", r.ended
+	}
+	return "ready", r.ended
+}
