--- a/review/scene/leaving.go
+++ b/review/scene/leaving.go
@@ -17,7 +17,7 @@
 	// releaseGap is the time between two replaced runners of a release, and releasedRunners their number.
 	releaseGap      = 750 * time.Millisecond
 	releasedRunners = 4
-	releases        = 10
+	releases        = 15
 )
 
 // leaving: the runners of a service are replaced one after the other, while some answers are lost at their end.
@@ -37,14 +37,11 @@
 		id := fmt.Sprintf("i-lm%02d", number)
 		r := newRunner(id, engineService, zones[number%len(zones)].name, 16, 48, log)
 		number++
-		r.gap = 205 * time.Millisecond
-		r.loses = func() int {
+		r.gap = 208 * time.Millisecond
+		r.losesEnd = func() bool {
 			mu.Lock()
 			defer mu.Unlock()
-			if losing[id] && rand.Float64() < lostShare {
-				return 1000
-			}
-			return 0
+			return losing[id] && rand.Float64() < lostShare
 		}
 		r.arrived = func(attempt, lastEvent string) {
 			mu.Lock()
@@ -113,7 +110,7 @@
 		mu.Lock()
 		clear(losing)
 		mu.Unlock()
-		time.Sleep(3 * time.Second)
+		time.Sleep(400 * time.Millisecond)
 	}
 	cancel()
 	time.Sleep(3500 * time.Millisecond)
@@ -126,8 +123,8 @@
 	return len(late) == 0, nil
 }
 
-// The traffic: streams of 14 events, 205 ms apart.
+// The traffic: streams of 14 events, 208 ms apart.
 const (
-	leavingRate = 42
+	leavingRate = 38
 	leavingMost = 14 * tokensPerEvent
 )
--- a/review/scene/runner.go
+++ b/review/scene/runner.go
@@ -26,6 +26,9 @@
 	// loses decides for a run of the engine after how many events its answer is lost by a reset of the
 	// connection; 0: it is not. The run goes on.
 	loses func() int
+	// losesEnd decides at the end of a run of the engine whether the end of its answer is lost by a reset of the
+	// connection.
+	losesEnd func() bool
 	// arrived, if set, is told of each request for this runner.
 	arrived func(id, lastEvent string)
 
@@ -144,11 +147,6 @@
 		lostAfter = r.loses()
 	}
 	last := tokens / tokensPerEvent
-	defer func() {
-		if lostAfter >= last {
-			r.lose(w, q)
-		}
-	}()
 	for id := after + 1; id <= last; id++ {
 		if lostAfter > 0 && id > lostAfter {
 			if id == lostAfter+1 {
@@ -165,6 +163,9 @@
 		fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", id, id, q.Header.Get("Attempt-Id"))
 		w.(http.Flusher).Flush()
 	}
+	if r.losesEnd != nil && r.losesEnd() {
+		r.lose(w, q)
+	}
 }
 
 // lose resets the connection of a request.
