--- a/review/scene/fleet.go
+++ b/review/scene/fleet.go
@@ -45,6 +45,9 @@
 	runners   []*runner
 }
 
+// closeAll ends the processes of the scene, also if it is told to stop.
+var closeAll = func() {}
+
 // newFleet starts the store and prepares machines: gateways on edge machines and one keeper a zone.
 func newFleet(log *record, gateways int) (*fleet, error) {
 	dir, err := os.MkdirTemp("", "scene-")
@@ -52,6 +55,7 @@
 		return nil, err
 	}
 	f := &fleet{dir: dir, log: log, store: newStore(), machines: map[string]*machine{}}
+	closeAll = f.close
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/review/scene/main.go
+++ b/review/scene/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -33,6 +35,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		closeAll()
+		os.Exit(exitFailed)
+	}()
 	held, err := scenes[os.Args[1]](log, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
