Ask keepers that are being emptied about budgets and turns

Cause: a home that takes a shard over asked live keepers only, and a keeper that is being emptied counts as leaving. The search for a kept turn had the same filter.

Change: the membership view has Reachable, the daemons not considered dead, leaving ones included. Fences, queries of journals, the search of turns and the restoring of turns use it. New replicas go to a leaving keeper only while too few others remain for the allowed losses, so that a retirement ends.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -20,6 +20,7 @@
 
 func (v benchView) Self() structs.Instance                 { return structs.Instance{Name: "d1", Region: "r1"} }
 func (v benchView) Live() []structs.Instance               { return []structs.Instance{v.Self()} }
+func (v benchView) Reachable() []structs.Instance          { return v.Live() }
 func (v benchView) Lookup(string) (structs.Instance, bool) { return v.Self(), true }
 func (v benchView) Servers() []structs.Server              { return v.servers }
 func (v benchView) Changed() <-chan struct{}               { return nil }
--- a/internal/fake/peers/peers.go
+++ b/internal/fake/peers/peers.go
@@ -235,6 +235,9 @@
 	return n.live
 }
 
+// Reachable returns the daemons that Live returns.
+func (n *Node) Reachable() []structs.Instance { return n.Live() }
+
 // Lookup returns a daemon of the network by name, live or not.
 func (n *Node) Lookup(name string) (structs.Instance, bool) {
 	node := n.network.node(name)
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -86,7 +86,7 @@
 
 // CheckAvailable returns a refusal if too few keepers are live to store a turn.
 func (c *Client) CheckAvailable() error {
-	live := len(c.liveKeepers())
+	live := len(keepersOf(c.View.Live()))
 	if live >= c.config.copies() {
 		return nil
 	}
@@ -94,9 +94,10 @@
 		RetryIn(unavailableRetryAfter)
 }
 
-func (c *Client) liveKeepers() []structs.Instance {
+// keepersOf returns the keepers among instances.
+func keepersOf(instances []structs.Instance) []structs.Instance {
 	var keepers []structs.Instance
-	for _, instance := range c.View.Live() {
+	for _, instance := range instances {
 		if instance.Duty == structs.DutyKeeper {
 			keepers = append(keepers, instance)
 		}
@@ -104,9 +105,9 @@
 	return keepers
 }
 
-// order returns the live keepers in the order in which they are asked about a key.
-func (c *Client) order(key string) []structs.Instance {
-	ordered := placementOrder(c.liveKeepers(), c.View.Self().Region, key)
+// order returns the keepers among instances in the order in which they are asked about a key.
+func (c *Client) order(instances []structs.Instance, key string) []structs.Instance {
+	ordered := placementOrder(keepersOf(instances), c.View.Self().Region, key)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -157,7 +158,7 @@
 // storeOnce sends a turn to as many keepers as must hold it, and to a further one for each that fails
 // or is silent. It returns an error once all have failed.
 func (c *Client) storeOnce(ctx context.Context, key string, chain Chain, turn Turn) error {
-	keepers := c.order(key)
+	keepers := c.order(c.View.Live(), key)
 	type outcome struct {
 		keeper string
 		err    error
@@ -215,7 +216,8 @@
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
 	s := search{client: c, id: id, asked: map[string]bool{}, absentAt: map[string]bool{}}
-	chain := s.ask(ctx, c.order(key), 1)
+	// A keeper that is being emptied takes no turns, but still holds its own.
+	chain := s.ask(ctx, c.order(c.View.Reachable(), key), 1)
 	if chain == nil {
 		chain = s.askAllListed(ctx)
 	}
--- a/internal/history/copy.go
+++ b/internal/history/copy.go
@@ -51,7 +51,7 @@
 		return others{}, errors.Wrap(err, "list the keepers")
 	}
 	keepers := map[string]bool{}
-	for _, instance := range append(listed, k.View.Live()...) {
+	for _, instance := range append(listed, k.View.Reachable()...) {
 		if instance.Duty == structs.DutyKeeper && instance.Name != k.View.Self().Name {
 			keepers[instance.Name] = true
 		}
--- a/internal/home/membership_test.go
+++ b/internal/home/membership_test.go
@@ -105,6 +105,8 @@
 	return list
 }
 
+func (v *view) Reachable() []structs.Instance { return v.Live() }
+
 func (v *view) Lookup(name string) (structs.Instance, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -11,6 +11,9 @@
 	// Live returns the alive and suspected daemons that are not leaving, Self
 	// included unless it is leaving.
 	Live() []structs.Instance
+	// Reachable returns the daemons not considered dead, leaving ones and Self included. Evidence
+	// that several daemons hold must be gathered from these: a leaving one still holds its part.
+	Reachable() []structs.Instance
 	// Lookup returns a known daemon, live or leaving, and false if there is none.
 	Lookup(name string) (structs.Instance, bool)
 	// Servers returns the backend servers of the platform's list, leaving ones
--- a/internal/member/snapshot.go
+++ b/internal/member/snapshot.go
@@ -10,12 +10,14 @@
 
 // snapshot is an immutable copy of the view.
 type snapshot struct {
-	live    []structs.Instance
-	all     []structs.Instance
-	known   map[string]structs.Instance // live or leaving
-	servers []structs.Server
-	owners  map[string]*rendezvous.Rendezvous // by region, "" for all
-	changed chan struct{}
+	live []structs.Instance
+	all  []structs.Instance
+	// reachable holds the live and the leaving instances.
+	reachable []structs.Instance
+	known     map[string]structs.Instance // live or leaving
+	servers   []structs.Server
+	owners    map[string]*rendezvous.Rendezvous // by region, "" for all
+	changed   chan struct{}
 }
 
 // newSnapshot returns a snapshot of the machine and of the list of servers.
@@ -32,6 +34,7 @@
 		s.all = append(s.all, member.Instance)
 		if member.Status != gossip.Dead {
 			s.known[member.Instance.Name] = member.Instance
+			s.reachable = append(s.reachable, member.Instance)
 		}
 	}
 	for _, instance := range machine.Live() {
@@ -75,6 +78,9 @@
 // other can reach it excludes itself, as the others do.
 func (m *Members) Live() []structs.Instance { return m.snapshot.Load().live }
 
+// Reachable returns the live and the leaving daemons, sorted by name.
+func (m *Members) Reachable() []structs.Instance { return m.snapshot.Load().reachable }
+
 // Lookup returns a known daemon, live or leaving, and false if there is none.
 func (m *Members) Lookup(name string) (structs.Instance, bool) {
 	instance, ok := m.snapshot.Load().known[name]
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -216,7 +216,7 @@
 	claim := current
 	claim.Epoch, claim.Home = fence.Number, fence.Home
 	if len(claim.Journals) == 0 {
-		claim.Journals = seen.journals
+		claim.Journals = s.home.withoutLeaving(seen.journals)
 	}
 	claimed, err := s.putCheckpoint(ctx, claim, version)
 	a.endStep("claim")
@@ -340,7 +340,7 @@
 	s.successor = ""
 	s.highestFence = max(s.highestFence, fence.Number)
 	s.noteFenced(f, keepers)
-	s.wantedJournals = f.accepted()
+	s.wantedJournals = s.home.withoutLeaving(f.accepted())
 	s.home.takeovers.Inc()
 	ctx, stop := context.WithCancel(s.home.ctx)
 	s.stop = stop
--- a/internal/tokenbudget/fleet_test.go
+++ b/internal/tokenbudget/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -243,6 +244,21 @@
 	return instance, known
 }
 
+// Live returns the live instances without those that are leaving.
+func (d *daemon) Live() []structs.Instance {
+	return slices.DeleteFunc(slices.Clone(d.Node.Live()), func(i structs.Instance) bool { return d.fleet.isLeaving(i.Name) })
+}
+
+// Reachable returns the live instances, with the state of those that are leaving.
+func (d *daemon) Reachable() []structs.Instance {
+	var all []structs.Instance
+	for _, instance := range d.Node.Live() {
+		known, _ := d.Lookup(instance.Name)
+		all = append(all, known)
+	}
+	return all
+}
+
 // Listed reports that the platform's list of daemons has been read.
 func (d *daemon) Listed() bool { return true }
 
--- a/internal/tokenbudget/journal_loss_test.go
+++ b/internal/tokenbudget/journal_loss_test.go
@@ -113,6 +113,34 @@
 	})
 }
 
+// Guards against shards that no daemon can take over because a keeper that is being emptied is not
+// asked, although it is up and listed, while another keeper has lost its disk. The keeper must be
+// dropped from the checkpoint once there are enough others, so that its retirement ends.
+func TestShardIsTakenOverDuringRetirementAndDiskLoss(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleetOf(t, 1, 4, 3)
+		defer f.close()
+		require.NoError(t, f.turn(f.gateways[0].daemon, "p", 35, 0))
+		time.Sleep(time.Second)
+		retiring, lost := f.keepers[0], f.keepers[1]
+		f.setLeaving(retiring.name)
+		lost.crash()
+		lost.disk.Wipe()
+		f.gateways[f.homeOf("p")].crash()
+		f.publishLive()
+		requireHomeWithin(t, f, f.servingNode(), takeoverLimit)
+		lost.start()
+		f.publishLive()
+		requireDecisionsFor(t, f, repairLimit, time.Second)
+		objects, _, err := f.store.List(t.Context(), tokenbudget.CheckpointPrefix)
+		require.NoError(t, err)
+		listed, err := tokenbudget.ListsJournal(objects, retiring.name, retiring.id)
+		require.NoError(t, err)
+		require.False(t, listed, "the retirement cannot end")
+		require.Empty(t, f.overrun())
+	})
+}
+
 // servingNode returns a gateway that is up.
 func (f *fleet) servingNode() *gatewayNode {
 	for _, g := range f.gateways {
--- a/internal/tokenbudget/journals.go
+++ b/internal/tokenbudget/journals.go
@@ -59,10 +59,11 @@
 	return s.countMatching(answered) > lost
 }
 
-// keepers returns the live instances with a journal.
+// keepers returns the instances with a journal that are not considered dead. Those that are being
+// emptied are among them: they answer, and a checkpoint may still list their journals.
 func (h *Home) keepers() []structs.Instance {
 	var all []structs.Instance
-	for _, instance := range h.fleet.Live() {
+	for _, instance := range h.fleet.Reachable() {
 		if instance.Duty == structs.DutyKeeper {
 			all = append(all, instance)
 		}
@@ -70,6 +71,18 @@
 	return all
 }
 
+// withoutLeaving returns the journals of a set whose keepers are not leaving. If too few would remain
+// for a replica to survive the allowed losses, it returns the whole set: a keeper that is being
+// emptied serves until it is not needed any more.
+func (h *Home) withoutLeaving(set journalSet) journalSet {
+	staying := maps.Clone(set)
+	maps.DeleteFunc(staying, func(name string, _ int64) bool { return h.isLeaving(name) })
+	if len(staying) <= h.config.LostDisks {
+		return set
+	}
+	return staying
+}
+
 // isLeaving reports whether a daemon has announced that it is leaving.
 func (h *Home) isLeaving(name string) bool {
 	instance, known := h.fleet.Lookup(name)
@@ -214,7 +227,8 @@
 	fence := s.fence
 	var missing []structs.Instance
 	for _, keeper := range keepers {
-		if known := s.fencedJournals[keeper.Name]; known.id == 0 || known.incarnation != keeper.Incarnation {
+		known := s.fencedJournals[keeper.Name]
+		if keeper.State != structs.StateLeaving && (known.id == 0 || known.incarnation != keeper.Incarnation) {
 			missing = append(missing, keeper)
 		}
 	}
@@ -261,24 +275,22 @@
 	}
 }
 
-// chooseJournals selects the journals that the checkpoint is to list: those that are fenced,
-// not leaving, and missing for less than JournalDropAfter. The caller holds mu.
-func (s *shard) chooseJournals(live []structs.Instance, now time.Time) {
-	for _, keeper := range live {
+// chooseJournals selects the journals that the checkpoint is to list: those that are fenced and
+// missing for less than JournalDropAfter. The caller holds mu.
+func (s *shard) chooseJournals(reachable []structs.Instance, now time.Time) {
+	for _, keeper := range reachable {
 		if known, ok := s.fencedJournals[keeper.Name]; ok {
 			known.lastSeen = now
 			s.fencedJournals[keeper.Name] = known
 		}
 	}
-	wanted := journalSet{}
+	fenced := journalSet{}
 	for name, known := range s.fencedJournals {
-		if s.home.isLeaving(name) {
-			continue
-		}
 		if now.Sub(known.lastSeen) < s.home.config.JournalDropAfter {
-			wanted[name] = known.id
+			fenced[name] = known.id
 		}
 	}
+	wanted := s.home.withoutLeaving(fenced)
 	if !maps.Equal(wanted, s.wantedJournals) {
 		s.log().WithField("journals", wanted).Info("journals for the replica selected")
 		s.wantedJournals = wanted
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -209,6 +209,8 @@
 	Self() structs.Instance
 	// Live returns the daemons considered alive and not leaving.
 	Live() []structs.Instance
+	// Reachable returns the daemons not considered dead, leaving ones included.
+	Reachable() []structs.Instance
 	// Lookup returns a known daemon, including a leaving one.
 	Lookup(name string) (structs.Instance, bool)
 	// Listed reports whether the platform's list of daemons has been read.
