--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -185,7 +185,21 @@
 func (h *harness) ForService(service string) []structs.Server {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.servers[service]
+	return slices.DeleteFunc(slices.Clone(h.servers[service]), func(s structs.Server) bool {
+		return s.State == structs.StateLeaving
+	})
+}
+
+// markLeaving lists a server as leaving.
+func (h *harness) markLeaving(service, name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i := range h.servers[service] {
+		if h.servers[service][i].Name == name {
+			h.servers[service][i].State = structs.StateLeaving
+			h.servers[service][i].LeavingSince = time.Now()
+		}
+	}
 }
 
 func (h *harness) Find(name string) (structs.Server, bool) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,8 +11,6 @@
 
 	"github.com/go-faster/errors"
 
-	"ibisline/internal/structs"
-	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
@@ -120,69 +118,6 @@
 		!verdict.HasReason(err, verdict.Quarantined)
 }
 
-// resume requests the rest of the response from the same server, and from another one only
-// if that server has ended or cannot be reached.
-func (s *stream) resume(ctx context.Context, server structs.Server) (sendResult, error) {
-	if server.Name == "" {
-		return sendResult{}, errNoRun
-	}
-	sent, err := s.resumeAt(ctx, server)
-	for err == nil && sent.response == nil {
-		// The server is alive but full. The run must not be resumed elsewhere.
-		if !timers.Sleep(ctx, fullServerRetryPause) {
-			return sent, ctx.Err()
-		}
-		sent, err = s.resumeAt(ctx, server)
-	}
-	if err == nil || !verdict.Is(err, verdict.NotRun) {
-		return sent, err
-	}
-	// Nothing listens at the address any more: the run ended with its server, which no
-	// longer counts against the number of servers that the route allows.
-	s.job.markNotRun(server.Name)
-	return s.resumeElsewhere(ctx)
-}
-
-// resumeAt asks a server once for the rest of the response. The response is nil if the server
-// rejects the request for now; the error is NotRun if the run has ended with its server.
-func (s *stream) resumeAt(ctx context.Context, server structs.Server) (sendResult, error) {
-	g, sent := s.gateway, sendResult{server: server, at: time.Now()}
-	if err := g.checkRefused(s.job); err != nil {
-		return sent, verdict.Wrap(err, verdict.MayHaveRun, verdict.Quarantined, "the stream is not resumed")
-	}
-	if listed, found := g.Servers.Find(server.Name); found && listed.StartedMS > server.StartedMS {
-		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has started again", server.Name)
-	}
-	g.tracker.begin(server.Name)
-	g.Limits.Charge(server)
-	response, err := g.sendTo(ctx, s.job, server, s.lastEventID)
-	if err == nil && !g.Dialect.NotRun(response.Status, response.Header) {
-		sent.response = response
-		return sent, nil
-	}
-	g.tracker.done(server.Name)
-	if err != nil {
-		if !verdict.Is(err, verdict.NotRun) {
-			g.checkForCrash(ctx, s.job, sent, err)
-		}
-		return sent, err
-	}
-	response.Discard(maxDiscardedBytes)
-	if response.Status == http.StatusMisdirectedRequest {
-		return sent, verdict.New(verdict.NotRun, verdict.NoServer, "%s has another server at its address", server.Name)
-	}
-	return sent, nil
-}
-
-// fullServerRetryPause is the pause before a full server is asked to resume again.
-const fullServerRetryPause = 25 * time.Millisecond
-
-// resumeElsewhere resumes the response at another server.
-func (s *stream) resumeElsewhere(ctx context.Context) (sendResult, error) {
-	s.job.ResumeAfter = s.lastEventID
-	return s.gateway.send(ctx, s.job)
-}
-
 // errCallerGone is returned when writing to the caller fails.
 var errCallerGone = errors.New("the caller is gone")
 
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -101,10 +101,7 @@
 func (t *tracker) pick(candidates []structs.Server, from Config, affinity string, now time.Time) (structs.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool {
-		state := t.stateOf(server.Name)
-		return state.leaving(server) && now.Sub(state.leavingSince) >= leavingGrace
-	})
+	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool { return !t.acceptsWork(server, now) })
 	rated := make([]balance.Candidate, len(candidates))
 	for i, server := range candidates {
 		state := t.stateOf(server.Name)
@@ -129,6 +126,23 @@
 	return candidates[best], true
 }
 
+// mayGetWork reports whether a server may still get requests, resumed ones included: it is not
+// leaving, or only since a short while.
+func (t *tracker) mayGetWork(server structs.Server, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.acceptsWork(server, now)
+}
+
+// acceptsWork is mayGetWork for callers that hold mu.
+func (t *tracker) acceptsWork(server structs.Server, now time.Time) bool {
+	if server.State == structs.StateLeaving && now.Sub(server.LeavingSince) >= leavingGrace {
+		return false
+	}
+	state := t.stateOf(server.Name)
+	return !state.leaving(server) || now.Sub(state.leavingSince) < leavingGrace
+}
+
 // distance returns the distance between a server and a location.
 func distance(from Config, server structs.Server) balance.Distance {
 	switch {
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -133,7 +133,14 @@
 	for _, c := range held {
 		listed[c.Name] = true
 		if known, ok := d.entries[c.Name]; !ok || known.version != c.Version || !known.expiresAt.IsZero() {
-			d.entries[c.Name] = d.decodeEntry(c)
+			decoded := d.decodeEntry(c)
+			if decoded.server.State == structs.StateLeaving {
+				decoded.server.LeavingSince = now
+				if known.server.State == structs.StateLeaving && known.server.StartedMS == decoded.server.StartedMS {
+					decoded.server.LeavingSince = known.server.LeavingSince
+				}
+			}
+			d.entries[c.Name] = decoded
 		}
 	}
 	recheck := d.expireUnlisted(listed, now)
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -174,6 +174,19 @@
 	return nil
 }
 
+// Check connects to a server and closes the connection without sending anything. It returns the dial
+// error, whose kind is ErrConnect.
+func (c *Client) Check(ctx context.Context, server structs.Server) error {
+	c.dials.Inc()
+	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
+	defer cancel()
+	raw, err := c.config.Dial(ctx, server.Addr)
+	if err != nil {
+		return &Failure{Kind: ErrConnect, Cause: err}
+	}
+	return raw.Close()
+}
+
 // takeIdle removes and returns the most recently used idle connection of a server on which
 // the request was not rejected before, nil if there is none.
 func (c *Client) takeIdle(key poolKey, requestID string) *conn {
