Check keys of teams, withhold them from servers, and keep quotas over the fleet

Cause: no team, key or quota existed on the platform's path.

Change: platform/ replaces keys by digests before the configuration is cached, and decodes tenants into teams. routes indexes keys; a key of two teams proves nothing. Requests of teams get their Tenant from the gateway; Authorization and the caller's Tenant are withheld. Object caches carry a proof of the time at which they held all changes, dated by a clock that goes on during a suspension, passed on in answers to probes; past 0.9 of teams.revoke_within without proof, keys are refused with 503. internal/quota: one gateway issues a team's quota, others admit without asking until it is half used, then with a permit each, and whole programs by rank. Budgets, kept turns and crash records are a team's own. The choice of issuers and the count of gateways are shared with serverlimit.

--- a/cmd/ibislined/main.go
+++ b/cmd/ibislined/main.go
@@ -73,6 +73,7 @@
 		Dialect:       adapter,
 		RoutesPrefix:  platform.RoutesPrefix,
 		Routes:        adapter.RouteTable,
+		WithoutKeys:   adapter.WithoutKeys,
 		ServersPrefix: platform.ServersPrefix,
 		Servers:       adapter.Server,
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -32,8 +32,10 @@
 	Dialect      gateway.Dialect
 	// RoutesPrefix and ServersPrefix are the key prefixes of the objects that
 	// Routes and Servers decode.
-	RoutesPrefix  string
-	Routes        routes.Decoder
+	RoutesPrefix string
+	Routes       routes.Decoder
+	// WithoutKeys replaces the keys of teams in the configuration by their digests.
+	WithoutKeys   func(value []byte) []byte
 	ServersPrefix string
 	Servers       servers.Decoder
 	// RetirementsPrefix is the key prefix of the requests that Retirements decodes.
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -22,6 +22,7 @@
 	"ibisline/internal/objectcache"
 	"ibisline/internal/operator"
 	"ibisline/internal/peer"
+	"ibisline/internal/quota"
 	"ibisline/internal/retire"
 	"ibisline/internal/routes"
 	"ibisline/internal/serverlimit"
@@ -49,6 +50,7 @@
 	serviceRetirementCache = "retirement-feed"
 	serviceRetirement      = "retirement"
 	serviceHistories       = "histories"
+	serviceQuotas          = "quotas"
 )
 
 // platformSteps returns the steps that build the services of a gateway or keeper.
@@ -96,12 +98,18 @@
 		serviceRetirementCache: {b.adapter.RetirementsPrefix, retirementRelistAfter},
 	} {
 		config := objectcache.Config{Rank: members.Rank, Joined: members.Joined, RelistAfter: of.relistAfter}
+		if name == serviceRouteCache {
+			config.Transform = b.adapter.WithoutKeys
+		}
 		cache := objectcache.New(config, of.prefix, b.store, transport, transport, b.metrics, b.log)
 		b.versions.caches[of.prefix] = cache
 		if err := b.kernel.Register(name, cache); err != nil {
 			return err
 		}
 	}
+	if b.settings.Teams.RevokeWithin > 0 {
+		b.versions.proven = b.versions.caches[b.adapter.RoutesPrefix]
+	}
 	members.SetVersionExchange(b.versions)
 	return nil
 }
@@ -111,6 +119,16 @@
 type cacheVersions struct {
 	caches map[string]*objectcache.Cache
 	guard  *crashguard.Guard
+	// proven is the cache whose proofs of being current are passed on, nil for none.
+	proven *objectcache.Cache
+}
+
+// Now returns the time of the clock that dates the proofs.
+func (v *cacheVersions) Now() time.Duration {
+	if v.proven == nil {
+		return 0
+	}
+	return v.proven.Now()
 }
 
 // Versions returns the versions that this daemon sends in its probes.
@@ -119,6 +137,13 @@
 	if mark := v.guard.Mark(); mark != 0 {
 		versions[crashGuardKey] = mark
 	}
+	if v.proven != nil {
+		if at, version := v.proven.Current(); at > 0 {
+			versions[v.proven.Prefix()+provenVersionSuffix] = version
+			// Rounded up, so that the copy does not look newer.
+			versions[v.proven.Prefix()+provenAgeSuffix] = (v.proven.Now() - at).Milliseconds() + 1
+		}
+	}
 	for prefix, c := range v.caches {
 		versions[prefix] = c.NewestVersion()
 		if listing := c.Listing(); listing.Number > 0 {
@@ -129,6 +154,14 @@
 	return versions
 }
 
+// provenKey returns the key of the version of a proven cache, empty if proofs are not passed on.
+func (v *cacheVersions) provenKey() string {
+	if v.proven == nil {
+		return ""
+	}
+	return v.proven.Prefix() + provenVersionSuffix
+}
+
 // crashGuardKey is the key of the digest of the crashes under requests.
 const crashGuardKey = "poison"
 
@@ -139,9 +172,22 @@
 	listingAgeSuffix    = "age"
 )
 
+// Key suffixes of the version of the newest change in a cache that is proven to be current, and of
+// the age of that proof in milliseconds.
+const (
+	provenVersionSuffix = "proven"
+	provenAgeSuffix     = "proof"
+)
+
 // Observe handles the versions received from another daemon.
-func (v *cacheVersions) Observe(daemon string, versions member.Versions) {
+func (v *cacheVersions) Observe(daemon string, versions member.Versions, askedAt time.Duration) {
 	v.guard.Learn(daemon, versions[crashGuardKey])
+	if version, ok := versions[v.provenKey()]; ok && askedAt > 0 {
+		// The age is as of a time after askedAt. Versions that were sent unasked may be under way for
+		// any time.
+		age := time.Duration(versions[v.proven.Prefix()+provenAgeSuffix]) * time.Millisecond
+		v.proven.ProveCurrent(askedAt-age, version)
+	}
 	for prefix, c := range v.caches {
 		version, ok := versions[prefix]
 		if !ok {
@@ -399,7 +445,22 @@
 	if err := b.kernel.Register(serviceServerLimits, limits); err != nil {
 		return err
 	}
-	config := gateway.Config{Region: b.self.Region, DataCentre: b.self.DataCentre}
+	quotas := quota.New(quota.Deps{
+		View: members, Dialer: transport, Mux: transport, Metrics: b.metrics, Log: b.log,
+		Team: func(name string) (*structs.Team, bool) {
+			table := loader.Current()
+			if table == nil {
+				return nil, false
+			}
+			return table.Team(name)
+		},
+	})
+	if err := b.kernel.Register(serviceQuotas, quotas); err != nil {
+		return err
+	}
+	config := gateway.Config{
+		Region: b.self.Region, DataCentre: b.self.DataCentre, RevokeWithin: b.settings.Teams.RevokeWithin.Std(),
+	}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect: b.adapter.Dialect,
 		Routes:  loader,
@@ -411,6 +472,7 @@
 		Budgets:    tokenbudget.NewClient(b.budgetConfig(), members, transport, home, b.log),
 		CrashGuard: guard,
 		Limits:     limits,
+		Quotas:     quotas,
 		Metrics:    b.metrics,
 		Log:        b.log,
 	})
--- /dev/null
+++ b/internal/gateway/access.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"ibisline/internal/routes"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+)
+
+// Quotas keeps the requests of each team within its quota.
+type Quotas interface {
+	// Admit takes a request from the quota of its team. rank is the same for all requests of a program.
+	// Errors are refusals.
+	Admit(ctx context.Context, team *structs.Team, rank float64) error
+	// Return gives back a request that was admitted and did not run.
+	Return(team *structs.Team)
+}
+
+const (
+	// maxProofFraction is the part of Config.RevokeWithin that the proof of the configuration may be
+	// old for a key to be accepted. The rest covers clocks that differ in speed.
+	maxProofFraction = 0.9
+	// unknownKeyProofFraction is that for a key to be rejected as unknown: a key that was just added
+	// must not be.
+	unknownKeyProofFraction = 0.6
+	// proofRetryAfter is the Retry-After of refusals without a proof.
+	proofRetryAfter = 500 * time.Millisecond
+)
+
+// proof is the age of the configuration in force, and whether it is known.
+type proof struct {
+	age    time.Duration
+	proven bool
+}
+
+// within reports whether the configuration was proven to be the newest one within a part of a time.
+// Without such a time no proof is needed.
+func (p proof) within(limit time.Duration, part float64) bool {
+	return limit <= 0 || (p.proven && p.age <= time.Duration(float64(limit)*part))
+}
+
+// checkKey finds the team of a request by its key. The proof is older than the table. Errors are
+// refusals.
+//
+// A key that was taken away works for RevokeWithin at most, on every daemon: the proof says that the
+// configuration was the newest one at a time before the caller sent the request.
+func (g *Gateway) checkKey(j *job, table *routes.Table, p proof) error {
+	if !table.RequiresKeys {
+		return nil
+	}
+	j.ChecksKeys = true
+	if j.Key != nil {
+		if team, found := table.TeamOf(*j.Key); found {
+			j.team, j.Team = team, team.Name
+		}
+	}
+	if j.team == nil && j.route.Public {
+		return nil
+	}
+	part := maxProofFraction
+	if j.team == nil {
+		part = unknownKeyProofFraction
+	}
+	switch {
+	case !p.within(g.config.RevokeWithin, part):
+		return verdict.Refuse(verdict.KeyUnproven, "the configuration is not proven to be new enough to check keys").
+			RetryIn(proofRetryAfter)
+	case j.team == nil:
+		return verdict.Refuse(verdict.UnknownKey, "the request has no key of a team")
+	default:
+		return nil
+	}
+}
+
+// checkQuota takes a request from the quota of its team. Errors are refusals.
+func (g *Gateway) checkQuota(ctx context.Context, j *job) error {
+	if j.team == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, j.deadline)
+	defer cancel()
+	if err := g.Quotas.Admit(ctx, j.team, admissionRank(j)); err != nil {
+		return err
+	}
+	j.charged = true
+	return nil
+}
+
+// returnQuota gives a request that did not run back to the quota of its team.
+func (g *Gateway) returnQuota(j *job) {
+	if j.charged && !j.mayHaveRun() {
+		g.Quotas.Return(j.team)
+	}
+}
+
+// scoped returns an identifier of the caller under which its team keeps something of its own. Teams
+// that use the same identifier do not share it. Header fields contain no NUL.
+func (j *job) scoped(id string) string {
+	if j.Team == "" || id == "" {
+		return id
+	}
+	return j.Team + "\x00" + id
+}
--- /dev/null
+++ b/internal/gateway/access_test.go
@@ -0,0 +1,131 @@
+package gateway_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"ibisline/internal/routes"
+	"ibisline/internal/structs"
+	"ibisline/internal/verdict"
+	"ibisline/platform/platformtest"
+)
+
+// useTeams puts a configuration with teams in force. Key "k-shared" is listed by two of them.
+func (h *harness) useTeams() {
+	table := defaultRoutes()
+	table.RequiresKeys = true
+	table.Routes[1].Public = true
+	keys := func(all ...string) (digests []structs.KeyDigest) {
+		for _, key := range all {
+			digests = append(digests, structs.DigestKey(key))
+		}
+		return digests
+	}
+	table.Teams = []structs.Team{
+		{Name: "weavers", Keys: keys("k-1", "k-2", "k-shared")},
+		{Name: "printers", Keys: keys("k-3", "k-shared")},
+		{Name: "keyless"},
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table = routes.NewTable(table)
+	h.age, h.proven = time.Second, true
+}
+
+// withAuthorization returns an edit for call that sends Authorization fields as they are.
+func withAuthorization(values ...string) func(*http.Request) {
+	return func(r *http.Request) { r.Header["Authorization"] = values }
+}
+
+// Guards against requests that run without the key of one team, against keys and the callers' own team
+// fields that reach a server, and against rejected proper keys.
+func TestKeySelectsTeamAndIsNotForwarded(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.useTeams()
+		till := h.addServer(tills, "till-1")
+		for _, c := range []struct {
+			path   string
+			values []string
+			status int
+			team   string
+		}{
+			{"/redeem/1", []string{"Bearer k-1"}, 200, "weavers"},
+			{"/redeem/1", []string{"bearer  k-3 "}, 200, "printers"},
+			{"/redeem/1", []string{"Bearer k-unknown"}, 401, ""},
+			{"/redeem/1", []string{"Bearer k-shared"}, 401, ""},
+			{"/redeem/1", []string{"Bearer "}, 401, ""},
+			{"/redeem/1", []string{"Basic k-1"}, 401, ""},
+			{"/redeem/1", []string{"Bearer k-1", "Bearer k-1"}, 401, ""},
+			{"/redeem/1", nil, 401, ""},
+			{"/look/1", nil, 200, ""},
+			{"/look/1", []string{"Bearer k-unknown"}, 200, ""},
+			{"/look/1", []string{"Bearer k-2"}, 200, "weavers"},
+		} {
+			before := len(till.Runs())
+			got := h.call(http.MethodPost, c.path, "r1", withAuthorization(c.values...), withHeader("Tenant", "printers"))
+			require.Equal(t, c.status, got.status, c.values)
+			if c.status != http.StatusOK {
+				require.Len(t, till.Runs(), before)
+				continue
+			}
+			run := till.Runs()[before]
+			require.NotContains(t, run.Header, "Authorization")
+			require.Equal(t, c.team, run.Header.Get("Tenant"), c.values)
+		}
+		require.Equal(t, map[string]int{"weavers": 2, "printers": 1}, h.admitted)
+	})
+}
+
+// Guards against keys that work on a daemon which may have missed that they were taken away, and
+// against rejecting a key as unknown that may have been added.
+func TestKeysNeedProofOfConfiguration(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.useTeams()
+		till := h.addServer(tills, "till-1")
+		for _, c := range []struct {
+			age           time.Duration
+			proven        bool
+			known, unkown int
+		}{
+			{0, false, 503, 503},
+			{time.Second, true, 200, 401},
+			{4 * time.Second, true, 200, 503},
+			{revokeWithin, true, 503, 503},
+		} {
+			h.mu.Lock()
+			h.age, h.proven = c.age, c.proven
+			h.mu.Unlock()
+			before := len(till.Runs())
+			got := h.call(http.MethodPost, "/redeem/1", "r1", withAuthorization("Bearer k-1"))
+			require.Equal(t, c.known, got.status, c.age)
+			require.Equal(t, c.unkown, h.call(http.MethodPost, "/redeem/1", "r2", withAuthorization("Bearer x")).status)
+			if c.known != http.StatusOK {
+				require.Len(t, till.Runs(), before)
+				require.NotEmpty(t, got.header.Get("Retry-After"))
+			}
+		}
+	})
+}
+
+// Guards against quotas that count requests which never ran, and against another status than 429 beyond
+// a quota, which callers would take for a failure.
+func TestQuotaCountsRequestsThatMayHaveRun(t *testing.T) {
+	withHarness(t, func(t *testing.T, h *harness) {
+		h.useTeams()
+		key := withAuthorization("Bearer k-1")
+		require.Equal(t, http.StatusServiceUnavailable, h.call(http.MethodPost, "/redeem/1", "r1", key).status)
+		require.Zero(t, h.admitted["weavers"], "no server took it")
+		till := h.addServer(tills, "till-1")
+		till.Always(platformtest.Reply{Reset: true})
+		require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/redeem/1", "r2", key).status)
+		require.Equal(t, 1, h.admitted["weavers"])
+		h.quotaErr = verdict.Refuse(verdict.QuotaReached, "quota").RetryIn(time.Second)
+		got := h.call(http.MethodPost, "/redeem/1", "r3", key)
+		require.Equal(t, http.StatusTooManyRequests, got.status)
+		require.Equal(t, "1.000", got.header.Get("Retry-After"))
+		require.Len(t, till.Runs(), 1)
+	})
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -48,7 +48,7 @@
 // admissionRank returns a number from 0 to 1 that is the same for all requests of a program. It is
 // independent of the one that selects the target of a split route.
 func admissionRank(j *job) float64 {
-	key := j.Program
+	key := j.scoped(j.Program)
 	if key == "" {
 		key = j.ID
 	}
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -16,7 +16,7 @@
 		return noopGrant{}, nil
 	}
 	return g.Budgets.Reserve(ctx, ledger.Reservation{
-		Program:  j.Program,
+		Program:  j.scoped(j.Program),
 		ID:       j.ID,
 		Budget:   j.Budget,
 		Tokens:   j.MaxTokens,
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -14,7 +14,12 @@
 // fingerprint identifies the request across all attempts of its caller. It contains what a server
 // works on; a caller may send the same request as another program each time.
 func (j *job) fingerprint() crashguard.Fingerprint {
-	return crashguard.FingerprintOf([]byte(j.Method), []byte(j.Host), []byte(j.Target), j.Body)
+	parts := [][]byte{[]byte(j.Method), []byte(j.Host), []byte(j.Target), j.Body}
+	if j.Team != "" {
+		// One team must not get the request of another one refused.
+		parts = append(parts, []byte(j.Team))
+	}
+	return crashguard.FingerprintOf(parts...)
 }
 
 // checkRefused returns an error if the request must not be sent because it crashes servers.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,8 +49,14 @@
 	FailureResponse(failure *verdict.Error) (int, http.Header)
 }
 
-// Routes provides the route configuration in force. Current returns nil until one is loaded.
-type Routes interface{ Current() *routes.Table }
+// Routes provides the route configuration in force.
+type Routes interface {
+	// Current returns nil until a configuration is loaded.
+	Current() *routes.Table
+	// Age returns the time since the current configuration was proven to be the newest one, and false
+	// without such a proof. What Current returns later is at least as new.
+	Age() (time.Duration, bool)
+}
 
 // Budgets grants tokens to turns. Errors of Reserve are refusals.
 type Budgets interface {
@@ -92,6 +98,8 @@
 type Config struct {
 	Region     string
 	DataCentre string
+	// RevokeWithin is the time after which a revoked key must not work any more; 0 for no limit.
+	RevokeWithin time.Duration
 }
 
 // Deps holds the services that the gateway depends on.
@@ -104,6 +112,7 @@
 	Histories  Histories
 	CrashGuard CrashGuard
 	Limits     ServerLimits
+	Quotas     Quotas
 	Metrics    *metrics.Set
 	Log        log.Interface
 }
@@ -180,9 +189,11 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	age, proven := g.Routes.Age()
 	table := g.Routes.Current()
-	job, err := g.admit(w, r, table, now)
+	job, err := g.admit(w, r, table, proof{age: age, proven: proven}, now)
 	defer g.recordEnd(job, table.VersionOrZero())
+	defer g.returnQuota(job)
 	if err != nil {
 		g.fail(w, r, job, err)
 		return
@@ -192,7 +203,7 @@
 
 // admit decodes a request, finds its route and reads its body. The job is never nil; errors
 // are refusals.
-func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, table *routes.Table, now time.Time) (*job, error) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, table *routes.Table, p proof, now time.Time) (*job, error) {
 	decoded, err := g.Dialect.DecodeRequest(r, now)
 	j := newJob(decoded)
 	if table == nil {
@@ -206,12 +217,17 @@
 		return j, verdict.Refuse(verdict.UnknownRoute, "no route for %s%s", decoded.Host, decoded.Path)
 	}
 	j.route = route
+	if err := g.checkKey(j, table, p); err != nil {
+		return j, err
+	}
 	j.service = table.Services[routes.PickService(route, splitFraction(decoded))]
 	j.deadline = decoded.Deadline(route.Timeout)
 	if err := g.checkStop(j); err != nil {
 		return j, err
 	}
 	j.maxBodyBytes = table.Limits.BodyBytes
-	j.Body, err = readBody(w, r, table.Limits.BodyBytes)
-	return j, err
+	if j.Body, err = readBody(w, r, table.Limits.BodyBytes); err != nil {
+		return j, err
+	}
+	return j, g.checkQuota(r.Context(), j)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -57,6 +57,12 @@
 	confirmGate chan struct{}
 	confirmErr  error
 	histories   *fakeHistories
+	// admitted counts the requests of each team; quotaErr is returned by Admit. age and proven are
+	// returned by Age.
+	admitted map[string]int
+	quotaErr error
+	age      time.Duration
+	proven   bool
 	// statuses holds the statuses that recordStatus has recorded, by request ID.
 	statuses map[string]int
 }
@@ -64,6 +70,9 @@
 // balancerDelay is the time for which a gateway that stops accepts connections.
 const balancerDelay = 2500 * time.Millisecond
 
+// revokeWithin is the time after which a revoked key must not work.
+const revokeWithin = 5 * time.Second
+
 // The services and routes of the tests.
 const (
 	engines = "engines"
@@ -115,6 +124,7 @@
 		table:     routes.NewTable(defaultRoutes()),
 		servers:   map[string][]structs.Server{},
 		histories: newFakeHistories(),
+		admitted:  map[string]int{},
 	}
 	adapter := platform.Adapter{}
 	set := metrics.NewSet()
@@ -127,7 +137,7 @@
 		Cache: objectcache.New(objectcache.Config{}, crashguard.Prefix, store, node, node, metrics.NewSet(), testbed.NoLog()),
 		Rank:  func() int { return 0 }, Announce: func() {},
 	})
-	h.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1"}, gateway.Deps{
+	h.gateway = gateway.New(gateway.Config{Region: "north", DataCentre: "n1", RevokeWithin: revokeWithin}, gateway.Deps{
 		Dialect:    adapter,
 		Routes:     h,
 		Servers:    h,
@@ -138,6 +148,7 @@
 		Limits: serverlimit.New(serverlimit.Deps{
 			View: node, Dialer: node, Mux: node, Listed: func(string) bool { return true }, Metrics: set, Log: testbed.NoLog(),
 		}),
+		Quotas:  h,
 		Metrics: set,
 		Log:     testbed.NoLog(),
 	})
@@ -176,6 +187,28 @@
 	return h
 }
 
+// Admit counts the requests of each team, and refuses them once quotaErr is set.
+func (h *harness) Admit(_ context.Context, team *structs.Team, _ float64) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.quotaErr == nil {
+		h.admitted[team.Name]++
+	}
+	return h.quotaErr
+}
+
+func (h *harness) Return(team *structs.Team) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.admitted[team.Name]--
+}
+
+func (h *harness) Age() (time.Duration, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.age, h.proven
+}
+
 func (h *harness) Current() *routes.Table {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -28,9 +28,9 @@
 // historyKey returns the key that selects where the turns of a program are stored.
 func historyKey(j *job) string {
 	if j.Program != "" {
-		return j.Program
+		return j.scoped(j.Program)
 	}
-	return j.Session
+	return j.scoped(j.Session)
 }
 
 // loadHistory makes the body of a turn the whole prompt, if its route keeps turns. Errors are refusals.
@@ -56,7 +56,7 @@
 	if j.PreviousTurn == "" {
 		return nil
 	}
-	chain, err := g.Histories.Find(ctx, historyKey(j), j.PreviousTurn)
+	chain, err := g.Histories.Find(ctx, historyKey(j), j.scoped(j.PreviousTurn))
 	j.summary.historyTime = time.Since(j.Arrived)
 	if err != nil {
 		return err
@@ -76,7 +76,7 @@
 	}
 	started := time.Now()
 	err := g.Histories.Store(ctx, historyKey(j), j.chain, history.Turn{
-		ID: j.ID, Previous: j.PreviousTurn, Input: j.input, Output: output,
+		ID: j.scoped(j.ID), Previous: j.scoped(j.PreviousTurn), Input: j.input, Output: output,
 		Arrived: j.Arrived.UnixMilli(),
 		Expires: started.Add(j.route.Retention + expirySlack).UnixMilli(),
 	})
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -15,6 +15,10 @@
 	route    *structs.Route
 	service  structs.Service
 	deadline time.Time
+	// team is the team of the caller, nil if none was proven, and charged is set once the request was
+	// taken from its quota.
+	team    *structs.Team
+	charged bool
 	// maxBodyBytes limits what is sent to a server; 0 for the default.
 	maxBodyBytes int64
 	// input and chain are the new input of a turn that is kept, and the turns before it.
--- a/internal/gateway/summary.go
+++ b/internal/gateway/summary.go
@@ -85,6 +85,9 @@
 		fields["route"] = j.route.Name
 		fields["left_ms"] = time.Until(j.deadline).Milliseconds()
 	}
+	if j.Team != "" {
+		fields["team"] = j.Team
+	}
 	if j.Program != "" {
 		fields["program"] = j.Program
 	}
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -139,6 +139,7 @@
 func (m *Members) exchange(s peer.Stream, target string, introduce bool) (probeMessage, error) {
 	m.probes.Inc()
 	var answer probeMessage
+	askedAt := m.versions.Now()
 	if err := s.Send(m.newProbe(target, introduce)); err != nil {
 		return answer, err
 	}
@@ -150,7 +151,7 @@
 		machine.ApplyRumors(answer.Rumors, false, now)
 		machine.RecordAnswer(target, answer.Incarnation, now)
 	})
-	m.observe(target, answer.Versions)
+	m.observe(target, answer.Versions, askedAt)
 	return answer, nil
 }
 
@@ -215,7 +216,7 @@
 	if dead {
 		m.reconnect(from)
 	}
-	m.observe(from, in.Versions)
+	m.observe(from, in.Versions, 0)
 }
 
 // reconnect probes a daemon once, unless such a probe is already in progress.
--- a/internal/objectcache/cache.go
+++ b/internal/objectcache/cache.go
@@ -22,6 +22,7 @@
 	"github.com/apex/log"
 	"golang.org/x/sync/errgroup"
 
+	"ibisline/internal/boottime"
 	"ibisline/internal/defaults"
 	"ibisline/internal/objectapi"
 	"ibisline/internal/peer"
@@ -75,6 +76,12 @@
 	RelistStep       time.Duration
 	FirstListDelay   time.Duration
 	FirstListStep    time.Duration
+	// Transform, if not nil, replaces the value of each object of the platform before it is stored and
+	// sent to peers.
+	Transform func(value []byte) []byte
+	// Clock dates the proofs that the copy is current. It must go on while the machine is suspended;
+	// the default is boottime.Now.
+	Clock func() time.Duration
 	// Joined reports whether this daemon knows other daemons, or that there are none. Before, its rank
 	// means nothing.
 	Joined func() bool
@@ -99,6 +106,9 @@
 	if c.Joined == nil {
 		c.Joined = func() bool { return true }
 	}
+	if c.Clock == nil {
+		c.Clock = boottime.Now
+	}
 	if c.Rank == nil {
 		c.Rank = func(string) int { return 0 }
 	}
@@ -142,6 +152,9 @@
 	unreachable    bool
 	reachableSince time.Time
 
+	// current is the time at which the copy is proven to have held all changes, 0 for none.
+	current time.Duration
+
 	fromPlatform *metrics.Counter
 	fromPeers    *metrics.Counter
 }
@@ -218,6 +231,28 @@
 	return Listing{Number: c.listingNumber, Age: time.Since(c.listedAt)}
 }
 
+// Current returns the newest time of the cache's clock at which the copy, whose newest change has the
+// returned version, is proven to have held all changes; 0 without a proof.
+func (c *Cache) Current() (at time.Duration, version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current, c.newest
+}
+
+// Now returns the time of the clock that dates the proofs.
+func (c *Cache) Now() time.Duration { return c.config.Clock() }
+
+// ProveCurrent records that a copy whose newest change has a version held all changes at a time. This
+// copy did then too, if it has that change.
+func (c *Cache) ProveCurrent(at time.Duration, version int64) {
+	loaded := c.isLoaded()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if loaded && version <= c.newest {
+		c.current = max(c.current, at)
+	}
+}
+
 // isLoaded reports whether a listing has been loaded.
 func (c *Cache) isLoaded() bool {
 	_, loaded := c.table.Revision()
--- a/internal/objectcache/platform.go
+++ b/internal/objectcache/platform.go
@@ -155,7 +155,7 @@
 
 // list replaces the copy by a listing of the platform.
 func (c *Cache) list(ctx context.Context) error {
-	requestedAt := time.Now()
+	requestedAt, current := time.Now(), c.config.Clock()
 	found, revision, err := c.store.List(ctx, c.prefix)
 	if err != nil {
 		return err
@@ -167,6 +167,7 @@
 		listed = append(listed, c.toChange(object, false))
 	}
 	c.publish(c.table.Replace(revision, listed, nil), sourcePlatform, c.fromPlatform)
+	c.ProveCurrent(current, 0)
 	return nil
 }
 
@@ -198,6 +199,9 @@
 	change := Change{Name: strings.TrimPrefix(object.Key, c.prefix), Version: object.Version}
 	if !removed {
 		value := object.Value
+		if c.config.Transform != nil {
+			value = c.config.Transform(value)
+		}
 		change.Value = &value
 	}
 	return change
--- /dev/null
+++ b/internal/quota/admission.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// targetLevel is the part of the burst that is kept in reserve while a team asks for more than its
+	// quota: permits that run out are denied to all programs alike.
+	targetLevel = 0.15
+	// emptyLevel is the level below which the fraction of admitted programs falls at once.
+	emptyLevel = 0.05
+	// integralGain and proportionalGain set how the logarithm of the fraction follows the level. With a
+	// burst of about a second of the quota, the loop is damped by half and settles within 2 s.
+	integralGain     = 4.0
+	proportionalGain = 2.0
+	emptyRate        = 4.0
+	// maxLevel limits how fast the fraction rises.
+	maxLevel = 0.6
+	// minAdmitted keeps some programs running, so that the fraction can rise again.
+	minAdmitted = 0.005
+	// maxStep limits the time that one update accounts for.
+	maxStep = 500 * time.Millisecond
+)
+
+// admission is the fraction of a team's programs that may run, controlled by the level of its bucket.
+// It is a state machine without a clock.
+type admission struct {
+	base      float64
+	updatedAt time.Time
+}
+
+func newAdmission(now time.Time) admission { return admission{base: 1, updatedAt: now} }
+
+// update moves the fraction according to the level since the last update.
+func (a *admission) update(level float64, now time.Time) {
+	step := min(max(now.Sub(a.updatedAt), 0), maxStep).Seconds()
+	a.updatedAt = now
+	change := integralGain * (min(level, maxLevel) - targetLevel)
+	if level < emptyLevel {
+		change = -emptyRate
+	}
+	a.base = min(max(a.base*math.Exp(change*step), minAdmitted), 1)
+}
+
+// fraction returns the fraction at a level.
+func (a *admission) fraction(level float64) float64 {
+	return min(a.base*math.Exp(proportionalGain*(min(level, maxLevel)-targetLevel)), 1)
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"ibisline/internal/structs"
 )
 
 // Request is one attempt of a caller to have a request run.
@@ -26,6 +28,12 @@
 	// ResumeAfter is the ID of the last event that the caller already has; 0 for none.
 	ResumeAfter int
 
+	// Key is the digest of the caller's key, nil without a single valid one.
+	Key *structs.KeyDigest
+	// Team is the team of the caller, empty if none was proven. ChecksKeys is set if the configuration
+	// has teams: only then are fields about keys and teams withheld from the server.
+	Team       string
+	ChecksKeys bool
 	// Program and Session identify the agent program and its sequence of turns.
 	Program string
 	Session string
--- a/internal/routes/loader.go
+++ b/internal/routes/loader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 
@@ -23,6 +24,8 @@
 	decode  Decoder
 	logger  log.Interface
 	current atomic.Pointer[Table]
+	// applied is the version of the newest change in source that current takes into account.
+	applied atomic.Int64
 	// rejectedVersions holds, by object name, the version last logged as invalid.
 	rejectedVersions map[string]int64
 }
@@ -54,13 +57,29 @@
 	if !ok {
 		return
 	}
+	newest, valid := int64(0), true
 	for _, c := range held {
-		l.apply(c)
+		valid = l.apply(c) && valid
+		newest = max(newest, c.Version)
 	}
+	if valid {
+		l.applied.Store(newest)
+	}
+}
+
+// Age returns the time since the current configuration was proven to be the newest one, and false
+// without such a proof. It goes on while the machine is suspended.
+func (l *Loader) Age() (time.Duration, bool) {
+	at, version := l.source.Current()
+	if at == 0 || l.applied.Load() < version {
+		return 0, false
+	}
+	return max(l.source.Now()-at, 0), true
 }
 
-// apply makes the configuration in one object current if it is newer.
-func (l *Loader) apply(c objectcache.Change) {
+// apply makes the configuration in one object current if it is newer. It returns false if that cannot
+// be decoded.
+func (l *Loader) apply(c objectcache.Change) bool {
 	config, err := l.decode(objectapi.Object{Key: l.prefix + c.Name, Value: *c.Value, Version: c.Version})
 	if err != nil {
 		if l.rejectedVersions[c.Name] != c.Version {
@@ -68,14 +87,15 @@
 			l.logger.WithError(err).WithField("object", c.Name).WithField("version", c.Version).
 				Error("configuration is invalid; keeping the current one")
 		}
-		return
+		return false
 	}
 	current := l.current.Load()
 	if current != nil && config.Version <= current.Version {
-		return
+		return true
 	}
 	l.current.Store(NewTable(config))
-	l.logger.WithField("version", config.Version).WithField("routes", len(config.Routes)).Info("configuration in force")
+	l.logger.WithField("version", config.Version).WithField("routes", len(config.Routes)).WithField("teams", len(config.Teams)).Info("configuration in force")
+	return true
 }
 
 // State is the diagnostic dump of a Loader.
--- a/internal/routes/routes.go
+++ b/internal/routes/routes.go
@@ -12,6 +12,9 @@
 type Table struct {
 	structs.RouteTable
 	byHost map[string][]*structs.Route
+	// byKey holds the team of each key; nil for a key that several teams list, which proves nothing.
+	byKey map[structs.KeyDigest]*structs.Team
+	teams map[string]*structs.Team
 }
 
 // NewTable returns the index of a version of the configuration.
@@ -21,9 +24,39 @@
 		route := &config.Routes[i]
 		t.byHost[route.Host] = append(t.byHost[route.Host], route)
 	}
+	t.indexTeams()
 	return t
 }
 
+// indexTeams fills byKey and teams.
+func (t *Table) indexTeams() {
+	t.teams = make(map[string]*structs.Team, len(t.Teams))
+	t.byKey = make(map[structs.KeyDigest]*structs.Team, len(t.Teams))
+	for i := range t.Teams {
+		team := &t.Teams[i]
+		t.teams[team.Name] = team
+		for _, key := range team.Keys {
+			if other, listed := t.byKey[key]; listed && other != team {
+				t.byKey[key] = nil
+				continue
+			}
+			t.byKey[key] = team
+		}
+	}
+}
+
+// TeamOf returns the team that a key belongs to, and false if there is none or several.
+func (t *Table) TeamOf(key structs.KeyDigest) (*structs.Team, bool) {
+	team := t.byKey[key]
+	return team, team != nil
+}
+
+// Team returns a team by name, and false if there is none.
+func (t *Table) Team(name string) (*structs.Team, bool) {
+	team, known := t.teams[name]
+	return team, known
+}
+
 // VersionOrZero returns the version of the configuration, 0 for a nil table.
 func (t *Table) VersionOrZero() int64 {
 	if t == nil {
--- a/internal/serverlimit/serverlimit.go
+++ b/internal/serverlimit/serverlimit.go
@@ -25,9 +25,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
 
+	"ibisline/internal/issuers"
 	"ibisline/internal/peer"
 	"ibisline/internal/structs"
 	"ibisline/internal/timers"
@@ -48,26 +47,14 @@
 	ownShareFactor = 0.5
 	// permitLifetime is the time within which a permit must be used.
 	permitLifetime = 250 * time.Millisecond
-	// departureMemory is the time for which a gateway that is not live any more counts as one that
-	// may be cut off rather than gone.
-	departureMemory = time.Minute
 	// maintenanceInterval is the interval at which the gateways are counted, and the state of servers
 	// that are no longer listed is dropped.
 	maintenanceInterval = 2 * time.Second
 )
 
-// View is the membership of the daemons.
-type View interface {
-	Self() structs.Instance
-	// Live returns the daemons that are considered alive and not leaving.
-	Live() []structs.Instance
-	// Lookup returns a known daemon, live or leaving, and false if there is none.
-	Lookup(name string) (structs.Instance, bool)
-}
-
 // Deps holds the services that Limits depend on.
 type Deps struct {
-	View   View
+	View   issuers.View
 	Dialer peer.Dialer
 	Mux    peer.Mux
 	// Listed reports whether a server is listed by the platform, under a name.
@@ -92,8 +79,7 @@
 	stocks map[run]*stock
 	// silentUntil holds the issuers that did not answer, and the time until which they are not asked.
 	silentUntil map[string]time.Time
-	// seen holds the gateways that were live, and when they were seen last.
-	seen map[string]time.Time
+	census      *issuers.Census
 }
 
 // stock is what a daemon has of the permits of one run.
@@ -119,7 +105,7 @@
 		issuer:       newIssuer(time.Now()),
 		stocks:       map[run]*stock{},
 		silentUntil:  map[string]time.Time{},
-		seen:         map[string]time.Time{},
+		census:       issuers.NewCensus(deps.View),
 	}
 	deps.Metrics.GetOrCreateGauge("ibisline_server_limits", func() float64 {
 		l.mu.Lock()
@@ -148,7 +134,7 @@
 func (l *Limits) maintain() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.countGateways(time.Now())
+	l.census.Count(time.Now())
 	listed := func(of run) bool { return l.deps.Listed(of.Server) }
 	l.known.retain(listed)
 	l.issuer.retain(listed)
@@ -350,7 +336,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	_, known := l.countGateways(now)
+	_, known := l.census.Count(now)
 	perSecond := clampRate(r.PerSecond) * ownShareFactor / float64(known)
 	held := l.stock(r.Run)
 	if held.own == nil || now.Sub(held.ownUsedAt) > 2*silentIssuerPause {
@@ -374,55 +360,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	live, known := l.countGateways(now)
+	live, known := l.census.Count(now)
 	return l.issuer.take(r, float64(live)/float64(known), live, now)
 }
 
 // issuerOf returns the daemon that issues the permits of a run of a server in a region, and false if
 // there is none.
 func (l *Limits) issuerOf(region string, of run) (string, bool) {
-	var all, near []string
-	for _, instance := range l.deps.View.Live() {
-		if instance.Duty != structs.DutyGateway {
-			continue
-		}
-		all = append(all, instance.Name)
-		if instance.Region == region {
-			near = append(near, instance.Name)
-		}
-	}
-	if len(near) == 0 {
-		near = all
-	}
-	if len(near) == 0 {
-		return "", false
-	}
-	return rendezvous.New(near, xxhash.Sum64String).Lookup(of.Server), true
-}
-
-// countGateways returns the number of live gateways, and that of live ones and those that may be cut
-// off: they were live a while ago and have not announced that they leave. Both are at least 1. The
-// caller holds mu.
-func (l *Limits) countGateways(now time.Time) (live, known int) {
-	for _, instance := range l.deps.View.Live() {
-		if instance.Duty == structs.DutyGateway {
-			l.seen[instance.Name] = now
-			live++
-		}
-	}
-	for name, at := range l.seen {
-		_, present := l.deps.View.Lookup(name)
-		switch {
-		case at.Equal(now):
-			known++
-		case now.Sub(at) > departureMemory, present:
-			// It is gone, or leaving.
-			delete(l.seen, name)
-		default:
-			known++
-		}
-	}
-	return max(live, 1), max(known, 1)
+	return issuers.Of(l.deps.View, region, of.Server)
 }
 
 // serveTake handles methodTake.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Dispatch Dispatch `toml:"dispatch"`
 	Gateway  Gateway  `toml:"gateway"`
 	Budgets  Budgets  `toml:"budgets"`
+	Teams    Teams    `toml:"teams"`
 	Keeper   Keeper   `toml:"keeper"`
 	Stop     Stop     `toml:"stop"`
 }
@@ -150,6 +151,15 @@
 	LostDisks int `toml:"lost_disks" validate:"min=0,max=64" allowed:"0 to 64"`
 }
 
+// Teams contains the settings of teams, their keys and their quotas. All daemons of a fleet must use
+// the same values.
+type Teams struct {
+	// RevokeWithin is the time after which a key that an accepted configuration does not list any more
+	// must not work on any daemon, also on one without contact. A daemon that cannot prove that its
+	// configuration is newer refuses requests with keys. 0 disables the proof.
+	RevokeWithin Duration `toml:"revoke_within" validate:"min=0s,max=10m" allowed:"0s to 10m"`
+}
+
 // Stop sets the planned stop.
 type Stop struct {
 	// DrainLimit bounds the whole planned stop.
--- a/internal/structs/route.go
+++ b/internal/structs/route.go
@@ -53,6 +53,8 @@
 	Retention time.Duration
 	// PrefersAffinity is set if servers are faster with an object that they have handled recently.
 	PrefersAffinity bool
+	// Public is set if requests need no key.
+	Public bool
 	// KeepsTurns is set if a turn carries its new input only and names the turn that it continues.
 	KeepsTurns bool
 }
@@ -91,4 +93,7 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   CallerLimits
+	// RequiresKeys is set if requests on routes that are not public need the key of one of Teams.
+	RequiresKeys bool
+	Teams        []Team
 }
