Test callers outside the limits against a gateway, before any change

Change: TestCallersOutsideTheLimitsDoNotEndAGateway starts a gateway with 64 MB and sends it, from 80 connections (3,000 silent ones), what the operators saw: heads, lines and empty lines without end, legal heads of many short lines, odd chunks, large legal bodies, unread responses, long identifiers. It checks that the process lives, its peak memory, its descriptors, and one request afterwards. It runs apart from the other tests, by its flag. Crowd and bounds are fixed here.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 # SKIP is a regular expression of tests to pass over; .ci/run sets it from KNOWN-RED.txt.
 test:
 	go test -race -count=1 $(if $(SKIP),-skip '$(SKIP)') ./...
+	go test -count=1 -run TestCallersOutside ./test/platform -hostile
 	go test -count=1 -run TestPromises ./internal/home -seed 2
 	go test -count=1 -run TestPromises ./internal/home -schedules 1 -seed 49020779
 
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -67,6 +67,10 @@
 
 	daemons map[string]*daemon
 	version int64
+	// gatewayMemoryMB is the memory of the gateways, 0 for no limit.
+	gatewayMemoryMB int
+	// maxBodyBytes is the limit on bodies in the configuration.
+	maxBodyBytes int
 }
 
 // daemon is an instance that reaches the platform through a proxy of its own.
@@ -112,6 +116,11 @@
 // newTestFleetOf starts a platform with its configuration and backend servers, and a fleet of
 // gateways and three keepers, and waits until all daemons are ready.
 func newTestFleetOf(t *testing.T, gatewayCount int) *testFleet {
+	return newTestFleetWith(t, gatewayCount, func(*testFleet) {})
+}
+
+// newTestFleetWith is newTestFleetOf with other settings.
+func newTestFleetWith(t *testing.T, gatewayCount int, change func(*testFleet)) *testFleet {
 	dir := t.TempDir()
 	f := &testFleet{
 		t:         t,
@@ -121,7 +130,10 @@
 		client:    &http.Client{Transport: &http.Transport{DisableCompression: true}},
 		servers:   map[string]*platformtest.Server{},
 		daemons:   map[string]*daemon{},
+
+		maxBodyBytes: 64 << 10,
 	}
+	change(f)
 	f.putConfiguration(baseRoutes)
 	for i := range 3 {
 		f.addServer(engines, fmt.Sprintf("engine-%d", i), i)
@@ -182,6 +194,9 @@
 	location := locations[d.location]
 	text := fmt.Sprintf("[instance]\nname = %q\nregion = %q\ndata_centre = %q\nduty = %q\nhttp_addr = %q\npeer_addr = %q\n",
 		d.name, location.region, location.dataCentre, d.duty, d.httpAddr, d.peerAddr)
+	if d.duty == "gateway" && f.gatewayMemoryMB > 0 {
+		text += fmt.Sprintf("memory_mb = %d\n", f.gatewayMemoryMB)
+	}
 	text += fmt.Sprintf("[platform]\naddrs = [%q]\nprotocol = \"objects\"\ntimeout = \"1s\"\n", d.proxyAddr)
 	text += "[budgets]\nlost_disks = 1\n[stop]\ndrain_limit = \"20s\"\nbalancer_delay = \"300ms\"\n"
 	if d.duty == "keeper" {
@@ -274,7 +289,7 @@
 // putConfiguration writes the next version of the configuration.
 func (f *testFleet) putConfiguration(routes string) {
 	f.version++
-	f.put("config/main", fmt.Sprintf(configurationFormat, f.version, routes))
+	f.put("config/main", fmt.Sprintf(configurationFormat, f.version, f.maxBodyBytes, routes))
 }
 
 // addServer starts a backend server and registers it as ready.
