Bound the memory that callers' connections hold, and refuse fewer calm teams

Cause: net/http keeps a head as a map of which the gateway makes copies, so that 16 KB of short lines hold some 1.2 MB; nothing bounded what all connections hold in all, how long an unread response lasts, or the length of identifiers that outlive a request. And small teams were refused below their quota: new accounts began low although no other issuer had granted anything, and a level close to 0 shed programs.

Change: httpconn.Budget estimates what each connection holds, by bytes and lines, and closes the heaviest, then the longest silent ones, beyond gateway.caller_memory_mb (a quarter of the memory). Unread responses end 5 s after the deadline. Identifiers over 128 bytes are kept as digests. The account of a team starts as full as its issuer may know it to be, grants a quarter of teams.quota_slack on top of the burst, and sheds only once permits run out.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -18,6 +18,11 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle keep-alive connection is closed.
 	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes limits the size of a request header, and connectionBudget the memory that all
+	// connections make the process hold. A request of the largest body that is allowed by default fits
+	// in it several times.
+	maxHeaderBytes   = 64 << 10
+	connectionBudget = 64 << 20
 	// stopLimit bounds the time for refusing the last requests when the server stops. It exceeds the
 	// time that a caller has for its first request on a connection.
 	stopLimit = 2 * time.Second
@@ -77,7 +82,8 @@
 	s.http.Handler = http.HandlerFunc(handler.Serve)
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	s.http.IdleTimeout = idleTimeout
-	s.conns = httpconn.Track(&s.http)
+	s.http.MaxHeaderBytes = maxHeaderBytes
+	s.conns = httpconn.Track(&s.http, httpconn.NewBudget(connectionBudget))
 	return nil
 }
 
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -412,6 +412,19 @@
 	return guard, b.kernel.Register(serviceCrashGuard, guard)
 }
 
+// callerMemoryDivisor is the part of an instance's memory that the connections of callers may use unless
+// the settings say otherwise.
+const callerMemoryDivisor = 4
+
+// callerBytes returns the limit of the memory that connections of callers make this process hold, 0 on
+// an instance whose memory is not limited.
+func (b *builder) callerBytes() int64 {
+	if b.settings.Gateway.CallerMemoryMB > 0 {
+		return int64(b.settings.Gateway.CallerMemoryMB) << 20
+	}
+	return int64(b.settings.Instance.MemoryMB) << 20 / callerMemoryDivisor
+}
+
 // addGateway adds the gateway that serves callers' requests.
 func (b *builder) addGateway() error {
 	loader, err := kernel.Lookup[*routes.Loader](b.kernel, serviceRoutes)
@@ -447,6 +460,7 @@
 	}
 	quotas := quota.New(quota.Deps{
 		View: members, Dialer: transport, Mux: transport, Metrics: b.metrics, Log: b.log,
+		Slack: b.settings.Teams.QuotaSlack,
 		Team: func(name string) (*structs.Team, bool) {
 			table := loader.Current()
 			if table == nil {
@@ -476,8 +490,9 @@
 		Metrics:    b.metrics,
 		Log:        b.log,
 	})
-	server, err := gateway.Listen(b.settings.Gateway.Listen, handler, gateway.StopConfig{
+	server, err := gateway.Listen(b.settings.Gateway.Listen, handler, gateway.ServerConfig{
 		BalancerDelay: b.settings.Stop.BalancerDelay.Std(),
+		CallerBytes:   b.callerBytes(),
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"ibisline/internal/routes"
@@ -95,9 +97,17 @@
 	}
 }
 
+// maxKeptID is the length up to which identifiers of callers are kept as they are. What lasts longer than
+// a request holds the digest of a longer one.
+const maxKeptID = 128
+
 // scoped returns an identifier of the caller under which its team keeps something of its own. Teams
 // that use the same identifier do not share it. Header fields contain no NUL.
 func (j *job) scoped(id string) string {
+	if len(id) > maxKeptID {
+		digest := sha256.Sum256([]byte(id))
+		id = "sha256:" + hex.EncodeToString(digest[:])
+	}
 	if j.Team == "" || id == "" {
 		return id
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/httpconn"
 	"ibisline/internal/request"
 	"ibisline/internal/verdict"
 )
@@ -14,6 +15,9 @@
 // defaultMaxBodyBytes limits request bodies when the configuration sets no limit.
 const defaultMaxBodyBytes = 4 << 20
 
+// smallBodyBytes is the size up to which the memory for a body is not counted before it is read.
+const smallBodyBytes = 64 << 10
+
 // bodyLimit returns the limit in force for request bodies.
 func bodyLimit(configured int64) int64 {
 	if configured <= 0 {
@@ -33,6 +37,12 @@
 	var err error
 	limited := http.MaxBytesReader(w, r.Body, limit)
 	if r.ContentLength > 0 && r.ContentLength <= limit {
+		if r.ContentLength > smallBodyBytes {
+			// It is allocated at once, whether or not the caller sends it.
+			if err := httpconn.Hold(r.Context(), int(r.ContentLength)); err != nil {
+				return nil, verdict.Refuse(verdict.Canceled, "the connection of the caller was closed")
+			}
+		}
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(limited, body)
 	} else {
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -17,7 +17,7 @@
 	}
 	return g.Budgets.Reserve(ctx, ledger.Reservation{
 		Program:  j.scoped(j.Program),
-		ID:       j.ID,
+		ID:       j.scoped(j.ID),
 		Budget:   j.Budget,
 		Tokens:   j.MaxTokens,
 		Expected: expectedTokens(j),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -184,6 +184,7 @@
 
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
+	limitWrites(w, now.Add(maxWriteTime))
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
 	if g.leaving.Load() {
@@ -201,6 +202,20 @@
 	g.serve(w, r, job)
 }
 
+const (
+	// maxWriteTime is the time within which a caller must have read the response to a request whose
+	// deadline is not known yet, and readGrace that after its deadline.
+	maxWriteTime = time.Minute
+	readGrace    = 5 * time.Second
+)
+
+// limitWrites sets the time by which a caller must have read its response. A caller that stops reading
+// would hold the response, a goroutine and a descriptor for as long as it likes.
+func limitWrites(w http.ResponseWriter, at time.Time) {
+	// An error means that the connection is closed, or that writes to it do not block.
+	_ = http.NewResponseController(w).SetWriteDeadline(at)
+}
+
 // admit decodes a request, finds its route and reads its body. The job is never nil; errors
 // are refusals.
 func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, table *routes.Table, p proof, now time.Time) (*job, error) {
@@ -222,6 +237,7 @@
 	}
 	j.service = table.Services[routes.PickService(route, splitFraction(decoded))]
 	j.deadline = decoded.Deadline(route.Timeout)
+	limitWrites(w, j.deadline.Add(readGrace))
 	if err := g.checkStop(j); err != nil {
 		return j, err
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -153,7 +153,7 @@
 		Log:     testbed.NoLog(),
 	})
 	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway,
-		gateway.StopConfig{BalancerDelay: balancerDelay})
+		gateway.ServerConfig{BalancerDelay: balancerDelay})
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"ibisline/internal/httpconn"
 	"ibisline/internal/structs"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
@@ -74,6 +75,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := httpconn.Hold(ctx, len(start)+len(rest)); err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.Canceled, "the connection of the caller was closed")
+	}
 	return append(start, rest...), nil
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -24,17 +24,20 @@
 	maxHeaderBytes = 64 << 10
 )
 
-// StopConfig configures the planned stop.
-type StopConfig struct {
+// ServerConfig configures the listener and its planned stop.
+type ServerConfig struct {
 	// BalancerDelay is how long new connections are still accepted after the daemon
 	// reported to the balancer that it is not ready.
 	BalancerDelay time.Duration
+	// CallerBytes limits the memory that the connections of callers make the process hold; 0 for no
+	// limit.
+	CallerBytes int64
 }
 
 // Server serves a Gateway over HTTP/1.1. It is a kernel service.
 type Server struct {
 	*Gateway
-	stop     StopConfig
+	config   ServerConfig
 	listener *httpconn.Listener
 	http     http.Server
 	conns    *httpconn.Tracker
@@ -42,22 +45,28 @@
 }
 
 // Listen binds addr, given as IP:port, and returns a server for g.
-func Listen(addr string, g *Gateway, stop StopConfig) (*Server, error) {
+func Listen(addr string, g *Gateway, config ServerConfig) (*Server, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for callers")
 	}
-	return NewServer(listener, g, stop), nil
+	return NewServer(listener, g, config), nil
 }
 
 // NewServer returns a server for g on a listener.
-func NewServer(listener net.Listener, g *Gateway, stop StopConfig) *Server {
-	s := &Server{Gateway: g, stop: stop, listener: httpconn.NewListener(listener)}
+func NewServer(listener net.Listener, g *Gateway, config ServerConfig) *Server {
+	s := &Server{Gateway: g, config: config, listener: httpconn.NewListener(listener)}
 	s.http.Handler = g
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
 	s.http.MaxHeaderBytes = maxHeaderBytes
-	s.conns = httpconn.Track(&s.http)
+	var budget *httpconn.Budget
+	if config.CallerBytes > 0 {
+		budget = httpconn.NewBudget(config.CallerBytes)
+		g.Metrics.GetOrCreateGauge("ibisline_gateway_caller_bytes", func() float64 { return float64(budget.Used()) })
+		g.Metrics.GetOrCreateGauge("ibisline_gateway_callers_closed", func() float64 { return float64(budget.Closed()) })
+	}
+	s.conns = httpconn.Track(&s.http, budget)
 	return s
 }
 
@@ -91,7 +100,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	processEnd, _ := ctx.Deadline()
 	s.Leave(processEnd)
-	timers.Sleep(ctx, s.stop.BalancerDelay)
+	timers.Sleep(ctx, s.config.BalancerDelay)
 	s.draining.Store(true)
 	if err := s.listener.Stop(ctx); err != nil {
 		s.Log.WithError(err).Warn("listener for callers not stopped in order")
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -185,7 +185,7 @@
 	h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done"})
 	listener := stalled.Listen(t)
 	const delay = 1200 * time.Millisecond
-	server := gateway.NewServer(listener, h.gateway, gateway.StopConfig{BalancerDelay: delay})
+	server := gateway.NewServer(listener, h.gateway, gateway.ServerConfig{BalancerDelay: delay})
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	go func() { _ = server.Run(ctx) }()
@@ -232,7 +232,7 @@
 	h.addServer(tills, "till-1").Always(platformtest.Reply{Body: "done"})
 	listener := stalled.Listen(t)
 	const delay = 200 * time.Millisecond
-	server := gateway.NewServer(listener, h.gateway, gateway.StopConfig{BalancerDelay: delay})
+	server := gateway.NewServer(listener, h.gateway, gateway.ServerConfig{BalancerDelay: delay})
 	ctx, end := context.WithCancel(context.Background())
 	defer end()
 	go func() { _ = server.Run(ctx) }()
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -7,6 +7,7 @@
 package httpconn
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -30,6 +31,7 @@
 // Tracker knows the connections of one http.Server. It is safe for concurrent use.
 type Tracker struct {
 	server *http.Server
+	budget *Budget
 	// accepted is closed once no further connection is accepted.
 	accepted chan struct{}
 
@@ -37,10 +39,11 @@
 	conns map[*conn]struct{}
 }
 
-// Track makes server report its connections to a new tracker. The server must be run by Serve, and may
-// not have ConnState and ConnContext hooks of its own.
-func Track(server *http.Server) *Tracker {
-	t := &Tracker{server: server, accepted: make(chan struct{}), conns: map[*conn]struct{}{}}
+// Track makes server report its connections to a new tracker, which keeps them within a budget unless
+// that is nil. The server must be run by Serve, and may not have ConnState and ConnContext hooks of its
+// own.
+func Track(server *http.Server, budget *Budget) *Tracker {
+	t := &Tracker{server: server, budget: budget, accepted: make(chan struct{}), conns: map[*conn]struct{}{}}
 	server.ConnState = t.setState
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	return t
@@ -91,12 +94,16 @@
 	switch state {
 	case http.StateNew:
 		t.conns[tracked] = struct{}{}
+		tracked.setBudget(t.budget)
 	case http.StateActive:
 		tracked.setActive(true) // also for a request that was read together with the one before
 	case http.StateIdle:
 		tracked.setActive(false)
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, tracked)
+		if t.budget != nil {
+			t.budget.drop(tracked)
+		}
 	}
 }
 
@@ -114,6 +121,14 @@
 // conn is a connection that is ended by its reader.
 type conn struct {
 	net.Conn
+	// budget is nil if what the connection holds is not limited. The fields up to lastUsed belong to it.
+	budget *Budget
+	// held is what the connection makes the process hold, serving is set while a request is in progress,
+	// and lastUsed is the time of the last response.
+	held     int64
+	serving  bool
+	lastUsed time.Time
+
 	mu sync.Mutex
 	// active is set while a request is in progress, from its header to the end of the response.
 	active bool
@@ -125,7 +140,39 @@
 	readDeadline time.Time
 }
 
+// setBudget counts the connection in a budget. It is called before the first read.
+func (c *conn) setBudget(budget *Budget) {
+	if budget == nil {
+		return
+	}
+	c.budget = budget
+	if err := budget.open(c); err != nil {
+		// The next read fails.
+		_ = c.Conn.Close()
+	}
+}
+
+// countRead counts what was read. It returns an error if the connection was closed for it.
+func (c *conn) countRead(read []byte) error {
+	if c.budget == nil || len(read) == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	active := c.active
+	c.mu.Unlock()
+	held := int64(len(read)) * bodyByteFactor
+	if !active {
+		held = int64(len(read))*headByteFactor + int64(bytes.Count(read, []byte{'\n'}))*lineBytes
+	}
+	return c.budget.add(c, held)
+}
+
 func (c *conn) setActive(active bool) {
+	if c.budget != nil && active {
+		c.budget.setServing(c)
+	} else if c.budget != nil {
+		c.budget.reset(c)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.active = active
@@ -175,6 +222,9 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if overBudget := c.countRead(p[:n]); overBudget != nil {
+			return 0, errors.Join(overBudget, c.Conn.Close())
+		}
 		again, err := c.afterRead(n, err)
 		if !again {
 			return n, err
--- a/internal/httpconn/httpconn_test.go
+++ b/internal/httpconn/httpconn_test.go
@@ -75,7 +75,7 @@
 				}
 			}
 		})}
-		tracker := httpconn.Track(server)
+		tracker := httpconn.Track(server, nil)
 		l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{}), acceptDelay: acceptDelay}
 		listener := httpconn.NewListener(l)
 		served := make(chan struct{})
@@ -166,7 +166,7 @@
 	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = httpconn.Track(server).Serve(httpconn.NewListener(l)) }() // http.ErrServerClosed
+	go func() { _ = httpconn.Track(server, nil).Serve(httpconn.NewListener(l)) }() // http.ErrServerClosed
 	defer server.Close()
 	conn, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(t, err)
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -44,9 +44,11 @@
 	createdAt time.Time
 }
 
-func newAccount(of limit, now time.Time) *account {
+// newAccount returns the account of a team whose quota has been granted by this issuer only for a time.
+func newAccount(of limit, issuedFor time.Duration, now time.Time) *account {
 	a := &account{limit: of, bucket: rate.NewLimiter(rate.Limit(of.perSecond), of.burst), admitted: newAdmission(now), createdAt: now}
-	a.bucket.AllowN(now, of.burst-int(startFraction*float64(of.burst)))
+	start := startFraction*float64(of.burst) + issuedFor.Seconds()*of.perSecond
+	a.bucket.AllowN(now, max(of.burst-int(start), 0))
 	a.update(now)
 	return a
 }
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -38,13 +38,20 @@
 	step := min(max(now.Sub(a.updatedAt), 0), maxStep).Seconds()
 	a.updatedAt = now
 	change := integralGain * (min(level, maxLevel) - targetLevel)
-	if level < emptyLevel {
+	switch {
+	case level < emptyLevel:
 		change = -emptyRate
+	case a.base == 1:
+		// A team that comes close to its quota for a moment is not beyond it.
+		return
 	}
 	a.base = min(max(a.base*math.Exp(change*step), minAdmitted), 1)
 }
 
 // fraction returns the fraction at a level.
 func (a *admission) fraction(level float64) float64 {
+	if a.base == 1 {
+		return 1
+	}
 	return min(a.base*math.Exp(proportionalGain*(min(level, maxLevel)-targetLevel)), 1)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,6 +49,8 @@
 	// accountMemory is the time after which an account without requests is dropped; its bucket is full
 	// by then, as a new one soon is.
 	accountMemory = time.Minute
+	// slackDivisor divides Deps.Slack to the part that is granted.
+	slackDivisor = 4
 	// minRetryAfter and maxRetryAfter bound the Retry-After of refusals.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -59,6 +61,10 @@
 	View   issuers.View
 	Dialer peer.Dialer
 	Mux    peer.Mux
+	// Slack is the number of requests by which a team may exceed its rate and burst in a short time. A
+	// part of it is granted, so that requests which arrive together are not refused; the rest covers
+	// requests that are reported late.
+	Slack int
 	// Team returns a team of the configuration in force, and false if there is none.
 	Team    func(name string) (*structs.Team, bool)
 	Metrics *metrics.Set
@@ -80,10 +86,16 @@
 	shares   map[string]*share
 	accounts map[string]*issuedAccount
 	// slots holds the issuers of the slots among the gateways of live.
-	slots map[uint64]string
+	slots [issuerSlots]issuerSlot
 	live  *structs.Instance
 }
 
+// issuerSlot is the issuer of one slot, empty if there is none.
+type issuerSlot struct {
+	issuer string
+	since  time.Time
+}
+
 // issuedAccount is an account of this gateway as an issuer.
 type issuedAccount struct {
 	*account
@@ -101,7 +113,6 @@
 		census:   issuers.NewCensus(deps.View),
 		shares:   map[string]*share{},
 		accounts: map[string]*issuedAccount{},
-		slots:    map[uint64]string{},
 	}
 	deps.Metrics.GetOrCreateGauge("ibisline_quota_tight_teams", func() float64 {
 		q.mu.Lock()
@@ -209,13 +220,13 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	s := q.share(team.Name)
-	s.pending = max(s.pending-1, -limitOf(team, 1).burst)
+	s.pending = max(s.pending-1, -q.limitOf(team, 1).burst)
 }
 
 // admitOwn takes a request from this gateway's share of a quota. The caller holds mu.
 func (q *Quotas) admitOwn(team *structs.Team, s *share, now time.Time) error {
 	_, known := q.census.Count(now)
-	if !s.takeOwn(limitOf(team, 1), known, now) {
+	if !s.takeOwn(q.limitOf(team, 1), known, now) {
 		return verdict.Refuse(verdict.LimitReached, "the quota of team %s cannot be checked", team.Name).RetryIn(minRetryAfter)
 	}
 	s.silent++
@@ -253,31 +264,42 @@
 }
 
 // limitOf returns the part of a team's quota.
-func limitOf(team *structs.Team, part float64) limit {
-	return limit{perSecond: team.PerSecond * part, burst: max(1, int(team.Burst*part))}
+func (q *Quotas) limitOf(team *structs.Team, part float64) limit {
+	burst := (team.Burst + float64(q.deps.Slack)/slackDivisor) * part
+	return limit{perSecond: team.PerSecond * part, burst: max(1, int(burst))}
 }
 
 // issuerOf returns the gateway that issues the quota of a team, and false if there is none. The caller
 // holds mu.
 func (q *Quotas) issuerOf(team string) (string, bool) {
+	issuer := q.slotOf(team).issuer
+	return issuer, issuer != ""
+}
+
+// slotOf returns the slot of a team. The caller holds mu.
+func (q *Quotas) slotOf(team string) issuerSlot {
+	q.updateSlots(time.Now())
+	return q.slots[xxhash.Sum64String(team)%issuerSlots]
+}
+
+// updateSlots selects the issuers again if the membership has changed. The caller holds mu.
+func (q *Quotas) updateSlots(now time.Time) {
 	live := q.deps.View.Live()
 	if len(live) == 0 {
-		return "", false
+		q.live, q.slots = nil, [issuerSlots]issuerSlot{}
+		return
 	}
-	if q.live != &live[0] {
-		// The membership has changed: its slices are immutable.
-		q.live = &live[0]
-		clear(q.slots)
+	// A view replaces its slices when the membership changes.
+	if q.live == &live[0] {
+		return
 	}
-	slot := xxhash.Sum64String(team) % issuerSlots
-	issuer, known := q.slots[slot]
-	if !known {
-		issuer, known = issuers.Of(q.deps.View, "", "quota/"+strconv.FormatUint(slot, 10))
-		if known {
-			q.slots[slot] = issuer
+	q.live = &live[0]
+	for i := range q.slots {
+		issuer, _ := issuers.Of(q.deps.View, "", "quota/"+strconv.Itoa(i))
+		if q.slots[i].issuer != issuer {
+			q.slots[i] = issuerSlot{issuer: issuer, since: now}
 		}
 	}
-	return issuer, known
 }
 
 // take asks the issuer of a team for a permit. It returns false if that does not answer.
@@ -329,6 +351,7 @@
 func (q *Quotas) collect(now time.Time) map[string][]usage {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.updateSlots(now)
 	due := map[string][]usage{}
 	for name, s := range q.shares {
 		_, known := q.deps.Team(name)
@@ -425,10 +448,10 @@
 		return nil, false
 	}
 	live, gateways := q.census.Count(now)
-	part := limitOf(team, float64(live)/float64(gateways))
+	part := q.limitOf(team, float64(live)/float64(gateways))
 	a := q.accounts[name]
 	if a == nil {
-		a = &issuedAccount{account: newAccount(part, now)}
+		a = &issuedAccount{account: newAccount(part, now.Sub(q.slotOf(name).since), now)}
 		q.accounts[name] = a
 	}
 	a.setLimit(part, now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -58,7 +58,7 @@
 	self := structs.Instance{Name: fmt.Sprintf("gateway-%d", i), Region: fmt.Sprint(i % 3), Duty: structs.DutyGateway}
 	n := &node{Node: f.network.Join(self)}
 	n.quotas = New(Deps{
-		View: n.Node, Dialer: n.Node, Mux: n.Node, Metrics: metrics.NewSet(), Log: testbed.NoLog(),
+		View: n.Node, Dialer: n.Node, Mux: n.Node, Metrics: metrics.NewSet(), Log: testbed.NoLog(), Slack: slack,
 		Team: func(name string) (*structs.Team, bool) {
 			team, known := f.teams[name]
 			return team, known
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -127,6 +127,9 @@
 	// ReadyPath is the path on instance.http_addr of the readiness check of the
 	// load balancer.
 	ReadyPath string `toml:"ready_path" validate:"startswith=/" allowed:"a path"`
+	// CallerMemoryMB limits the memory that the connections of callers and their requests make the
+	// process hold; 0 for a quarter of Instance.MemoryMB.
+	CallerMemoryMB int `toml:"caller_memory_mb" validate:"min=0,max=1048576" allowed:"0 to 1048576"`
 	// Regions maps the platform's data centres to regions.
 	Regions map[string]string `toml:"regions"`
 }
@@ -158,6 +161,8 @@
 	// must not work on any daemon, also on one without contact. A daemon that cannot prove that its
 	// configuration is newer refuses requests with keys. 0 disables the proof.
 	RevokeWithin Duration `toml:"revoke_within" validate:"min=0s,max=10m" allowed:"0s to 10m"`
+	// QuotaSlack is the number of requests by which a team may exceed its quota for a moment.
+	QuotaSlack int `toml:"quota_slack" validate:"min=0,max=1000" allowed:"0 to 1000"`
 }
 
 // Stop sets the planned stop.
