Keep shared parts of prompts in place, weigh slow servers, and explain routes

Cause: on the deployment whose engines run short of memory 61.5 M of 131.8 M prompt tokens read were shared parts read again, as every engine got requests with every part. On the other one a quarter of the engines runs at half of the speed and got as many requests. And nobody could ask where a request would go.

Change: policy/prefix prefers half of the engines of a data centre for a shared part, by a hash, where the platform says that memory is scarce. policy/pace weighs servers whose mean pause between events over 15 s is 1.4 times the median or more; without such servers nothing changes. ibisctl route shows for each gateway the route, the refusal or the server, and each candidate with its cost by part, from the code that decides.

--- a/cmd/ibislined/main.go
+++ b/cmd/ibislined/main.go
@@ -79,6 +79,7 @@
 
 		RetirementsPrefix: platform.RetirementsPrefix,
 		Retirements:       adapter,
+		ScarceMemory:      platform.ScarceMemory(loaded.Platform.Features),
 	}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -34,9 +34,22 @@
 	Turn   *TurnArgs   `arg:"subcommand:turn" help:"show a turn that is kept, the turns before it, and the keepers that hold them"`
 	Order  *OrderArgs  `arg:"subcommand:order" help:"send an order to an engine"`
 
+	Route *RouteArgs `arg:"subcommand:route" help:"show where a request would go now, and why, without sending it"`
+
 	Explain *ExplainArgs `arg:"subcommand:explain" help:"reconstruct the timeline of one request from the log files of all daemons"`
 }
 
+// RouteArgs are the arguments of route.
+type RouteArgs struct {
+	Host    string   `arg:"positional,required" help:"host of the request"`
+	Path    string   `arg:"positional,required" help:"path of the request"`
+	Team    string   `arg:"--team" help:"team of the caller"`
+	Program string   `arg:"--program" help:"identifier of the program"`
+	Session string   `arg:"--session" help:"identifier of the sequence of turns"`
+	Prompt  string   `arg:"--prompt" help:"parts of the prompt, ID:TOKENS,..."`
+	Daemons []string `arg:"--daemon,separate" help:"name or IP:port of a gateway; all live gateways when none is given" placeholder:"DAEMON"`
+}
+
 // ExplainArgs are the arguments of explain.
 type ExplainArgs struct {
 	Request string   `arg:"positional,required" help:"identifier of the request, as sent by its caller"`
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -80,6 +80,8 @@
 		return c.status(ctx)
 	case c.args.Dump != nil:
 		return c.dump(ctx, c.args.Dump.Daemons)
+	case c.args.Route != nil:
+		return c.route(ctx, c.args.Route)
 	case c.args.Turn != nil:
 		return c.turn(ctx, c.args.Turn)
 	case c.args.Server != nil:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,8 @@
 	// RetirementsPrefix is the key prefix of the requests that Retirements decodes.
 	RetirementsPrefix string
 	Retirements       retire.Dialect
+	// ScarceMemory is set if engines cannot keep all shared parts of prompts beside their requests.
+	ScarceMemory bool
 }
 
 // version returns the VCS revision of the build, else the module version, else "".
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -474,6 +474,7 @@
 	}
 	config := gateway.Config{
 		Region: b.self.Region, DataCentre: b.self.DataCentre, RevokeWithin: b.settings.Teams.RevokeWithin.Std(),
+		ScarceMemory: b.adapter.ScarceMemory,
 	}
 	handler := gateway.New(config, gateway.Deps{
 		Dialect: b.adapter.Dialect,
@@ -531,6 +532,9 @@
 	if keeper, err := kernel.Lookup[*history.Keeper](b.kernel, serviceHistories); err == nil {
 		operator.RegisterTurns(server.Rest(), operator.Deps{Turn: keeper.Describe})
 	}
+	if gatewayServer != nil {
+		operator.RegisterRoute(server.Rest(), gatewayServer.ExplainRoute)
+	}
 	if err := server.Listen(b.settings.Instance.HTTPAddr); err != nil {
 		return err
 	}
--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -16,6 +16,9 @@
 	// Admit takes a request from the quota of its team. rank is the same for all requests of a program.
 	// Errors are refusals.
 	Admit(ctx context.Context, team *structs.Team, rank float64) error
+	// Check returns the refusal that Admit would return now without asking other daemons, and takes
+	// nothing.
+	Check(team *structs.Team, rank float64) error
 	// Return gives back a request that was admitted and did not run.
 	Return(team *structs.Team)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -100,6 +100,9 @@
 	DataCentre string
 	// RevokeWithin is the time after which a revoked key must not work any more; 0 for no limit.
 	RevokeWithin time.Duration
+	// ScarceMemory is set if engines cannot keep all shared parts of prompts beside the requests that
+	// they run.
+	ScarceMemory bool
 }
 
 // Deps holds the services that the gateway depends on.
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -197,6 +197,8 @@
 	return h.quotaErr
 }
 
+func (h *harness) Check(*structs.Team, float64) error { return h.quotaErr }
+
 func (h *harness) Return(team *structs.Team) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"ibisline/internal/history"
+	"ibisline/internal/policy/prefix"
 	"ibisline/internal/request"
 	"ibisline/internal/structs"
 )
@@ -47,6 +48,15 @@
 	return j.Session
 }
 
+// sharedPart returns the part of a request's prompt that other prompts share, empty if there is none or
+// the engines keep all parts anyway.
+func (g *Gateway) sharedPart(j *job) prefix.Part {
+	if !g.config.ScarceMemory || len(j.Prompt) < 2 {
+		return prefix.Part{}
+	}
+	return prefix.Part{ID: j.Prompt[0].ID, Tokens: j.Prompt[0].Tokens}
+}
+
 // triedServer reports whether the request was already sent to a server.
 func (j *job) triedServer(server string) bool {
 	j.mu.Lock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -171,7 +171,7 @@
 			}
 			return denied
 		})
-		server, ok := g.tracker.pick(candidates, g.config, j.affinity(), time.Now())
+		server, ok := g.tracker.pick(candidates, g.config, j.affinity(), g.sharedPart(j), time.Now())
 		if !ok || g.Limits.Take(ctx, server) {
 			return server, permitIn, ok
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/upstream"
 	"ibisline/internal/verdict"
@@ -52,6 +53,8 @@
 	eventCount  int
 	// lastEventAt is the time at which the last event was relayed.
 	lastEventAt time.Time
+	// lastServer is the server that it came from.
+	lastServer string
 	// output is the data of the relayed events of a turn that is kept.
 	output []byte
 }
@@ -170,7 +173,7 @@
 		if err := s.sendHead(sent); err != nil {
 			return err
 		}
-		if err := s.relayEvent(events.Bytes()); err != nil {
+		if err := s.relayEvent(events.Bytes(), sent.server); err != nil {
 			return err
 		}
 		progress.add(events.Bytes())
@@ -229,7 +232,7 @@
 }
 
 // relayEvent forwards one event, unless the caller already has it.
-func (s *stream) relayEvent(event []byte) error {
+func (s *stream) relayEvent(event []byte, server structs.Server) error {
 	id, hasID := eventID(event)
 	switch {
 	case hasID && id <= s.lastEventID:
@@ -246,8 +249,11 @@
 	now := time.Now()
 	if s.eventCount > 0 {
 		s.gateway.requestMetrics.eventGaps.Update(now.Sub(s.lastEventAt).Seconds())
+		if server.Name == s.lastServer {
+			s.gateway.tracker.recordPause(server, now.Sub(s.lastEventAt), now)
+		}
 	}
-	s.lastEventAt = now
+	s.lastEventAt, s.lastServer = now, server.Name
 	if hasID {
 		s.lastEventID = id
 		s.eventCount++
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -10,6 +10,8 @@
 
 	"ibisline/internal/policy/balance"
 	"ibisline/internal/policy/congestion"
+	"ibisline/internal/policy/pace"
+	"ibisline/internal/policy/prefix"
 	"ibisline/internal/policy/retrybudget"
 	"ibisline/internal/servers"
 	"ibisline/internal/structs"
@@ -39,6 +41,8 @@
 	// servers of a service in a data centre.
 	baselines map[workload]*congestion.Baseline
 	groups    map[serverGroup]*congestion.Average
+	// paces holds how fast the servers of each service produce events.
+	paces map[string]*pace.Servers
 }
 
 // workload is what requests have in common that take similar times.
@@ -83,6 +87,7 @@
 	return &tracker{
 		servers: map[string]*serverState{}, hedges: retrybudget.New(time.Now()),
 		baselines: map[workload]*congestion.Baseline{}, groups: map[serverGroup]*congestion.Average{},
+		paces: map[string]*pace.Servers{},
 	}
 }
 
@@ -98,10 +103,26 @@
 
 // pick chooses a server and counts the request as in flight there. The caller must call done
 // when the request ends. pick may reorder candidates.
-func (t *tracker) pick(candidates []structs.Server, from Config, affinity string, now time.Time) (structs.Server, bool) {
+func (t *tracker) pick(
+	candidates []structs.Server, from Config, affinity string, shared prefix.Part, now time.Time,
+) (structs.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool { return !t.acceptsWork(server, now) })
+	best := balance.Choose(t.rate(candidates, from, affinity, shared, now))
+	if best < 0 {
+		return structs.Server{}, false
+	}
+	t.stateOf(candidates[best].Name).inFlight++
+	t.hedges.RecordRequest()
+	return candidates[best], true
+}
+
+// rate returns what is known of each candidate. The caller holds mu.
+func (t *tracker) rate(
+	candidates []structs.Server, from Config, affinity string, shared prefix.Part, now time.Time,
+) []balance.Candidate {
+	keepers := keepersByDataCentre(shared, candidates)
 	rated := make([]balance.Candidate, len(candidates))
 	for i, server := range candidates {
 		state := t.stateOf(server.Name)
@@ -111,19 +132,54 @@
 			Distance: distance(from, server),
 			Unlisted: server.State == structs.StateVanished || state.leaving(server),
 			Suspect:  now.Before(state.suspectUntil),
+			Pace:     t.paceOf(server, now),
 			Affinity: hashFraction(xxhash.Sum64String(affinity + server.Name)),
 		}
+		if keepers != nil && !keepers[server.DataCentre][server.Name] {
+			rated[i].Reading = shared.Cost()
+		}
 		if group := t.groups[groupOf(server)]; group != nil {
 			rated[i].Congestion = congestion.Load(&state.ratios, group, now)
 		}
 	}
-	best := balance.Choose(rated)
-	if best < 0 {
-		return structs.Server{}, false
+	return rated
+}
+
+// keepersByDataCentre returns the servers of each data centre that keep a part of a prompt, nil if the
+// part is empty.
+func keepersByDataCentre(shared prefix.Part, candidates []structs.Server) map[string]map[string]bool {
+	if shared.ID == "" {
+		return nil
 	}
-	t.stateOf(candidates[best].Name).inFlight++
-	t.hedges.RecordRequest()
-	return candidates[best], true
+	names := map[string][]string{}
+	for _, server := range candidates {
+		names[server.DataCentre] = append(names[server.DataCentre], server.Name)
+	}
+	keepers := make(map[string]map[string]bool, len(names))
+	for dataCentre, servers := range names {
+		keepers[dataCentre] = prefix.Keepers(shared, servers)
+	}
+	return keepers
+}
+
+// paceOf returns how much slower than others a server works. The caller holds mu.
+func (t *tracker) paceOf(server structs.Server, now time.Time) float64 {
+	if paces := t.paces[server.Service]; paces != nil {
+		return paces.Ratio(server.Name, now)
+	}
+	return 1
+}
+
+// recordPause records the pause between two events of a server.
+func (t *tracker) recordPause(server structs.Server, pause time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	paces := t.paces[server.Service]
+	if paces == nil {
+		paces = pace.New()
+		t.paces[server.Service] = paces
+	}
+	paces.Record(server.Name, pause, now)
 }
 
 // mayGetWork reports whether a server may still get requests, resumed ones included: it is not
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -32,6 +32,11 @@
 	// Congestion is the load of the server that InFlight does not show, in requests in flight; 0 if
 	// none is known.
 	Congestion float64
+	// Pace is how much longer than usual the server takes for any request, 1 for as long; 0 means 1.
+	Pace float64
+	// Reading is the cost of reading a part of the prompt that the server does not keep, in requests in
+	// flight.
+	Reading float64
 	// Slots is the number of requests that the server processes concurrently.
 	Slots    int
 	Distance Distance
@@ -50,7 +55,7 @@
 	best := -1
 	var lowest float64
 	for i, c := range candidates {
-		cost := c.cost()
+		cost := c.Cost()
 		if best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
@@ -58,9 +63,12 @@
 	return best
 }
 
-// cost returns the cost of a candidate in requests in flight; lower is better.
-func (c Candidate) cost() float64 {
-	cost := c.InFlight + c.Congestion + c.Affinity
+// Cost returns the cost of a candidate in requests in flight; lower is better.
+func (c Candidate) Cost() float64 {
+	cost := c.InFlight + c.Congestion + c.Affinity + c.Reading
+	if c.Pace > 0 {
+		cost *= c.Pace
+	}
 	switch c.Distance {
 	case SameRegion:
 		cost += regionPenalty
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -212,6 +212,18 @@
 	return nil
 }
 
+// Check returns the refusal that Admit would return now, as far as this gateway knows without asking the
+// issuer, and takes nothing.
+func (q *Quotas) Check(team *structs.Team, rank float64) error {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.shares[team.Name]
+	if s == nil || !s.tight || !s.silentSince.IsZero() || rank < s.fraction {
+		return nil
+	}
+	return beyondQuota(team, 0)
+}
+
 // Return gives back a request that was admitted and did not run.
 func (q *Quotas) Return(team *structs.Team) {
 	if team.PerSecond <= 0 {
@@ -240,6 +252,11 @@
 	q.refused.Inc()
 	retryIn = min(max(retryIn, minRetryAfter), maxRetryAfter)
 	retryIn += rand.N(retryIn/2 + 1)
+	return beyondQuota(team, retryIn)
+}
+
+// beyondQuota returns the refusal of a request beyond the quota of its team.
+func beyondQuota(team *structs.Team, retryIn time.Duration) error {
 	return verdict.Refuse(verdict.QuotaReached, "team %s has used its quota of %v requests/s", team.Name, team.PerSecond).
 		RetryIn(retryIn)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,9 @@
 	// Protocol is the protocol of the object API: native is described in
 	// docs/BACKENDS.md, objects is the protocol of the users' platform.
 	Protocol string `toml:"protocol" validate:"oneof=native objects" allowed:"native or objects"`
+	// Features are the parts of the platform that are in force, under its own names. What they mean for
+	// scheduling is up to its adapter; unknown ones are ignored.
+	Features []string `toml:"features"`
 }
 
 // Protocols of the object API.
