Grant half of the slack of quotas to requests that arrive together

Change: half of teams.quota_slack is granted on top of the burst, and a share without an issuer accumulates over 750 ms but at least 2 requests instead of 3.

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -50,7 +50,7 @@
 	// by then, as a new one soon is.
 	accountMemory = time.Minute
 	// slackDivisor divides Deps.Slack to the part that is granted.
-	slackDivisor = 4
+	slackDivisor = 2
 	// minRetryAfter and maxRetryAfter bound the Retry-After of refusals.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -19,9 +19,9 @@
 	// that may still grant the quota to others.
 	ownShareFactor = 0.5
 	// ownBurst is the time over which unused requests of a share accumulate.
-	ownBurst = 500 * time.Millisecond
+	ownBurst = 750 * time.Millisecond
 	// minOwnBurst allows for requests that arrive together.
-	minOwnBurst = 3
+	minOwnBurst = 2
 )
 
 // share is what one gateway knows of the quota of a team. It is a state machine without I/O, and is not
