Keep sessions on the engine that has read their prompt

And a small team was refused for as long as a caller's retry takes, although the next permit was due within 250 ms.

Change: on sticky routes a gateway remembers for 20 s which engine has read a session; any other one costs the reading of the session's part, 6,000 tokens as one request, at most 3. What is remembered is bounded to 4,096 sessions. A request of an admitted program waits up to 250 ms for a permit, and one empty moment sheds fewer programs of a small team.

--- a/internal/gateway/job.go
+++ b/internal/gateway/job.go
@@ -48,13 +48,25 @@
 	return j.Session
 }
 
-// sharedPart returns the part of a request's prompt that other prompts share, empty if there is none or
-// the engines keep all parts anyway.
-func (g *Gateway) sharedPart(j *job) prefix.Part {
-	if !g.config.ScarceMemory || len(j.Prompt) < 2 {
-		return prefix.Part{}
+// promptParts are the parts of a prompt that an engine may have to read.
+type promptParts struct {
+	// shared is the part that other prompts share, empty if there is none or the engines keep all such
+	// parts anyway.
+	shared prefix.Part
+	// own is what belongs to the session.
+	own prefix.Part
+}
+
+// promptParts returns the parts of a request's prompt.
+func (g *Gateway) promptParts(j *job) promptParts {
+	if len(j.Prompt) < 2 || !j.route.PrefersAffinity {
+		return promptParts{}
+	}
+	parts := promptParts{own: prefix.Part{Tokens: j.PromptTokens - j.Prompt[0].Tokens}}
+	if g.config.ScarceMemory {
+		parts.shared = prefix.Part{ID: j.Prompt[0].ID, Tokens: j.Prompt[0].Tokens}
 	}
-	return prefix.Part{ID: j.Prompt[0].ID, Tokens: j.Prompt[0].Tokens}
+	return parts
 }
 
 // triedServer reports whether the request was already sent to a server.
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -127,7 +127,7 @@
 			Server: server.Name, DataCentre: server.DataCentre, State: server.State, Excluded: excluded,
 		})
 	}
-	rated := g.tracker.rate(accepting, g.config, j.affinity(), g.sharedPart(j), now)
+	rated := g.tracker.rate(accepting, g.config, j.affinity(), g.promptParts(j), now)
 	for i, c := range rated {
 		explained = append(explained, RouteCandidate{
 			Server: accepting[i].Name, DataCentre: accepting[i].DataCentre, State: accepting[i].State, Cost: c.Cost(),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -171,7 +171,7 @@
 			}
 			return denied
 		})
-		server, ok := g.tracker.pick(candidates, g.config, j.affinity(), g.sharedPart(j), time.Now())
+		server, ok := g.tracker.pick(candidates, g.config, j.affinity(), g.promptParts(j), time.Now())
 		if !ok || g.Limits.Take(ctx, server) {
 			return server, permitIn, ok
 		}
@@ -210,6 +210,9 @@
 			Info("backend server says that it is leaving")
 	}
 	notRun := g.Dialect.NotRun(response.Status, response.Header)
+	if !notRun && len(j.Prompt) > 0 {
+		g.tracker.recordSession(j.affinity(), server.Name, time.Now())
+	}
 	if !notRun {
 		j.recordAccepted(started)
 		if resumeAfter == 0 && response.Status < http.StatusInternalServerError {
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -43,6 +44,33 @@
 	groups    map[serverGroup]*congestion.Average
 	// paces holds how fast the servers of each service produce events.
 	paces map[string]*pace.Servers
+	// sessions holds the servers that have read the prompts of sessions.
+	sessions map[string]sessionServer
+}
+
+// sessionServer is the server that has read the prompt of a session last.
+type sessionServer struct {
+	name   string
+	usedAt time.Time
+}
+
+const (
+	// sessionMemory is the time for which the server of a session is remembered, and maxSessions limits
+	// the sessions that are.
+	sessionMemory = 20 * time.Second
+	maxSessions   = 4096
+)
+
+// recordSession records that a server reads the prompt of a session.
+func (t *tracker) recordSession(session, server string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.sessions) >= maxSessions {
+		maps.DeleteFunc(t.sessions, func(_ string, s sessionServer) bool { return now.Sub(s.usedAt) > sessionMemory })
+	}
+	if _, known := t.sessions[session]; known || len(t.sessions) < maxSessions {
+		t.sessions[session] = sessionServer{name: server, usedAt: now}
+	}
 }
 
 // workload is what requests have in common that take similar times.
@@ -87,7 +115,7 @@
 	return &tracker{
 		servers: map[string]*serverState{}, hedges: retrybudget.New(time.Now()),
 		baselines: map[workload]*congestion.Baseline{}, groups: map[serverGroup]*congestion.Average{},
-		paces: map[string]*pace.Servers{},
+		paces: map[string]*pace.Servers{}, sessions: map[string]sessionServer{},
 	}
 }
 
@@ -104,12 +132,12 @@
 // pick chooses a server and counts the request as in flight there. The caller must call done
 // when the request ends. pick may reorder candidates.
 func (t *tracker) pick(
-	candidates []structs.Server, from Config, affinity string, shared prefix.Part, now time.Time,
+	candidates []structs.Server, from Config, affinity string, prompt promptParts, now time.Time,
 ) (structs.Server, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	candidates = slices.DeleteFunc(candidates, func(server structs.Server) bool { return !t.acceptsWork(server, now) })
-	best := balance.Choose(t.rate(candidates, from, affinity, shared, now))
+	best := balance.Choose(t.rate(candidates, from, affinity, prompt, now))
 	if best < 0 {
 		return structs.Server{}, false
 	}
@@ -120,9 +148,12 @@
 
 // rate returns what is known of each candidate. The caller holds mu.
 func (t *tracker) rate(
-	candidates []structs.Server, from Config, affinity string, shared prefix.Part, now time.Time,
+	candidates []structs.Server, from Config, affinity string, prompt promptParts, now time.Time,
 ) []balance.Candidate {
-	keepers := keepersByDataCentre(shared, candidates)
+	keepers := keepersByDataCentre(prompt.shared, candidates)
+	last := t.sessions[affinity]
+	known := prompt.own.Tokens > 0 && now.Sub(last.usedAt) < sessionMemory &&
+		slices.ContainsFunc(candidates, func(s structs.Server) bool { return s.Name == last.name })
 	rated := make([]balance.Candidate, len(candidates))
 	for i, server := range candidates {
 		state := t.stateOf(server.Name)
@@ -136,7 +167,13 @@
 			Affinity: hashFraction(xxhash.Sum64String(affinity + server.Name)),
 		}
 		if keepers != nil && !keepers[server.DataCentre][server.Name] {
-			rated[i].Reading = shared.Cost()
+			rated[i].Reading = prompt.shared.Cost()
+		}
+		switch {
+		case known && server.Name == last.name:
+			rated[i].Reading, rated[i].Affinity = 0, 0
+		case known:
+			rated[i].Reading += prompt.own.Cost()
 		}
 		if group := t.groups[groupOf(server)]; group != nil {
 			rated[i].Congestion = congestion.Load(&state.ratios, group, now)
--- a/internal/policy/prefix/prefix.go
+++ b/internal/policy/prefix/prefix.go
@@ -24,9 +24,9 @@
 	minServers = 4
 	// tokensPerRequest is the number of prompt tokens whose reading takes an engine about as long as a
 	// request of its batch.
-	tokensPerRequest = 12_000
+	tokensPerRequest = 6_000
 	// maxCost limits the cost of reading a part: a server that is that much busier is not preferred.
-	maxCost = 1.5
+	maxCost = 3
 )
 
 // Part is the part of a prompt that other prompts share.
--- a/internal/quota/admission.go
+++ b/internal/quota/admission.go
@@ -15,13 +15,14 @@
 	// burst of about a second of the quota, the loop is damped by half and settles within 2 s.
 	integralGain     = 4.0
 	proportionalGain = 2.0
-	emptyRate        = 4.0
+	emptyRate        = 2.0
 	// maxLevel limits how fast the fraction rises.
 	maxLevel = 0.6
 	// minAdmitted keeps some programs running, so that the fraction can rise again.
 	minAdmitted = 0.005
-	// maxStep limits the time that one update accounts for.
-	maxStep = 500 * time.Millisecond
+	// maxStep limits the time that one update accounts for: what lies before the last report of a gateway
+	// is not known, and a single empty moment must not shed most programs of a small team.
+	maxStep = reportInterval
 )
 
 // admission is the fraction of a team's programs that may run, controlled by the level of its bucket.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -49,6 +49,10 @@
 	// accountMemory is the time after which an account without requests is dropped; its bucket is full
 	// by then, as a new one soon is.
 	accountMemory = time.Minute
+	// maxPermitWait is the time for which a request may wait for a permit, and permitJitter spreads those
+	// that wait.
+	maxPermitWait = 250 * time.Millisecond
+	permitJitter  = 20 * time.Millisecond
 	// slackDivisor divides Deps.Slack to the part that is granted.
 	slackDivisor = 2
 	// minRetryAfter and maxRetryAfter bound the Retry-After of refusals.
@@ -193,8 +197,7 @@
 		return q.refuse(team, time.Duration((rank-fraction)*float64(maxRetryAfter)))
 	}
 	q.mu.Unlock()
-	q.asked.Inc()
-	reply, answered := q.take(ctx, takeRequest{Team: team.Name, Rank: rank})
+	reply, answered := q.await(ctx, takeRequest{Team: team.Name, Rank: rank})
 	now = time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -224,6 +227,23 @@
 	return beyondQuota(team, 0)
 }
 
+// await takes a permit, or waits for the next one if that is due soon and the program is among those
+// that may run: a caller that is refused comes back later than that.
+func (q *Quotas) await(ctx context.Context, r takeRequest) (takeReply, bool) {
+	until := time.Now().Add(maxPermitWait)
+	for {
+		q.asked.Inc()
+		reply, answered := q.take(ctx, r)
+		if !answered || reply.Granted || r.Rank >= reply.Standing.Fraction {
+			return reply, answered
+		}
+		pause := reply.RetryIn + rand.N(permitJitter)
+		if time.Now().Add(pause).After(until) || !timers.Sleep(ctx, pause) {
+			return reply, answered
+		}
+	}
+}
+
 // Return gives back a request that was admitted and did not run.
 func (q *Quotas) Return(team *structs.Team) {
 	if team.PerSecond <= 0 {
