--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -80,10 +80,10 @@
 type Quotas struct {
 	deps Deps
 
-	reports *metrics.Counter
-	asked   *metrics.Counter
-	refused *metrics.Counter
-	unheard *metrics.Counter
+	reports         *metrics.Counter
+	asked           *metrics.Counter
+	refused         *metrics.Counter
+	unansweredCalls *metrics.Counter
 
 	mu       sync.Mutex
 	census   *issuers.Census
@@ -109,14 +109,14 @@
 // New returns Quotas and registers their methods with the mux.
 func New(deps Deps) *Quotas {
 	q := &Quotas{
-		deps:     deps,
-		reports:  deps.Metrics.GetOrCreateCounter("ibisline_quota_reports_total"),
-		asked:    deps.Metrics.GetOrCreateCounter("ibisline_quota_permits_asked_total"),
-		refused:  deps.Metrics.GetOrCreateCounter("ibisline_quota_refused_total"),
-		unheard:  deps.Metrics.GetOrCreateCounter("ibisline_quota_unanswered_total"),
-		census:   issuers.NewCensus(deps.View),
-		shares:   map[string]*share{},
-		accounts: map[string]*issuedAccount{},
+		deps:            deps,
+		reports:         deps.Metrics.GetOrCreateCounter("ibisline_quota_reports_total"),
+		asked:           deps.Metrics.GetOrCreateCounter("ibisline_quota_permits_asked_total"),
+		refused:         deps.Metrics.GetOrCreateCounter("ibisline_quota_refused_total"),
+		unansweredCalls: deps.Metrics.GetOrCreateCounter("ibisline_quota_unanswered_total"),
+		census:          issuers.NewCensus(deps.View),
+		shares:          map[string]*share{},
+		accounts:        map[string]*issuedAccount{},
 	}
 	deps.Metrics.GetOrCreateGauge("ibisline_quota_tight_teams", func() float64 {
 		q.mu.Lock()
@@ -203,11 +203,11 @@
 	defer q.mu.Unlock()
 	if !answered {
 		if ctx.Err() == nil {
-			s.fall(now)
+			s.markSilent(now)
 		}
 		return q.admitOwn(team, s, now)
 	}
-	q.hear(team.Name, s, reply.Standing, now)
+	q.applyStanding(team.Name, s, reply.Standing, now)
 	if !reply.Granted {
 		return q.refuse(team, reply.RetryIn)
 	}
@@ -291,13 +291,13 @@
 	return s
 }
 
-// hear applies the standing of a team and logs its changes. The caller holds mu.
-func (q *Quotas) hear(team string, s *share, said standing, now time.Time) {
+// applyStanding applies the standing of a team and logs its changes. The caller holds mu.
+func (q *Quotas) applyStanding(team string, s *share, said standing, now time.Time) {
 	if s.tight != said.Tight {
 		q.deps.Log.WithField("team", team).WithField("tight", said.Tight).WithField("admitted", said.Fraction).
 			Info("use of a team's quota changed")
 	}
-	s.hear(said.Tight, said.Fraction, now)
+	s.applyStanding(said.Tight, said.Fraction, now)
 }
 
 // limitOf returns the part of a team's quota.
@@ -355,14 +355,14 @@
 	defer cancel()
 	var reply takeReply
 	if err := peer.Call(ctx, q.deps.Dialer, issuer, methodTake, r, &reply); err != nil {
-		q.unanswered(issuer, err)
+		q.recordUnanswered(issuer, err)
 		return takeReply{}, false
 	}
 	return reply, !reply.Standing.NotIssuer
 }
 
-func (q *Quotas) unanswered(issuer string, err error) {
-	q.unheard.Inc()
+func (q *Quotas) recordUnanswered(issuer string, err error) {
+	q.unansweredCalls.Inc()
 	q.deps.Log.WithError(err).WithField("peer", issuer).Info("no answer of the issuer of quotas, own share is used")
 }
 
@@ -423,7 +423,7 @@
 		err = peer.Call(callCtx, q.deps.Dialer, issuer, methodReport, reportRequest{Usages: usages}, &reply)
 		cancel()
 		if err != nil && ctx.Err() == nil {
-			q.unanswered(issuer, err)
+			q.recordUnanswered(issuer, err)
 		}
 	}
 	now := time.Now()
@@ -437,9 +437,9 @@
 			// The report may have arrived. To count requests twice is the safe error.
 			s.pending += u.Used
 			s.silent += u.Silent
-			s.fall(now)
+			s.markSilent(now)
 		default:
-			q.hear(u.Team, s, reply.Standings[i], now)
+			q.applyStanding(u.Team, s, reply.Standings[i], now)
 		}
 	}
 }
--- a/internal/quota/share.go
+++ b/internal/quota/share.go
@@ -58,14 +58,14 @@
 	return s.perSecond * math.Exp(-age.Seconds()/rateMemory.Seconds())
 }
 
-// hear applies what the issuer has said.
-func (s *share) hear(tight bool, fraction float64, now time.Time) {
+// applyStanding applies what the issuer has said.
+func (s *share) applyStanding(tight bool, fraction float64, now time.Time) {
 	s.tight, s.fraction, s.toldAt = tight, fraction, now
 	s.silentSince, s.own = time.Time{}, nil
 }
 
-// fall records that the issuer does not answer.
-func (s *share) fall(now time.Time) {
+// markSilent records that the issuer does not answer.
+func (s *share) markSilent(now time.Time) {
 	if s.silentSince.IsZero() {
 		s.silentSince = now
 	}
