Limit what operators' connections hold, and lock the gateways of the quota tests

Cause: the budget of connections also applied to the product's own interface, whose callers may send bodies of 8 MB, and was larger than a small machine has to spare. The quota tests replaced gateways while others used them (race detector).

Change: only the listeners of gateways and keepers for operators and the balancer have a budget, 4 MB, and heads of at most 16 KB; the product's own interface is as before. A mutex in the tests.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -18,11 +18,8 @@
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout is the time after which an idle keep-alive connection is closed.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the size of a request header, and connectionBudget the memory that all
-	// connections make the process hold. A request of the largest body that is allowed by default fits
-	// in it several times.
-	maxHeaderBytes   = 64 << 10
-	connectionBudget = 64 << 20
+	// maxOperatorHeaderBytes limits the header of a request on a server for operators.
+	maxOperatorHeaderBytes = 16 << 10
 	// stopLimit bounds the time for refusing the last requests when the server stops. It exceeds the
 	// time that a caller has for its first request on a connection.
 	stopLimit = 2 * time.Second
@@ -52,6 +49,8 @@
 	listener net.Listener
 	http     http.Server
 	conns    *httpconn.Tracker
+	// budget is nil if what connections hold is not limited.
+	budget *httpconn.Budget
 }
 
 // NewServer returns a server without routes.
@@ -68,6 +67,13 @@
 // Listen.
 func (s *Server) Rest() *rest.Server { return s.rest }
 
+// LimitConnections limits what connections make the process hold, on a server for operators whose
+// requests have no bodies. It must be called before Listen.
+func (s *Server) LimitConnections(bytes int64) {
+	s.budget = httpconn.NewBudget(bytes)
+	s.http.MaxHeaderBytes = maxOperatorHeaderBytes
+}
+
 // Listen binds addr, given as IP:port.
 func (s *Server) Listen(addr string) error {
 	handler, err := rest.NewServerless(s.rest)
@@ -82,8 +88,7 @@
 	s.http.Handler = http.HandlerFunc(handler.Serve)
 	s.http.ReadHeaderTimeout = readHeaderTimeout
 	s.http.IdleTimeout = idleTimeout
-	s.http.MaxHeaderBytes = maxHeaderBytes
-	s.conns = httpconn.Track(&s.http, httpconn.NewBudget(connectionBudget))
+	s.conns = httpconn.Track(&s.http, s.budget)
 	return nil
 }
 
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -532,6 +532,7 @@
 	if keeper, err := kernel.Lookup[*history.Keeper](b.kernel, serviceHistories); err == nil {
 		operator.RegisterTurns(server.Rest(), operator.Deps{Turn: keeper.Describe})
 	}
+	server.LimitConnections(operatorBytes)
 	if gatewayServer != nil {
 		operator.RegisterRoute(server.Rest(), gatewayServer.ExplainRoute)
 	}
@@ -547,6 +548,9 @@
 	})
 }
 
+// operatorBytes limits what the connections of operators and the balancer make the process hold.
+const operatorBytes = 4 << 20
+
 // readyHandler responds with 200 if ready returns true, and with 503 otherwise.
 func readyHandler(ready func() bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -28,8 +28,10 @@
 // gateways is a fleet of gateways, connected in memory with the latency between regions.
 type gateways struct {
 	network *peers.Network
-	nodes   []*node
 	teams   map[string]*structs.Team
+
+	mu    sync.Mutex
+	nodes []*node
 }
 
 type node struct {
@@ -65,6 +67,8 @@
 		},
 	})
 	n.loop = testbed.Start(n.quotas.Run)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.nodes[i] = n
 }
 
@@ -76,8 +80,14 @@
 
 // restart replaces a gateway. The others learn after a while that it was gone.
 func (f *gateways) restart(i int) {
+	f.mu.Lock()
 	old := f.nodes[i]
+	restarting := old.down
 	old.down = true
+	f.mu.Unlock()
+	if restarting {
+		return
+	}
 	old.SetDown(true)
 	old.loop.Stop()
 	time.Sleep(time.Second)
@@ -103,6 +113,8 @@
 
 // random returns a gateway that is up.
 func (f *gateways) random() *Quotas {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for {
 		if n := f.nodes[rand.IntN(len(f.nodes))]; !n.down {
 			return n.quotas
