--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -25,7 +25,7 @@
 		}
 		turn := func(id, session string, own int) string {
 			got := h.call(http.MethodPost, "/turn/1", id, withHeader("Session-Id", session),
-				withHeader("Prompt-Prefix", "aa:12000,bb:"+strconv.Itoa(own)), withHeader("Token-Usage", strconv.Itoa(12000+own)+",50"))
+				withHeader("Prompt-Prefix", "aa:12000,bb:"+strconv.Itoa(own)), withHeader(platformtest.HeaderTokens, strconv.Itoa(12000+own)+",50"))
 			require.Equal(t, http.StatusOK, got.status)
 			return got.body
 		}
@@ -33,7 +33,7 @@
 		occupy := func(id string) {
 			engines[first].Always(platformtest.Reply{Body: first, Delay: time.Second})
 			go h.call(http.MethodPost, "/turn/1", id, withHeader("Session-Id", "s1"), withHeader("Prompt-Prefix", "aa:12000,bb:10000"),
-				withHeader("Token-Usage", "22000,50"))
+				withHeader(platformtest.HeaderTokens, "22000,50"))
 			time.Sleep(time.Millisecond)
 			engines[first].Always(platformtest.Reply{Body: first})
 		}
