Serve requests on public routes whose key cannot be checked now

Cause: a request on a public route with a known key was refused with 503 while the configuration was not proven, although such a route needs no key.

Change: it runs without a team. Evidence: TestKeysNeedProofOfConfiguration asks a public route in each state; it failed before.

--- a/internal/gateway/access.go
+++ b/internal/gateway/access.go
@@ -56,26 +56,26 @@
 		return nil
 	}
 	j.ChecksKeys = true
+	var team *structs.Team
+	part := unknownKeyProofFraction
 	if j.Key != nil {
-		if team, found := table.TeamOf(*j.Key); found {
-			j.team, j.Team = team, team.Name
+		if found, known := table.TeamOf(*j.Key); known {
+			team, part = found, maxProofFraction
 		}
 	}
-	if j.team == nil && j.route.Public {
-		return nil
-	}
-	part := maxProofFraction
-	if j.team == nil {
-		part = unknownKeyProofFraction
-	}
+	proven := p.within(g.config.RevokeWithin, part)
 	switch {
-	case !p.within(g.config.RevokeWithin, part):
+	case team != nil && proven:
+		j.team, j.Team = team, team.Name
+		return nil
+	case j.route.Public:
+		// It runs without a team.
+		return nil
+	case !proven:
 		return verdict.Refuse(verdict.KeyUnproven, "the configuration is not proven to be new enough to check keys").
 			RetryIn(proofRetryAfter)
-	case j.team == nil:
-		return verdict.Refuse(verdict.UnknownKey, "the request has no key of a team")
 	default:
-		return nil
+		return verdict.Refuse(verdict.UnknownKey, "the request has no key of a team")
 	}
 }
 
