Review, case 7: programs are told after a kill that their budgets are spent

It adds the largest turn ever granted in the shard, by any program, to the total of each program, also of those that it does not know.

--- a/review/stand-ins-2/client.go
+++ b/review/stand-ins-2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,6 +26,8 @@
 	status  int
 	stamp   string
 	body    int
+	// events is the number of whole events that came, also of a stream that broke off.
+	events int
 	// kept is set if the request was sent on a connection that had carried one before.
 	kept bool
 	// whole is set if a whole answer came. Otherwise cut tells whether the connection ended, and if it
@@ -76,8 +79,9 @@
 	if err != nil {
 		return a.ended(err, started)
 	}
-	n, err := io.Copy(io.Discard, response.Body)
-	a.status, a.stamp, a.body = response.StatusCode, response.Header.Get("Server-Stamp"), int(n)
+	text, err := io.ReadAll(response.Body)
+	a.status, a.stamp, a.body = response.StatusCode, response.Header.Get("Server-Stamp"), len(text)
+	a.events = bytes.Count(text, []byte("\n\n"))
 	if err != nil {
 		return a.ended(err, started)
 	}
--- a/review/stand-ins-2/descriptors.go
+++ b/review/stand-ins-2/descriptors.go
@@ -23,7 +23,7 @@
 	turnTimeout     = 3 * time.Second
 	answerSlack     = 500 * time.Millisecond
 	newClients      = 40
-	releasesAtMost  = 75 * time.Second
+	releasesAtMost  = 70 * time.Second
 	descriptorsNear = siteMaxFds - 20
 )
 
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -21,6 +21,7 @@
 	"bodies":      bodies,
 	"descriptors": descriptors,
 	"hedge":       hedge,
+	"spent":       spent,
 }
 
 // A daemon ends with the thread that has started it, which therefore has to be the main one.
--- /dev/null
+++ b/review/stand-ins-2/spent.go
@@ -0,0 +1,151 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// The scene "spent": programs with small turns and programs with large ones run. One gateway is killed and
+// started again. Then the programs with small turns go on, and new ones begin, all with budgets of which little or
+// nothing is used. With
+// KILL=all, which run.sh does not set, all processes are killed at once.
+const (
+	smallBudget   = 4480 // Token-Budget and Token-Usage as in the example of the pages
+	smallTurn     = 560
+	largeBudget   = 40000
+	largeTurn     = 8000
+	largePrograms = 40
+	smallPrograms = 240
+	spentDown     = 3500 * time.Millisecond // for_s of node_kill in the list of troubles
+	spentCatchUp  = 4 * time.Second
+	chunkTokens   = 35
+	recoveryS     = 12 * time.Second
+)
+
+func spent(s *scene) (bool, error) {
+	if err := s.addDaemons("gateway", 4); err != nil {
+		return false, err
+	}
+	if err := s.addDaemons("keeper", 3); err != nil {
+		return false, err
+	}
+	s.configure(3, route{
+		Name: "r-turns", Host: "turns.example", PathPrefix: "/read/", Type: "streaming", TimeoutMs: 3000, TargetLatencyMs: 300,
+		Service: "lm-pool", MaxAttempts: 1, RetentionS: 60, Sticky: true, Resumable: true, GapTargetMs: 250,
+	})
+	for i := range 9 {
+		r, err := s.startRunner(fmt.Sprintf("i-lm-%d", i), "lm-pool", zones[i%3].name, 16, 48, func(run) outcome {
+			return outcome{events: 7, gap: 15 * time.Millisecond}
+		})
+		if err != nil {
+			return false, err
+		}
+		r.register("ready")
+	}
+	if err := s.startAll(0); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * time.Second)
+	// The first gateway is the one that is killed; programs come in at the others.
+	others := s.daemons[1:4]
+	turn := func(kind, program string, i, budget, most int) answer {
+		c, err := connect(others[i%len(others)].listen)
+		if err != nil {
+			s.record.note("no connection to %s: %v", others[i%len(others)].name, err)
+			return answer{}
+		}
+		defer c.close()
+		a := c.send("POST", "turns.example", "/read/turn", []string{
+			"Model: m", fmt.Sprintf("Token-Usage: 1840,%d", most), "Program-Id: " + program, "Session-Id: " + program,
+			"Program-Deadline-Ms: 20000", fmt.Sprintf("Token-Budget: %d", budget),
+		}, []byte("prompt"), 3*time.Second, 3500*time.Millisecond)
+		s.record.note("client: %s turn %s of program %s (Token-Budget %d, Token-Usage 1840,%d) to %s: %s, %d tokens",
+			kind, a.attempt, program, budget, most, others[i%len(others)].name, a, a.events*chunkTokens)
+		return a
+	}
+	// programs runs some turns of each program, at most 16 programs at a time, and returns their answers.
+	programs := func(kind string, names []string, turns, budget, most int) []answer {
+		var mu sync.Mutex
+		var all []answer
+		room := make(chan struct{}, 16)
+		var running sync.WaitGroup
+		for i, program := range names {
+			room <- struct{}{}
+			running.Go(func() {
+				defer func() { <-room }()
+				for t := range turns {
+					a := turn(kind, program, i+t, budget, most)
+					mu.Lock()
+					all = append(all, a)
+					mu.Unlock()
+					if a.status == 402 {
+						return
+					}
+				}
+			})
+		}
+		running.Wait()
+		return all
+	}
+	count := func(answers []answer) map[int]int {
+		statuses := map[int]int{}
+		for _, a := range answers {
+			statuses[a.status]++
+		}
+		return statuses
+	}
+	newPrograms := func(count int) []string {
+		names := make([]string, count)
+		for i := range names {
+			names[i] = newAttempt()
+		}
+		return names
+	}
+	before := programs("large", newPrograms(largePrograms), 2, largeBudget, largeTurn)
+	s.record.say("%d programs with large turns, answers by status: %v", largePrograms, count(before))
+	begun := newPrograms(smallPrograms)
+	calm := programs("small", begun, 2, smallBudget, smallTurn)
+	s.record.say("%d programs with small turns begin, answers by status: %v", smallPrograms, count(calm))
+	all := append(before, calm...)
+	time.Sleep(2 * time.Second)
+	if s.trouble {
+		killed := s.daemons[:1]
+		if os.Getenv("KILL") == "all" {
+			killed = s.daemons
+		}
+		for _, d := range killed {
+			s.record.say("%s is killed, for %s", d.name, spentDown)
+			_ = d.command.Process.Kill()
+			<-d.ended
+		}
+		time.Sleep(spentDown)
+		for _, d := range killed {
+			if err := s.start(d, false, 0); err != nil {
+				return false, err
+			}
+		}
+	} else {
+		time.Sleep(spentDown)
+	}
+	time.Sleep(spentCatchUp + contactMs)
+	if s.trouble && os.Getenv("KILL") == "all" {
+		time.Sleep(recoveryS - spentCatchUp - contactMs)
+	}
+	goOn := programs("small", begun, 1, smallBudget, smallTurn)
+	s.record.say("the %d programs with small turns go on, answers by status: %v", smallPrograms, count(goOn))
+	after := programs("small", newPrograms(smallPrograms), 2, smallBudget, smallTurn)
+	s.record.say("%d new programs with small turns, answers by status: %v", smallPrograms, count(after))
+	all = append(append(all, goOn...), after...)
+	denied := 0
+	for _, a := range all {
+		if a.whole && a.status == 402 && a.stamp == "" {
+			denied++
+		}
+	}
+	limit := 5 + len(all)/500
+	s.record.say("%d of %d turns were answered 402 though their programs had used %d tokens of %d at most (rule: at most %d)",
+		denied, len(all), 3*7*chunkTokens, smallBudget, limit)
+	return denied > limit, nil
+}
