--- a/review/stand-ins-2/descriptors.go
+++ b/review/stand-ins-2/descriptors.go
@@ -18,9 +18,9 @@
 	turnClients     = 320
 	turnEvents      = 7
 	turnGap         = 40 * time.Millisecond
-	drainMs         = 2500 * time.Millisecond
-	contactMs       = 3 * time.Second
-	turnTimeout     = 3 * time.Second
+	drainMs         = 4 * time.Second
+	contactMs       = 4 * time.Second
+	turnTimeout     = 2500 * time.Millisecond
 	answerSlack     = 500 * time.Millisecond
 	newClients      = 40
 	releasesAtMost  = 70 * time.Second
@@ -42,7 +42,7 @@
 	var ready []*runner
 	started := 0
 	add := func() error {
-		r, err := s.startRunner(fmt.Sprintf("i-lm-%04d", started), "lm-pool", zones[started%3].name, 16, 48,
+		r, err := s.startRunner(fmt.Sprintf("i-lm-%04d", started), "lm-pool", zones[started%3].name, 8, 24,
 			func(run) outcome { return outcome{events: turnEvents, gap: turnGap} })
 		if err != nil {
 			return err
