--- a/review/stand-ins-2/bodies.go
+++ b/review/stand-ins-2/bodies.go
@@ -31,7 +31,7 @@
 		Priority: 2, Service: "order-app", MaxAttempts: 1,
 	})
 	for i, z := range zones {
-		r, err := s.startRunner("i-order-"+z.name, "order-app", zones[i].name, 6, 24, func(run) outcome { return outcome{took: orderWork, size: 800} })
+		r, err := s.startRunner("i-order-"+z.name, "order-app", zones[i].name, 6, 24, orderConns, func(run) outcome { return outcome{took: orderWork, size: 800} })
 		if err != nil {
 			return false, err
 		}
@@ -66,14 +66,14 @@
 					continue
 				}
 				// The first request on a connection is a short one.
-				a := c.send("POST", "orders.example", "/loom/short", nil, []byte("order"), orderDeadline, orderDeadline+time.Second)
+				a := c.send("POST", "orders.example", "/loom/short", nil, []byte("order"), orderDeadline, orderDeadline)
 				if !a.whole || a.err != nil {
 					c.close()
 					c = nil
 					continue
 				}
 			}
-			a := c.send("POST", "orders.example", "/loom/long", nil, body, orderDeadline, orderDeadline+time.Second)
+			a := c.send("POST", "orders.example", "/loom/long", nil, body, orderDeadline, orderDeadline)
 			s.record.note("client: %s of %d bytes: %s", a.attempt, len(body), a)
 			mu.Lock()
 			all = append(all, a)
--- a/review/stand-ins-2/client.go
+++ b/review/stand-ins-2/client.go
@@ -18,6 +18,9 @@
 	conn net.Conn
 	in   *bufio.Reader
 	used int
+	// abandon, if positive, is the time after which the client gives an attempt up of whose answer nothing
+	// has come.
+	abandon time.Duration
 }
 
 // answer is what a client has seen of one attempt.
@@ -71,7 +74,11 @@
 		fmt.Fprintf(&head, "Content-Length: %d\r\n", len(body))
 	}
 	head.WriteString("\r\n")
-	_ = c.conn.SetDeadline(started.Add(wait))
+	begin := wait
+	if c.abandon > 0 {
+		begin = min(wait, c.abandon)
+	}
+	_ = c.conn.SetDeadline(started.Add(begin))
 	if _, err := c.conn.Write(append([]byte(head.String()), body...)); err != nil {
 		return a.ended(err, started)
 	}
@@ -79,6 +86,7 @@
 	if err != nil {
 		return a.ended(err, started)
 	}
+	_ = c.conn.SetDeadline(started.Add(wait))
 	text, err := io.ReadAll(response.Body)
 	a.status, a.stamp, a.body = response.StatusCode, response.Header.Get("Server-Stamp"), len(text)
 	a.events = bytes.Count(text, []byte("\n\n"))
--- a/review/stand-ins-2/hedge.go
+++ b/review/stand-ins-2/hedge.go
@@ -36,7 +36,7 @@
 		Priority: 2, Service: "order-app", MaxAttempts: pingAttempts,
 	})
 	for _, z := range zones {
-		r, err := s.startRunner("i-order-"+z.name, "order-app", z.name, 6, 24, func(run) outcome {
+		r, err := s.startRunner("i-order-"+z.name, "order-app", z.name, 6, 24, orderConns, func(run) outcome {
 			return outcome{took: min(time.Duration(rand.ExpFloat64()*float64(pingMean)), pingMost), size: 800}
 		})
 		if err != nil {
@@ -61,7 +61,7 @@
 					continue
 				}
 			}
-			a := c.send("GET", "orders.example", "/ping/"+strconv.Itoa(rand.IntN(4000)), nil, nil, pingDeadline, pingDeadline+time.Second)
+			a := c.send("GET", "orders.example", "/ping/"+strconv.Itoa(rand.IntN(4000)), nil, nil, pingDeadline, pingDeadline)
 			s.record.note("client: %s to %s: %s", a.attempt, gateway.name, a)
 			mu.Lock()
 			all = append(all, a)
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -61,6 +61,7 @@
 		os.Exit(exitNoRun)
 	}()
 	broken, err := run(s)
+	out.say("%d connections were reset by runners beyond their cap", s.capped.Load())
 	switch {
 	case err != nil:
 		out.say("cannot run: %v", err)
--- a/review/stand-ins-2/record.go
+++ b/review/stand-ins-2/record.go
@@ -14,8 +14,6 @@
 	file    *os.File
 	out     *bufio.Writer
 	started time.Time
-	// quiet holds back the lines of single requests, which only the counts then show.
-	quiet bool
 }
 
 func openRecord(path string) (*record, error) {
@@ -39,9 +37,6 @@
 func (r *record) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.quiet {
-		return
-	}
 	fmt.Fprintf(r.out, "%8.3f s  "+format+"\n", append([]any{time.Since(r.started).Seconds()}, args...)...)
 }
 
--- a/review/stand-ins-2/runner.go
+++ b/review/stand-ins-2/runner.go
@@ -54,8 +54,8 @@
 	size   int
 }
 
-// startRunner starts a runner at a free address. It is not listed yet.
-func (s *scene) startRunner(id, service, zone string, slots, queue int, work func(run) outcome) (*runner, error) {
+// startRunner starts a runner at a free address, which takes maxConns connections at most. It is not listed yet.
+func (s *scene) startRunner(id, service, zone string, slots, queue, maxConns int, work func(run) outcome) (*runner, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -72,8 +72,18 @@
 				return
 			}
 			r.mu.Lock()
-			r.conns[c] = false
+			full := len(r.conns) >= maxConns
+			if !full {
+				r.conns[c] = false
+			}
 			r.mu.Unlock()
+			if full {
+				// Connections beyond the cap are reset.
+				s.capped.Add(1)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+				continue
+			}
 			go r.serve(c)
 		}
 	}()
--- a/review/stand-ins-2/scene.go
+++ b/review/stand-ins-2/scene.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,9 @@
 	daemons     []*daemon
 	given       map[string]bool
 
+	// capped counts the connections that runners have reset beyond their cap.
+	capped atomic.Int64
+
 	mu   sync.Mutex
 	runs map[string][]run
 }
@@ -254,6 +258,12 @@
 	}
 }
 
+// Connections that the runners of a service take, as on the site ctn-ibis; on ctn-ibis-grown it is more.
+const (
+	lmConns    = 180
+	orderConns = 110
+)
+
 // route is a route of the configuration.
 type route struct {
 	Name            string  `json:"name"`
@@ -275,10 +285,10 @@
 // configure writes a configuration with the limits of the site.
 func (s *scene) configure(version int, routes ...route) {
 	services := []map[string]any{
-		{"name": "lm-pool", "healthPath": "/healthz", "maxConns": 430, "protocol": "h1", "tls": false, "engine": map[string]any{
+		{"name": "lm-pool", "healthPath": "/healthz", "maxConns": lmConns, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": 16, "kvCapacityTokens": 444000, "kvTokenBytes": 131072, "linkMbps": 4400000.0, "chunkTokens": 35, "models": []any{map[string]any{"name": "m"}},
 		}},
-		{"name": "order-app", "healthPath": "/healthz", "maxConns": 390, "protocol": "h1", "tls": false},
+		{"name": "order-app", "healthPath": "/healthz", "maxConns": orderConns, "protocol": "h1", "tls": false},
 	}
 	spec, _ := json.Marshal(map[string]any{
 		"version": version, "routes": routes, "services": services,
--- a/review/stand-ins-2/spent.go
+++ b/review/stand-ins-2/spent.go
@@ -37,7 +37,7 @@
 	}
 	s.configure(3, turns)
 	for i := range 9 {
-		r, err := s.startRunner(fmt.Sprintf("i-lm-%d", i), "lm-pool", zones[i%3].name, 16, 48, func(run) outcome {
+		r, err := s.startRunner(fmt.Sprintf("i-lm-%d", i), "lm-pool", zones[i%3].name, 16, 48, lmConns, func(run) outcome {
 			return outcome{events: 7, gap: 15 * time.Millisecond}
 		})
 		if err != nil {
@@ -61,7 +61,7 @@
 		a := c.send("POST", "turns.example", "/read/turn", []string{
 			"Model: m", fmt.Sprintf("Token-Usage: 1840,%d", most), "Program-Id: " + program, "Session-Id: " + program,
 			"Program-Deadline-Ms: 20000", fmt.Sprintf("Token-Budget: %d", budget),
-		}, []byte("prompt"), 3*time.Second, 3500*time.Millisecond)
+		}, []byte("prompt"), 3*time.Second, 3*time.Second)
 		s.record.note("client: %s turn %s of program %s (Token-Budget %d, Token-Usage 1840,%d) to %s: %s, %d tokens",
 			kind, a.attempt, program, budget, most, others[i%len(others)].name, a, a.events*chunkTokens)
 		return a
