A head whose status HTTP does not allow is no response

What callers saw: a server in trouble sent a response with the status 000. The gateway took it for an interim response and its body for the response: a body that begins like one was forwarded as the answer of the server, and any other one ended the request as a broken connection, or held it until its timeout if there was none. 600 and 999 were forwarded as they were. In calls to plain services 000, 099, 101 and 600 were returned as outcomes that ran.

Cause: net/http accepts any three characters that Atoi takes (000, +20, -00, 999) and any version (HTTP/2.0), and upstream took everything below 200 for interim, 101 too, after which the connection speaks another protocol.

Change: Conn checks the status line of each head as its bytes arrive, those of interim responses too, before net/http parses them: HTTP/1.x, three digits, 100 to 599 without 101, as no request asks for another protocol. upstream and Transport read through it, so that the rule holds for servers, plain services, engines, the object API and the clients of daemons. Anything else is malformed: nothing of it is used, also not a Not-Executed in it, the connection is closed, and the request may have run. So a call that runs at most once gets 502, a repeatable one is sent to another server, a stream is resumed once where its route allows that.

--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -1,7 +1,8 @@
 // Package httpresponse decides what counts as a response of an HTTP server. All HTTP/1 clients of this
 // module read through it: upstream through Conn, and those that use net/http through Transport.
 //
-// Source: RFC 9112, sections 6.3 (length of a body) and 9.6 (end of a connection).
+// Sources: RFC 9110, section 15 (status codes); RFC 9112, sections 4 (status line), 6.3 (length of a body) and
+// 9.6 (end of a connection).
 package httpresponse
 
 import (
@@ -35,6 +36,9 @@
 	writeErr error
 	// unreceived is set if a part of the request was not acknowledged when the connection ended.
 	unreceived bool
+	head       headScanner
+	// malformed is the error of a head that is not one of a response.
+	malformed error
 }
 
 // NewConn returns raw as a connection without a request.
@@ -51,6 +55,31 @@
 	c.written, c.writeErr, c.unreceived = make(chan struct{}), nil, false
 }
 
+// BeginHead records that the head of a response follows, of which buffered was read already. Like Read it
+// returns an error if that is malformed. Heads that follow an interim response need no further call.
+func (c *Conn) BeginHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.begin()
+	return c.scanHead(buffered)
+}
+
+// scanHead checks what was read if it is a part of a head. The caller must hold mu.
+func (c *Conn) scanHead(read []byte) error {
+	if c.malformed == nil {
+		c.malformed = c.head.scan(read)
+	}
+	return c.malformed
+}
+
+// Malformed returns the error of a head that is not one of a response, nil if there was none. The parser of
+// such a head may report another error, as it gets the head in parts.
+func (c *Conn) Malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
 // EndRequest records that the request was written, or the error of its write. Only the first call for a
 // request has an effect.
 func (c *Conn) EndRequest(err error) {
@@ -96,9 +125,16 @@
 	return nil
 }
 
-// Read reads from the connection.
+// Read reads from the connection. It returns an error that wraps ErrMalformed instead of bytes that belong to
+// a malformed head, and from then on.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	malformed := c.scanHead(p[:n])
+	c.mu.Unlock()
+	if malformed != nil {
+		return 0, malformed
+	}
 	if errors.Is(err, io.EOF) {
 		unreceived := hasUnacknowledged(c.Conn)
 		c.mu.Lock()
--- a/internal/httpresponse/readers_test.go
+++ b/internal/httpresponse/readers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -142,9 +143,26 @@
 	}
 }
 
+// Guards against a client that takes a response for one that has a malformed head, or follows one.
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\n"
+	for _, head := range []string{
+		"HTTP/1.1 000 \r\n", "HTTP/1.1 099 Low\r\n", "HTTP/1.1 600 High\r\n", "HTTP/1.1 101 Switching Protocols\r\n",
+		"HTTP/1.1 +20 OK\r\n", "HTTP/2.0 200 OK\r\n",
+		interim + "\r\nHTTP/1.1 000 \r\n",
+	} {
+		t.Run(head, func(t *testing.T) {
+			response := head + strings.TrimPrefix(withLength(wholeBody), statusOK)
+			readFrom(t, 1, nil, rawserver.Answer{Bytes: response + response, KeepOpen: true}, requireUnknownOutcome)
+		})
+	}
+}
+
+const statusOK = "HTTP/1.1 200 OK\r\n"
+
 // withLength returns a response with a body and its length.
 func withLength(body string) string {
-	return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	return statusOK + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
 }
 
 // Guards against refusing a whole response that arrives before the request was read, and whose end does not
--- a/internal/httpresponse/transport.go
+++ b/internal/httpresponse/transport.go
@@ -41,6 +41,7 @@
 		GotConn: func(info httptrace.GotConnInfo) {
 			if got, ok := info.Conn.(*Conn); ok {
 				got.BeginRequest()
+				_ = got.BeginHead(nil) // Read returns the error too.
 				conn.Store(got)
 			}
 		},
@@ -52,6 +53,9 @@
 	}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if err != nil {
+		if got := conn.Load(); got != nil && got.Malformed() != nil {
+			return nil, got.Malformed()
+		}
 		return nil, err
 	}
 	if used := conn.Load(); used != nil && EndsWithConnection(response) {
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/httpresponse"
 	"ibisline/internal/verdict"
 )
 
@@ -64,11 +65,21 @@
 	if _, err := c.reader.Peek(1); err != nil {
 		return nil, err
 	}
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checked.BeginHead(buffered); err != nil {
+		return nil, err
+	}
 	timer := time.AfterFunc(headTimeout, c.interrupt)
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 	if !timer.Stop() {
 		return nil, errHeadTooSlow
 	}
+	if malformed := c.checked.Malformed(); malformed != nil {
+		return nil, malformed
+	}
 	return response, err
 }
 
@@ -86,7 +97,7 @@
 
 // isMalformed reports whether an error means that the received bytes are no response.
 func isMalformed(err error) bool {
-	return errors.Is(err, ErrMalformed) || errors.Is(err, errHeadTooLarge) || errors.Is(err, errHeadTooSlow) ||
+	return errors.Is(err, ErrMalformed) || errors.Is(err, httpresponse.ErrMalformed) || errors.Is(err, errHeadTooLarge) || errors.Is(err, errHeadTooSlow) ||
 		errors.Is(err, errOtherTooLarge)
 }
 
