A head that leaves the length of its body in doubt is no response

What callers saw: an interim response with a length, and its body was taken for the final response: one that begins like a response was forwarded as the answer of the server, as with the status 000. A 204 with a body was forwarded, and what the server sent of the body stood where the next response on the connection was due. A response in HTTP/1.0 with chunks was forwarded with the framing of its chunks as content, up to the end of its connection; one with chunks and a length had the former.

Cause: net/http ignores the transfer encoding in HTTP/1.0, a length beside a transfer encoding, and both in interim responses and 204. RFC 9112, sections 6.1 to 6.3, tells clients to treat the first as faulty and the second as an error, and forbids servers the rest. Nothing of it is left in the parsed head.

Change: the check of a head ends with that of the length. The three cases are malformed; the caller gets what it gets for a malformed status, and the connection is closed. A length of 0 is allowed in any response, and any length in 304.

Lengths that differ, are lists, empty or signed, encodings other than chunked, and chunk sizes that are no numbers were refused before: the tests stay.

--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -233,3 +233,51 @@
 		require.Equal(t, 1, till.Connections())
 	})
 }
+
+// Guards against a body being delimited in another way than its server did, so that the rest of it is taken for
+// a response or the framing of its chunks for its content.
+func TestContradictoryLengthIsNoResponse(t *testing.T) {
+	const (
+		chunks  = "Transfer-Encoding: chunked\r\n"
+		chunked = "\r\n6\r\nforged\r\n0\r\n\r\n"
+	)
+	sized := func(statusLine string) string { return responseWith(statusLine, "") }
+	for name, response := range map[string]string{
+		"chunks in HTTP/1.0":       "HTTP/1.0 200 OK\r\n" + stamp + ownID + chunks + chunked,
+		"chunks and a length":      okHead + "Content-Length: 6\r\n" + chunks + chunked,
+		"length and chunks":        okHead + chunks + "content-length: 6\r\n" + chunked,
+		"no content with a length": sized("HTTP/1.1 204 No Content"),
+		"no content with chunks":   "HTTP/1.1 204 No Content\r\n" + stamp + ownID + chunks + chunked,
+		"interim with a length":    sized("HTTP/1.1 100 Continue"),
+		"interim with chunks":      "HTTP/1.1 103 Early Hints\r\n" + chunks + "\r\n" + headBody,
+		"two lengths":              okHead + "Content-Length: 6\r\nContent-Length: 7\r\n\r\nforged",
+		"list of lengths":          okHead + "Content-Length: 6, 7\r\n\r\nforged",
+		"empty length":             okHead + "Content-Length:\r\n\r\nforged",
+		"signed length":            okHead + "Content-Length: +6\r\n\r\nforged",
+		"negative length":          okHead + "Content-Length: -6\r\n\r\nforged",
+		"unknown encoding":         okHead + "Transfer-Encoding: gzip, chunked\r\n" + chunked,
+		"chunks twice":             okHead + chunks + chunks + chunked,
+	} {
+		t.Run(name, func(t *testing.T) { requireNoResponse(t, response) })
+	}
+	for _, chunk := range []string{"", "5", "+6", "0x6", "-1", "ffffffffffffffffff", "6\n6"} {
+		withHarness(t, func(t *testing.T, h *harness) {
+			h.addServer(tills, "till-1").Always(platformtest.Reply{Raw: okHead + chunks + "\r\n" + chunk + "\r\nforged\r\n0\r\n\r\n"})
+			require.Equal(t, http.StatusBadGateway, h.call(http.MethodPost, "/redeem/1", "r1").status, "chunk of %q bytes", chunk)
+		})
+	}
+	withHarness(t, func(t *testing.T, h *harness) {
+		till := h.addServer(tills, "till-1")
+		for i, sound := range []string{
+			"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 204 No Content\r\nContent-Length: 0\r\n",
+			"HTTP/1.1 304 Not Modified\r\nContent-Length: 6\r\n",
+			"HTTP/1.1 200 OK\r\nContent-Length: 0\r\ncontent-length: 0\r\n",
+		} {
+			till.Always(platformtest.Reply{Raw: sound + stamp + ownID + "\r\n"})
+			got := h.call(http.MethodPost, "/redeem/1", "request-"+strconv.Itoa(i))
+			require.NotEqual(t, http.StatusBadGateway, got.status, sound)
+			require.Empty(t, got.body)
+		}
+		require.Equal(t, 1, till.Connections())
+	})
+}
--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -16,10 +16,12 @@
 type headScanner struct {
 	// active is set from the start of a head to its end.
 	active bool
-	// statusLineSeen and interim are set once the status line was read, and if its status is that of an
-	// interim response.
-	statusLineSeen bool
-	interim        bool
+	// status is that of the status line, 0 before that was read, and http10 is set if its version is HTTP/1.0.
+	status int
+	http10 bool
+	// hasEncoding and hasLength are set if the head has fields for the transfer encoding and the length,
+	// and hasBody if one of them announces a body.
+	hasEncoding, hasLength, hasBody bool
 	// partial is the start of a line whose end has not arrived.
 	partial []byte
 }
@@ -53,27 +55,53 @@
 // scanLine checks one line without its end.
 func (s *headScanner) scanLine(line []byte) error {
 	switch {
-	case !s.statusLineSeen:
+	case s.status == 0:
 		status, err := parseStatusLine(line)
-		s.statusLineSeen, s.interim = true, status < firstFinalStatus
+		s.status, s.http10 = status, bytes.HasPrefix(line, []byte("HTTP/1.0 "))
 		return err
-	case len(line) == 0 && s.interim:
+	case len(line) > 0:
+		return s.scanField(line)
+	}
+	if err := s.checkLength(); err != nil {
+		return err
+	}
+	if s.status < firstFinalStatus {
 		s.begin()
-	case len(line) == 0:
+	} else {
 		s.active = false
-	default:
-		return checkField(line)
 	}
 	return nil
 }
 
-// checkField checks a line of a field. One that begins with a blank would continue the value before it, which
+// checkLength checks at the end of a head that it leaves no doubt about the length of the body. net/http ignores
+// the encoding in HTTP/1.0, the length beside an encoding, and both where there is no body: what the server
+// sends all the same would then be read as the next response.
+func (s *headScanner) checkLength() error {
+	switch {
+	case s.hasEncoding && s.http10:
+		return errors.Wrap(ErrMalformed, "transfer encoding in HTTP/1.0")
+	case s.hasEncoding && s.hasLength:
+		return errors.Wrap(ErrMalformed, "length and transfer encoding")
+	case s.hasBody && (s.status < firstFinalStatus || s.status == http.StatusNoContent):
+		return errors.Wrapf(ErrMalformed, "body of a response with status %d", s.status)
+	}
+	return nil
+}
+
+// scanField checks a line of a field. One that begins with a blank would continue the value before it, which
 // servers must not send: net/http could take the length of the body for a part of another field.
-func checkField(line []byte) error {
+func (s *headScanner) scanField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !httpguts.ValidHeaderFieldName(string(name)) || !httpguts.ValidHeaderFieldValue(string(value)) {
 		return errors.Wrapf(ErrMalformed, "field %.80q", line)
 	}
+	switch {
+	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		s.hasEncoding, s.hasBody = true, true
+	case bytes.EqualFold(name, []byte("Content-Length")):
+		s.hasLength = true
+		s.hasBody = s.hasBody || len(bytes.Trim(value, " \t0")) > 0
+	}
 	return nil
 }
 
