--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -55,31 +55,6 @@
 	c.written, c.writeErr, c.unreceived = make(chan struct{}), nil, false
 }
 
-// BeginHead records that the head of a response follows, of which buffered was read already. Like Read it
-// returns an error if that is malformed. Heads that follow an interim response need no further call.
-func (c *Conn) BeginHead(buffered []byte) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.head.begin()
-	return c.scanHead(buffered)
-}
-
-// scanHead checks what was read if it is a part of a head. The caller must hold mu.
-func (c *Conn) scanHead(read []byte) error {
-	if c.malformed == nil {
-		c.malformed = c.head.scan(read)
-	}
-	return c.malformed
-}
-
-// Malformed returns the error of a head that is not one of a response, nil if there was none. The parser of
-// such a head may report another error, as it gets the head in parts.
-func (c *Conn) Malformed() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.malformed
-}
-
 // EndRequest records that the request was written, or the error of its write. Only the first call for a
 // request has an effect.
 func (c *Conn) EndRequest(err error) {
@@ -110,9 +85,10 @@
 	return c.writeErr
 }
 
-// CheckEnd returns an error unless the end of the connection is the end of a response whose body has no
-// other end. Read reports the end only: a write that fails consumes the error of a reset. A server that
-// received the whole request before it closed the connection has not reset it for the unread rest.
+// CheckEnd returns an error unless the end of the connection, which Read has returned, is the end of a
+// response whose body has no other end. Read may return the end of a connection that was reset: the kernel
+// reports a reset once, and a write that fails at the same time takes the error. A connection that the server
+// has closed before it received the whole request will be reset, but its end arrives first.
 func (c *Conn) CheckEnd() error {
 	if err := c.CheckWritten(); err != nil {
 		return errors.Wrap(err, "write request")
@@ -125,6 +101,31 @@
 	return nil
 }
 
+// BeginHead records that the head of a response follows, of which buffered was read already. Like Read it
+// returns an error if that is malformed. Heads that follow an interim response need no further call.
+func (c *Conn) BeginHead(buffered []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.head.begin()
+	return c.scanHead(buffered)
+}
+
+// scanHead checks what was read if it is a part of a head. The caller must hold mu.
+func (c *Conn) scanHead(read []byte) error {
+	if c.malformed == nil {
+		c.malformed = c.head.scan(read)
+	}
+	return c.malformed
+}
+
+// Malformed returns the error of a head that is not one of a response, nil if there was none. The parser of
+// such a head may report another error, as it gets the head in parts.
+func (c *Conn) Malformed() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.malformed
+}
+
 // Read reads from the connection. It returns an error that wraps ErrMalformed instead of bytes that belong to
 // a malformed head, and from then on.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -100,7 +100,7 @@
 
 // isMalformed reports whether an error means that the received bytes are no response.
 func isMalformed(err error) bool {
-	return errors.Is(err, ErrMalformed) || errors.Is(err, httpresponse.ErrMalformed) || errors.Is(err, errHeadTooLarge) || errors.Is(err, errHeadTooSlow) ||
+	return errors.Is(err, ErrMalformed) || errors.Is(err, errHeadTooLarge) || errors.Is(err, errHeadTooSlow) ||
 		errors.Is(err, errOtherTooLarge)
 }
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -42,7 +42,7 @@
 	// ErrBroken means that the connection failed after the request was sent.
 	ErrBroken = errors.New("connection to the backend server failed")
 	// ErrMalformed means that the received data is not a response to the request.
-	ErrMalformed = errors.New("malformed response")
+	ErrMalformed = httpresponse.ErrMalformed
 )
 
 // maxForeignResponses is the number of response heads that are read on one connection
