--- a/internal/httpresponse/head.go
+++ b/internal/httpresponse/head.go
@@ -27,7 +27,7 @@
 }
 
 // begin starts a new head.
-func (s *headScanner) begin() { *s = headScanner{active: true, partial: s.partial[:0]} }
+func (s *headScanner) begin() { *s = headScanner{active: true} }
 
 // scan checks the next bytes of a connection, which may contain the start of a body. A head that follows that of
 // an interim response is checked too.
@@ -65,11 +65,8 @@
 	if err := s.checkLength(); err != nil {
 		return err
 	}
-	if s.status < firstFinalStatus {
-		s.begin()
-	} else {
-		s.active = false
-	}
+	// Releases partial, as connections stay idle for long.
+	*s = headScanner{active: s.status < firstFinalStatus}
 	return nil
 }
 
