Responses to HEAD stay sound, a test

Change: three such responses in TestContradictoryLengthIsNoResponse. Evidence: passes; no code changed.

--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -278,6 +278,11 @@
 			require.NotEqual(t, http.StatusBadGateway, got.status, sound)
 			require.Empty(t, got.body)
 		}
+		for i, fields := range []string{"", "Content-Length: 6\r\n", chunks} {
+			till.Always(platformtest.Reply{Raw: okHead + fields + "\r\n"})
+			got := h.call(http.MethodHead, "/redeem/1", "request-1"+strconv.Itoa(i))
+			require.Equal(t, http.StatusOK, got.status, "a response to HEAD has no body")
+		}
 		require.Equal(t, 1, till.Connections())
 	})
 }
