One reading of the queues of a socket

Cause: httpresponse asks the kernel for what is not acknowledged with the code that httpconn had for what is not read. Change: package socket has both; the file of httpconn that is left holds the check for closed connections.

--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -17,6 +17,7 @@
 
 	"github.com/go-faster/errors"
 
+	"ibisline/internal/socket"
 	"ibisline/internal/timers"
 )
 
@@ -244,7 +245,7 @@
 		return false, err
 	}
 	c.interrupted = false
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.active && !hasUnread(c.Conn) {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.active && socket.Unread(c.Conn) == 0 {
 		// net/http would respond to a part of a header, and its callers take that for a refusal.
 		return false, errors.Join(err, c.Conn.Close())
 	}
--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -9,11 +9,11 @@
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
-	"golang.org/x/sys/unix"
+
+	"ibisline/internal/socket"
 )
 
 // writeGrace is the time for writing the rest of a request after its response has been read.
@@ -137,27 +137,11 @@
 		return 0, malformed
 	}
 	if errors.Is(err, io.EOF) {
-		unreceived := hasUnacknowledged(c.Conn)
+		// The segment that closes a connection acknowledges everything that was received before.
+		unreceived := socket.Unacknowledged(c.Conn) > 0
 		c.mu.Lock()
 		c.unreceived = unreceived
 		c.mu.Unlock()
 	}
 	return n, err
 }
-
-// hasUnacknowledged reports whether the peer has not acknowledged all that was written to c. The segment
-// that closes a connection acknowledges everything that was received before. It is false for connections
-// that are not sockets, and for those that this process has closed, the only cause of an error.
-func hasUnacknowledged(c net.Conn) bool {
-	socket, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	unacknowledged := 0
-	controlErr := raw.Control(func(fd uintptr) { unacknowledged, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
-	return controlErr == nil && err == nil && unacknowledged > 0
-}
