--- a/internal/httpresponse/conn.go
+++ b/internal/httpresponse/conn.go
@@ -1,5 +1,6 @@
-// Package httpresponse decides what counts as a response of an HTTP server. All HTTP/1 clients of this
-// module read through it: upstream through Conn, and those that use net/http through Transport.
+// Package httpresponse decides what counts as a response of an HTTP server. All HTTP/1 clients of
+// daemons and tools read through it: upstream through Conn, and those that use net/http through Transport. Only
+// the stand-ins for tests do not.
 //
 // Sources: RFC 9110, sections 5 (fields) and 15 (status codes); RFC 9112, sections 4 (status line), 5 (field
 // syntax), 6.3 (length of a body), 7.1.2 (trailers) and 9.6 (end of a connection).
