Requests that were passed on are not cut for want of memory

Cause: httpconn.Budget counted bytes as they arrived and closed the connection that held most once a quarter of the memory was exceeded. It did not know which requests were with a server. Change: memory for a body, and for kept turns put before it, is reserved before it is read; where it is short the request is refused with 503 and a Retry-After from the rate at which memory is freed. A request whose body is read is protected. Responses wait for room, for which a part of the budget is kept; callers that read nothing for 2 s yield. A body must arrive before its deadline. A body is held once instead of twice, a response of known length is allocated once, and the rest of a refused body is read so that its caller gets the 503. Why this works: what is promised is decided before the request is passed on, and nothing that is needed after that is taken away.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -70,7 +70,7 @@
 // LimitConnections limits what connections make the process hold, on a server for operators whose
 // requests have no bodies. It must be called before Listen.
 func (s *Server) LimitConnections(bytes int64) {
-	s.budget = httpconn.NewBudget(bytes)
+	s.budget = httpconn.NewBudget(bytes, 0)
 	s.http.MaxHeaderBytes = maxOperatorHeaderBytes
 }
 
--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -46,6 +46,7 @@
 	verdict.QueueFull:          http.StatusTooManyRequests,
 	verdict.LimitReached:       http.StatusTooManyRequests,
 	verdict.DeadlinePassed:     http.StatusServiceUnavailable,
+	verdict.NoMemory:           http.StatusServiceUnavailable,
 	verdict.Quarantined:        http.StatusUnprocessableEntity,
 	verdict.NoServer:           http.StatusServiceUnavailable,
 	verdict.NotHome:            http.StatusServiceUnavailable,
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -68,7 +68,7 @@
 		for name := range header {
 			require.False(t, strings.EqualFold(name, "Transfer-Encoding") || strings.EqualFold(name, "Connection"), name)
 		}
-		body, err := readBody(httptest.NewRecorder(), r, limit)
+		body, err := readBody(httptest.NewRecorder(), r, limit, time.Now().Add(time.Minute))
 		require.LessOrEqual(t, len(body), limit)
 		if err != nil {
 			require.True(t, verdict.Is(err, verdict.NotRun))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/apex/log"
 
 	"ibisline/internal/crashguard"
+	"ibisline/internal/httpconn"
 	"ibisline/internal/request"
 	"ibisline/internal/routes"
 	"ibisline/internal/serverlimit"
@@ -200,7 +201,7 @@
 	defer g.recordEnd(job, table.VersionOrZero())
 	defer g.returnQuota(job)
 	if err != nil {
-		g.fail(w, r, job, err)
+		g.refuse(w, r, job, err)
 		return
 	}
 	g.serve(w, r, job)
@@ -246,8 +247,11 @@
 		return j, err
 	}
 	j.maxBodyBytes = table.Limits.BodyBytes
-	if j.Body, err = readBody(w, r, table.Limits.BodyBytes); err != nil {
+	if j.Body, err = readBody(w, r, table.Limits.BodyBytes, j.deadline); err != nil {
 		return j, err
 	}
+	if err := httpconn.Protect(r.Context()); err != nil {
+		return j, verdict.Refuse(verdict.Canceled, "the connection of the caller was closed")
+	}
 	return j, g.checkQuota(r.Context(), j)
 }
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -119,6 +119,11 @@
 
 // newHarness starts a gateway that has no backend servers yet.
 func newHarness(t *testing.T) *harness {
+	return newHarnessWith(t, gateway.ServerConfig{BalancerDelay: balancerDelay})
+}
+
+// newHarnessWith is newHarness with another configuration of the listener.
+func newHarnessWith(t *testing.T, config gateway.ServerConfig) *harness {
 	h := &harness{
 		t:         t,
 		network:   platformtest.NewNetwork(),
@@ -154,8 +159,7 @@
 		Metrics: set,
 		Log:     testbed.NoLog(),
 	})
-	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway,
-		gateway.ServerConfig{BalancerDelay: balancerDelay})
+	h.server = gateway.NewServer(pipeListener{conns: h.conns, closed: make(chan struct{})}, h.gateway, config)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/history.go
+++ b/internal/gateway/history.go
@@ -64,6 +64,10 @@
 	if limit := bodyLimit(j.maxBodyBytes); int64(chain.Bytes()+len(j.input)) > limit {
 		return verdict.Refuse(verdict.BodyTooLarge, "the conversation exceeds %d bytes", limit)
 	}
+	// The turns before this one and the prompt that is made of them.
+	if err := reserveMemory(ctx, int64(2*chain.Bytes()+len(j.input))); err != nil {
+		return err
+	}
 	j.chain = chain
 	j.Body = chain.Prompt(j.input)
 	return nil
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -29,9 +29,10 @@
 	// BalancerDelay is how long new connections are still accepted after the daemon
 	// reported to the balancer that it is not ready.
 	BalancerDelay time.Duration
-	// CallerBytes limits the memory that the connections of callers make the process hold; 0 for no
-	// limit.
+	// CallerBytes limits the memory that the connections of callers make the process hold, and MaxCallers
+	// their number; 0 for no limit.
 	CallerBytes int64
+	MaxCallers  int
 }
 
 // Server serves a Gateway over HTTP/1.1. It is a kernel service.
@@ -60,12 +61,10 @@
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
 	s.http.MaxHeaderBytes = maxHeaderBytes
-	var budget *httpconn.Budget
-	if config.CallerBytes > 0 {
-		budget = httpconn.NewBudget(config.CallerBytes)
-		g.Metrics.GetOrCreateGauge("ibisline_gateway_caller_bytes", func() float64 { return float64(budget.Used()) })
-		g.Metrics.GetOrCreateGauge("ibisline_gateway_callers_closed", func() float64 { return float64(budget.Closed()) })
-	}
+	budget := httpconn.NewBudget(config.CallerBytes, config.MaxCallers)
+	g.Metrics.GetOrCreateGauge("ibisline_gateway_caller_bytes", func() float64 { return float64(budget.Used()) })
+	g.Metrics.GetOrCreateGauge("ibisline_gateway_callers_closed", func() float64 { return float64(budget.Closed()) })
+	g.Metrics.GetOrCreateGauge("ibisline_gateway_callers_without_memory", func() float64 { return float64(budget.Refused()) })
 	s.conns = httpconn.Track(&s.http, budget)
 	return s
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -55,8 +55,10 @@
 	lastEventAt time.Time
 	// lastServer is the server that it came from.
 	lastServer string
-	// output is the data of the relayed events of a turn that is kept.
-	output []byte
+	// output is the data of the relayed events of a turn that is kept, and outputCounted the memory that is
+	// counted for it.
+	output        []byte
+	outputCounted int
 }
 
 // serveStream reserves the tokens of a turn, sends it and relays the response.
@@ -258,10 +260,13 @@
 		s.lastEventID = id
 		s.eventCount++
 	}
-	if s.job.route.KeepsTurns {
-		s.output = appendEventData(s.output, event)
+	if !s.job.route.KeepsTurns {
+		return nil
 	}
-	return nil
+	s.output = appendEventData(s.output, event)
+	more := cap(s.output) - s.outputCounted
+	s.outputCounted = cap(s.output)
+	return s.gateway.awaitMemory(s.ctx, more)
 }
 
 // relayBuffered forwards a response that is not a stream, such as an error of the server.
--- a/internal/httpconn/httpconn.go
+++ b/internal/httpconn/httpconn.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -124,11 +125,16 @@
 	net.Conn
 	// budget is nil if what the connection holds is not limited. The fields up to lastUsed belong to it.
 	budget *Budget
-	// held is what the connection makes the process hold, serving is set while a request is in progress,
-	// and lastUsed is the time of the last response.
+	// held is what the connection makes the process hold, and lastUsed the time at which it last received a part
+	// of a request or ended a response.
 	held     int64
-	serving  bool
+	phase    phase
 	lastUsed time.Time
+	// bodyReserved is set while the body of the request is not counted as it is read.
+	bodyReserved atomic.Bool
+	// writingSince is the time, in Unix nanoseconds, at which the part of a response that is being written
+	// began to wait for its caller; 0 if none is.
+	writingSince atomic.Int64
 
 	mu sync.Mutex
 	// active is set while a request is in progress, from its header to the end of the response.
@@ -162,15 +168,18 @@
 	active := c.active
 	c.mu.Unlock()
 	held := int64(len(read)) * bodyByteFactor
-	if !active {
+	switch {
+	case !active:
 		held = int64(len(read))*headByteFactor + int64(bytes.Count(read, []byte{'\n'}))*lineBytes
+	case c.bodyReserved.Load():
+		return nil
 	}
 	return c.budget.add(c, held)
 }
 
 func (c *conn) setActive(active bool) {
 	if c.budget != nil && active {
-		c.budget.setServing(c)
+		c.budget.receives(c)
 	} else if c.budget != nil {
 		c.budget.reset(c)
 	}
@@ -220,6 +229,35 @@
 	return nil
 }
 
+// writeBytes is the size of the parts in which a response is written, each of which counts as progress.
+const writeBytes = 64 << 10
+
+func (c *conn) Write(p []byte) (int, error) {
+	if c.budget == nil {
+		return c.Conn.Write(p)
+	}
+	defer c.writingSince.Store(0)
+	written := 0
+	for {
+		c.writingSince.Store(time.Now().UnixNano())
+		n, err := c.Conn.Write(p[written:min(len(p), written+writeBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
+// stalledFor returns the time for which the caller has not read any more of a response, 0 if none is being
+// written.
+func (c *conn) stalledFor(now time.Time) time.Duration {
+	since := c.writingSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return now.Sub(time.Unix(0, since))
+}
+
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
--- a/internal/upstream/bounded.go
+++ b/internal/upstream/bounded.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -104,16 +105,25 @@
 		errors.Is(err, errOtherTooLarge)
 }
 
-// ReadAll reads the whole body, of at most limit bytes. A longer one is a malformed response.
+// ReadAll reads the whole body, of at most limit bytes. A longer one is a malformed response. Memory is
+// allocated once if the length is known.
 func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
+	tooLarge := func() error { return r.Malformed(errors.Wrapf(errBodyTooLarge, "more than %d bytes", limit)) }
+	if r.Length > limit {
+		return nil, tooLarge()
+	}
+	var body bytes.Buffer
+	if r.Length >= 0 {
+		// ReadFrom needs bytes.MinRead more to find the end without growing.
+		body.Grow(int(r.Length) + bytes.MinRead)
+	}
+	if _, err := body.ReadFrom(io.LimitReader(r, limit+1)); err != nil {
 		return nil, err
 	}
-	if int64(len(body)) > limit {
-		return nil, r.Malformed(errors.Wrapf(errBodyTooLarge, "more than %d bytes", limit))
+	if int64(body.Len()) > limit {
+		return nil, tooLarge()
 	}
-	return body, nil
+	return body.Bytes(), nil
 }
 
 // Malformed returns the error of a response whose bytes are no answer to the request.
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -15,6 +15,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Length is the size of the body in bytes, -1 if the head does not tell it.
+	Length int64
 
 	requestID     string
 	client        *Client
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -84,6 +84,7 @@
 	return &Response{
 		Status:        response.StatusCode,
 		Header:        response.Header,
+		Length:        bodyLength(response),
 		requestID:     request.ID,
 		client:        c,
 		conn:          cn,
@@ -95,6 +96,15 @@
 	}, nil
 }
 
+// bodyLength returns the size of the body of a response, -1 if it is not known.
+func bodyLength(response *http.Response) int64 {
+	if response.Body == http.NoBody {
+		// Its head may tell the length of the body that the response to another request would have.
+		return 0
+	}
+	return response.ContentLength
+}
+
 // readResponse reads response heads until one carries the identifier of the request.
 func (c *Client) readResponse(cn *conn, request Request) (*http.Response, error) {
 	for range maxForeignResponses {
@@ -120,8 +130,19 @@
 	return nil, errors.Wrap(ErrMalformed, "only responses to other requests received")
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (o Request) encode() ([]byte, error) {
+// errHeadEncoded ends the encoding of a request before its body.
+var errHeadEncoded = errors.New("head of the request encoded")
+
+// headOnly is a body that ends the encoding of its request at its first read.
+type headOnly struct{ reached bool }
+
+func (h *headOnly) Read([]byte) (int, error) {
+	h.reached = true
+	return 0, errHeadEncoded
+}
+
+// encodeHead returns the head of the request in HTTP/1.1 wire format.
+func (o Request) encodeHead() ([]byte, error) {
 	path, query, hasQuery := strings.Cut(o.Target, "?")
 	r := &http.Request{
 		Method:        o.Method,
@@ -131,19 +152,20 @@
 		Body:          http.NoBody,
 		ContentLength: int64(len(o.Body)),
 	}
+	var body headOnly
 	if len(o.Body) > 0 {
-		r.Body = io.NopCloser(bytes.NewReader(o.Body))
+		r.Body = io.NopCloser(&body)
 	}
 	if _, present := o.Header["User-Agent"]; !present {
 		// Without an entry net/http adds its own User-Agent.
 		o.Header["User-Agent"] = []string{""}
 	}
-	var encoded bytes.Buffer
-	encoded.Grow(len(o.Body) + headSizeHintBytes)
-	if err := r.Write(&encoded); err != nil {
+	var head bytes.Buffer
+	head.Grow(headSizeHintBytes + min(len(o.Body), inlineBytes))
+	if err := r.Write(&head); err != nil && !body.reached {
 		return nil, err
 	}
-	return encoded.Bytes(), nil
+	return head.Bytes(), nil
 }
 
 // headSizeHintBytes is the typical size of a request head.
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -22,22 +22,24 @@
 }
 
 // start writes up to inlineBytes of the request and the rest in the background. It writes nothing if ctx
-// has ended.
+// has ended. The body is not copied beyond inlineBytes, as many large requests may be sent at a time.
 func (w *requestWriter) start(ctx context.Context) error {
-	encoded, err := w.request.encode()
+	first, err := w.request.encodeHead()
 	if err == nil {
 		err = ended(ctx)
 	}
 	if err != nil {
 		return err
 	}
+	inline := min(max(inlineBytes-len(first), 0), len(w.request.Body))
+	first = append(first, w.request.Body[:inline]...)
+	rest := w.request.Body[inline:]
 	w.conn.checked.BeginRequest()
-	first := encoded[:min(len(encoded), inlineBytes)]
-	if err := w.write(first); err != nil || len(first) == len(encoded) {
+	if err := w.write(first); err != nil || len(rest) == 0 {
 		w.conn.checked.EndRequest(err)
 		return err
 	}
-	go func() { w.conn.checked.EndRequest(w.write(encoded[len(first):])) }()
+	go func() { w.conn.checked.EndRequest(w.write(rest)) }()
 	return nil
 }
 
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -86,6 +86,8 @@
 	LimitReached   Reason = "limit_reached"
 	DeadlinePassed Reason = "deadline_passed"
 	Quarantined    Reason = "quarantined"
+	// NoMemory refuses a request for which the daemon has no memory now.
+	NoMemory       Reason = "no_memory"
 	NoServer       Reason = "no_server"
 	NotHome        Reason = "not_home"
 	PlatformDown   Reason = "platform_down"
--- a/test/platform/hostile_test.go
+++ b/test/platform/hostile_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"bufio"
 	"bytes"
 	"flag"
 	"fmt"
@@ -92,6 +93,20 @@
 			// The last byte is never sent.
 			sendAndHold(conn, string(body))
 		},
+		"bodies of the largest legal size, one after the other": func(_ *testing.T, i int, conn net.Conn) {
+			head, body := requestHead(i, "Content-Length: "+strconv.Itoa(maxHostileBody)+"\r\n"), bytes.Repeat([]byte("b"), maxHostileBody)
+			responses := bufio.NewReader(conn)
+			for end := time.Now().Add(hostileTime); time.Now().Before(end); {
+				if _, err := conn.Write(append([]byte(head), body...)); err != nil {
+					return
+				}
+				response, err := http.ReadResponse(responses, nil)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+			}
+		},
 		"responses that are not read": func(_ *testing.T, i int, conn net.Conn) {
 			if tcp, ok := conn.(*net.TCPConn); ok {
 				_ = tcp.SetReadBuffer(4 << 10)
