Requests are written to a leaving server only while it may still get them

Cause, of what uses up the margin: the time of a leave was counted from when the gateway learned of it, so that a late watch (1.1 to 1.6 s) and a restart started it anew; the server was asked about when it was chosen, before a wait for a connection; a late entry made a leaving run ready again. Change: the time is counted from the newest listing without the change, which is never later than the change; nothing is sent where none is known. upstream asks MayStart right before the first byte, for sends, retries, hedges and resumes. A run stays leaving. The limit is 1.7 s from the change instead of 1.2 s from the news of it. Why this works: no wait is left between the check and what it permits, and the time has no unbounded part. TestVanishedServerIsKeptForGracePeriod asked for 1.2 s after 0.2 s; it asks now that the server is gone 1.7 s after its removal. Evidence: TestRequestIsNotWrittenOnceItsServerMayGetNone failed on four paths with the check of before; TestLeavingSinceIsNotLaterThanTheChange fails with the time of before.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -65,6 +65,8 @@
 	quotaErr error
 	age      time.Duration
 	proven   bool
+	// dialDelay is the time that a connection to a server takes.
+	dialDelay time.Duration
 	// statuses holds the statuses that recordStatus has recorded, by request ID.
 	statuses map[string]int
 }
@@ -137,7 +139,7 @@
 	set := metrics.NewSet()
 	h.metrics = set
 	node := peers.New(nil).Join(structs.Instance{Name: "gateway-1", Duty: structs.DutyGateway})
-	h.backend = upstream.NewClient(upstream.Config{RequestID: adapter.ResponseRequestID, Dial: h.network.Dial}, set)
+	h.backend = upstream.NewClient(upstream.Config{RequestID: adapter.ResponseRequestID, Dial: h.dial}, set)
 	store := objects.New()
 	h.guard = crashguard.New(crashguard.Deps{
 		Dialer: node, Mux: node, Probe: h.backend.Probe, Servers: h, Metrics: set, Log: testbed.NoLog(), Store: store,
@@ -193,6 +195,15 @@
 	return h
 }
 
+// dial connects to a server after dialDelay.
+func (h *harness) dial(ctx context.Context, addr string) (net.Conn, error) {
+	h.mu.Lock()
+	delay := h.dialDelay
+	h.mu.Unlock()
+	time.Sleep(delay)
+	return h.network.Dial(ctx, addr)
+}
+
 // Admit counts the requests of each team, and refuses them once quotaErr is set.
 func (h *harness) Admit(_ context.Context, team *structs.Team, _ quota.Program) error {
 	h.mu.Lock()
@@ -232,15 +243,19 @@
 }
 
 // markLeaving lists a server as leaving.
-func (h *harness) markLeaving(service, name string) {
+func (h *harness) markLeaving(service, name string) { h.markLeavingSince(service, name, time.Now()) }
+
+// markLeavingSince lists a server as leaving since a time.
+func (h *harness) markLeavingSince(service, name string, since time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for i := range h.servers[service] {
-		if h.servers[service][i].Name == name {
-			h.servers[service][i].State = structs.StateLeaving
-			h.servers[service][i].LeavingSince = time.Now()
+	listed := slices.Clone(h.servers[service])
+	for i := range listed {
+		if listed[i].Name == name {
+			listed[i].State, listed[i].LeavingSince = structs.StateLeaving, since
 		}
 	}
+	h.servers[service] = listed
 }
 
 func (h *harness) Find(name string) (structs.Server, bool) {
--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -97,3 +97,42 @@
 		require.Equal(t, "till-1", h.call(http.MethodPost, "/redeem/1", "r2").body)
 	})
 }
+
+// Guards against a request, a repeated or a resumed one that was meant for a server and reaches it after a wait
+// for a connection, although the server may get none any more.
+func TestRequestIsNotWrittenOnceItsServerMayGetNone(t *testing.T) {
+	for path, service := range map[string]string{"/redeem/1": tills, "/look/1": tills, "/turn/1": engines} {
+		t.Run(path, func(t *testing.T) {
+			withHarness(t, func(t *testing.T, h *harness) {
+				leaving := h.addServer(service, "server-1")
+				h.dialDelay = 200 * time.Millisecond
+				got := make(chan callerResponse, 1)
+				go func() { got <- h.call(http.MethodPost, path, "r1") }()
+				time.Sleep(h.dialDelay / 2)
+				// A list that is late tells only now that the server is leaving.
+				h.markLeavingSince(service, "server-1", time.Now().Add(-drainLimit))
+				h.addServer(service, "server-2").Always(platformtest.Reply{Events: []string{"a"}})
+				require.Equal(t, http.StatusOK, (<-got).status)
+				require.Empty(t, leaving.Runs())
+			})
+		})
+	}
+	t.Run("resumed", func(t *testing.T) {
+		withHarness(t, func(t *testing.T, h *harness) {
+			leaving := h.addServer(engines, "server-1")
+			events, body := numberedEvents(3)
+			leaving.Always(platformtest.Reply{Events: events, CutAfter: len(body) - 4})
+			got := make(chan callerResponse, 1)
+			go func() { got <- h.call(http.MethodPost, "/turn/1", "r1") }()
+			h.mu.Lock()
+			h.dialDelay = 200 * time.Millisecond
+			h.mu.Unlock()
+			time.Sleep(300 * time.Millisecond) // the second connection is being opened
+			h.markLeavingSince(engines, "server-1", time.Now().Add(-drainLimit))
+			h.addServer(engines, "server-2").Always(platformtest.Reply{Events: events})
+			time.AfterFunc(time.Second, leaving.Crash)
+			require.Equal(t, body, (<-got).body)
+			require.Len(t, leaving.Runs(), 1)
+		})
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -68,6 +68,10 @@
 			j.markNotRun(server.Name)
 			return sendResult{}, err
 		}
+		if errors.Is(err, upstream.ErrWithdrawn) {
+			j.markNotRun(server.Name)
+			continue
+		}
 		g.tracker.markFailed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.markMayHaveRun()
@@ -182,6 +186,13 @@
 	}
 }
 
+// mayStart reports whether a request may still be sent to a run of a server.
+func (g *Gateway) mayStart(j *job, server structs.Server) bool {
+	listed, found := g.Servers.Find(server.Name)
+	return found && listed.StartedMS == server.StartedMS && g.tracker.mayGetWork(listed, time.Now()) &&
+		g.checkRefused(j) == nil
+}
+
 // sendTo sends the request to one server. A resumeAfter other than 0 resumes the stream
 // after that event.
 func (g *Gateway) sendTo(
@@ -196,6 +207,8 @@
 		Target: j.Target,
 		Header: g.Dialect.ForwardHeader(j.Request, server.Name, left, resumeAfter),
 		Body:   j.Body,
+		// The server was chosen before a wait for a connection.
+		MayStart: func() bool { return g.mayStart(j, server) },
 		// Servers may crash several at once. One that is gone already must not count as crashed by a
 		// request that comes from another one.
 		NewConnection: j.mayHaveRun(),
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -26,11 +26,6 @@
 // long as servers take to recover without being replaced.
 const maxErrorSuspectDuration = 4 * time.Second
 
-// leavingGrace is the time for which a server that says in its responses that it is leaving may
-// still get requests that no other server can take. The platform requires that it gets none
-// that a caller sends 2.5 s after such a response.
-const leavingGrace = servers.VanishedGrace
-
 // tracker counts the in-flight requests of this daemon at each backend server and remembers
 // which servers failed recently and which are leaving. It is safe for concurrent use.
 type tracker struct {
@@ -220,7 +215,7 @@
 }
 
 // mayGetWork reports whether a server may still get requests, resumed ones included: it is not
-// leaving, or only since a short while.
+// leaving, or not for longer than servers.LeavingLimit.
 func (t *tracker) mayGetWork(server structs.Server, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -229,11 +224,11 @@
 
 // acceptsWork is mayGetWork for callers that hold mu.
 func (t *tracker) acceptsWork(server structs.Server, now time.Time) bool {
-	if server.State == structs.StateLeaving && now.Sub(server.LeavingSince) >= leavingGrace {
+	if server.State == structs.StateLeaving && now.Sub(server.LeavingSince) >= servers.LeavingLimit {
 		return false
 	}
 	state := t.stateOf(server.Name)
-	return !state.leaving(server) || now.Sub(state.leavingSince) < leavingGrace
+	return !state.leaving(server) || now.Sub(state.leavingSince) < servers.LeavingLimit
 }
 
 // distance returns the distance between a server and a location.
--- a/internal/objectcache/cache.go
+++ b/internal/objectcache/cache.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -152,6 +153,10 @@
 	unreachable    bool
 	reachableSince time.Time
 
+	// absentAt holds for each object, by name, the latest time at which its present version was proven not to
+	// be in the platform yet, also for removed objects.
+	absentAt map[string]absence
+
 	// current is the time at which the copy is proven to have held all changes, 0 for none.
 	current time.Duration
 
@@ -173,6 +178,7 @@
 		logger:       logger.WithField("feed", prefix),
 		table:        replica.NewTable[[]byte](),
 		changed:      make(chan struct{}),
+		absentAt:     map[string]absence{},
 		fromPlatform: set.GetOrCreateCounter(`ibisline_feed_changes_total{feed="` + prefix + `",from="platform"}`),
 		fromPeers:    set.GetOrCreateCounter(`ibisline_feed_changes_total{feed="` + prefix + `",from="peer"}`),
 	}
@@ -278,6 +284,25 @@
 	return now.Sub(c.reachableSince)
 }
 
+// absence is a time before which a change of an object was not made.
+type absence struct {
+	at time.Time
+	// removed is set if the change removed the object.
+	removed bool
+}
+
+// absenceMemory is the time for which the absence of removed objects is remembered.
+const absenceMemory = time.Minute
+
+// NotBefore returns a time before which the last change of an object was not made: that of the newest listing
+// without it, by any daemon. A watch may report a change late, so that the time at which it became known
+// says nothing. It is zero if nothing is known.
+func (c *Cache) NotBefore(name string) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.absentAt[name].at
+}
+
 // publish records the accepted changes and notifies the waiters on Changed.
 func (c *Cache) publish(accepted []Change, from string, counter *metrics.Counter) {
 	if len(accepted) == 0 {
@@ -289,7 +314,9 @@
 	c.logChanges(accepted, from)
 	for _, change := range accepted {
 		c.newest = max(c.newest, change.Version)
+		c.absentAt[change.Name] = absence{at: c.listedAt, removed: change.Value == nil}
 	}
+	maps.DeleteFunc(c.absentAt, func(_ string, a absence) bool { return a.removed && time.Since(a.at) > absenceMemory })
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
--- a/internal/objectcache/platform.go
+++ b/internal/objectcache/platform.go
@@ -161,12 +161,13 @@
 		return err
 	}
 	c.recordResponse()
-	c.recordListing(requestedAt)
 	listed := make([]Change, 0, len(found))
 	for _, object := range found {
 		listed = append(listed, c.toChange(object, false))
 	}
 	c.publish(c.table.Replace(revision, listed, nil), sourcePlatform, c.fromPlatform)
+	// Only now, as what this listing has changed is missing from the one before.
+	c.recordListing(requestedAt)
 	c.ProveCurrent(current, 0)
 	return nil
 }
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -15,10 +15,10 @@
 	"ibisline/internal/structs"
 )
 
-// VanishedGrace is the time for which a server that is no longer listed may still get
-// requests that no other server can take. The platform requires that it gets none 2.5 s
-// after its removal, of which the propagation of the removal may take 1 s.
-const VanishedGrace = 1200 * time.Millisecond
+// LeavingLimit is the time for which a server that is leaving, or no longer listed, may still get
+// requests that no other server can take. The platform requires that it gets none 2.5 s after
+// the change of its entry; a request may take the rest to arrive.
+const LeavingLimit = 1700 * time.Millisecond
 
 // OutageGrace is the time after a platform outage for which servers that disappeared
 // from the listing during the outage are kept: their entries expired because they could
@@ -134,11 +134,13 @@
 		listed[c.Name] = true
 		if known, ok := d.entries[c.Name]; !ok || known.version != c.Version || !known.expiresAt.IsZero() {
 			decoded := d.decodeEntry(c)
-			if decoded.server.State == structs.StateLeaving {
-				decoded.server.LeavingSince = now
-				if known.server.State == structs.StateLeaving && known.server.StartedMS == decoded.server.StartedMS {
-					decoded.server.LeavingSince = known.server.LeavingSince
-				}
+			switch {
+			case known.server.State == structs.StateLeaving && known.server.StartedMS != 0 &&
+				known.server.StartedMS == decoded.server.StartedMS:
+				// A run that is leaving does not come back, whatever an entry that was written late says.
+				decoded.server.State, decoded.server.LeavingSince = structs.StateLeaving, known.server.LeavingSince
+			case decoded.server.State == structs.StateLeaving:
+				decoded.server.LeavingSince = d.source.NotBefore(c.Name)
 			}
 			d.entries[c.Name] = decoded
 		}
@@ -172,7 +174,7 @@
 		}
 		if known.usable && known.server.State == structs.StateLive {
 			known.server.State = structs.StateVanished
-			known.expiresAt = now.Add(d.vanishedGrace(now))
+			known.expiresAt = now.Add(d.vanishedGrace(name, now))
 			d.entries[name] = known
 			d.logger.WithField("server", name).WithField("grace", known.expiresAt.Sub(now)).
 				Info("backend server vanished")
@@ -189,10 +191,11 @@
 	return recheck
 }
 
-// vanishedGrace returns the time for which a server that vanished now may still get
-// requests that no other server can take.
-func (d *Directory) vanishedGrace(now time.Time) time.Duration {
-	return max(VanishedGrace, OutageGrace-d.source.SinceOutage(now))
+// vanishedGrace returns the time for which a server that is found to have vanished now may still get requests
+// that no other server can take.
+func (d *Directory) vanishedGrace(name string, now time.Time) time.Duration {
+	left := LeavingLimit - now.Sub(d.source.NotBefore(name))
+	return max(left, OutageGrace-d.source.SinceOutage(now), 0)
 }
 
 // publish replaces the current snapshot by one of the known servers. The caller must
--- a/internal/servers/servers_test.go
+++ b/internal/servers/servers_test.go
@@ -39,14 +39,9 @@
 			d.warnings.Add(1)
 			return nil
 		})}
-		node := peers.New(nil).Join(structs.Instance{Name: "d0"})
-		source := objectcache.New(objectcache.Config{}, prefix, d.store, node, node, metrics.NewSet(), testbed.NoLog())
-		d.Directory = servers.NewDirectory(source, prefix, decode, logger)
-		sourceLoop, directoryLoop := testbed.Start(source.Run), testbed.Start(d.Run)
-		defer func() {
-			directoryLoop.Stop()
-			sourceLoop.Stop()
-		}()
+		var stop func()
+		d.Directory, stop = startDirectory(d.store, logger)
+		defer stop()
 		d.put("till-1", structs.StateLive)
 		d.put("till-2", structs.StateLive)
 		time.Sleep(time.Second)
@@ -55,13 +50,25 @@
 	})
 }
 
+// startDirectory starts a directory of the servers in a store.
+func startDirectory(store *objects.Store, logger log.Interface) (_ *servers.Directory, stop func()) {
+	node := peers.New(nil).Join(structs.Instance{Name: "d0"})
+	source := objectcache.New(objectcache.Config{}, prefix, store, node, node, metrics.NewSet(), testbed.NoLog())
+	directory := servers.NewDirectory(source, prefix, decode, logger)
+	sourceLoop, directoryLoop := testbed.Start(source.Run), testbed.Start(directory.Run)
+	return directory, func() {
+		directoryLoop.Stop()
+		sourceLoop.Stop()
+	}
+}
+
 func decode(stored objectapi.Object) (structs.Server, error) {
 	var server structs.Server
 	return server, json.Unmarshal(stored.Value, &server)
 }
 
 func (d *testDirectory) put(name string, state string) {
-	value, err := json.Marshal(structs.Server{Name: name, Service: "tills", State: state})
+	value, err := json.Marshal(structs.Server{Name: name, Service: "tills", State: state, StartedMS: 1})
 	require.NoError(d.t, err)
 	d.write(name, value)
 }
@@ -108,20 +115,55 @@
 }
 
 // TestVanishedServerIsKeptForGracePeriod requires that a vanished server remains
-// available as a last resort for VanishedGrace and is removed then.
+// available as a last resort for a while and is removed LeavingLimit after it vanished.
 func TestVanishedServerIsKeptForGracePeriod(t *testing.T) {
 	runWithDirectory(t, func(d *testDirectory) {
 		d.remove("till-1")
 		time.Sleep(200 * time.Millisecond)
 		require.Equal(t, []string{"till-2"}, d.liveNames())
 		require.Len(t, d.ForService("tills"), 2)
-		time.Sleep(servers.VanishedGrace)
+		time.Sleep(servers.LeavingLimit - 200*time.Millisecond)
 		require.Len(t, d.ForService("tills"), 1)
 		_, listed := d.Find("till-1")
 		require.False(t, listed)
 	})
 }
 
+// Guards against counting the time for which a server is leaving from the moment at which a late watch, or a
+// listing, tells this daemon, and against starting anew with a daemon that is restarted.
+func TestLeavingSinceIsNotLaterThanTheChange(t *testing.T) {
+	for offset := range 12 {
+		runWithDirectory(t, func(d *testDirectory) {
+			time.Sleep(time.Duration(offset) * 100 * time.Millisecond)
+			d.store.SetFaults(objects.Faults{StuckWatches: true})
+			leftAt := time.Now()
+			d.put("till-1", structs.StateLeaving)
+			leaving := func(of *servers.Directory) structs.Server {
+				server, _ := of.Find("till-1")
+				return server
+			}
+			for leaving(d.Directory).State != structs.StateLeaving {
+				time.Sleep(10 * time.Millisecond)
+			}
+			since := leaving(d.Directory).LeavingSince
+			require.False(t, since.After(leftAt), "known %s late", time.Since(leftAt))
+			require.Less(t, leftAt.Sub(since), 1500*time.Millisecond)
+			time.Sleep(time.Second)
+			d.put("till-1", structs.StateLive)
+			time.Sleep(2 * time.Second)
+			require.Equal(t, structs.StateLeaving, leaving(d.Directory).State, "a run that is leaving does not come back")
+			require.Equal(t, since, leaving(d.Directory).LeavingSince)
+			d.put("till-1", structs.StateLeaving)
+
+			restarted, stop := startDirectory(d.store, testbed.NoLog())
+			defer stop()
+			time.Sleep(time.Second)
+			require.Equal(t, structs.StateLeaving, leaving(restarted).State)
+			require.Zero(t, leaving(restarted).LeavingSince, "it may be leaving for any time")
+		})
+	}
+}
+
 // TestServersExpiredDuringOutageAreKeptLonger requires that servers whose entries
 // expired during a platform outage are kept for OutageGrace, because they renew their
 // entries within about two seconds.
@@ -132,7 +174,7 @@
 		d.store.SetFaults(objects.Faults{})
 		d.remove("till-1")
 		d.remove("till-2")
-		time.Sleep(servers.VanishedGrace + 500*time.Millisecond)
+		time.Sleep(servers.LeavingLimit + 500*time.Millisecond)
 		require.Len(t, d.ForService("tills"), 2, "expired servers may still get requests")
 		d.put("till-1", structs.StateLive)
 		time.Sleep(servers.OutageGrace)
@@ -165,7 +207,7 @@
 		value, err := json.Marshal(structs.Server{Name: "engine-1", Service: "engines", State: structs.StateLive})
 		require.NoError(t, err)
 		d.write("engine-1", value)
-		time.Sleep(servers.VanishedGrace + time.Second)
+		time.Sleep(servers.LeavingLimit + time.Second)
 		require.Equal(t, []string{"till-2"}, d.liveNames())
 		require.Len(t, d.ForService("engines"), 1)
 	})
--- a/internal/structs/objects.go
+++ b/internal/structs/objects.go
@@ -139,6 +139,6 @@
 	KVTransfer bool `json:"kv_transfer,omitempty" msgpack:"x,omitempty"`
 	// KVTransferRate is the rate of an import in tokens per second; 0 if unknown.
 	KVTransferRate float64 `json:"kv_transfer_rate,omitempty" msgpack:"y,omitempty"`
-	// LeavingSince is the time at which this daemon learned that a server in StateLeaving is leaving.
+	// LeavingSince is a time before which a server in StateLeaving was not leaving; zero if none is known.
 	LeavingSince time.Time `json:"-" msgpack:"-"`
 }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -25,6 +25,9 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// MayStart, if not nil, is called right before the first byte is written, after any wait for a connection.
+	// The request is not sent if it returns false.
+	MayStart func() bool
 	// NewConnection forbids the reuse of an idle connection, whose server may be gone already. A
 	// request that fails on a new one has failed while its server was alive.
 	NewConnection bool
@@ -37,6 +40,8 @@
 	ErrConnect = errors.New("no connection to the backend server")
 	// ErrEnded means that the context had ended before the request was written, so nothing was sent.
 	ErrEnded = errors.New("the request has ended")
+	// ErrWithdrawn means that MayStart returned false, so nothing was sent.
+	ErrWithdrawn = errors.New("the request may not be sent to the server any more")
 	// ErrUnwritten means that no byte of the request was written to the connection.
 	ErrUnwritten = errors.New("request not written")
 	// ErrBroken means that the connection failed after the request was sent.
@@ -70,6 +75,8 @@
 			return nil, unknownOutcomeError(ctx, err)
 		case ended(ctx) != nil:
 			return nil, notSentError(ctx, ErrEnded, err)
+		case errors.Is(err, ErrWithdrawn):
+			return nil, notSentError(ctx, ErrWithdrawn, err)
 		default:
 			return nil, notSentError(ctx, ErrUnwritten, err)
 		}
