Connections that were used within two seconds are not closed for want of memory

Cause: a caller that was refused and waited for its Retry-After, up to a second, could find its connection closed by a reservation of another one, as idle connections yielded after a second: one request in TestRequestsThatWerePassedOnAreAnsweredWhereMemoryIsShort got no answer (it was not passed on). Change: they yield to reservations after two seconds.

--- a/internal/httpconn/budget.go
+++ b/internal/httpconn/budget.go
@@ -32,6 +32,9 @@
 	// stallTime is the time without progress after which a caller counts as one that does not read its
 	// response. Callers abandon streams after the same time.
 	stallTime = 2 * time.Second
+	// idleGrace is the time for which a connection without a request is kept although memory is short, unless
+	// only received bytes exceed it: a caller that was refused may come back on it.
+	idleGrace = 2 * time.Second
 )
 
 // Shares of the limit up to which reservations are accepted. The rest is for responses, so that requests
@@ -216,7 +219,7 @@
 	}
 	missing := b.used + bytes - b.admissionLimit(bytes)
 	if missing > 0 {
-		yielding := b.yielding(c, c.held+bytes, requestGrace)
+		yielding := b.yielding(c, c.held+bytes, idleGrace)
 		if heldBy(yielding) < missing {
 			b.refused.Add(1)
 			return &NoRoomError{RetryAfter: b.freed.promise(bytes, missing, time.Now())}
@@ -271,7 +274,7 @@
 		return nil, ErrOverBudget
 	}
 	if missing := b.used + bytes - b.limit; missing > 0 {
-		yielding := b.yielding(c, 0, requestGrace)
+		yielding := b.yielding(c, 0, idleGrace)
 		if heldBy(yielding) < missing {
 			return b.room, nil
 		}
