--- a/internal/api/status.go
+++ b/internal/api/status.go
@@ -45,6 +45,7 @@
 	verdict.QuotaReached:       http.StatusTooManyRequests,
 	verdict.QueueFull:          http.StatusTooManyRequests,
 	verdict.LimitReached:       http.StatusTooManyRequests,
+	verdict.BudgetInDoubt:      http.StatusServiceUnavailable,
 	verdict.DeadlinePassed:     http.StatusServiceUnavailable,
 	verdict.NoMemory:           http.StatusServiceUnavailable,
 	verdict.Quarantined:        http.StatusUnprocessableEntity,
--- a/internal/gateway/budget.go
+++ b/internal/gateway/budget.go
@@ -17,10 +17,9 @@
 	}
 	return g.Budgets.Reserve(ctx, ledger.Reservation{
 		Program:  j.scoped(j.Program),
-		ID:       j.scoped(j.ID),
+		Request:  j.scoped(j.ID),
 		Budget:   j.Budget,
 		Tokens:   j.MaxTokens,
-		Expected: expectedTokens(j),
 		Lifetime: j.route.Retention,
 	})
 }
@@ -31,15 +30,6 @@
 func (noopGrant) Confirm(context.Context) error { return nil }
 func (noopGrant) Release(int)                   {}
 
-// expectedTokens returns the caller's estimate of the tokens that a turn generates, or half
-// of the turn's maximum when there is no estimate.
-func expectedTokens(j *job) int {
-	if j.EstimatedTokens > 0 {
-		return j.EstimatedTokens
-	}
-	return j.MaxTokens / 2
-}
-
 // errGrantLost is returned when the response to a running turn must not be relayed, because
 // its grant could not be confirmed.
 var errGrantLost = errors.New("the tokens of the turn are not granted")
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -47,12 +47,10 @@
 	// Budget limits the tokens that all turns of the program generate in total; 0 if the
 	// request is not a turn.
 	Budget int
-	// MaxTokens limits the tokens that this turn generates. EstimatedTokens is the caller's
-	// estimate of their number; 0 if there is none.
-	MaxTokens       int
-	EstimatedTokens int
-	PromptTokens    int
-	Prompt          []PromptPart
+	// MaxTokens limits the tokens that this turn generates.
+	MaxTokens    int
+	PromptTokens int
+	Prompt       []PromptPart
 }
 
 // PromptPart is a part of a prompt that several requests may share.
--- a/internal/tokenbudget/acquire.go
+++ b/internal/tokenbudget/acquire.go
@@ -252,12 +252,8 @@
 // handed over by the previous home if no other home has decided since. The caller holds mu.
 func (s *shard) restoreLedger(current, idle checkpoint, replica journal.Replica, handed *handover) {
 	exact := handed.supersedes(current) && replica.Fence.Number <= handed.Fence.Number
-	unrecorded := max(current.MaxTurnTokens, replica.MaxTurnTokens)
-	if exact {
-		unrecorded = 0
-	}
 	now := time.Now()
-	s.ledger = ledger.New(unrecorded, current.MaxTurnTokens)
+	s.ledger = s.newLedger(exact)
 	s.ledger.Restore(idle.totals(now), ledger.FromIdleCheckpoint)
 	s.ledger.Restore(current.totals(now), ledger.FromCheckpoint)
 	if exact {
@@ -267,6 +263,15 @@
 	s.ledger.Restore(current.newerTotals(replica, idle), ledger.FromJournals)
 }
 
+// newLedger returns the ledger for a takeover with the exact totals, or with those that are stored.
+func (s *shard) newLedger(exact bool) *ledger.Ledger {
+	doubtUntil := time.Now().Add(s.home.config.ReleaseWait)
+	if exact {
+		return ledger.New(doubtUntil)
+	}
+	return ledger.NewAfterLoss(doubtUntil)
+}
+
 // setClaiming sets whether this daemon has claimed the shard and is taking it over.
 func (s *shard) setClaiming(on bool) {
 	s.mu.Lock()
@@ -388,14 +393,14 @@
 	}
 	if handedOver && f.previousNumber() == handed.Fence.Number {
 		from := journal.Replica{Journals: handed.Journals, Totals: handed.Totals}
-		return "", s.startFromReplica(a, fence, f, keepers, from)
+		return "", s.startFromReplica(a, fence, f, keepers, from, true)
 	}
 	found := f.newestReplica()
 	if !found.Complete || len(found.Journals) <= s.home.config.LostDisks {
 		// The last home may have granted turns based on other journals or the checkpoint alone.
 		return "", errNoCheckpoint
 	}
-	return "", s.startFromReplica(a, fence, f, keepers, found)
+	return "", s.startFromReplica(a, fence, f, keepers, found, false)
 }
 
 // replicaReadable reports whether enough journals have answered to find every replica that is
@@ -415,12 +420,12 @@
 	return sets
 }
 
-// startFromReplica starts deciding from a replica. The replica may be older than the fence in
+// startFromReplica starts deciding from a replica, or from the exact totals of a handover. The replica may be older than the fence in
 // force: a daemon that fenced the journals later and has not stored its own replica on a
 // quorum of them has granted nothing. This home grants nothing either until its replica is
 // stored on the same journals, because later homes look for it there.
 func (s *shard) startFromReplica(
-	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica,
+	a *acquisition, fence journal.Fence, f fencing, keepers []structs.Instance, from journal.Replica, exact bool,
 ) error {
 	if !s.replicaReadable(from, f.accepted()) {
 		return errTooFewJournals
@@ -428,7 +433,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reset()
-	s.ledger = ledger.New(from.MaxTurnTokens, 0)
+	s.ledger = s.newLedger(exact)
 	s.ledger.Restore(from.Totals, ledger.FromJournals)
 	s.checkpoint = checkpointState{journals: from.Journals, failing: true}
 	s.startDeciding(a, fence, f, keepers)
--- a/internal/tokenbudget/checkpoint.go
+++ b/internal/tokenbudget/checkpoint.go
@@ -33,16 +33,16 @@
 	// Decisions is the number of reservations of other daemons that the home has decided
 	// about. It shows the others that a home which answers slowly is at work.
 	Decisions int64 `json:"decisions,omitempty"`
-	// MaxTurnTokens is the largest turn that may have been granted to a program beyond its
-	// total here.
-	MaxTurnTokens int `json:"most"`
 	// Journals are those that may hold a replica: journal identities by instance name.
 	Journals map[string]int64        `json:"journals,omitempty"`
 	Programs map[string]programEntry `json:"programs,omitempty"`
+	// Open holds the turns in progress of each program, their tokens by the identifier of the turn. The total
+	// of the program contains them.
+	Open map[string]map[string]int `json:"open,omitempty"`
 }
 
-// programEntry holds a program's total in tokens, its expiry in Unix seconds, and 1 if the
-// total is an estimate.
+// programEntry holds a program's total in tokens, its expiry in Unix seconds, and 1 if one of its
+// turns may be missing from the total.
 type programEntry [3]int64
 
 // totals returns the programs that have not expired.
@@ -51,25 +51,42 @@
 	for name, e := range c.Programs {
 		if e[1] > now.Unix() {
 			totals = append(totals, ledger.ProgramTotal{
-				Program: name, Total: int(e[0]), Expires: e[1] * 1000, Estimated: e[2] != 0,
+				Program: name, Total: int(e[0]), Expires: e[1] * 1000, MissesTurn: e[2] != 0, Open: c.openTurns(name),
 			})
 		}
 	}
 	return totals
 }
 
+// openTurns returns the turns in progress of a program.
+func (c checkpoint) openTurns(program string) []ledger.OpenTurn {
+	var open []ledger.OpenTurn
+	for id, tokens := range c.Open[program] {
+		open = append(open, ledger.OpenTurn{ID: id, Tokens: tokens})
+	}
+	return open
+}
+
 // setTotals replaces the programs.
 func (c *checkpoint) setTotals(totals []ledger.ProgramTotal) {
-	c.Programs = make(map[string]programEntry, len(totals))
+	c.Programs, c.Open = make(map[string]programEntry, len(totals)), map[string]map[string]int{}
 	for _, total := range totals {
 		c.Programs[total.Program] = encodeEntry(total)
+		if len(total.Open) == 0 {
+			continue
+		}
+		open := make(map[string]int, len(total.Open))
+		for _, turn := range total.Open {
+			open[turn.ID] = turn.Tokens
+		}
+		c.Open[total.Program] = open
 	}
 }
 
 // encodeEntry rounds the expiry up, so that no program is forgotten too early.
 func encodeEntry(total ledger.ProgramTotal) programEntry {
 	e := programEntry{int64(total.Total), (total.Expires + 999) / 1000}
-	if total.Estimated {
+	if total.MissesTurn {
 		e[2] = 1
 	}
 	return e
--- a/internal/tokenbudget/checkpoint_writer.go
+++ b/internal/tokenbudget/checkpoint_writer.go
@@ -11,7 +11,6 @@
 	"ibisline/internal/objectapi"
 	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/journal"
-	"ibisline/internal/tokenbudget/ledger"
 )
 
 // checkpointState is a home's view of its checkpoint.
@@ -96,12 +95,12 @@
 		return errReplaced
 	}
 	journals := s.journalsToList()
-	totals, maxTurnTokens := s.ledger.BeginCheckpoint(time.Now())
+	totals := s.ledger.BeginCheckpoint(time.Now())
 	expected := s.checkpoint.version
 	s.sequence++
 	next := checkpoint{
 		Epoch: fence.Number, Home: fence.Home, ContentEpoch: fence.Number, Sequence: s.sequence,
-		Decisions: s.decisions, MaxTurnTokens: maxTurnTokens, Journals: journals,
+		Decisions: s.decisions, Journals: journals,
 	}
 	s.mu.Unlock()
 
@@ -111,32 +110,32 @@
 		return err
 	}
 	version, err := s.home.store.Put(ctx, checkpointKey(s.number), value, expected)
-	s.endCheckpoint(fence, version, journals, err)
+	s.endCheckpoint(fence, version, next.Sequence, journals, err)
 	return err
 }
 
 // endCheckpoint applies the outcome of a checkpoint write.
-func (s *shard) endCheckpoint(fence journal.Fence, version int64, journals journalSet, err error) {
+func (s *shard) endCheckpoint(fence journal.Fence, version, sequence int64, journals journalSet, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.holdsUnder(fence) {
 		return
 	}
+	s.ledger.EndCheckpoint(err == nil)
 	switch {
 	case err == nil:
-		s.ledger.EndCheckpoint(ledger.Written)
 		s.checkpoint = checkpointState{known: true, version: version, journals: journals}
 		s.home.checkpoints.Inc()
+		if !s.canReplicate() {
+			s.storedSequence = sequence
+		}
 		s.notify()
 	case errors.Is(err, objectapi.ErrConflict):
 		// Written by another home, or by an earlier write of this one that was in doubt.
-		s.ledger.EndCheckpoint(ledger.NotWritten)
 		s.checkpoint.known = false
 	case errors.Is(err, objectapi.ErrUnavailable):
-		s.ledger.EndCheckpoint(ledger.NotWritten)
 		s.checkpoint.failing = true
 	default:
-		s.ledger.EndCheckpoint(ledger.InDoubt)
 		s.checkpoint.known = false
 		s.checkpoint.failing = true
 		s.checkpoint.inDoubt = append(s.checkpoint.inDoubt, journals)
@@ -177,7 +176,7 @@
 		return errReplaced
 	}
 	if version != s.checkpoint.version {
-		s.ledger.ReloadCheckpoint(current.totals(time.Now()), current.MaxTurnTokens)
+		s.ledger.ReloadCheckpoint(current.totals(time.Now()))
 		s.checkpoint.journals, s.checkpoint.inDoubt = current.Journals, nil
 	}
 	s.checkpoint.known, s.checkpoint.version = true, version
--- a/internal/tokenbudget/client.go
+++ b/internal/tokenbudget/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -19,6 +21,8 @@
 	dialer peer.Dialer
 	local  *Home
 	logger log.Interface
+	// releases delivers the ends of turns.
+	releases *releases
 
 	mu sync.Mutex
 	// homes caches the home that decided last, by shard.
@@ -27,9 +31,11 @@
 
 // NewClient returns a client. Local is this daemon's own Home.
 func NewClient(config Config, fleet Fleet, dialer peer.Dialer, local *Home, logger log.Interface) *Client {
-	return &Client{
+	c := &Client{
 		config: config.withDefaults(), fleet: fleet, dialer: dialer, local: local, logger: logger, homes: map[int]string{},
 	}
+	c.releases = &releases{client: c, undelivered: map[int]map[endedTurn]time.Time{}}
+	return c
 }
 
 const (
@@ -38,12 +44,16 @@
 	// reserveRetryAfter is the suggested retry delay when no home has decided: the usual
 	// duration of a takeover.
 	reserveRetryAfter = 150 * time.Millisecond
+	// doubtRetryAfter is the suggested retry delay while a home does not know which turns of its predecessor
+	// have ended: the time in which gateways notice its loss and tell the new home.
+	doubtRetryAfter = 500 * time.Millisecond
 )
 
 // Reserve asks the home of a program for the tokens of a turn. Its errors are refusals:
 // BudgetSpent when the turn exceeds the budget, otherwise PeerLost or NotHome with a retry
 // delay.
 func (c *Client) Reserve(ctx context.Context, r ledger.Reservation) (ledger.Grant, error) {
+	r.ID = newReservationID()
 	limited, cancel := context.WithTimeout(ctx, c.config.ReserveLimit)
 	g, err := c.reserveAtHome(limited, r)
 	if err != nil {
@@ -54,10 +64,20 @@
 	return g, nil
 }
 
+// newReservationID returns an identifier that no other reservation has.
+func newReservationID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+
 // reserveAtHome asks daemons until one decides.
-func (c *Client) reserveAtHome(ctx context.Context, r ledger.Reservation) (*grant, error) {
+func (c *Client) reserveAtHome(ctx context.Context, r ledger.Reservation) (granted *grant, _ error) {
 	shard := c.config.shardOf(r.Program)
 	var skipped []string
+	unanswered := ""
+	// A home that did not answer may have granted the turn all the same.
+	defer func() {
+		if granted == nil && unanswered != "" {
+			c.releases.deliver(unanswered, endedTurn{Program: r.Program, ID: r.ID})
+		}
+	}()
 	next := ""
 	asked := map[string]bool{}
 	var failure error
@@ -67,12 +87,12 @@
 			home = c.chooseHome(shard, skipped)
 		}
 		noRedirect := next != "" && asked[home]
-		asked[home] = true
 		next = ""
 		if home == "" || ctx.Err() != nil {
 			break
 		}
 		askedAt := time.Now()
+		asked[home] = true
 		g, reply, err := c.ask(ctx, home, reserveRequest{Reservation: r, Skipped: skipped, NoRedirect: noRedirect})
 		switch {
 		case err == nil && g != nil:
@@ -81,6 +101,9 @@
 		case err == nil && reply.Spent:
 			c.cacheHome(shard, home)
 			return nil, verdict.Refuse(verdict.BudgetSpent, "the budget of %d tokens does not hold another turn", r.Budget)
+		case err == nil && reply.InDoubt:
+			c.cacheHome(shard, home)
+			return nil, verdict.Refuse(verdict.BudgetInDoubt, "turns before may still be in progress").RetryIn(doubtRetryAfter)
 		case err == nil:
 			next = reply.Home
 			if reply.Leaving {
@@ -89,13 +112,14 @@
 		default:
 			failure = err
 			c.evictHome(shard, home)
-			c.logger.WithError(err).WithField("request", r.ID).WithField("program", r.Program).WithField("home", home).
+			c.logger.WithError(err).WithField("request", r.Request).WithField("program", r.Program).WithField("home", home).
 				WithField("waited_ms", time.Since(askedAt).Milliseconds()).WithField("skipped", skipped).
 				Info("home of a budget did not decide")
 			if !verdict.HasReason(err, verdict.NotHome) {
 				// A daemon that has just lost the shard can redirect to its successor: don't
 				// skip it.
 				skipped = append(skipped, home)
+				unanswered = home
 			}
 		}
 	}
@@ -285,10 +309,6 @@
 	return nil
 }
 
-// releaseTimeout limits the message that ends a reservation. If the message is lost, the
-// home keeps the whole reservation charged.
-const releaseTimeout = 2 * time.Second
-
 // Release ends the reservation and sends the usage to its home.
 func (g *grant) Release(used int) {
 	g.mu.Lock()
@@ -299,21 +319,5 @@
 	if abort != nil {
 		abort()
 	}
-	g.client.release(home, releaseRequest{Program: g.reservation.Program, ID: g.reservation.ID, Used: used})
-}
-
-// release sends the end of a turn to its home.
-func (c *Client) release(home string, request releaseRequest) {
-	if home == c.fleet.Self().Name {
-		c.local.Release(request)
-		return
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-		defer cancel()
-		if err := peer.Call(ctx, c.dialer, home, methodRelease, request, &empty{}); err != nil {
-			c.logger.WithError(err).WithField("request", request.ID).WithField("program", request.Program).
-				WithField("home", home).Info("release of a turn not delivered to its home")
-		}
-	}()
+	g.client.releases.deliver(home, endedTurn{Program: g.reservation.Program, ID: g.reservation.ID, Used: used})
 }
--- a/internal/tokenbudget/faults_test.go
+++ b/internal/tokenbudget/faults_test.go
@@ -305,6 +305,10 @@
 			return fmt.Sprintf("a new program is refused after all faults: %v", err)
 		}
 	}
+	// What was refused before may have depended on messages that did not get through.
+	sc.mu.Lock()
+	sc.falselySpent = nil
+	sc.mu.Unlock()
 	// Run the programs until their budgets are spent.
 	for range 2 * budgetTokens / 35 {
 		for program := range randomPrograms {
@@ -312,6 +316,9 @@
 		}
 	}
 	time.Sleep(recoveryTime)
+	if len(sc.falselySpent) > 0 {
+		return sc.falselySpent[0]
+	}
 	return sc.overrun()
 }
 
--- a/internal/tokenbudget/handover.go
+++ b/internal/tokenbudget/handover.go
@@ -50,10 +50,23 @@
 		return
 	}
 	state := s.prepareHandover()
+	s.handing = state.Fence
 	s.reset()
 	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.handing = journal.Fence{}
+		s.notify()
+	}()
 	for _, successor := range successors[:min(len(successors), maxSuccessors)] {
-		if err := s.sendHandover(ctx, successor, state); !verdict.HasReason(err, verdict.Stopping) {
+		err := s.sendHandover(ctx, successor, state)
+		if err == nil {
+			s.mu.Lock()
+			s.handedOver = state.Fence
+			s.mu.Unlock()
+		}
+		if !verdict.HasReason(err, verdict.Stopping) {
 			return
 		}
 	}
--- a/internal/tokenbudget/home.go
+++ b/internal/tokenbudget/home.go
@@ -14,6 +14,7 @@
 	"ibisline/internal/structs"
 	"ibisline/internal/timers"
 	"ibisline/internal/tokenbudget/ledger"
+	"ibisline/internal/verdict"
 )
 
 // Home decides about the budgets of the shards assigned to this daemon. It is a kernel
@@ -39,12 +40,17 @@
 	// orphaned is set when a shard may be without a home.
 	orphaned atomic.Bool
 
+	// releasing is the number of goroutines that deliver ends of turns, and undelivered that of the ends.
+	releasing   atomic.Int64
+	undelivered atomic.Int64
+
 	mu     sync.Mutex
 	ended  bool
 	shards map[int]*shard
 
 	granted       *metrics.Counter
 	spent         *metrics.Counter
+	inDoubt       *metrics.Counter
 	takeovers     *metrics.Counter
 	checkpoints   *metrics.Counter
 	replicaWrites *metrics.Counter
@@ -67,11 +73,13 @@
 		shards:        map[int]*shard{},
 		granted:       set.GetOrCreateCounter(`ibisline_allowance_decisions_total{decision="granted"}`),
 		spent:         set.GetOrCreateCounter(`ibisline_allowance_decisions_total{decision="spent"}`),
+		inDoubt:       set.GetOrCreateCounter(`ibisline_allowance_decisions_total{decision="in_doubt"}`),
 		takeovers:     set.GetOrCreateCounter("ibisline_allowance_takeovers_total"),
 		checkpoints:   set.GetOrCreateCounter("ibisline_allowance_records_total"),
 		replicaWrites: set.GetOrCreateCounter("ibisline_allowance_bridge_writes_total"),
 		shardsLost:    set.GetOrCreateCounter("ibisline_allowance_shards_lost_total"),
 	}
+	set.GetOrCreateGauge("ibisline_allowance_undelivered_ends", func() float64 { return float64(h.Undelivered()) })
 	mux.Handle(methodReserve, h.serveReserve)
 	mux.Handle(methodRelease, h.serveRelease)
 	mux.Handle(methodTake, h.serveTake)
@@ -139,15 +147,43 @@
 	h.tasks.Wait()
 }
 
-// spawn runs f in a goroutine that Run waits for. It does nothing after shutDown.
-func (h *Home) spawn(f func()) {
+// spawn runs f in a goroutine that Run waits for, and reports whether it does: after shutDown it does not.
+func (h *Home) spawn(f func()) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.ended {
 		h.tasks.Go(f)
 	}
+	return !h.ended
+}
+
+// spawnRelease runs f, which delivers the end of a turn, in a goroutine that Drain and Run wait for.
+func (h *Home) spawnRelease(f func(ctx context.Context)) {
+	h.releasing.Add(1)
+	if !h.spawn(func() {
+		defer h.releasing.Add(-1)
+		f(h.ctx)
+	}) {
+		h.releasing.Add(-1)
+	}
 }
 
+// Drain waits until the ends of turns are delivered, for at most releaseDrainLimit.
+func (h *Home) Drain(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseDrainLimit)
+	defer cancel()
+	for h.releasing.Load() > 0 && timers.Sleep(ctx, releasePause) {
+	}
+	return nil
+}
+
+// Undelivered returns the number of ends of turns that this daemon has not delivered yet.
+func (h *Home) Undelivered() int { return int(h.undelivered.Load()) }
+
+// releaseDrainLimit is the time for which a planned stop waits for the ends of turns to be delivered: a few
+// writes to the journals.
+const releaseDrainLimit = time.Second
+
 // knownShards returns the shards that this daemon has been asked about.
 func (h *Home) knownShards() []*shard {
 	h.mu.Lock()
@@ -271,36 +307,35 @@
 // Holds reports whether this daemon believes to be the home of a program.
 func (h *Home) Holds(program string) bool { return h.shard(h.config.shardOf(program)).holds() }
 
-// Release ends a reservation. A former home passes it on to its successor.
-func (h *Home) Release(request releaseRequest) {
-	s := h.shard(h.config.shardOf(request.Program))
-	if s.release(request) || request.Forwards == maxReleaseForwards {
-		return
+// Release ends reservations and returns once their ends are stored. A former home passes it on to its
+// successor. It may be repeated until it succeeds.
+func (h *Home) Release(ctx context.Context, request releaseRequest) error {
+	s := h.shard(request.Shard)
+	err := s.release(ctx, request.Turns)
+	if !verdict.HasReason(err, verdict.NotHome) || request.Forwards == maxReleaseForwards {
+		return err
 	}
 	successor := s.redirectTarget(time.Now())
 	if successor == "" {
-		return
+		return err
 	}
 	request.Forwards++
-	h.spawn(func() {
-		ctx, cancel := context.WithTimeout(h.ctx, releaseTimeout)
-		defer cancel()
-		if err := peer.Call(ctx, h.dialer, successor, methodRelease, request, &empty{}); err != nil {
-			h.logger.WithError(err).WithField("request", request.ID).WithField("program", request.Program).
-				WithField("home", successor).Info("release of a turn not passed on to the next home")
-		}
-	})
+	return peer.Call(ctx, h.dialer, successor, methodRelease, request, &empty{})
 }
 
 // maxReleaseForwards limits how often a release is passed on.
 const maxReleaseForwards = 2
 
-func (h *Home) serveRelease(_ context.Context, s peer.Stream) error {
+func (h *Home) serveRelease(ctx context.Context, s peer.Stream) error {
 	var request releaseRequest
 	if err := s.Recv(&request); err != nil {
 		return err
 	}
-	h.Release(request)
+	ctx, cancel := context.WithTimeout(ctx, h.config.ReleaseTimeout)
+	defer cancel()
+	if err := h.Release(ctx, request); err != nil {
+		return err
+	}
 	return s.Send(empty{})
 }
 
--- a/internal/tokenbudget/journal/journal.go
+++ b/internal/tokenbudget/journal/journal.go
@@ -69,11 +69,8 @@
 	Listed []map[string]int64 `msgpack:"l,omitempty"`
 	// Decisions is the number of reservations of other daemons that the home has decided
 	// about. It shows the others that a home which answers slowly is at work.
-	Decisions int64 `msgpack:"d,omitempty"`
-	// MaxTurnTokens is the largest turn that may have been granted to a program beyond its
-	// total here.
-	MaxTurnTokens int                   `msgpack:"m,omitempty"`
-	Totals        []ledger.ProgramTotal `msgpack:"t,omitempty"`
+	Decisions int64                 `msgpack:"d,omitempty"`
+	Totals    []ledger.ProgramTotal `msgpack:"t,omitempty"`
 }
 
 // entry is one record of the file. Exactly one field is set.
--- a/internal/tokenbudget/ledger/ledger.go
+++ b/internal/tokenbudget/ledger/ledger.go
@@ -1,11 +1,15 @@
 // Package ledger accounts for the token budgets of the programs of one shard. It is a state
 // machine without I/O and clock.
 //
-// It guarantees that all turns of a program together generate at most the budget plus one
-// turn, whatever fails. A turn is granted at once if the program's total then exceeds the
-// durable total by at most one turn; otherwise it waits until a higher total is stored. A
-// later home that knows only the stored totals therefore adds one turn to each program and
-// is never below the real total.
+// It guarantees that all turns of a program together generate at most the budget plus one of its
+// turns, whatever fails. A turn is granted once it is stored, or at once if all turns of the program that are not
+// stored are together no larger than one of them. The first turn waits until the program is stored, so that a
+// program which is stored nowhere has used nothing.
+//
+// A later home that knows only what is stored knows that one turn of each program may be missing. It
+// charges nothing for that, which would refuse turns that the budget holds, and grants the program only
+// stored turns from then on, so that no second one can get lost. Turns that were in progress are charged
+// with their maximum until their end is known.
 //
 // Totals are stored in a replica on the journals of several instances before they are granted,
 // and from time to time in the checkpoint at the platform, which lets a later home read less.
@@ -20,12 +24,13 @@
 // Reservation asks for the tokens of one turn.
 type Reservation struct {
 	Program string `msgpack:"p"`
-	// ID identifies the attempt. A repeated reservation is granted only once.
-	ID     string `msgpack:"i"`
-	Budget int    `msgpack:"b"`
-	// Tokens is the maximum that the turn generates, and Expected an estimate.
-	Tokens   int `msgpack:"t"`
-	Expected int `msgpack:"e"`
+	// ID identifies the reservation, which may be repeated and is granted only once. Request is the caller's
+	// identifier of the attempt, for logs.
+	ID      string `msgpack:"i"`
+	Request string `msgpack:"r"`
+	Budget  int    `msgpack:"b"`
+	// Tokens is the maximum that the turn generates.
+	Tokens int `msgpack:"t"`
 	// Lifetime is how long an idle program is remembered.
 	Lifetime time.Duration `msgpack:"l"`
 }
@@ -44,6 +49,9 @@
 	NotDurable
 	// Unknown: the ledger holds no such reservation.
 	Unknown
+	// InDoubt: the turn would exceed the budget if turns whose end may not have reached this home yet are
+	// still in progress.
+	InDoubt
 )
 
 // Grant is a granted reservation.
@@ -63,20 +71,21 @@
 	Total int `msgpack:"t"`
 	// Expires is when the program is forgotten, in Unix milliseconds.
 	Expires int64 `msgpack:"x"`
-	// Estimated is set when the program may have used less than Total.
-	Estimated bool `msgpack:"e,omitempty"`
+	// MissesTurn is set when one turn of the program may be missing from Total.
+	MissesTurn bool `msgpack:"u,omitempty"`
 	// Sequence orders the writes of one home about a program. It is 0 in a checkpoint, which
 	// has a sequence of its own.
 	Sequence int64 `msgpack:"q,omitempty"`
-	// Open holds the turns in progress in a handover. Total contains their tokens.
+	// Open holds the turns in progress. Total contains their tokens.
 	Open []OpenTurn `msgpack:"o,omitempty"`
 }
 
 // OpenTurn is a reservation that has not been released.
 type OpenTurn struct {
-	ID       string `msgpack:"i"`
-	Tokens   int    `msgpack:"t"`
-	Expected int    `msgpack:"e,omitempty"`
+	ID     string `msgpack:"i"`
+	Tokens int    `msgpack:"t"`
+	// InDoubt is set if the turn may have ended at an earlier home.
+	InDoubt bool `msgpack:"d,omitempty"`
 }
 
 // Newer returns the newer of two totals of a program.
@@ -90,22 +99,25 @@
 // account is the account of one program.
 type account struct {
 	// base is the number of tokens that the program may have used before it was first seen
-	// here. If estimated is set, it is higher than the known usage.
-	base      int
-	estimated bool
+	// here. If missesTurn is set, one turn more may have run.
+	base       int
+	missesTurn bool
 	// spent is the usage of the turns that ended here, open holds the turns in progress.
 	spent int
 	open  map[string]openTurn
-	// checkpointed is the total that the checkpoint is certain to hold, and checkpointing
-	// the one in a write in progress. replicated and replicating are the same for the
-	// journals.
-	checkpointed  int
-	checkpointing int
-	replicated    int
-	replicating   int
-	expires       time.Time
-	lifetime      time.Duration
-	// checkpointedExpiry is the expiry of the program in the checkpoint.
+	// largest is the largest turn that was granted here.
+	largest int
+	// version counts the changes of what is stored.
+	version int64
+	// inCheckpoint and inJournals are what the two copies of the account cover.
+	inCheckpoint coverage
+	inJournals   coverage
+	expires      time.Time
+	lifetime     time.Duration
+	// checkpointed is the total that the checkpoint holds, and checkpointedExpiry the expiry; checkpointing
+	// and checkpointingExpiry are those of a write in progress.
+	checkpointed        int
+	checkpointing       int
 	checkpointedExpiry  int64
 	checkpointingExpiry int64
 	// section is the checkpoint to which the program belongs, and inActive is set while the
@@ -114,6 +126,61 @@
 	inActive bool
 }
 
+func newAccount() *account { return &account{open: map[string]openTurn{}} }
+
+// coverage tells which turns a stored copy of an account contains for certain.
+type coverage struct {
+	// held is set if the account is stored, and version is the one of the account that is.
+	held    bool
+	version int64
+	// writing is set while writingVersion is being written.
+	writing        bool
+	writingVersion int64
+	// before and since are the tokens of ended turns that the copy does not contain: of those that were
+	// reserved before the last write began, and later.
+	before, since int
+}
+
+// covers reports whether the copy contains a turn that was reserved at a version of the account.
+func (c *coverage) covers(version int64) bool { return c.held && version <= c.version }
+
+// begin begins a write of a version of the account.
+func (c *coverage) begin(version int64) {
+	c.writing, c.writingVersion = true, version
+	c.before += c.since
+	c.since = 0
+}
+
+// end ends the write in progress. Unless it is certain to have succeeded, the copy may be the one before.
+func (c *coverage) end(written bool) {
+	if c.writing && written {
+		c.held, c.version, c.before = true, c.writingVersion, 0
+	}
+	c.writing = false
+}
+
+// recordEnd records the usage of a turn that was reserved at a version of the account.
+func (c *coverage) recordEnd(version int64, used int) {
+	switch {
+	case c.covers(version):
+	case c.writing && version <= c.writingVersion:
+		c.before += used
+	default:
+		c.since += used
+	}
+}
+
+// missing returns the tokens of the turns that the copy of an account may lack.
+func (c *coverage) missing(a *account) int {
+	tokens := c.before + c.since
+	for _, t := range a.open {
+		if !c.covers(t.version) {
+			tokens += t.tokens
+		}
+	}
+	return tokens
+}
+
 // section is the checkpoint that holds a program.
 type section uint8
 
@@ -126,11 +193,12 @@
 	idle
 )
 
-// openTurn is a turn in progress. Handed is set if it was reserved at an earlier home, so that
-// its release may be lost.
+// openTurn is a turn in progress, reserved at a version of its account. Handed is set if it was reserved at an
+// earlier home, so that its release may be lost, and inDoubt if it may have ended there.
 type openTurn struct {
-	tokens, expected int
-	handed           bool
+	tokens          int
+	version         int64
+	handed, inDoubt bool
 }
 
 // total returns the number of tokens that the program may have used.
@@ -142,15 +210,24 @@
 	return total
 }
 
-// expectedTotal returns the usage if the turns in progress generate what is expected of
-// them, but at least the total minus maxMissing, so that a later home that adds maxMissing
-// to it is not below the total.
-func (a *account) expectedTotal(maxMissing int) int {
-	expected := a.base + a.spent
+// inDoubt returns the tokens of turns that may have ended at an earlier home.
+func (a *account) inDoubt() int {
+	tokens := 0
 	for _, t := range a.open {
-		expected += t.expected
+		if t.inDoubt {
+			tokens += t.tokens
+		}
+	}
+	return tokens
+}
+
+// openTurns returns the turns in progress as they are stored.
+func (a *account) openTurns() []OpenTurn {
+	var open []OpenTurn
+	for id, t := range a.open {
+		open = append(open, OpenTurn{ID: id, Tokens: t.tokens, InDoubt: t.inDoubt})
 	}
-	return max(expected, a.total()-maxMissing)
+	return open
 }
 
 // retainUntil returns the expiry to store, in Unix milliseconds. It is one lifetime later
@@ -160,19 +237,12 @@
 // Ledger holds the accounts of one shard. It is not safe for concurrent use.
 type Ledger struct {
 	programs map[string]*account
-	// unrecorded is the number of tokens that earlier homes may have granted to any program
-	// beyond the stored totals.
-	unrecorded int
-	// wantedMaxTurn is the largest turn seen. checkpointedMaxTurn and replicatedMaxTurn are the
-	// largest ones that may be granted ahead of the checkpoint and of the journals,
-	// checkpointingMaxTurn and replicatingMaxTurn those in a write in progress.
-	wantedMaxTurn        int
-	checkpointedMaxTurn  int
-	checkpointingMaxTurn int
-	replicatedMaxTurn    int
-	replicatingMaxTurn   int
-	durability           Durability
-	dirty                bool
+	// afterLoss is set if the previous home may have granted turns that are stored nowhere, and doubtUntil
+	// is the time until which the end of a turn that it granted may still arrive.
+	afterLoss  bool
+	doubtUntil time.Time
+	durability Durability
+	dirty      bool
 }
 
 // Durability selects where a total must be stored before it is granted.
@@ -190,12 +260,18 @@
 // SetDurability changes the required durability.
 func (l *Ledger) SetDurability(durability Durability) { l.durability = durability }
 
-// New returns the ledger of a home whose predecessor may have granted unrecorded tokens to
-// any program beyond the stored totals. MaxTurn is the largest turn in the checkpoint.
-func New(unrecorded, maxTurn int) *Ledger {
-	return &Ledger{
-		programs: map[string]*account{}, unrecorded: unrecorded, checkpointedMaxTurn: maxTurn, wantedMaxTurn: maxTurn,
-	}
+// New returns the ledger of a home that knows the exact totals, such as those of a handover. The ends of turns
+// that are in doubt may arrive until doubtUntil.
+func New(doubtUntil time.Time) *Ledger {
+	return &Ledger{programs: map[string]*account{}, doubtUntil: doubtUntil}
+}
+
+// NewAfterLoss returns the ledger of a home that knows only what its predecessor has stored, so that all open
+// turns are in doubt.
+func NewAfterLoss(doubtUntil time.Time) *Ledger {
+	l := New(doubtUntil)
+	l.afterLoss = true
+	return l
 }
 
 // Len returns the number of programs.
@@ -217,24 +293,22 @@
 // the idle checkpoint first and the journals last.
 func (l *Ledger) Restore(totals []ProgramTotal, from Source) {
 	for _, total := range totals {
-		a := l.programs[total.Program]
-		if a == nil {
-			a = &account{open: map[string]openTurn{}, checkpointing: noWrite, replicating: noWrite}
-			l.programs[total.Program] = a
-		}
-		a.base = max(a.base, total.Total+l.unrecorded)
-		a.estimated = a.estimated || total.Estimated || l.unrecorded > 0
+		a := l.account(total.Program)
+		a.missesTurn = a.missesTurn || total.MissesTurn || l.afterLoss
 		a.expires = later(a.expires, time.UnixMilli(total.Expires))
+		if from == FromJournals || total.Total >= a.total() {
+			a.set(total, l.afterLoss)
+		}
 		switch from {
 		case FromJournals:
-			a.base, a.section = total.Total+l.unrecorded, active
-			l.restoreOpen(a, total.Open)
+			a.section, a.inCheckpoint.held = active, false
 		case FromIdleCheckpoint:
 			a.checkpointed, a.checkpointedExpiry, a.section = total.Total, total.Expires, idle
+			a.inCheckpoint.held = true
 		case FromCheckpoint:
 			a.checkpointed, a.checkpointedExpiry, a.section =
 				max(a.checkpointed, total.Total), max(a.checkpointedExpiry, total.Expires), active
-			a.inActive = true
+			a.inCheckpoint.held, a.inActive = true, true
 		}
 	}
 	l.dirty = l.dirty || from == FromJournals
@@ -244,34 +318,37 @@
 // stay reserved under their ID, so that a reservation repeated here is charged once.
 func (l *Ledger) RestoreHandover(totals []ProgramTotal) {
 	for _, total := range totals {
-		a := l.programs[total.Program]
-		if a == nil {
-			a = &account{open: map[string]openTurn{}, checkpointing: noWrite, replicating: noWrite}
-			l.programs[total.Program] = a
+		a := l.account(total.Program)
+		if total.Total != a.checkpointed || len(total.Open) > 0 {
+			// The program has had turns since it was stored there.
+			a.section, a.inCheckpoint.held = active, false
 		}
-		if total.Total > a.checkpointed {
-			// The program has had turns since it was moved to the idle checkpoint.
-			a.section = active
-		}
-		a.base, a.estimated = total.Total, total.Estimated
+		a.missesTurn = total.MissesTurn
 		a.expires = later(a.expires, time.UnixMilli(total.Expires))
-		l.restoreOpen(a, total.Open)
+		a.set(total, false)
 	}
 	l.dirty = true
 }
 
-// restoreOpen moves the tokens of turns in progress from the base to open reservations. The
-// previous home may not have stored the largest of them anywhere.
-func (l *Ledger) restoreOpen(a *account, open []OpenTurn) {
-	for _, t := range open {
-		a.base -= t.Tokens
-		a.open[t.ID] = openTurn{tokens: t.Tokens, expected: t.Expected, handed: true}
-		l.wantedMaxTurn = max(l.wantedMaxTurn, t.Tokens)
+// account returns the account of a program, creating it if needed.
+func (l *Ledger) account(program string) *account {
+	a := l.programs[program]
+	if a == nil {
+		a = newAccount()
+		l.programs[program] = a
 	}
+	return a
 }
 
-// noWrite is the value of checkpointing and replicating while no write is in progress.
-const noWrite = -1
+// set replaces what is known of the usage by a stored total. Its open turns may be in doubt.
+func (a *account) set(total ProgramTotal, inDoubt bool) {
+	a.base = total.Total
+	clear(a.open)
+	for _, t := range total.Open {
+		a.base -= t.Tokens
+		a.open[t.ID] = openTurn{tokens: t.Tokens, handed: true, inDoubt: inDoubt || t.InDoubt}
+	}
+}
 
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
@@ -283,14 +360,7 @@
 // Reserve decides about a reservation. With NotDurable the reservation is held, and Check
 // returns later decisions.
 func (l *Ledger) Reserve(r Reservation, now time.Time) Decision {
-	a := l.programs[r.Program]
-	if a == nil {
-		a = &account{
-			base: l.unrecorded, estimated: l.unrecorded > 0, open: map[string]openTurn{},
-			checkpointing: noWrite, replicating: noWrite,
-		}
-		l.programs[r.Program] = a
-	}
+	a := l.account(r.Program)
 	a.lifetime = r.Lifetime
 	a.section = active
 	a.expires = now.Add(r.Lifetime)
@@ -300,88 +370,72 @@
 	if _, held := a.open[r.ID]; held {
 		return l.Check(r)
 	}
-	if a.total()+r.Tokens > a.limit(r) {
+	if over := a.total() + r.Tokens - r.Budget; over > 0 {
+		if now.Before(l.doubtUntil) && a.inDoubt() >= over {
+			return InDoubt
+		}
 		return Spent
 	}
-	a.open[r.ID] = openTurn{tokens: r.Tokens, expected: min(r.Expected, r.Tokens)}
-	l.wantedMaxTurn = max(l.wantedMaxTurn, r.Tokens)
+	a.version++
+	a.open[r.ID] = openTurn{tokens: r.Tokens, version: a.version}
 	l.dirty = true
 	return l.Check(r)
 }
 
-// limit returns the highest total that a reservation may reach. If the total is an estimate,
-// one more turn is allowed: programs may exceed their budget by one turn.
-func (a *account) limit(r Reservation) int {
-	if a.estimated {
-		return r.Budget + r.Tokens
-	}
-	return r.Budget
-}
-
 // Check decides about a held reservation.
 func (l *Ledger) Check(r Reservation) Decision {
 	a := l.programs[r.Program]
 	if a == nil {
 		return Unknown
 	}
-	if _, held := a.open[r.ID]; !held {
+	held, found := a.open[r.ID]
+	if !found {
 		return Unknown
 	}
-	if r.Tokens <= l.maxTurn() && l.isDurable(a) {
-		return Granted
-	}
-	return NotDurable
-}
-
-// maxTurn returns the largest turn that may be granted ahead of the stored totals. It is 0
-// until a home has written to the journals, so that it grants nothing before.
-func (l *Ledger) maxTurn() int {
-	if l.durability == RequireCheckpoint {
-		return l.checkpointedMaxTurn
+	if !l.isDurable(a, held) {
+		return NotDurable
 	}
-	return l.replicatedMaxTurn
+	a.largest = max(a.largest, r.Tokens)
+	return Granted
 }
 
-// isDurable reports whether a program's total, less one turn, is durable.
-func (l *Ledger) isDurable(a *account) bool {
-	durable := guaranteed(a.replicated, a.replicating)
+// isDurable reports whether a turn may be granted: it is stored, or is among those that may be missing, which
+// are as large as one turn at most. A program that misses a turn already may miss no other one.
+func (l *Ledger) isDurable(a *account, turn openTurn) bool {
+	stored := &a.inJournals
 	if l.durability == RequireCheckpoint {
-		durable = guaranteed(a.checkpointed, a.checkpointing)
+		stored = &a.inCheckpoint
 	}
-	return a.total() <= durable+l.maxTurn()
+	return stored.covers(turn.version) ||
+		(stored.held && !a.missesTurn && stored.missing(a) <= max(a.largest, turn.tokens))
 }
 
-// guaranteed returns the total that is stored for certain: the lower one while a write is in
-// progress.
-func guaranteed(written, writing int) int {
-	if writing == noWrite {
-		return written
-	}
-	return min(written, writing)
-}
-
-// Release ends a reservation. Used is the number of tokens that the turn generated.
-func (l *Ledger) Release(name, id string, used int) {
+// Release ends a reservation. Used is the number of tokens that the turn generated. It returns false if the
+// ledger holds no such reservation.
+func (l *Ledger) Release(name, id string, used int) bool {
 	a := l.programs[name]
 	if a == nil {
-		return
+		return false
 	}
-	if _, held := a.open[id]; !held {
-		return
+	turn, held := a.open[id]
+	if !held {
+		return false
 	}
 	delete(a.open, id)
 	a.spent += used
+	a.version++
+	a.inCheckpoint.recordEnd(turn.version, used)
+	a.inJournals.recordEnd(turn.version, used)
 	l.dirty = true
+	return true
 }
 
 // Dirty reports whether the checkpoint is out of date.
 func (l *Ledger) Dirty() bool { return l.dirty }
 
-// BeginCheckpoint returns the totals and the largest turn to store in the checkpoint. The
-// write is in progress until EndCheckpoint. A turn in progress is charged with its expected
-// tokens, because a later home adds the largest turn anyway. No total is below that in the
-// journals, ahead of which turns are granted: a later home reads only newer ones from there.
-func (l *Ledger) BeginCheckpoint(now time.Time) ([]ProgramTotal, int) {
+// BeginCheckpoint returns the totals to store in the checkpoint. The write is in progress until
+// EndCheckpoint.
+func (l *Ledger) BeginCheckpoint(now time.Time) []ProgramTotal {
 	l.forget(now)
 	l.dirty = false
 	totals := make([]ProgramTotal, 0, len(l.programs))
@@ -389,59 +443,39 @@
 		if a.section == idle {
 			continue
 		}
-		expected := a.expectedTotal(l.wantedMaxTurn)
-		a.checkpointing = max(expected, a.replicated, a.replicating)
-		l.dirty = l.dirty || a.checkpointing > expected
-		a.checkpointingExpiry = max(a.retainUntil(), a.checkpointedExpiry)
+		a.inCheckpoint.begin(a.version)
+		a.checkpointing, a.checkpointingExpiry = a.total(), max(a.retainUntil(), a.checkpointedExpiry)
 		totals = append(totals, ProgramTotal{
-			Program: name, Total: a.checkpointing, Expires: a.checkpointingExpiry, Estimated: a.estimated,
+			Program: name, Total: a.checkpointing, Expires: a.checkpointingExpiry, MissesTurn: a.missesTurn,
+			Open: a.openTurns(),
 		})
 	}
-	l.checkpointingMaxTurn = l.wantedMaxTurn
-	return totals, l.checkpointingMaxTurn
+	return totals
 }
 
-// Outcome is the result of a checkpoint write.
-type Outcome uint8
-
-// Outcomes.
-const (
-	Written Outcome = iota
-	NotWritten
-	// InDoubt: the write may have been applied, or may be later.
-	InDoubt
-)
-
-// EndCheckpoint ends the write in progress. If it is in doubt, the lower of the old and the
-// new total counts.
-func (l *Ledger) EndCheckpoint(outcome Outcome) {
+// EndCheckpoint ends the write in progress. It may have been applied, or may be later, even if it is not
+// certain to be written.
+func (l *Ledger) EndCheckpoint(written bool) {
 	for _, a := range l.programs {
-		if a.checkpointing == noWrite {
-			a.inActive = a.inActive && outcome != Written
-			continue
-		}
-		switch outcome {
-		case Written:
+		switch {
+		case !a.inCheckpoint.writing:
+			a.inActive = a.inActive && !written
+		case written:
 			a.checkpointed, a.checkpointedExpiry, a.inActive = a.checkpointing, a.checkpointingExpiry, true
-		case InDoubt:
-			a.checkpointed, a.checkpointedExpiry =
-				min(a.checkpointed, a.checkpointing), min(a.checkpointedExpiry, a.checkpointingExpiry)
+		default:
+			a.checkpointedExpiry = min(a.checkpointedExpiry, a.checkpointingExpiry)
 		}
-		a.checkpointing = noWrite
-	}
-	if outcome == Written {
-		l.checkpointedMaxTurn = max(l.checkpointedMaxTurn, l.checkpointingMaxTurn)
-	} else {
-		l.dirty = true
+		a.inCheckpoint.end(written)
 	}
+	l.dirty = l.dirty || !written
 }
 
 // ReloadCheckpoint applies the content read from the checkpoint after a write in doubt.
-func (l *Ledger) ReloadCheckpoint(totals []ProgramTotal, maxTurn int) {
+func (l *Ledger) ReloadCheckpoint(totals []ProgramTotal) {
 	for _, a := range l.programs {
 		a.inActive = false
 		if a.section != idle {
-			a.checkpointed, a.checkpointedExpiry = 0, 0
+			a.checkpointed, a.checkpointedExpiry, a.inCheckpoint.held = 0, 0, false
 		}
 	}
 	for _, total := range totals {
@@ -449,8 +483,6 @@
 			a.checkpointed, a.checkpointedExpiry, a.inActive = total.Total, total.Expires, true
 		}
 	}
-	l.checkpointedMaxTurn = max(maxTurn, 0)
-	l.wantedMaxTurn = max(l.wantedMaxTurn, l.checkpointedMaxTurn)
 	l.dirty = true
 }
 
@@ -463,14 +495,14 @@
 	var totals []ProgramTotal
 	found := false
 	for name, a := range l.programs {
-		if a.section == active && len(a.open) == 0 && a.checkpointing == noWrite &&
-			a.checkpointed == a.total() && a.lastTurn().Before(since) {
+		if a.section == active && len(a.open) == 0 && !a.inCheckpoint.writing &&
+			a.inCheckpoint.covers(a.version) && a.lastTurn().Before(since) {
 			a.section = moving
 			found = true
 		}
 		if a.section != active || !a.inActive {
 			totals = append(totals, ProgramTotal{
-				Program: name, Total: a.checkpointed, Expires: a.checkpointedExpiry, Estimated: a.estimated,
+				Program: name, Total: a.checkpointed, Expires: a.checkpointedExpiry, MissesTurn: a.missesTurn,
 			})
 		}
 	}
@@ -501,61 +533,32 @@
 	}
 }
 
-// BeginReplication returns the totals that the journals lack, or all if complete is set, and
-// the largest turn to store with them. Sequence must be higher than any before. The write is
-// in progress until EndReplication.
-func (l *Ledger) BeginReplication(complete bool, sequence int64, now time.Time) ([]ProgramTotal, int) {
+// BeginReplication returns the totals that the journals lack, or all if complete is set. Sequence must
+// be higher than any before. The write is in progress until EndReplication.
+func (l *Ledger) BeginReplication(complete bool, sequence int64, now time.Time) []ProgramTotal {
 	l.forget(now)
-	l.replicatingMaxTurn = l.wantedMaxTurn
 	var totals []ProgramTotal
 	for name, a := range l.programs {
-		total := a.expectedTotal(l.replicatingMaxTurn)
-		if !complete && total == a.replicated {
+		if !complete && a.inJournals.covers(a.version) {
 			continue
 		}
-		a.replicating = total
+		a.inJournals.begin(a.version)
 		totals = append(totals, ProgramTotal{
-			Program: name, Total: total, Expires: a.retainUntil(), Estimated: a.estimated, Sequence: sequence,
+			Program: name, Total: a.total(), Expires: a.retainUntil(), MissesTurn: a.missesTurn, Sequence: sequence,
+			Open: a.openTurns(),
 		})
 	}
-	return totals, l.replicatingMaxTurn
+	return totals
 }
 
-// MaxTurnReplicated reports whether the journals hold the largest turn seen.
-func (l *Ledger) MaxTurnReplicated() bool { return l.replicatedMaxTurn == l.wantedMaxTurn }
-
 // EndReplication ends the write of BeginReplication. A failed write may have reached some
-// journals, so that the lower of the old and the new total counts.
+// journals.
 func (l *Ledger) EndReplication(written bool) {
-	if written {
-		l.replicatedMaxTurn = l.replicatingMaxTurn
-	}
 	for _, a := range l.programs {
-		if a.replicating == noWrite {
-			continue
-		}
-		if written {
-			a.replicated = a.replicating
-		} else {
-			a.replicated = min(a.replicated, a.replicating)
-		}
-		a.replicating = noWrite
+		a.inJournals.end(written)
 	}
 }
 
-// HasPending reports whether any total must still become durable.
-func (l *Ledger) HasPending() bool {
-	for _, a := range l.programs {
-		if !l.isDurable(a) {
-			return true
-		}
-	}
-	return false
-}
-
-// MaxTurnTokens returns the largest turn in the checkpoint.
-func (l *Ledger) MaxTurnTokens() int { return l.checkpointedMaxTurn }
-
 // Total returns the number of tokens that a program may have used, 0 if it is unknown.
 func (l *Ledger) Total(program string) int {
 	if a := l.programs[program]; a != nil {
@@ -570,10 +573,7 @@
 	all := make([]ProgramTotal, 0, len(l.programs))
 	for name, a := range l.programs {
 		total := ProgramTotal{
-			Program: name, Total: a.total(), Expires: a.retainUntil(), Estimated: a.estimated || len(a.open) > 0,
-		}
-		for id, t := range a.open {
-			total.Open = append(total.Open, OpenTurn{ID: id, Tokens: t.tokens, Expected: t.expected})
+			Program: name, Total: a.total(), Expires: a.retainUntil(), MissesTurn: a.missesTurn, Open: a.openTurns(),
 		}
 		all = append(all, total)
 	}
@@ -606,8 +606,7 @@
 	Base         int    `json:"base"`
 	Open         int    `json:"open"`
 	Checkpointed int    `json:"recorded"`
-	Replicated   int    `json:"bridged,omitempty"`
-	Estimated    bool   `json:"estimated,omitempty"`
+	MissesTurn   bool   `json:"misses_turn,omitempty"`
 }
 
 // Usages returns all accounts.
@@ -616,7 +615,7 @@
 	for name, a := range l.programs {
 		all = append(all, Usage{
 			Program: name, Total: a.total(), Base: a.base, Open: len(a.open), Checkpointed: a.checkpointed,
-			Replicated: a.replicated, Estimated: a.estimated,
+			MissesTurn: a.missesTurn,
 		})
 	}
 	return all
--- a/internal/tokenbudget/replica_writer.go
+++ b/internal/tokenbudget/replica_writer.go
@@ -106,11 +106,12 @@
 	wanted := s.wantedJournals
 	complete := s.replica.journals == nil || !maps.Equal(wanted, s.replica.journals)
 	s.sequence++
-	totals, maxTurnTokens := s.ledger.BeginReplication(complete, s.sequence, time.Now())
-	due := complete || len(totals) > 0 || !s.ledger.MaxTurnReplicated()
+	sequence := s.sequence
+	totals := s.ledger.BeginReplication(complete, sequence, time.Now())
+	due := complete || len(totals) > 0
 	next := journal.Replica{
-		Fence: fence, Complete: complete, Sequence: s.sequence, Journals: wanted, Listed: s.otherListed(wanted),
-		Decisions: s.decisions, MaxTurnTokens: maxTurnTokens, Totals: totals,
+		Fence: fence, Complete: complete, Sequence: sequence, Journals: wanted, Listed: s.otherListed(wanted),
+		Decisions: s.decisions, Totals: totals,
 	}
 	s.mu.Unlock()
 	var acknowledged journalSet
@@ -140,6 +141,9 @@
 		s.home.replicaWrites.Inc()
 	}
 	s.replica.failingSince, s.replica.unreachable = time.Time{}, false
+	if s.canReplicate() {
+		s.storedSequence = sequence
+	}
 	s.notify()
 	return nil
 }
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -45,6 +46,8 @@
 	replica        replicaState
 	// sequence numbers the writes to checkpoint and journals under the fence.
 	sequence int64
+	// storedSequence is the number of the last write that made totals durable.
+	storedSequence int64
 	// decisions counts the reservations of other daemons that this one has decided about.
 	decisions int64
 	// fencedJournals are the journals that accepted this home's fence, and wantedJournals
@@ -52,8 +55,15 @@
 	fencedJournals map[string]fencedJournal
 	wantedJournals journalSet
 
-	// handingTo is the daemon to which the shard is being handed over.
-	handingTo string
+	// released holds when turns ended, by their reservation, since about releasedSince.
+	released      map[string]time.Time
+	releasedSince time.Time
+
+	// handingTo is the daemon to which the shard is being handed over, and handing the fence under which it was
+	// held until then. handedOver is the fence of the last handover that succeeded.
+	handingTo  string
+	handing    journal.Fence
+	handedOver journal.Fence
 	// offered is the state that a leaving home has sent to this daemon, and offerArrived
 	// signals it. handedBy is the fence of the home from whose state this one started.
 	offered      *handover
@@ -90,13 +100,14 @@
 		s.stop()
 	}
 	s.held = false
-	s.ledger = ledger.New(0, 0)
+	s.ledger = ledger.New(time.Time{})
 	s.checkpoint = checkpointState{}
 	s.idleCheckpoint = idleCheckpointState{}
 	s.replica = replicaState{}
-	s.sequence = 0
+	s.sequence, s.storedSequence = 0, 0
 	s.decisions = 0
 	s.handedBy = journal.Fence{}
+	s.released = map[string]time.Time{}
 	s.fencedJournals = map[string]fencedJournal{}
 	s.wantedJournals = nil
 	s.notify()
@@ -190,6 +201,9 @@
 	if !s.held {
 		return reserveReply{}, nil, s.notHome()
 	}
+	if _, ended := s.released[r.ID]; ended {
+		return reserveReply{}, nil, s.notHome()
+	}
 	s.setDurability()
 	decision := s.ledger.Reserve(r, time.Now())
 	if decision != ledger.NotDurable {
@@ -261,7 +275,7 @@
 
 // reply returns the reply for a decision and logs it. The caller holds mu.
 func (s *shard) reply(r ledger.Reservation, decision ledger.Decision, waited time.Duration) (reserveReply, error) {
-	entry := s.log().WithField("request", r.ID).WithField("program", r.Program).WithField("budget", r.Budget).
+	entry := s.log().WithField("request", r.Request).WithField("program", r.Program).WithField("budget", r.Budget).
 		WithField("tokens", r.Tokens).WithField("waited_ms", waited.Milliseconds())
 	switch decision {
 	case ledger.Granted:
@@ -272,6 +286,10 @@
 		s.home.spent.Inc()
 		entry.WithField("total", s.ledger.Total(r.Program)).Info("budget spent")
 		return reserveReply{Spent: true}, nil
+	case ledger.InDoubt:
+		s.home.inDoubt.Inc()
+		entry.WithField("total", s.ledger.Total(r.Program)).Info("budget in doubt until turns of the previous home are known to have ended")
+		return reserveReply{InDoubt: true}, nil
 	default:
 		return reserveReply{}, s.notHome()
 	}
@@ -287,14 +305,55 @@
 	return verdict.Wrap(cause, verdict.NotRun, verdict.PlatformDown, "the budget's record cannot be written")
 }
 
-// release ends a reservation and reports whether this daemon holds the shard.
-func (s *shard) release(request releaseRequest) bool {
+// release ends reservations, unless an earlier message has, and returns once their ends are stored. Otherwise
+// the next home could charge the turns again.
+func (s *shard) release(ctx context.Context, turns []endedTurn) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ledger.Release(request.Program, request.ID, request.Used)
-	return s.held
+	if !s.held {
+		return s.notHome()
+	}
+	fence := s.fence
+	for _, turn := range turns {
+		s.ledger.Release(turn.Program, turn.ID, turn.Used)
+		s.rememberRelease(turn.ID)
+	}
+	for released := s.sequence; s.storedSequence <= released; {
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		switch {
+		case ctx.Err() != nil:
+			return totalNotDurable(ctx.Err())
+		case s.holdsUnder(fence) || s.handing == fence:
+		case s.handedOver == fence:
+			return nil
+		default:
+			return s.notHome()
+		}
+	}
+	return nil
 }
 
+// rememberRelease makes a message that reserves the tokens of a turn and arrives after its end have no effect.
+// The caller holds mu.
+func (s *shard) rememberRelease(id string) {
+	now := time.Now()
+	s.released[id] = now
+	if now.Sub(s.releasedSince) < releaseMemory {
+		return
+	}
+	s.releasedSince = now
+	maps.DeleteFunc(s.released, func(_ string, at time.Time) bool { return now.Sub(at) >= releaseMemory })
+}
+
+// releaseMemory is the time for which the end of a turn is remembered: longer than a reservation may be under way.
+const releaseMemory = 5 * time.Second
+
 // state returns the shard's state for the dump.
 func (s *shard) state() ShardState {
 	s.mu.Lock()
--- a/internal/tokenbudget/tokenbudget.go
+++ b/internal/tokenbudget/tokenbudget.go
@@ -119,6 +119,13 @@
 	// DefaultJournalDropAfter is how long an instance with a journal may be missing before
 	// checkpoints stop listing it.
 	DefaultJournalDropAfter = 3 * time.Second
+	// DefaultReleaseWait is the time after a takeover for which the ends of turns may still arrive from the
+	// gateways that have run them: several attempts to reach the new home.
+	DefaultReleaseWait = 3 * time.Second
+	// DefaultReleaseLimit is how long a gateway tries to deliver the end of a turn, and
+	// DefaultReleaseTimeout the limit of one attempt, which waits until the end is stored.
+	DefaultReleaseLimit   = time.Minute
+	DefaultReleaseTimeout = 2 * time.Second
 	// DefaultRedirectDuration is how long a replaced home redirects requests to its
 	// successor.
 	DefaultRedirectDuration = 10 * time.Second
@@ -160,6 +167,9 @@
 	MaintenanceInterval    time.Duration
 	OrphanCheckInterval    time.Duration
 	JournalDropAfter       time.Duration
+	ReleaseWait            time.Duration
+	ReleaseLimit           time.Duration
+	ReleaseTimeout         time.Duration
 	RedirectDuration       time.Duration
 	// JournalWaitLimit limits the wait for unreachable journals.
 	JournalWaitLimit time.Duration
@@ -193,6 +203,9 @@
 	defaults.Set(&c.MaintenanceInterval, DefaultMaintenanceInterval)
 	defaults.Set(&c.OrphanCheckInterval, DefaultOrphanCheckInterval)
 	defaults.Set(&c.JournalDropAfter, DefaultJournalDropAfter)
+	defaults.Set(&c.ReleaseWait, DefaultReleaseWait)
+	defaults.Set(&c.ReleaseLimit, DefaultReleaseLimit)
+	defaults.Set(&c.ReleaseTimeout, DefaultReleaseTimeout)
 	defaults.Set(&c.RedirectDuration, DefaultRedirectDuration)
 	defaults.Set(&c.JournalWaitLimit, DefaultJournalWaitLimit)
 	return c
@@ -226,7 +239,8 @@
 	NoRedirect  bool               `msgpack:"i,omitempty"`
 }
 
-// reserveReply is a home's decision. Pending means that the decision takes longer and
+// reserveReply is a home's decision. InDoubt means that the home cannot tell yet whether the budget is spent.
+// Pending means that the decision takes longer and
 // follows. Provisional is a grant whose total is not durable yet; the final decision
 // follows. Home names the daemon to ask instead if the receiver is not the home, and Leaving
 // is set if the receiver is leaving and will not become the home.
@@ -234,19 +248,12 @@
 	Granted     bool   `msgpack:"g,omitempty"`
 	Provisional bool   `msgpack:"a,omitempty"`
 	Spent       bool   `msgpack:"s,omitempty"`
+	InDoubt     bool   `msgpack:"d,omitempty"`
 	Pending     bool   `msgpack:"p,omitempty"`
 	Home        string `msgpack:"h,omitempty"`
 	Leaving     bool   `msgpack:"l,omitempty"`
 }
 
-// releaseRequest ends a reservation. Forwards counts the former homes that have passed it on.
-type releaseRequest struct {
-	Program  string `msgpack:"p"`
-	ID       string `msgpack:"i"`
-	Used     int    `msgpack:"u"`
-	Forwards int    `msgpack:"f,omitempty"`
-}
-
 // fenceRequest fences a shard in a journal. The reply omits the totals that Known covers.
 type fenceRequest struct {
 	journal.Fence `msgpack:",inline"`
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -77,6 +77,8 @@
 	UnknownTurn        Reason = "unknown_turn"
 	HistoryUnavailable Reason = "history_unavailable"
 	BudgetSpent        Reason = "budget_spent"
+	// BudgetInDoubt refuses a turn while it is not known whether the budget holds it.
+	BudgetInDoubt Reason = "budget_in_doubt"
 	// UnknownKey refuses a request without the key of a team, KeyUnproven one whose key cannot be checked
 	// now, and QuotaReached one beyond the quota of its team.
 	UnknownKey     Reason = "unknown_key"
--- a/test/platform/budget_home_test.go
+++ b/test/platform/budget_home_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
 
 	"ibisline/internal/tokenbudget"
 	"ibisline/internal/tokenbudget/ledger"
@@ -57,3 +61,46 @@
 	}
 	return slices.DeleteFunc(dump.Budgets, func(s tokenbudget.ShardState) bool { return !s.Held })
 }
+
+// Guards against a home that takes over after a loss and charges every program with the largest turn of any other
+// one: programs with smaller budgets were told that these are spent, new ones among them.
+func TestLargeTurnOfAnotherProgramSpendsNoBudgetAfterALoss(t *testing.T) {
+	const programs, largeTokens = 40, 50 * soakBudgetTurns * tokensPerTurn
+	f := newTestFleet(t)
+	f.scriptEngines()
+	f.waitUntil("every shard serves a large turn", func() bool {
+		for i := range programs {
+			got := f.callWith(f.client, gateways[0], http.MethodPost, "/turn/1", func(r *http.Request) {
+				r.Header.Set("Program-Id", fmt.Sprint("large-", i))
+				r.Header.Set("Token-Budget", fmt.Sprint(2*largeTokens))
+				r.Header.Set("Token-Usage", fmt.Sprintf("10,%d", largeTokens))
+			})
+			if got.status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+	requireServed := func(name string) {
+		for i := range programs {
+			program := fmt.Sprint(name, i)
+			f.waitUntil("a turn of "+program+" is decided", func() bool {
+				status := f.turn(gateways[i%len(gateways)], program, soakBudgetTurns*tokensPerTurn).status
+				require.NotEqual(t, http.StatusPaymentRequired, status, "%s has hardly used its budget", program)
+				return status == http.StatusOK
+			})
+		}
+	}
+	requireServed("begun-")
+	for name := range f.daemons {
+		f.kill(name)
+	}
+	for name := range f.daemons {
+		f.start(name)
+	}
+	for name := range f.daemons {
+		f.waitReady(name)
+	}
+	requireServed("begun-")
+	requireServed("new-")
+}
