A turn whose gateway is gone is not in doubt

Cause: for 3 s after a takeover each turn in progress may have ended, and the home waits for the gateway to tell it. A gateway that was killed never does: its turns broke off. Change: the identifier of a reservation begins with the incarnation of its gateway, and only turns of reachable ones are in doubt.

--- a/internal/tokenbudget/client.go
+++ b/internal/tokenbudget/client.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
 	"ibisline/internal/peer"
+	"ibisline/internal/structs"
 	"ibisline/internal/tokenbudget/ledger"
 	"ibisline/internal/verdict"
 )
@@ -53,7 +56,7 @@
 // BudgetSpent when the turn exceeds the budget, otherwise PeerLost or NotHome with a retry
 // delay.
 func (c *Client) Reserve(ctx context.Context, r ledger.Reservation) (ledger.Grant, error) {
-	r.ID = newReservationID()
+	r.ID = newReservationID(c.fleet.Self())
 	limited, cancel := context.WithTimeout(ctx, c.config.ReserveLimit)
 	g, err := c.reserveAtHome(limited, r)
 	if err != nil {
@@ -64,8 +67,25 @@
 	return g, nil
 }
 
-// newReservationID returns an identifier that no other reservation has.
-func newReservationID() string { return strconv.FormatUint(rand.Uint64(), 36) }
+// idBase is the base of the numbers in the identifier of a reservation, and idSeparator separates them.
+const (
+	idBase      = 36
+	idSeparator = "-"
+)
+
+// newReservationID returns an identifier that no other reservation has. It begins with the incarnation of the
+// daemon that serves the turn.
+func newReservationID(self structs.Instance) string {
+	return strconv.FormatUint(self.Incarnation, idBase) + idSeparator + strconv.FormatUint(rand.Uint64(), idBase)
+}
+
+// servedBy reports whether the turn of a reservation is served by one of some daemons.
+func servedBy(id string, daemons []structs.Instance) bool {
+	incarnation, _, _ := strings.Cut(id, idSeparator)
+	return slices.ContainsFunc(daemons, func(d structs.Instance) bool {
+		return strconv.FormatUint(d.Incarnation, idBase) == incarnation
+	})
+}
 
 // reserveAtHome asks daemons until one decides.
 func (c *Client) reserveAtHome(ctx context.Context, r ledger.Reservation) (granted *grant, _ error) {
--- a/internal/tokenbudget/ledger/ledger.go
+++ b/internal/tokenbudget/ledger/ledger.go
@@ -382,6 +382,20 @@
 	return l.Check(r)
 }
 
+// EndDoubt makes turns of a program, by their reservations, count as in progress for certain.
+func (l *Ledger) EndDoubt(program string, certain func(id string) bool) {
+	a := l.programs[program]
+	if a == nil {
+		return
+	}
+	for id, turn := range a.open {
+		if turn.inDoubt && certain(id) {
+			turn.inDoubt = false
+			a.open[id] = turn
+		}
+	}
+}
+
 // Check decides about a held reservation.
 func (l *Ledger) Check(r Reservation) Decision {
 	a := l.programs[r.Program]
--- a/internal/tokenbudget/shard.go
+++ b/internal/tokenbudget/shard.go
@@ -206,6 +206,12 @@
 	}
 	s.setDurability()
 	decision := s.ledger.Reserve(r, time.Now())
+	if decision == ledger.InDoubt {
+		// Nobody tells of the end of a turn whose daemon is gone: it broke off.
+		reachable := s.home.fleet.Reachable()
+		s.ledger.EndDoubt(r.Program, func(id string) bool { return !servedBy(id, reachable) })
+		decision = s.ledger.Reserve(r, time.Now())
+	}
 	if decision != ledger.NotDurable {
 		reply, err := s.reply(r, decision, 0)
 		return reply, nil, err
