Connections to servers that are gone are closed, within the descriptors

Cause: idle connections are kept by run of a server, and what closes expired ones was called by nobody. Each replaced server left 15 descriptors behind (681 after 6, 3,979 after 222 on, 320 callers all the while). Change: upstream.Client.Run closes idle connections when they expire, and at once when their server is gone, leaving or started again. Connections to servers, and those of callers, stay within three eighths of the descriptors each, the longest idle ones yield, and a request that finds none is refused with 503. Where the kernel has none left, idle ones yield to accept and dial. Load, health and paces of servers that are gone for a minute, and slow keepers, are dropped. Why this works: an end that is left to the next use of the same thing never comes for a thing that is not used again; it has a time of its own now, and a bound that does not depend on the number of servers.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"ibisline/internal/api"
 	"ibisline/internal/crashguard"
@@ -52,6 +53,7 @@
 	serviceRetirement      = "retirement"
 	serviceHistories       = "histories"
 	serviceQuotas          = "quotas"
+	serviceServerConns     = "server-connections"
 )
 
 // platformSteps returns the steps that build the services of a gateway or keeper.
@@ -440,6 +442,38 @@
 	return int64(b.settings.Instance.MemoryMB) << 20 / callerMemoryDivisor
 }
 
+// Eighths of the descriptors that connections of callers and those to backend servers may use. The rest is for
+// other daemons, operators, the platform and files.
+const (
+	callerDescriptorEighths = 3
+	serverDescriptorEighths = 3
+)
+
+// descriptors returns the number of descriptors that the process may use.
+func (b *builder) descriptors() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, errors.Wrap(err, "read the limit of descriptors")
+	}
+	number := int(min(limit.Cur, maxDescriptors))
+	if configured := b.settings.Instance.MaxDescriptors; configured > 0 {
+		number = min(number, configured)
+	}
+	return number, nil
+}
+
+// maxDescriptors is the number above which the limit of descriptors is of no account.
+const maxDescriptors = 1 << 30
+
+// serverConns closes the connections to servers that are gone.
+type serverConns struct {
+	client *upstream.Client
+	listed upstream.Listed
+}
+
+// Run runs until ctx ends.
+func (c serverConns) Run(ctx context.Context) error { return c.client.Run(ctx, c.listed) }
+
 // addGateway adds the gateway that serves callers' requests.
 func (b *builder) addGateway() error {
 	loader, err := kernel.Lookup[*routes.Loader](b.kernel, serviceRoutes)
@@ -462,7 +496,16 @@
 	if err != nil {
 		return err
 	}
-	client := upstream.NewClient(upstream.Config{RequestID: b.adapter.Dialect.ResponseRequestID}, b.metrics)
+	descriptors, err := b.descriptors()
+	if err != nil {
+		return err
+	}
+	client := upstream.NewClient(upstream.Config{
+		RequestID: b.adapter.Dialect.ResponseRequestID, MaxConns: descriptors * serverDescriptorEighths / 8,
+	}, b.metrics)
+	if err := b.kernel.Register(serviceServerConns, serverConns{client: client, listed: directory}); err != nil {
+		return err
+	}
 	guard, err := b.addCrashGuard(client.Probe, directory)
 	if err != nil {
 		return err
@@ -509,6 +552,8 @@
 	server, err := gateway.Listen(b.settings.Gateway.Listen, handler, gateway.ServerConfig{
 		BalancerDelay: b.settings.Stop.BalancerDelay.Std(),
 		CallerBytes:   b.callerBytes(),
+		MaxCallers:    descriptors * callerDescriptorEighths / 8,
+		Reclaim:       client.Reclaim,
 	})
 	if err != nil {
 		return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -150,6 +150,7 @@
 	deps.Metrics.GetOrCreateGauge("ibisline_gateway_requests_active", func() float64 {
 		return float64(g.activeRequests.Load())
 	})
+	deps.Metrics.GetOrCreateGauge("ibisline_gateway_servers_known", func() float64 { return float64(g.tracker.known()) })
 	return g
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -169,6 +169,7 @@
 		_ = h.server.Run(ctx)
 	}()
 	guarding := testbed.Start(h.guard.Run)
+	pooling := testbed.Start(func(ctx context.Context) error { return h.backend.Run(ctx, h) })
 	h.client = &http.Client{Transport: &http.Transport{
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -190,7 +191,7 @@
 		// crash checks of broken connections may still run.
 		time.Sleep(time.Second)
 		guarding.Stop()
-		h.backend.Close()
+		pooling.Stop()
 	}
 	return h
 }
@@ -271,6 +272,9 @@
 	return structs.Server{}, false
 }
 
+// Changed returns nil: changes are noticed at intervals.
+func (h *harness) Changed() <-chan struct{} { return nil }
+
 func (h *harness) AtAddr(addr string) (structs.Server, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -72,6 +72,11 @@
 			j.markNotRun(server.Name)
 			continue
 		}
+		if errors.Is(err, upstream.ErrExhausted) {
+			// Neither does another server get a connection.
+			j.markNotRun(server.Name)
+			return sendResult{}, g.noServer(j)
+		}
 		g.tracker.markFailed(server.Name, time.Now())
 		if !verdict.Is(err, verdict.NotRun) {
 			j.markMayHaveRun()
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -33,6 +33,8 @@
 	// their number; 0 for no limit.
 	CallerBytes int64
 	MaxCallers  int
+	// Reclaim, if not nil, frees descriptors when a connection of a caller cannot be accepted for want of them.
+	Reclaim func() bool
 }
 
 // Server serves a Gateway over HTTP/1.1. It is a kernel service.
@@ -57,6 +59,7 @@
 // NewServer returns a server for g on a listener.
 func NewServer(listener net.Listener, g *Gateway, config ServerConfig) *Server {
 	s := &Server{Gateway: g, config: config, listener: httpconn.NewListener(listener)}
+	s.listener.Reclaim = config.Reclaim
 	s.http.Handler = g
 	s.http.ReadHeaderTimeout = headerTimeout
 	s.http.IdleTimeout = idleTimeout
@@ -76,6 +79,7 @@
 func (s *Server) Run(ctx context.Context) error {
 	release := context.AfterFunc(ctx, func() { s.http.Close() })
 	defer release()
+	go s.forgetServers(ctx)
 	err := s.conns.Serve(s.listener)
 	if errors.Is(err, http.ErrServerClosed) || s.draining.Load() {
 		<-ctx.Done()
@@ -84,6 +88,19 @@
 	return errors.Wrap(err, "serve callers")
 }
 
+// forgetInterval is the interval at which what is known of servers that are gone is dropped.
+const forgetInterval = 10 * time.Second
+
+// forgetServers drops what is known of servers that are gone until ctx ends.
+func (s *Server) forgetServers(ctx context.Context) {
+	for timers.Sleep(ctx, forgetInterval) {
+		s.tracker.forgetGone(func(name string) bool {
+			_, found := s.Servers.Find(name)
+			return found
+		}, time.Now())
+	}
+}
+
 // Ready reports whether the balancer should direct new connections to this daemon.
 func (s *Server) Ready() bool {
 	return !s.leaving.Load() && s.Routes.Current() != nil && s.Servers.Loaded()
--- a/internal/gateway/tracker.go
+++ b/internal/gateway/tracker.go
@@ -99,6 +99,8 @@
 	// started later is another one.
 	leavingRun   int64
 	leavingSince time.Time
+	// listedAt is the time at which forgetGone last found the server listed, or first saw it.
+	listedAt time.Time
 }
 
 // leaving reports whether a run of the server says that it is leaving.
@@ -114,6 +116,37 @@
 	}
 }
 
+// known returns the number of servers of which something is known.
+func (t *tracker) known() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.servers)
+}
+
+// serverMemory is the time for which the state of a server that is not listed any more is kept: it may be listed
+// again after an outage of the platform.
+const serverMemory = time.Minute
+
+// forgetGone drops what is known of servers that are gone.
+func (t *tracker) forgetGone(listed func(name string) bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, state := range t.servers {
+		if state.listedAt.IsZero() || listed(name) {
+			state.listedAt = now
+		}
+		if state.inFlight == 0 && now.Sub(state.listedAt) >= serverMemory {
+			delete(t.servers, name)
+		}
+	}
+	for service, paces := range t.paces {
+		if paces.Forget(now) {
+			delete(t.paces, service)
+		}
+	}
+	maps.DeleteFunc(t.sessions, func(_ string, s sessionServer) bool { return now.Sub(s.usedAt) > sessionMemory })
+}
+
 // stateOf returns the state of a server, creating it if needed. The caller holds mu.
 func (t *tracker) stateOf(server string) *serverState {
 	state := t.servers[server]
--- a/internal/history/client.go
+++ b/internal/history/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -126,7 +127,9 @@
 func (c *Client) markSlow(keeper string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.slow[keeper] = time.Now().Add(slowFor)
+	now := time.Now()
+	maps.DeleteFunc(c.slow, func(_ string, until time.Time) bool { return !now.Before(until) })
+	c.slow[keeper] = now.Add(slowFor)
 }
 
 func (c *Client) markFast(keeper string) {
--- a/internal/httpconn/listener.go
+++ b/internal/httpconn/listener.go
@@ -26,6 +26,10 @@
 // the goroutine that accepts closes the socket, after it has found none waiting.
 type Listener struct {
 	net.Listener
+	// Reclaim, if not nil, frees descriptors when there is none for a connection that waits. It returns false if
+	// it cannot.
+	Reclaim func() bool
+
 	stopping atomic.Bool
 	closed   chan struct{}
 	once     sync.Once
@@ -52,6 +56,9 @@
 		if err == nil {
 			return &conn{Conn: c, keepUntil: time.Now().Add(requestGrace)}, nil
 		}
+		if (errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)) && l.Reclaim != nil && l.Reclaim() {
+			continue
+		}
 		if !l.stopping.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, err
 		}
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -67,6 +67,12 @@
 	m.updatedAt = now
 }
 
+// Forget drops servers of which nothing was heard for long, and reports whether none is left.
+func (s *Servers) Forget(now time.Time) bool {
+	s.refresh(now)
+	return len(s.means) == 0
+}
+
 // Ratio returns how much slower a server works than the median one, 1 if it does not lastingly.
 func (s *Servers) Ratio(server string, now time.Time) float64 {
 	m := s.means[server]
--- a/internal/servers/servers.go
+++ b/internal/servers/servers.go
@@ -58,6 +58,8 @@
 	loaded atomic.Bool
 
 	current atomic.Pointer[snapshot]
+	// changed is closed and replaced when the snapshot is.
+	changed atomic.Pointer[chan struct{}]
 
 	mu sync.Mutex
 	// entries holds the decoded objects by name.
@@ -77,9 +79,14 @@
 func NewDirectory(source *objectcache.Cache, prefix string, decode Decoder, logger log.Interface) *Directory {
 	d := &Directory{source: source, prefix: prefix, decode: decode, logger: logger, entries: map[string]serverEntry{}}
 	d.current.Store(&snapshot{})
+	changed := make(chan struct{})
+	d.changed.Store(&changed)
 	return d
 }
 
+// Changed returns a channel that is closed when the servers change.
+func (d *Directory) Changed() <-chan struct{} { return *d.changed.Load() }
+
 func (d *Directory) ForService(service string) []structs.Server {
 	return d.current.Load().byService[service]
 }
@@ -219,6 +226,8 @@
 		}
 	}
 	d.current.Store(next)
+	changed := make(chan struct{})
+	close(*d.changed.Swap(&changed))
 }
 
 // Dump returns the servers that may get requests, by service.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,6 +42,8 @@
 	Duty string `toml:"duty" validate:"oneof=programs gateway keeper" allowed:"programs, gateway or keeper"`
 	// MemoryMB is the memory that the process may use; 0 for no limit.
 	MemoryMB int `toml:"memory_mb" validate:"min=0,max=1048576" allowed:"0 to 1048576"`
+	// MaxDescriptors is the number of descriptors that the process may use; 0 for the limit of the process.
+	MaxDescriptors int `toml:"max_descriptors" validate:"min=0,max=1073741824" allowed:"0 to 1073741824"`
 }
 
 // DutyPrograms is the duty of a daemon that serves programs over the native API.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -11,18 +11,18 @@
 	"context"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
 	"ibisline/internal/defaults"
 	"ibisline/internal/structs"
+	"ibisline/internal/timers"
 )
 
 // Defaults of Config.
@@ -54,6 +54,8 @@
 	IdleLimit    time.Duration
 	UnackedLimit time.Duration
 	MaxIdle      int
+	// MaxConns limits the connections to all servers together, idle ones included; 0 is no limit.
+	MaxConns int
 	// Dial connects to an address of the form IP:port. The default dials TCP.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 	// RequestID returns the identifier of the request that a response header
@@ -73,37 +75,31 @@
 type Client struct {
 	config Config
 
-	mu sync.Mutex
-	// idle holds the idle connections of each server, the most recently used one
-	// last.
-	idle map[poolKey][]*conn
+	pool *pool
 
 	dials            *metrics.Counter
 	reuses           *metrics.Counter
 	foreignResponses *metrics.Counter
 }
 
-// poolKey identifies one run of a server at one address, so that a connection is never
-// reused for another server that has taken over the address.
-type poolKey struct {
-	server  string
-	addr    string
-	started int64
-}
-
-func keyOf(server structs.Server) poolKey {
-	return poolKey{server: server.Name, addr: server.Addr, started: server.StartedMS}
-}
-
 // NewClient returns a Client without connections that registers its metrics in set.
 func NewClient(config Config, set *metrics.Set) *Client {
 	config = config.withDefaults()
 	if config.Dial == nil {
 		config.Dial = dialTCP(config)
 	}
+	p := newPool(config.MaxIdle, config.MaxConns)
+	set.GetOrCreateGauge("ibisline_upstream_connections", func() float64 {
+		open, _ := p.counts()
+		return float64(open)
+	})
+	set.GetOrCreateGauge("ibisline_upstream_connections_idle", func() float64 {
+		_, idle := p.counts()
+		return float64(idle)
+	})
 	return &Client{
 		config:           config,
-		idle:             map[poolKey][]*conn{},
+		pool:             p,
 		dials:            set.GetOrCreateCounter("ibisline_upstream_dials_total"),
 		reuses:           set.GetOrCreateCounter("ibisline_upstream_reuses_total"),
 		foreignResponses: set.GetOrCreateCounter("ibisline_upstream_foreign_answers_total"),
@@ -142,7 +138,7 @@
 func (c *Client) acquire(ctx context.Context, server structs.Server, request Request) (*conn, error) {
 	key := keyOf(server)
 	for !request.NewConnection {
-		idle := c.takeIdle(key, request.ID)
+		idle := c.pool.take(key, request.ID)
 		if idle == nil {
 			break
 		}
@@ -152,68 +148,67 @@
 		}
 		idle.close()
 	}
-	c.dials.Inc()
-	dialCtx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
-	raw, err := c.config.Dial(dialCtx, server.Addr)
+	return c.dial(ctx, server)
+}
+
+// dial opens a connection. The error is errExhausted if the process has no descriptor left for it.
+func (c *Client) dial(ctx context.Context, server structs.Server) (*conn, error) {
+	if !c.pool.admit() {
+		return nil, errExhausted
+	}
+	c.dials.Inc()
+	raw, err := c.config.Dial(ctx, server.Addr)
+	if noDescriptor(err) && c.pool.reclaim() {
+		raw, err = c.config.Dial(ctx, server.Addr)
+	}
 	if err != nil {
+		c.pool.release()
+		if noDescriptor(err) {
+			err = errors.Wrap(errExhausted, err.Error())
+		}
 		return nil, err
 	}
-	return newConn(raw, key), nil
+	return newConn(raw, keyOf(server), c.pool), nil
+}
+
+// errExhausted means that there are too many connections already.
+var errExhausted = errors.New("no descriptor left for a connection")
+
+// noDescriptor reports whether an error means that the process or the machine has no descriptor left.
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
 }
 
 // Probe connects to a server without sending a request and keeps the connection for the
 // next request. It returns the dial error.
 func (c *Client) Probe(ctx context.Context, server structs.Server) error {
-	c.dials.Inc()
-	raw, err := c.config.Dial(ctx, server.Addr)
+	cn, err := c.dial(ctx, server)
 	if err != nil {
 		return err
 	}
-	c.putIdle(newConn(raw, keyOf(server)), nil)
+	c.putIdle(cn, nil)
 	return nil
 }
 
 // Check connects to a server and closes the connection without sending anything. It returns the dial
 // error, whose kind is ErrConnect.
 func (c *Client) Check(ctx context.Context, server structs.Server) error {
-	c.dials.Inc()
 	ctx, cancel := context.WithTimeout(ctx, c.config.DialTimeout)
 	defer cancel()
-	raw, err := c.config.Dial(ctx, server.Addr)
+	cn, err := c.dial(ctx, server)
 	if err != nil {
 		return &Failure{Kind: ErrConnect, Cause: err}
 	}
-	return raw.Close()
-}
-
-// takeIdle removes and returns the most recently used idle connection of a server on which
-// the request was not rejected before, nil if there is none.
-func (c *Client) takeIdle(key poolKey, requestID string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	idle := c.idle[key]
-	for i, cn := range slices.Backward(idle) {
-		if !slices.Contains(cn.rejected, requestID) {
-			c.idle[key] = slices.Delete(idle, i, i+1)
-			return cn
-		}
-	}
+	cn.close()
 	return nil
 }
 
 // putIdle keeps a connection for reuse, or closes it if the server already has MaxIdle
 // idle connections. header is that of the last response, nil if there was none.
 func (c *Client) putIdle(cn *conn, header http.Header) {
-	cn.expires = time.Now().Add(c.idleLimit(header))
-	c.mu.Lock()
-	idle := c.idle[cn.key]
-	full := len(idle) >= c.config.MaxIdle
-	if !full {
-		c.idle[cn.key] = append(idle, cn)
-	}
-	c.mu.Unlock()
-	if full {
+	if !c.pool.put(cn, time.Now().Add(c.idleLimit(header))) {
 		cn.close()
 	}
 }
@@ -232,36 +227,49 @@
 	return c.config.IdleLimit
 }
 
-// CloseExpired closes the idle connections that have expired by now, and all idle
-// connections of the servers for which keep returns false. It is meant to be called
-// periodically.
-func (c *Client) CloseExpired(now time.Time, keep func(name string) bool) {
-	var stale []*conn
-	c.mu.Lock()
-	for key, idle := range c.idle {
-		first := 0
-		for first < len(idle) && (!keep(key.server) || now.After(idle[first].expires)) {
-			first++
-		}
-		stale = append(stale, idle[:first]...)
-		if first == len(idle) {
-			delete(c.idle, key)
-			continue
+// Listed tells which servers there are.
+type Listed interface {
+	// Find returns a server by name, including servers that are leaving.
+	Find(name string) (structs.Server, bool)
+	// Changed returns a channel that is closed when the servers change.
+	Changed() <-chan struct{}
+}
+
+// expireInterval is the interval at which expired idle connections are closed.
+const expireInterval = time.Second
+
+// Run closes idle connections when they have expired, and at once when their server is gone, leaving or was
+// started again, until ctx ends. Servers limit the connections that they accept, and the process its descriptors.
+func (c *Client) Run(ctx context.Context, listed Listed) error {
+	for {
+		changed := listed.Changed()
+		c.pool.closeStale(time.Now(), func(key poolKey) bool {
+			server, found := listed.Find(key.server)
+			return found && keyOf(server) == key && server.State != structs.StateLeaving
+		})
+		select {
+		case <-ctx.Done():
+			c.Close()
+			return nil
+		case <-changed:
+		case <-timers.After(expireInterval):
 		}
-		c.idle[key] = idle[first:]
-	}
-	c.mu.Unlock()
-	for _, old := range stale {
-		old.close()
 	}
 }
 
-// Close closes all idle connections.
+// Reclaim closes some idle connections for the sake of others, when the process has no descriptor left. It
+// returns false if there is none.
+func (c *Client) Reclaim() bool { return c.pool.reclaim() }
+
+// Close closes all idle connections, and those in use when their requests end.
 func (c *Client) Close() {
-	c.CloseExpired(time.Time{}, func(string) bool { return false })
+	c.pool.mu.Lock()
+	c.pool.closed = true
+	c.pool.mu.Unlock()
+	c.pool.closeStale(time.Time{}, func(poolKey) bool { return false })
 }
 
 // CloseServer closes all idle connections of a server that appears to be gone.
 func (c *Client) CloseServer(name string) {
-	c.CloseExpired(time.Time{}, func(server string) bool { return server != name })
+	c.pool.closeStale(time.Time{}, func(key poolKey) bool { return key.server != name })
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"container/list"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,7 +28,11 @@
 	// request may be sent again, and must not be sent on this connection: a faulty server may
 	// repeat the response, which carries the same identifier.
 	rejected []string
-	expires  time.Time
+	// pool counts the connection until closeOnce. The others belong to it while the connection is idle.
+	pool      *pool
+	closeOnce sync.Once
+	expires   time.Time
+	idle      *list.Element
 }
 
 // maxRejected is the number of discarded responses after which a connection is not reused.
@@ -35,11 +41,12 @@
 // readBufferBytes fits the head of a response or a few events of a stream.
 const readBufferBytes = 4 << 10
 
-func newConn(raw net.Conn, key poolKey) *conn {
+func newConn(raw net.Conn, key poolKey, counted *pool) *conn {
 	checked := httpresponse.NewConn(raw)
 	limiter := &headLimiter{Conn: checked}
 	return &conn{
 		Conn: raw, key: key, checked: checked, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferBytes),
+		pool: counted,
 	}
 }
 
@@ -67,8 +74,13 @@
 	return err == nil && quiet
 }
 
-// close closes the connection; data that the server still sends is lost.
-func (c *conn) close() { _ = c.Conn.Close() }
+// close closes a connection that is not idle; data that the server still sends is lost.
+func (c *conn) close() {
+	c.closeOnce.Do(func() {
+		_ = c.Conn.Close()
+		c.pool.release()
+	})
+}
 
 // interrupt makes pending reads and writes fail.
 func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -38,6 +38,8 @@
 var (
 	// ErrConnect means that no connection could be established, so nothing was sent.
 	ErrConnect = errors.New("no connection to the backend server")
+	// ErrExhausted means that the process has no descriptor left for a connection, so nothing was sent.
+	ErrExhausted = errors.New("too many connections to backend servers")
 	// ErrEnded means that the context had ended before the request was written, so nothing was sent.
 	ErrEnded = errors.New("the request has ended")
 	// ErrWithdrawn means that MayStart returned false, so nothing was sent.
@@ -62,6 +64,9 @@
 // *verdict.Error: NotRun only if no byte was written to a connection.
 func (c *Client) Send(ctx context.Context, server structs.Server, request Request) (*Response, error) {
 	cn, err := c.acquire(ctx, server, request)
+	if errors.Is(err, errExhausted) {
+		return nil, notSentError(ctx, ErrExhausted, err)
+	}
 	if err != nil {
 		return nil, notSentError(ctx, ErrConnect, err)
 	}
--- a/test/platform/fleet_test.go
+++ b/test/platform/fleet_test.go
@@ -69,6 +69,8 @@
 	version int64
 	// gatewayMemoryMB is the memory of the gateways, 0 for no limit.
 	gatewayMemoryMB int
+	// gatewayDescriptors is the number of descriptors of the gateways, 0 for the limit of the process.
+	gatewayDescriptors int
 	// maxBodyBytes is the limit on bodies in the configuration, and teams its list of teams, empty for none.
 	maxBodyBytes int
 	teams        string
@@ -200,6 +202,9 @@
 	if d.duty == "gateway" && f.gatewayMemoryMB > 0 {
 		text += fmt.Sprintf("memory_mb = %d\n", f.gatewayMemoryMB)
 	}
+	if d.duty == "gateway" && f.gatewayDescriptors > 0 {
+		text += fmt.Sprintf("max_descriptors = %d\n", f.gatewayDescriptors)
+	}
 	text += fmt.Sprintf("[platform]\naddrs = [%q]\nprotocol = \"objects\"\ntimeout = \"1s\"\n", d.proxyAddr)
 	text += f.moreSettings + "[budgets]\nlost_disks = 1\n[stop]\ndrain_limit = \"20s\"\nbalancer_delay = \"300ms\"\n"
 	if d.duty == "keeper" {
