Soak: released engines, long bodies, programs of different size, servers in trouble

Change: engines are replaced while long streams lose their ends, orders of 1 MB go to gateways with 64 MB, programs with turns of 1,200 tokens run beside those with 200, and servers answer during the upload or with the status 000. Checked besides: no request at an engine 2.5 s after it was draining, streams whole and in order, no 402 while the budget holds a turn (always for the large programs, for the others in planned work), connections to present servers only. The stand-in keeps the first 64 KB of a body: with all of it the test process held 16 GB.

--- a/test/platform/crashing_request_test.go
+++ b/test/platform/crashing_request_test.go
@@ -95,12 +95,16 @@
 	number := m.run
 	server.Script(func(run platformtest.Run) platformtest.Reply {
 		header := m.receive(run, number)
+		if reply, inTrouble := replyInTrouble(run); inTrouble {
+			return reply
+		}
 		if run.Body != crashingBody {
 			return platformtest.Reply{Body: "done " + run.ID, Header: header}
 		}
 		go m.crash(base, number, run.ID)
 		return platformtest.Reply{Silent: true}
 	})
+	server.AnswerEarly(answerEarlyInTrouble)
 	m.server, m.listener = server, listener
 	m.former = append(m.former, server)
 	go func() {
--- a/test/platform/soak_test.go
+++ b/test/platform/soak_test.go
@@ -49,7 +49,9 @@
 	received map[string]int  // tokens received by program
 	answers  []soakAnswer
 	stopping []string // errors of planned stops
-	log      []string
+	// falselySpent are the turns that were refused although their budget held them.
+	falselySpent []string
+	log          []string
 	// sentTo holds the gateway of each attempt, and disturbed the events at each daemon.
 	sentTo    map[string]string
 	disturbed map[string][]period
@@ -57,6 +59,11 @@
 	// is the time at which a keeper last lost its disk.
 	conversations []soakTurn
 	lastLoss      time.Time
+	// charged holds what the turns of each program may have used at most.
+	charged  map[string]int
+	releases releases
+	// troubled are the answers to requests that servers in trouble got.
+	troubled []answer
 }
 
 // soakAnswer is an answer with the kind of request and the phase in which it was sent.
@@ -77,7 +84,10 @@
 
 func runSoak(t *testing.T, seed uint64) {
 	s := &soak{
-		testFleet: newTestFleetOf(t, *soakGateways), random: rand.New(rand.NewPCG(seed, 0)),
+		testFleet: newTestFleetWith(t, *soakGateways, func(f *testFleet) {
+			f.gatewayMemoryMB, f.maxBodyBytes = soakMemoryMB, maxHostileBody
+		}),
+		random: rand.New(rand.NewPCG(seed, 0)), charged: map[string]int{},
 		busy: map[string]bool{}, received: map[string]int{}, sentTo: map[string]string{}, disturbed: map[string][]period{},
 	}
 	for i := range *soakGateways {
@@ -88,17 +98,17 @@
 			t.Logf("events:\n%s", strings.Join(s.log, "\n"))
 		}
 	})
-	s.scriptEngines()
+	s.replaceEngines()
 	s.replaceTills()
 	s.waitUntil("the budgets have a home", func() bool {
 		return s.turn(s.names[0], "first", tokensPerTurn).status == http.StatusOK
 	})
 	s.phase(true, []func(){
-		s.stopGateway, s.stopGateway, s.stopHome, s.reload, s.configure, s.limitServer, s.limitServer,
+		s.stopGateway, s.stopGateway, s.stopHome, s.reload, s.configure, s.limitServer, s.limitServer, s.releaseEngine, s.releaseEngine,
 	})
 	s.phase(false, []func(){
 		s.stopGateway, s.stopHome, s.reload, s.configure, s.killGateway, s.killHome, s.killSeveral, s.pauseGateway,
-		s.killKeeper, s.loseDisk, s.outage, s.limitServer, s.limitServer, s.leaveOddEntry,
+		s.killKeeper, s.loseDisk, s.outage, s.limitServer, s.limitServer, s.leaveOddEntry, s.releaseEngine, s.releaseEngine,
 	}, s.runCrashingClient, s.runCrashingClient, s.runConversation(0), s.runConversation(1))
 	s.requireRecovery()
 	s.check()
@@ -110,6 +120,8 @@
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	clients.Go(func() { s.runLateClient(planned, stop) })
+	clients.Go(func() { s.runLongStreams(planned, stop) })
+	clients.Go(func() { s.runLongBodies(planned, stop) })
 	for i := range len(s.names) {
 		clients.Go(func() { s.runCaller(i, planned, stop) })
 	}
@@ -149,9 +161,7 @@
 		} else {
 			program := fmt.Sprintf("%s-%d", id, n/10)
 			got = s.turnWith(client, name, program, soakBudgetTurns*tokensPerTurn)
-			s.mu.Lock()
-			s.received[program] += got.events * tokensPerEvent
-			s.mu.Unlock()
+			s.recordTurn(program, got, planned)
 		}
 		s.mu.Lock()
 		s.answers = append(s.answers, soakAnswer{answer: got, planned: planned})
@@ -166,6 +176,25 @@
 	}
 }
 
+// recordTurn records the answer to a turn. In planned work a turn is refused for its budget only if what the turns
+// before may have used at most leaves no room for it.
+func (s *soak) recordTurn(program string, got answer, planned bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received[program] += got.events * tokensPerEvent
+	switch got.status {
+	case http.StatusOK:
+		s.charged[program] += got.events * tokensPerEvent
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+	case http.StatusPaymentRequired:
+		if planned && s.charged[program]+tokensPerTurn <= soakBudgetTurns*tokensPerTurn {
+			s.falselySpent = append(s.falselySpent, fmt.Sprintf("%s: 402 after %d tokens at most", got.id, s.charged[program]))
+		}
+	default:
+		s.charged[program] += tokensPerTurn
+	}
+}
+
 // begin starts an event at a daemon in the background, unless one is in progress there or too
 // many daemons have one.
 func (s *soak) begin(what, name string, event func()) {
@@ -300,6 +329,10 @@
 	s.checkCrashes()
 	s.checkLimits()
 	s.checkConversations()
+	s.checkReleases()
+	s.checkConnections()
+	s.checkTroubled()
+	require.Empty(s.t, s.falselySpent)
 	runs := s.runsByAttempt()
 	statuses := map[int]int{}
 	for _, a := range s.answers {
