Memory budget: nobody is woken where nobody waits

Every end of a request closed and made a channel although no handler waited for memory. Behaviour is the same; the comments of Reserve and of the request writer say what holds.

--- a/internal/httpconn/budget.go
+++ b/internal/httpconn/budget.go
@@ -71,8 +71,9 @@
 	conns map[*conn]struct{}
 	// freed measures how fast memory is freed.
 	freed freeRate
-	// room is closed and replaced when memory is freed.
-	room chan struct{}
+	// room is closed and replaced when memory is freed while awaited is set.
+	room    chan struct{}
+	awaited bool
 
 	closed  atomic.Int64
 	refused atomic.Int64
@@ -117,7 +118,7 @@
 
 // Reserve counts bytes before a request uses them. From then on its body is not counted as it is read. The
 // error is a *NoRoomError, or ErrOverBudget if the connection was closed. ctx is derived from the
-// context of the request, and holds no memory if no budget counts its connection.
+// context of the request. Without a budget for its connection, Reserve and the functions below do nothing.
 func Reserve(ctx context.Context, bytes int) error {
 	if c := counted(ctx); c != nil {
 		return c.budget.reserve(c, int64(bytes))
@@ -276,6 +277,7 @@
 	if missing := b.used + bytes - b.limit; missing > 0 {
 		yielding := b.yielding(c, 0, idleGrace)
 		if heldBy(yielding) < missing {
+			b.awaited = true
 			return b.room, nil
 		}
 		b.makeRoom(missing, yielding)
@@ -344,8 +346,10 @@
 	}
 	b.used -= bytes
 	b.freed.add(bytes, time.Now())
-	close(b.room)
-	b.room = make(chan struct{})
+	if b.awaited {
+		close(b.room)
+		b.room, b.awaited = make(chan struct{}), false
+	}
 }
 
 // yielding returns the connections that may be closed for one that is going to hold a number of bytes, in
--- a/internal/upstream/write.go
+++ b/internal/upstream/write.go
@@ -22,7 +22,8 @@
 }
 
 // start writes up to inlineBytes of the request and the rest in the background. It writes nothing if ctx
-// has ended or the request may not start any more. The body is not copied beyond inlineBytes, as many large requests may be sent at a time.
+// has ended or the request may not start any more. The body is not copied beyond inlineBytes, as many large
+// requests may be sent at a time.
 func (w *requestWriter) start(ctx context.Context) error {
 	first, err := w.request.encodeHead()
 	if err == nil {
