Daemons that are gone are not held by the crash records and the seeds

Fetches are now forgotten once the crashes that they returned have expired, and there is one name per seed. Before, TestFetchesOfCrashesAreForgotten failed: entries were left after 11 min (now none).

--- a/internal/crashguard/exchange.go
+++ b/internal/crashguard/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"ibisline/internal/peer"
@@ -61,14 +62,14 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	g.mu.Lock()
-	request := g.fetched[daemon]
+	request := g.fetched[daemon].next
 	g.mu.Unlock()
 	var reply crashesReply
 	err := peer.Call(ctx, g.Dialer, daemon, methodCrashes, request, &reply)
 	g.mu.Lock()
 	delete(g.fetching, daemon)
 	if err == nil {
-		g.fetched[daemon] = crashesRequest{Process: reply.Process, After: reply.Sequence}
+		g.fetched[daemon] = lastFetch{next: crashesRequest{Process: reply.Process, After: reply.Sequence}, at: time.Now()}
 	}
 	g.mu.Unlock()
 	if err != nil {
@@ -78,6 +79,17 @@
 	g.addAll(reply.Crashes, daemon)
 }
 
+// lastFetch is the last fetch of crashes from a daemon, and the request that continues it.
+type lastFetch struct {
+	next crashesRequest
+	at   time.Time
+}
+
+// forgetFetches drops the fetches whose crashes have all expired. The caller holds mu.
+func (g *Guard) forgetFetches(now time.Time) {
+	maps.DeleteFunc(g.fetched, func(_ string, last lastFetch) bool { return now.Sub(last.at) > entryLifetime })
+}
+
 func (g *Guard) serveCrashes(_ context.Context, s peer.Stream) error {
 	var request crashesRequest
 	if err := s.Recv(&request); err != nil {
--- a/internal/crashguard/guard.go
+++ b/internal/crashguard/guard.go
@@ -75,9 +75,9 @@
 	mu      sync.Mutex
 	crashes *crashSet
 	// fetching holds the daemons in fetches and those with a fetch in progress, and fetched the
-	// next request to each daemon.
+	// last fetch from each daemon, until it is as old as the crashes that it returned may become.
 	fetching map[string]bool
-	fetched  map[string]crashesRequest
+	fetched  map[string]lastFetch
 	stored   storedState
 	checks   map[run]*check
 	// completed holds requests that have completed recently, at the remainder of their fingerprint.
@@ -97,7 +97,7 @@
 		refused:    deps.Metrics.GetOrCreateCounter("ibisline_poison_refusals_total"),
 		crashes:    newCrashSet(),
 		fetching:   map[string]bool{},
-		fetched:    map[string]crashesRequest{},
+		fetched:    map[string]lastFetch{},
 	}
 	deps.Mux.Handle(methodCrashes, g.serveCrashes)
 	return g
@@ -205,6 +205,7 @@
 		case <-expiry.C:
 			g.mu.Lock()
 			g.crashes.expire(time.Now())
+			g.forgetFetches(time.Now())
 			g.mu.Unlock()
 		case daemon := <-g.fetches.Items():
 			calls.Go(func() error {
@@ -215,10 +216,12 @@
 	}
 }
 
-// Status is the dump of a guard's state: the numbers of suspect and refused requests.
+// Status is the dump of a guard's state: the numbers of suspect and refused requests, and of the daemons
+// from which crashes were fetched.
 type Status struct {
 	Suspects int `json:"suspects"`
 	Refused  int `json:"refused"`
+	Fetched  int `json:"fetched"`
 }
 
 // Dump returns the Status of the guard.
@@ -226,5 +229,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	refused := g.crashes.refused
-	return Status{Suspects: len(g.crashes.suspects) - refused, Refused: refused}
+	return Status{Suspects: len(g.crashes.suspects) - refused, Refused: refused, Fetched: len(g.fetched)}
 }
--- a/internal/crashguard/guard_test.go
+++ b/internal/crashguard/guard_test.go
@@ -293,6 +293,17 @@
 	})
 }
 
+// Daemons that are gone must not be held for as long as the process runs.
+func TestFetchesOfCrashesAreForgotten(t *testing.T) {
+	withFleet(t, 3, func(t *testing.T, f *fleet) {
+		f.breakConnection("gateway-0", request, "engine-0", 1)
+		f.exchangeMarks(3)
+		require.NotZero(t, f.guards["gateway-1"].Dump().(crashguard.Status).Fetched)
+		f.exchangeMarks(11 * 60)
+		require.Zero(t, f.guards["gateway-1"].Dump().(crashguard.Status).Fetched)
+	})
+}
+
 // Parts with the same concatenation must not have the same fingerprint.
 func TestFingerprintSeparatesParts(t *testing.T) {
 	require.Equal(t, crashguard.FingerprintOf([]byte("a"), []byte("b")), crashguard.FingerprintOf([]byte("a"), []byte("b")))
--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"ibisline/internal/objectapi"
@@ -129,6 +131,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.config.Seeds = seeds
+	maps.DeleteFunc(m.seedNames, func(addr, _ string) bool { return !slices.Contains(seeds, addr) })
 }
 
 // joinSeed asks the seed at addr for its name and synchronises with it.
@@ -140,7 +143,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.seedAddrs[name] = addr
+	m.seedNames[addr] = name
 	m.mu.Unlock()
 	started := time.Now()
 	m.sync(name)
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -36,7 +36,7 @@
 	shuttingDown     bool
 
 	evidence  chan struct{}     // wakes tick; buffers one signal
-	seedAddrs map[string]string // addresses of daemons discovered through seeds, by name
+	seedNames map[string]string // names of daemons discovered through seeds, by address
 	versions  VersionExchange
 
 	snapshot         atomic.Pointer[snapshot]
@@ -85,7 +85,7 @@
 		machine:         gossip.New(config.machine(), self, incarnation, rand.New(rand.NewPCG(incarnation, 0)), now),
 		probers:         map[string]*prober{},
 		reconnecting:    map[string]bool{},
-		seedAddrs:       map[string]string{},
+		seedNames:       map[string]string{},
 		versions:        noVersions{},
 		evidence:        make(chan struct{}, 1),
 		ctx:             ctx,
@@ -297,8 +297,12 @@
 	if known, ok := m.machine.Member(name); ok {
 		return known.Instance.PeerAddr, true
 	}
-	addr, ok := m.seedAddrs[name]
-	return addr, ok
+	for addr, seed := range m.seedNames {
+		if seed == name {
+			return addr, true
+		}
+	}
+	return "", false
 }
 
 // pause waits for d and returns false when the membership ends first.
