--- a/review/stand-ins-3/record.go
+++ b/review/stand-ins-3/record.go
@@ -11,21 +11,28 @@
 
 // record is the file that says what was sent, answered and run.
 type record struct {
-	mu      sync.Mutex
+	mu      *sync.Mutex
 	file    *os.File
 	started time.Time
+	// label begins each line.
+	label string
 }
 
 func newRecord(name string) (*record, error) {
 	file, err := os.Create(name)
-	return &record{file: file, started: time.Now()}, err
+	return &record{mu: &sync.Mutex{}, file: file, started: time.Now()}, err
+}
+
+// labelled returns the same record with a label for its lines.
+func (r *record) labelled(label string) *record {
+	return &record{mu: r.mu, file: r.file, started: r.started, label: label}
 }
 
 // say writes a line with the time since the start.
 func (r *record) say(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	line := fmt.Sprintf("%8.3f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+	line := fmt.Sprintf("%8.3f %s%s\n", time.Since(r.started).Seconds(), r.label, fmt.Sprintf(format, args...))
 	_, _ = r.file.WriteString(line)
 	fmt.Print(line)
 }
--- a/review/stand-ins-3/scene.go
+++ b/review/stand-ins-3/scene.go
@@ -6,12 +6,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +26,8 @@
 const (
 	readyTimeout = 20 * time.Second
 	pollInterval = 20 * time.Millisecond
+	// storeLatency is the mean of that of the users' sheet: "4 ms an answer".
+	storeLatency = 4 * time.Millisecond
 )
 
 // place is a zone and its region.
@@ -63,10 +68,34 @@
 	s := &scene{
 		record: r, dir: dir, program: program, trouble: trouble, store: platformtest.NewStore(), daemons: map[string]*daemon{},
 	}
-	s.server = httptest.NewServer(s.store)
+	s.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(rand.N(2 * storeLatency))
+		s.store.ServeHTTP(w, r)
+	}))
 	return s
 }
 
+// inParallel plays a case in several deployments of their own at the same time. It is broken if it is in one of them.
+func inParallel(count int, play func(s *scene) (bool, error)) func(s *scene) (bool, error) {
+	return func(s *scene) (bool, error) {
+		broken, failures := make([]bool, count), make([]error, count)
+		var plays sync.WaitGroup
+		for i := range count {
+			plays.Go(func() {
+				dir := filepath.Join(s.dir, strconv.Itoa(i))
+				if failures[i] = os.Mkdir(dir, 0o755); failures[i] != nil {
+					return
+				}
+				part := newScene(dir, s.program, s.record.labelled(fmt.Sprintf("deployment %d: ", i)), s.trouble)
+				defer part.end()
+				broken[i], failures[i] = play(part)
+			})
+		}
+		plays.Wait()
+		return slices.Contains(broken, true), errors.Join(failures...)
+	}
+}
+
 // end ends all daemons that the scene has started, and the stand-ins.
 func (s *scene) end() {
 	for _, d := range s.daemons {
@@ -82,13 +111,37 @@
 	}
 }
 
+// Ports for daemons, below those that the system gives to outgoing connections.
+const (
+	firstPort = 20000
+	ports     = 10000
+)
+
+// givenPorts holds the ports that were given to daemons.
+var (
+	givenMu    sync.Mutex
+	givenPorts = map[int]bool{}
+)
+
+// freeAddr returns an address with a free port that no other daemon of this process has.
 func freeAddr() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	givenMu.Lock()
+	defer givenMu.Unlock()
+	for range ports {
+		port := firstPort + rand.IntN(ports)
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		if givenPorts[port] {
+			listener.Close()
+			continue
+		}
+		givenPorts[port] = true
+		return addr, listener.Close()
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // addDaemon adds a daemon without starting it.
--- a/review/stand-ins-3/turns.go
+++ b/review/stand-ins-3/turns.go
@@ -89,28 +89,79 @@
 			return false, err
 		}
 	}
-	completed := func() bool { return strings.Contains(string(s.store.Status("retirements/keeper-0")), `"completed"`) }
-	if !waitFor(20*time.Second, completed) {
-		s.say("the retirement was not completed within 20 s")
-		return false, errors.New("no completed retirement")
+	if err := s.removeOnceCompleted("keeper-0"); err != nil {
+		return false, err
 	}
-	s.say("the retirement of keeper-0 is completed; the machine is removed with its disk")
-	s.kill("keeper-0")
-	if err := s.loseDisk("keeper-0"); err != nil {
+	if err := s.wipeForSeconds("keeper-2"); err != nil {
 		return false, err
 	}
-	// More than catchUpS (4) and contactMs (3,000).
+	return s.continueElsewhere(turns, 3, 6)
+}
+
+// removeOnceCompleted waits until the retirement of a keeper is completed, and removes its machine with its disk. It
+// then waits for more than catchUpS (4) and contactMs (3,000).
+func (s *scene) removeOnceCompleted(name string) error {
+	completed := func() bool { return strings.Contains(string(s.store.Status("retirements/"+name)), `"completed"`) }
+	if !waitFor(20*time.Second, completed) {
+		return fmt.Errorf("the retirement of %s was not completed within 20 s", name)
+	}
+	s.say("the retirement of %s is completed; the machine is removed with its disk", name)
+	s.kill(name)
+	err := s.loseDisk(name)
 	time.Sleep(8 * time.Second)
-	s.say("keeper-2 loses its disk and is back after 2 s")
-	s.kill("keeper-2")
-	if err := s.loseDisk("keeper-2"); err != nil {
-		return false, err
+	return err
+}
+
+// wipeForSeconds makes a keeper lose its disk and starts it again after 2 s. It then waits as removeOnceCompleted does.
+func (s *scene) wipeForSeconds(name string) error {
+	s.kill(name)
+	if err := s.loseDisk(name); err != nil {
+		return err
 	}
 	time.Sleep(2 * time.Second)
-	if err := s.start("keeper-2"); err != nil {
+	err := s.start(name)
+	time.Sleep(8 * time.Second)
+	return err
+}
+
+// retireAfterLoss: a store machine loses its disk, and the operator asks for it to be emptied before it is back; it
+// is removed once its retirement is completed. Later another machine loses its disk.
+func retireAfterLoss(s *scene) (bool, error) {
+	if err := s.prepare(threeRegions, 1, threeRegions, threeRegions); err != nil {
+		return false, err
+	}
+	var turns []turn
+	for i := range threeRegions {
+		turns = append(turns, s.firstTurns(fmt.Sprintf("gateway-%d", i), i*programsAtEach, programsAtEach)...)
+	}
+	s.say("%d first turns were answered whole", len(turns))
+	if len(turns) < 3*programsAtEach {
+		return false, errors.New("some first turns were not served")
+	}
+	time.Sleep(time.Second)
+	if s.trouble {
+		s.kill("keeper-0")
+		if err := s.loseDisk("keeper-0"); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second)
+	}
+	s.say("the operator asks for keeper-0 to be emptied")
+	if err := s.put("retirements/keeper-0", `{"durationS":10}`); err != nil {
+		return false, err
+	}
+	if s.trouble {
+		time.Sleep(time.Second)
+		if err := s.start("keeper-0"); err != nil {
+			return false, err
+		}
+	}
+	if err := s.removeOnceCompleted("keeper-0"); err != nil {
+		return false, err
+	}
+	if err := s.wipeForSeconds("keeper-2"); err != nil {
 		return false, err
 	}
-	time.Sleep(8 * time.Second)
 	return s.continueElsewhere(turns, 3, 6)
 }
 
