Review: a gateway that issues a quota again grants its burst a second time

Cause: the account of a former issuer fills up while another gateway grants the quota, and is used as it is when the gateway becomes the issuer again.

--- a/review/stand-ins-3/main.go
+++ b/review/stand-ins-3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(s *scene) (bool, error){
 	"retire-while-down": retireWhileDown,
 	"wiped-together":    wipedTogether,
+	"quota-after-kills": quotaAfterKills,
 	"retire-after-loss": inParallel(5, retireAfterLoss),
 }
 
--- a/review/stand-ins-3/scene.go
+++ b/review/stand-ins-3/scene.go
@@ -48,9 +48,11 @@
 	// lostDisks is the number of disks that may be lost at once, and seeds the peer addresses of the first daemons.
 	lostDisks int
 	seeds     []string
-	version   int
-	attempts  sync.Mutex
-	attempt   int
+	// tenants is set if the deployment has tenants with quotas.
+	tenants  bool
+	version  int
+	attempts sync.Mutex
+	attempt  int
 }
 
 // daemon is one instance of ibislined.
@@ -195,6 +197,9 @@
 	for _, p := range s.places {
 		fmt.Fprintf(&b, "%q = %q\n", p.zone, p.region)
 	}
+	if s.tenants {
+		fmt.Fprintf(&b, "[teams]\nrevoke_within = \"5000ms\"\nquota_slack = %d\n", quotaSlack)
+	}
 	fmt.Fprintf(&b, "[budgets]\nlost_disks = %d\n[stop]\ndrain_limit = \"8s\"\nbalancer_delay = %q\n", s.lostDisks, balancerDelay)
 	return b.String()
 }
@@ -303,6 +308,13 @@
 
 // addRunner starts a model runner that answers each turn with a few events, and registers it.
 func (s *scene) addRunner(name string, at place, reply func(run platformtest.Run) platformtest.Reply) error {
+	return s.addRunnerOf("lm", name, at, `,"phase":"both","models":[{"name":"m","version":1,"adapters":[]}]`, reply)
+}
+
+// addRunnerOf starts a runner of a service and registers it, with further fields in its entry.
+func (s *scene) addRunnerOf(
+	service, name string, at place, more string, reply func(run platformtest.Run) platformtest.Reply,
+) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -320,9 +332,8 @@
 	}()
 	s.runners = append(s.runners, runner)
 	return s.put("servers/"+name, fmt.Sprintf(
-		`{"service":"lm","address":%q,"zone":%q,"version":"1","slots":16,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d,`+
-			`"phase":"both","models":[{"name":"m","version":1,"adapters":[]}]}`,
-		listener.Addr().String(), at.zone, time.Now().UnixMilli()))
+		`{"service":%q,"address":%q,"zone":%q,"version":"1","slots":16,"state":"ready","coldLeftMs":0,"sequence":1,"born":%d%s}`,
+		service, listener.Addr().String(), at.zone, time.Now().UnixMilli(), more))
 }
 
 // runOf returns the run of an attempt, and false if no runner has run it.
