Review: a second disk is lost before the first keeper has restored its turns

Cause: a keeper restores its conversations one by one, eight at a time, with a round trip for each, and nothing ties the time that this takes to the time after which the next disk may be lost.

Seen: 404 for turns that were answered whole. With one lost disk all turns are served.

--- a/review/stand-ins-3/main.go
+++ b/review/stand-ins-3/main.go
@@ -23,6 +23,7 @@
 	"retire-while-down": retireWhileDown,
 	"wiped-together":    wipedTogether,
 	"quota-after-kills": quotaAfterKills,
+	"second-loss":       secondLoss,
 	"retire-after-loss": inParallel(5, retireAfterLoss),
 }
 
--- a/review/stand-ins-3/scene.go
+++ b/review/stand-ins-3/scene.go
@@ -48,6 +48,9 @@
 	// lostDisks is the number of disks that may be lost at once, and seeds the peer addresses of the first daemons.
 	lostDisks int
 	seeds     []string
+	// keeperLatency is the one-way latency of the way to each keeper, 0 for none.
+	keeperLatency time.Duration
+	proxies       []net.Listener
 	// tenants is set if the deployment has tenants with quotas.
 	tenants  bool
 	version  int
@@ -60,6 +63,7 @@
 	name, duty, data  string
 	place             place
 	front, http, peer string
+	advertised        string
 	firstStart        bool
 	process           *exec.Cmd
 	done              chan struct{}
@@ -103,6 +107,9 @@
 	for _, d := range s.daemons {
 		s.kill(d.name)
 	}
+	for _, proxy := range s.proxies {
+		proxy.Close()
+	}
 	s.server.CloseClientConnections()
 	s.server.Close()
 	if os.Getenv("KEEP_LOGS") != "" {
@@ -113,10 +120,12 @@
 	}
 }
 
-// Ports for daemons, below those that the system gives to outgoing connections.
+// Ports for daemons, below those that the system gives to outgoing connections. Cases that are played at the same time
+// mostly use other ones.
 const (
-	firstPort = 20000
-	ports     = 10000
+	firstPort  = 20000
+	ports      = 1000
+	portRanges = 10
 )
 
 // givenPorts holds the ports that were given to daemons.
@@ -130,7 +139,7 @@
 	givenMu.Lock()
 	defer givenMu.Unlock()
 	for range ports {
-		port := firstPort + rand.IntN(ports)
+		port := firstPort + os.Getpid()%portRanges*ports + rand.IntN(ports)
 		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -156,6 +165,14 @@
 		}
 		*addr = free
 	}
+	if duty == "keeper" && s.keeperLatency > 0 {
+		proxy, err := delayTo(d.peer, s.keeperLatency)
+		if err != nil {
+			return err
+		}
+		s.proxies = append(s.proxies, proxy)
+		d.advertised = proxy.Addr().String()
+	}
 	if duty == "keeper" {
 		d.data = filepath.Join(s.dir, name+"-data")
 	}
@@ -174,6 +191,10 @@
 	if d.duty == "gateway" {
 		fmt.Fprintf(&b, "max_descriptors = 4100\n")
 	}
+	if d.advertised != "" {
+		// The way to this daemon leads through a proxy with the latency of the sheet.
+		fmt.Fprintf(&b, "peer_advertise = %q\n", d.advertised)
+	}
 	fmt.Fprintf(&b, "[platform]\naddrs = [%q]\nprotocol = \"objects\"\ntimeout = \"1s\"\n", s.server.Listener.Addr().String())
 	if d.duty == "gateway" {
 		fmt.Fprintf(&b, "features = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\",\"stream\",\"engine\",\"platform\"]\n")
