--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-3/scene second-loss review/15/record.txt
+exec target/review-3/scene quota-after-kills review/15/record.txt
